--- /dev/null
+++ b/components/dissemination/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/components/ids/src/lib.rs
@@ -0,0 +1,43 @@
+//! Ids, sizes, rates and instants shared by every component.
+
+mod blob;
+mod digest;
+mod names;
+mod numbers;
+mod time;
+
+use std::hash::BuildHasherDefault;
+
+pub use crate::{
+    blob::Blob,
+    digest::{ContentDigest, Fingerprint, KeyDigest},
+    names::{DataCentreName, IdempotencyKey, OrganisationName, RegionName, ServerId, ServiceName},
+    numbers::{
+        AttemptNumber, ByteSize, ConfigVersion, Epoch, HostId, Incarnation, LogIndex, RequestId,
+        RequestRate, Term,
+    },
+    time::{Millis, Timestamp, WallTime},
+};
+
+/// A hash map with a fast, unkeyed hasher.
+pub type FastMap<K, V> = std::collections::HashMap<K, V, BuildHasherDefault<rustc_hash::FxHasher>>;
+
+/// A hash set with a fast, unkeyed hasher.
+pub type FastSet<K> = std::collections::HashSet<K, BuildHasherDefault<rustc_hash::FxHasher>>;
+
+/// The text could not be read as an id, size or rate.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub enum ParseIdError {
+    /// {0} must not be empty
+    Empty(&'static str),
+    /// {0} is longer than {1} bytes
+    TooLong(&'static str, usize),
+    /// {0} may only hold letters, digits, '-', '_', '.' and ':'
+    BadCharacter(&'static str),
+    /// {0} is not a number in range
+    BadNumber(&'static str),
+    /// {0} is not {1} hexadecimal digits
+    BadDigest(&'static str, usize),
+}
+
+impl std::error::Error for ParseIdError {}
--- /dev/null
+++ b/components/ids/src/time.rs
@@ -0,0 +1,98 @@
+//! Instants and durations that decisions are made with.
+
+use std::{
+    fmt,
+    ops::{Add, Sub},
+    str::FromStr,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ParseIdError;
+
+/// A monotonic instant of one process, in microseconds since an origin of its choice.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Timestamp(pub u64);
+
+/// A duration in milliseconds.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+/// A wall clock instant, in milliseconds since the Unix epoch.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct WallTime(pub u64);
+
+impl Timestamp {
+    /// The instant `millis` milliseconds after the origin.
+    pub fn from_millis(millis: u64) -> Self {
+        Self(millis * 1000)
+    }
+
+    /// Microseconds since `earlier`, or 0 when `earlier` lies ahead.
+    pub fn micros_since(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// Whole milliseconds since `earlier`, or 0 when `earlier` lies ahead.
+    pub fn since(self, earlier: Self) -> Millis {
+        Millis(self.micros_since(earlier) / 1000)
+    }
+}
+
+impl Add<Millis> for Timestamp {
+    type Output = Self;
+
+    fn add(self, millis: Millis) -> Self {
+        Self(self.0.saturating_add(millis.0.saturating_mul(1000)))
+    }
+}
+
+impl Sub<Millis> for Timestamp {
+    type Output = Self;
+
+    fn sub(self, millis: Millis) -> Self {
+        Self(self.0.saturating_sub(millis.0.saturating_mul(1000)))
+    }
+}
+
+impl WallTime {
+    /// Milliseconds since `earlier`, or 0 when `earlier` lies ahead.
+    pub fn since(self, earlier: Self) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl From<Millis> for Duration {
+    fn from(millis: Millis) -> Self {
+        Self::from_millis(millis.0)
+    }
+}
+
+macro_rules! millis_text {
+    ($name:ident, $what:literal) => {
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, ParseIdError> {
+                text.parse().map(Self).map_err(|_| ParseIdError::BadNumber($what))
+            }
+        }
+    };
+}
+
+millis_text!(Timestamp, "timestamp");
+millis_text!(Millis, "duration in milliseconds");
+millis_text!(WallTime, "wall clock time");
--- /dev/null
+++ b/components/ids/tests/parse.rs
@@ -0,0 +1,41 @@
+//! Ids, sizes and digests read and print the same text.
+
+use ids::{ContentDigest, HostId, KeyDigest, Millis, ParseIdError, ServiceName, Timestamp};
+
+#[test]
+fn names_reject_text_that_cannot_be_a_name() {
+    let empty = "".parse::<ServiceName>();
+    let spaced = "bench booking".parse::<ServiceName>();
+    let long = "x".repeat(65).parse::<ServiceName>();
+
+    assert_eq!(empty, Err(ParseIdError::Empty("service name")));
+    assert_eq!(spaced, Err(ParseIdError::BadCharacter("service name")));
+    assert_eq!(long, Err(ParseIdError::TooLong("service name", 64)));
+}
+
+#[test]
+fn digests_print_and_parse() {
+    let digest = ContentDigest::of(b"deposit");
+
+    let parsed = digest.to_string().parse();
+
+    assert_eq!(parsed, Ok(digest));
+    assert!("zz".repeat(16).parse::<KeyDigest>().is_err());
+    assert!("é".repeat(16).parse::<KeyDigest>().is_err());
+}
+
+#[test]
+fn numbers_reject_values_out_of_range() {
+    assert_eq!("7".parse(), Ok(HostId(7)));
+    assert_eq!("-1".parse::<HostId>(), Err(ParseIdError::BadNumber("host id")));
+}
+
+#[test]
+fn instants_never_run_below_zero() {
+    let early = Timestamp::from_millis(1);
+    let late = early + Millis(5);
+
+    assert_eq!(late.since(early), Millis(5));
+    assert_eq!(early.since(late), Millis(0));
+    assert_eq!(early - Millis(9), Timestamp(0));
+}
--- /dev/null
+++ b/src/bin/daisypaddle.rs
@@ -0,0 +1,3 @@
+//! Operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! A proxy fleet for backend servers with gray failures.
