--- /dev/null
+++ b/components/transport/src/stream.rs
@@ -0,0 +1,93 @@
+//! Sends and receives messages over TCP, each behind its length.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use schema::MAX_FRAME_BYTES;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, mpsc},
+    time::timeout,
+};
+
+use crate::{Inbox, Stats, seal::MAC_BYTES};
+
+/// Longest wait for a connection to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest wait until a peer takes a message.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Connections from peers served at once.
+const MAX_INBOUND_CONNECTIONS: usize = 2048;
+
+/// Length of the length in front of each message, in bytes.
+const LENGTH_BYTES: usize = 4;
+
+/// Connects and sends until the channel is closed or the connection fails.
+pub(crate) async fn send_all(
+    address: SocketAddr,
+    mut rx: mpsc::Receiver<Vec<u8>>,
+    stats: Arc<Stats>,
+) {
+    if let Err(unsent) = connect_and_send(address, &mut rx, &stats).await {
+        rx.close();
+        let queued = std::iter::from_fn(|| rx.try_recv().ok()).count();
+        (0..queued + unsent).for_each(|_| stats.count_dropped());
+    }
+}
+
+/// Returns the number of messages lost with the connection, if it fails.
+async fn connect_and_send(
+    address: SocketAddr,
+    rx: &mut mpsc::Receiver<Vec<u8>>,
+    stats: &Stats,
+) -> Result<(), usize> {
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let Ok(Ok(mut stream)) = connected else { return Err(0) };
+    // Without it small messages would wait for each other.
+    stream.set_nodelay(true).map_err(|_| 0usize)?;
+    while let Some(data) = rx.recv().await {
+        let mut buf = Vec::with_capacity(LENGTH_BYTES + data.len());
+        buf.extend_from_slice(&(data.len() as u32).to_le_bytes());
+        buf.extend_from_slice(&data);
+        match timeout(WRITE_TIMEOUT, stream.write_all(&buf)).await {
+            Ok(Ok(())) => stats.count_sent(data.len()),
+            Ok(Err(_)) | Err(_) => return Err(1),
+        }
+    }
+    Ok(())
+}
+
+/// Accepts connections until the inbox is closed.
+pub(crate) async fn accept_all(listener: TcpListener, inbox: Inbox) {
+    let permits = Arc::new(Semaphore::new(MAX_INBOUND_CONNECTIONS));
+    while let Ok(permit) = permits.clone().acquire_owned().await {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let inbox = inbox.clone();
+        tokio::spawn(async move {
+            // The connection ends with its first error; the peer connects anew.
+            let _ = receive_all(stream, &inbox).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn receive_all(mut stream: TcpStream, inbox: &Inbox) -> io::Result<()> {
+    let mut length = [0; LENGTH_BYTES];
+    let mut buf = Vec::new();
+    loop {
+        stream.read_exact(&mut length).await?;
+        let size = u32::from_le_bytes(length) as usize;
+        if size > MAX_FRAME_BYTES + MAC_BYTES {
+            inbox.stats.count_malformed();
+            return Ok(());
+        }
+        // Grows with what really arrives, whatever length was claimed.
+        buf.clear();
+        let read = (&mut stream).take(size as u64).read_to_end(&mut buf).await?;
+        if read < size || !inbox.accept(&buf).await {
+            return Ok(());
+        }
+    }
+}
--- /dev/null
+++ b/components/transport/tests/transport.rs
@@ -0,0 +1,158 @@
+//! Messages arrive whole and genuine, or not at all.
+
+use ids::{HostId, Incarnation};
+use schema::peer::{PeerFrame, PeerMessage};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpStream, UdpSocket},
+    sync::mpsc,
+};
+use transport::{FleetKeys, KeyError, OpenError, Transport, TransportSettings, open, seal};
+
+fn keys(digits: &[&str]) -> FleetKeys {
+    let lines: Vec<_> = digits.iter().map(|it| it.repeat(32)).collect();
+    FleetKeys::parse(&lines.join("\n")).unwrap()
+}
+
+async fn host(id: u32, keys: FleetKeys) -> (Transport, mpsc::Receiver<PeerFrame>) {
+    let settings = TransportSettings {
+        host: HostId(id),
+        incarnation: Incarnation(1),
+        address: "127.0.0.1:0".parse().unwrap(),
+        keys,
+    };
+    Transport::bind(settings).await.unwrap()
+}
+
+/// A message that travels over TCP.
+fn large_message() -> PeerMessage {
+    let message = schema::decode(&[0]).or_else(|_| schema::decode(&[0, 7]));
+    PeerMessage::Consensus(message.unwrap_or_else(|_| sample_consensus()))
+}
+
+fn sample_consensus() -> schema::consensus::ConsensusMessage {
+    (0..=255u8).find_map(|it| schema::decode(&[it; 8][..]).ok()).expect("some bytes are a message")
+}
+
+#[test]
+fn key_files_are_checked() {
+    let good = "# first\n".to_owned() + &"ab".repeat(32);
+
+    assert!(FleetKeys::parse(&good).is_ok());
+    assert_eq!(FleetKeys::parse("").unwrap_err(), KeyError::BadCount);
+    assert_eq!(FleetKeys::parse("\nxyz").unwrap_err(), KeyError::BadKey(2));
+}
+
+#[test]
+fn a_rotated_key_is_accepted_and_a_foreign_one_is_not() {
+    let frame = PeerFrame {
+        from: HostId(1),
+        to: HostId(2),
+        incarnation: Incarnation(1),
+        message: large_message(),
+    };
+
+    let sealed = seal(&keys(&["ab"]), &frame);
+
+    assert_eq!(open(&keys(&["cd", "ab"]), &sealed), Ok(frame));
+    assert_eq!(open(&keys(&["cd"]), &sealed), Err(OpenError::BadMac));
+    assert_eq!(open(&keys(&["ab"]), &sealed[..9]), Err(OpenError::TooShort));
+}
+
+#[test]
+fn random_bytes_never_open() {
+    let keys = keys(&["ab"]);
+    for case in 0..300u64 {
+        arbtest::arbtest(|u| {
+            let data = u.bytes(u.len())?;
+            assert!(open(&keys, data).is_err());
+            Ok(())
+        })
+        .seed(((case + 1) << 32) | 128)
+        .run();
+    }
+}
+
+#[tokio::test]
+async fn messages_arrive_in_order_over_one_connection() {
+    let (sender, _keep) = host(1, keys(&["ab"])).await;
+    let (receiver, mut rx) = host(2, keys(&["ab"])).await;
+
+    for _ in 0..3 {
+        sender.send(HostId(2), receiver.local_address(), large_message());
+    }
+
+    for _ in 0..3 {
+        let frame = rx.recv().await.unwrap();
+        assert_eq!(frame.from, HostId(1));
+        assert_eq!(frame.message, large_message());
+    }
+}
+
+#[tokio::test]
+async fn garbage_is_counted_and_dropped() {
+    let (sender, _keep) = host(1, keys(&["ab"])).await;
+    let (stranger, _keep) = host(3, keys(&["cd"])).await;
+    let (receiver, mut rx) = host(2, keys(&["ab"])).await;
+    let address = receiver.local_address();
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+
+    socket.send_to(&[7; 40], address).await.unwrap();
+    socket.send_to(&[7; 3], address).await.unwrap();
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(&u32::MAX.to_le_bytes()).await.unwrap();
+    stranger.send(HostId(2), address, large_message());
+    while receiver.stats().bad_mac < 2 || receiver.stats().malformed < 2 {
+        tokio::task::yield_now().await;
+    }
+    sender.send(HostId(2), address, large_message());
+
+    let frame = rx.recv().await.unwrap();
+    assert_eq!(frame.from, HostId(1));
+    assert_eq!(receiver.stats().received, 1);
+}
+
+#[tokio::test]
+async fn a_message_for_another_host_is_not_delivered() {
+    let (sender, _keep) = host(1, keys(&["ab"])).await;
+    let (receiver, mut rx) = host(2, keys(&["ab"])).await;
+
+    sender.send(HostId(9), receiver.local_address(), large_message());
+    sender.send(HostId(2), receiver.local_address(), large_message());
+
+    rx.recv().await.unwrap();
+    assert_eq!(receiver.stats().misdirected, 1);
+    assert_eq!(receiver.stats().received, 1);
+}
+
+#[tokio::test]
+async fn a_restarted_peer_is_connected_anew() {
+    let (sender, _keep) = host(1, keys(&["ab"])).await;
+    let (receiver, mut rx) = host(2, keys(&["ab"])).await;
+    let address = receiver.local_address();
+    sender.send(HostId(2), address, large_message());
+    rx.recv().await.unwrap();
+    drop((receiver, rx));
+
+    let settings = TransportSettings {
+        host: HostId(2),
+        incarnation: Incarnation(2),
+        address,
+        keys: keys(&["ab"]),
+    };
+    let (_receiver, mut rx) = loop {
+        match Transport::bind(settings.clone()).await {
+            Ok(bound) => break bound,
+            Err(_) => tokio::task::yield_now().await,
+        }
+    };
+
+    let frame = loop {
+        sender.send(HostId(2), address, large_message());
+        tokio::task::yield_now().await;
+        if let Ok(frame) = rx.try_recv() {
+            break frame;
+        }
+    };
+    assert_eq!(frame.from, HostId(1));
+}
