Add the replicated log as a decision component

The control hosts need a log that loses no accepted entry while hosts are isolated and disks are lost.

A disk has an identity that is part of the members. An emptied disk comes with a new identity, so its answers count for nothing until the log has taken the host in again as a learner and then as a voter.

--- /dev/null
+++ b/components/consensus/src/leadership.rs
@@ -0,0 +1,112 @@
+//! What a leader knows of the other members.
+
+use std::collections::BTreeMap;
+
+use ids::{HostId, LogIndex, Timestamp};
+use schema::consensus::{Member, Members, Payload};
+
+use crate::{leader, members::quorum_value, replica::Replica, settings::LEASE};
+
+/// How far another member has come.
+pub(crate) struct Progress {
+    pub(crate) member: Member,
+    /// The newest entry that the member has acknowledged.
+    pub(crate) matched: LogIndex,
+    /// The next entry to send.
+    pub(crate) next: LogIndex,
+    /// Whether entries are on their way, so that new ones wait for the answer.
+    pub(crate) awaits_answer: bool,
+    /// When the newest acknowledged message was sent, by this host's clock.
+    pub(crate) acked_sent_at: Option<Timestamp>,
+    /// When the message was sent that `matched` is known from.
+    pub(crate) matched_sent_at: Timestamp,
+    /// Bytes of the snapshot that have arrived.
+    pub(crate) snapshot_offset: u64,
+    /// Whether the member lost entries that it had acknowledged.
+    pub(crate) is_rolled_back: bool,
+    /// When the member last answered.
+    pub(crate) heard_at: Option<Timestamp>,
+}
+
+impl Progress {
+    /// The newest entry that the member counts for.
+    pub(crate) fn counted(&self) -> LogIndex {
+        if self.is_rolled_back { LogIndex(0) } else { self.matched }
+    }
+}
+
+/// What a leader holds besides the log.
+pub(crate) struct Leadership {
+    pub(crate) started_at: Timestamp,
+    /// The first entry of this leader; once accepted, all earlier ones are.
+    pub(crate) first_index: LogIndex,
+    pub(crate) next_heartbeat: Timestamp,
+    pub(crate) progress: BTreeMap<HostId, Progress>,
+}
+
+impl Leadership {
+    /// Starts to lead: adds an entry of the new term and sends it to all members.
+    pub(crate) fn start(replica: &mut Replica) -> Self {
+        let next = replica.log.last_index().next();
+        let first_index = replica.append_payload(Payload::Noop);
+        let mut leadership = Self {
+            started_at: replica.now,
+            first_index,
+            next_heartbeat: replica.now,
+            progress: BTreeMap::new(),
+        };
+        leadership.follow_members(replica, next);
+        leader::broadcast(replica, &mut leadership);
+        leader::advance_commit(replica, &leadership);
+        leadership
+    }
+
+    /// Tracks exactly the members of the log, beginning with entry `next` for new ones.
+    pub(crate) fn follow_members(&mut self, replica: &Replica, next: LogIndex) {
+        let members = replica.log.members();
+        let others: Vec<&Member> = members
+            .voters
+            .iter()
+            .chain(&members.learners)
+            .filter(|it| **it != replica.me)
+            .collect();
+        self.progress.retain(|_, progress| others.contains(&&progress.member));
+        for member in others {
+            let fresh = || Progress {
+                member: member.clone(),
+                matched: LogIndex(0),
+                next,
+                awaits_answer: false,
+                acked_sent_at: None,
+                matched_sent_at: Timestamp::default(),
+                snapshot_offset: 0,
+                is_rolled_back: false,
+                heard_at: None,
+            };
+            self.progress.entry(member.host).or_insert_with(fresh);
+        }
+    }
+
+    /// The progress of a member, if it takes part with this disk.
+    pub(crate) fn of(&mut self, member: &Member) -> Option<&mut Progress> {
+        self.progress.get_mut(&member.host).filter(|it| it.member == *member)
+    }
+
+    /// Whether a majority has answered lately enough for this host to answer as current.
+    pub(crate) fn holds_lease(&self, replica: &Replica, now: Timestamp) -> bool {
+        let acked = |member: &Member| match *member == replica.me {
+            true => Some(now),
+            false => self.progress.get(&member.host).and_then(|it| it.acked_sent_at),
+        };
+        quorum_of(replica.log.members(), acked).is_some_and(|it| now < it + LEASE)
+    }
+
+    /// Whether the leader has had the time to win a lease.
+    pub(crate) fn is_settled(&self, now: Timestamp) -> bool {
+        now >= self.started_at + LEASE
+    }
+}
+
+fn quorum_of(members: &Members, acked: impl Fn(&Member) -> Option<Timestamp>) -> Option<Timestamp> {
+    quorum_value(members, acked).flatten()
+}
--- /dev/null
+++ b/components/consensus/src/settings.rs
@@ -0,0 +1,39 @@
+//! Settings and time constants of the replicated log.
+
+use ids::{HostId, Millis};
+
+/// How often a leader sends to each member, in milliseconds.
+pub const HEARTBEAT_INTERVAL: Millis = Millis(150);
+
+/// How long a follower waits for its leader before it asks for votes, in milliseconds.
+///
+/// The wait is drawn between this and twice this. A host that heard its leader within this time
+/// grants no vote.
+pub const ELECTION_TIMEOUT_MIN: Millis = Millis(1500);
+
+/// How long a leader answers as current after a majority's last answer was asked for, in
+/// milliseconds.
+///
+/// It is shorter than [`ELECTION_TIMEOUT_MIN`], so that clocks may run apart by a quarter.
+pub const LEASE: Millis = Millis(1100);
+
+/// How often a host that is no voter announces itself, in milliseconds.
+pub const HELLO_INTERVAL: Millis = Millis(500);
+
+/// The largest command, in bytes.
+pub const MAX_ENTRY_BYTES: usize = 3_500_000;
+
+/// The most bytes of commands in one message, unless a single command is larger.
+pub const MAX_APPEND_BYTES: usize = 256 * 1024;
+
+/// Bytes of a snapshot in one message.
+pub const SNAPSHOT_CHUNK_BYTES: usize = 256 * 1024;
+
+/// Settings of one host of the replicated log.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The hosts that may become voters, this one included.
+    pub voters: Vec<HostId>,
+    /// Seed of the election timeouts.
+    pub seed: u64,
+}
