--- /dev/null
+++ b/components/storage/src/files.rs
@@ -0,0 +1,25 @@
+//! Writes whole files so that they are there after a crash, or not at all.
+
+use std::{
+    fs::{self, File},
+    io::Write,
+    path::Path,
+};
+
+use crate::error::StorageError;
+
+/// Replaces a file by a synced temporary file that is renamed.
+pub(crate) fn replace(path: &Path, data: &[u8]) -> Result<(), StorageError> {
+    let temporary = path.with_extension("tmp");
+    let mut file = File::create(&temporary).map_err(StorageError::io(&temporary))?;
+    file.write_all(data).map_err(StorageError::io(&temporary))?;
+    file.sync_all().map_err(StorageError::io(&temporary))?;
+    fs::rename(&temporary, path).map_err(StorageError::io(path))?;
+    sync_folder(path.parent().expect("a file lies in a folder"))
+}
+
+/// Makes the names in a folder durable.
+pub(crate) fn sync_folder(folder: &Path) -> Result<(), StorageError> {
+    let file = File::open(folder).map_err(StorageError::io(folder))?;
+    file.sync_all().map_err(StorageError::io(folder))
+}
--- a/components/storage/src/lib.rs
+++ b/components/storage/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! The data folder of a control host: its log, its snapshot and its identity.
+
+mod error;
+mod files;
+mod folder;
+mod frame;
+mod replay;
+mod segment;
+
+pub use crate::{
+    error::StorageError,
+    folder::{Opened, Storage},
+};
--- /dev/null
+++ b/components/storage/src/replay.rs
@@ -0,0 +1,53 @@
+//! Rebuilds the log from its records.
+
+use ids::{Incarnation, LogIndex, Term};
+use schema::{
+    consensus::{Entry, Vote, VotedFor},
+    storage::Record,
+};
+
+/// The log that the records read so far describe.
+pub(crate) struct Replay {
+    pub(crate) promised: Incarnation,
+    pub(crate) vote: Vote,
+    pub(crate) entries: Vec<Entry>,
+    /// The index of the snapshot that the records build on.
+    pub(crate) base: LogIndex,
+}
+
+impl Replay {
+    pub(crate) fn new() -> Self {
+        Self {
+            promised: Incarnation(0),
+            vote: Vote { term: Term(0), voted_for: VotedFor::Nobody },
+            entries: Vec::new(),
+            base: LogIndex(0),
+        }
+    }
+
+    pub(crate) fn apply(&mut self, record: Record) {
+        match record {
+            Record::Reset(base) => {
+                *self = Self::new();
+                self.base = base;
+            }
+            Record::Promise(disk) => self.promised = disk,
+            Record::Vote(vote) => self.vote = vote,
+            Record::Append(entries) => self.entries.extend(entries),
+            Record::Truncate(from) => self.entries.retain(|it| it.index < from),
+        }
+    }
+
+    /// Drops the entries that a snapshot stands for; false when others are missing.
+    pub(crate) fn start_after(&mut self, snapshot: LogIndex) -> bool {
+        self.entries.retain(|it| it.index > snapshot);
+        let mut expected = snapshot.next();
+        for entry in &self.entries {
+            if entry.index != expected {
+                return false;
+            }
+            expected = expected.next();
+        }
+        true
+    }
+}
