Add the decisions of a control host

ControlCore composes the replicated log with the texts accepted, the audit trail and the claim map. A text is accepted only if its version follows the current one: with any higher version allowed, an operator who has not seen the newest text would silently undo it. The first text may have any version, so that a cluster founded anew goes on above what entry hosts hold. One text is in the log at a time, because its summary is told against the text before; others wait in a bounded queue.

Seeds and host ids were combined by XOR at first, so that hosts with equal differences drew the same election timeouts and never elected a leader; the control_core tests found it, and the two are now kept in separate halves.

--- a/components/control_core/src/lib.rs
+++ b/components/control_core/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! All decisions of a control host: the replicated log and the state that it replicates.
+//!
+//! The owner passes events to [`ControlCore`] and carries out the returned actions in order.
+
+mod action;
+mod audit;
+mod core;
+mod requests;
+mod state;
+mod submission;
+mod summary;
+
+pub use crate::{
+    action::{Action, Event},
+    audit::{AuditTrail, BrokenChain, MAX_AUDIT_ENTRIES, verify_page},
+    core::ControlCore,
+    requests::{MAX_AUDIT_PAGE, MAX_WAITING_SUBMITS},
+    state::{MAX_ACCEPTED_VERSIONS, ReplicatedState, SubmitOutcome},
+};
