Test the replicated log with random schedules

Two faults came out of them and are mended here. A leader whose own removal was not accepted yet could be the only host with the newest log, but asked for no votes after a restart; a voter that is being removed now still asks. A change of members could leave a majority that nobody had heard lately, for instance when an operator removed a voter while another one had just lost its disk; such changes are refused now (ProposeError::MajorityUnheard).

--- a/components/consensus/src/action.rs
+++ b/components/consensus/src/action.rs
@@ -64,6 +64,8 @@
     TooLarge(ByteSize),
     /// another change of members is under way
     ChangePending,
+    /// a majority of the voters after the change was not heard lately
+    MajorityUnheard,
     /// host {0} is no voter or the last one
     NotRemovable(HostId),
 }
--- a/components/consensus/src/consensus.rs
+++ b/components/consensus/src/consensus.rs
@@ -151,6 +151,11 @@
         self.replica.log.members()
     }
 
+    /// Whether the newest change of members is accepted.
+    pub fn has_settled_members(&self) -> bool {
+        !self.replica.has_unsettled_members()
+    }
+
     /// Whether this host is a voter with its present disk.
     pub fn is_voter(&self) -> bool {
         self.replica.is_voter()
--- a/components/consensus/src/election.rs
+++ b/components/consensus/src/election.rs
@@ -19,7 +19,7 @@
 /// Asks the voters whether they would vote for this host.
 pub(crate) fn start_pre_vote(replica: &mut Replica) -> Outcome<State> {
     replica.postpone_election();
-    if !replica.is_voter() {
+    if !replica.may_campaign() {
         return Transition(State::Follower {});
     }
     let votes = vec![replica.me.clone()];
--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -107,7 +107,7 @@
     let last = replica.log.last_index();
     let matched = |member: &Member| match *member == replica.me {
         true => last,
-        false => leadership.progress.get(&member.host).map_or(LogIndex(0), Progress::counted),
+        false => leadership.progress_of(member).map_or(LogIndex(0), Progress::counted),
     };
     let accepted = quorum_value(replica.log.members(), matched).unwrap_or_default();
     if accepted >= leadership.first_index {
@@ -122,7 +122,7 @@
 }
 
 fn is_removed(replica: &Replica) -> bool {
-    !replica.is_voter() && replica.commit >= replica.log.members_index()
+    !replica.is_voter() && !replica.has_unsettled_members()
 }
 
 fn send_to_idle(replica: &mut Replica, leadership: &mut Leadership) {
@@ -160,7 +160,7 @@
     if !note_answer(replica, leadership, from, sent_at) {
         return;
     }
-    let progress = leadership.of(from).expect("an answer was noted");
+    let progress = leadership.progress_mut(from).expect("an answer was noted");
     match reply.result {
         AppendResult::Matched(index) => {
             progress.matched_sent_at = progress.matched_sent_at.max(sent_at);
@@ -188,7 +188,7 @@
     if !note_answer(replica, leadership, from, Timestamp(reply.sent_us)) {
         return;
     }
-    let progress = leadership.of(from).expect("an answer was noted");
+    let progress = leadership.progress_mut(from).expect("an answer was noted");
     snapshot::note_received(replica, progress, reply);
     advance_commit(replica, leadership);
     continue_sending(replica, leadership, from);
@@ -201,7 +201,7 @@
     from: &Member,
     sent_at: Timestamp,
 ) -> bool {
-    let Some(progress) = leadership.of(from) else {
+    let Some(progress) = leadership.progress_mut(from) else {
         return false;
     };
     progress.awaits_answer = false;
@@ -215,7 +215,7 @@
 
 fn continue_sending(replica: &mut Replica, leadership: &mut Leadership, to: &Member) {
     let last = replica.log.last_index();
-    let lags = leadership.of(to).is_some_and(|it| it.next <= last && !it.awaits_answer);
+    let lags = leadership.progress_mut(to).is_some_and(|it| it.next <= last && !it.awaits_answer);
     if lags {
         send_entries(replica, leadership, to.host);
     }
@@ -273,12 +273,11 @@
     members: Members,
 ) -> Result<LogIndex, ProposeError> {
     let is_first_accepted = replica.commit >= leadership.first_index;
-    let is_last_accepted = replica.commit >= replica.log.members_index();
-    if !is_first_accepted || !is_last_accepted {
+    if !is_first_accepted || replica.has_unsettled_members() {
         return Err(ProposeError::ChangePending);
     }
-    if members.voters.is_empty() {
-        return Err(ProposeError::ChangePending);
+    if !leadership.hears_majority_of(replica, &members) {
+        return Err(ProposeError::MajorityUnheard);
     }
     propose(replica, leadership, Payload::Members(members))
 }
--- a/components/consensus/src/leadership.rs
+++ b/components/consensus/src/leadership.rs
@@ -87,18 +87,33 @@
         }
     }
 
-    /// The progress of a member, if it takes part with this disk.
-    pub(crate) fn of(&mut self, member: &Member) -> Option<&mut Progress> {
+    /// The same, to be changed.
+    pub(crate) fn progress_mut(&mut self, member: &Member) -> Option<&mut Progress> {
         self.progress.get_mut(&member.host).filter(|it| it.member == *member)
     }
 
     /// Whether a majority has answered lately enough for this host to answer as current.
     pub(crate) fn holds_lease(&self, replica: &Replica, now: Timestamp) -> bool {
+        self.hears_majority(replica, replica.log.members(), now)
+    }
+
+    /// Whether these members would let this host answer as current.
+    pub(crate) fn hears_majority_of(&self, replica: &Replica, members: &Members) -> bool {
+        self.hears_majority(replica, members, replica.now)
+    }
+
+    fn hears_majority(&self, replica: &Replica, members: &Members, now: Timestamp) -> bool {
         let acked = |member: &Member| match *member == replica.me {
             true => Some(now),
-            false => self.progress.get(&member.host).and_then(|it| it.acked_sent_at),
+            false => self.progress_of(member).and_then(|it| it.acked_sent_at),
         };
-        quorum_of(replica.log.members(), acked).is_some_and(|it| now < it + LEASE)
+        let reached = quorum_value(members, acked).flatten();
+        reached.is_some_and(|it| now < it + LEASE)
+    }
+
+    /// The progress of a member, if it takes part with this disk.
+    pub(crate) fn progress_of(&self, member: &Member) -> Option<&Progress> {
+        self.progress.get(&member.host).filter(|it| it.member == *member)
     }
 
     /// Whether the leader has had the time to win a lease.
@@ -106,7 +121,3 @@
         now >= self.started_at + LEASE
     }
 }
-
-fn quorum_of(members: &Members, acked: impl Fn(&Member) -> Option<Timestamp>) -> Option<Timestamp> {
-    quorum_value(members, acked).flatten()
-}
--- a/components/consensus/src/log.rs
+++ b/components/consensus/src/log.rs
@@ -106,7 +106,8 @@
         self.entries.iter().rev().find(is_members).map_or(self.snapshot.index, |it| it.index)
     }
 
-    fn members_at(&self, index: LogIndex) -> Members {
+    /// The members by the entries up to an index.
+    pub(crate) fn members_at(&self, index: LogIndex) -> Members {
         let named =
             self.entries.iter().rev().filter(|it| it.index <= index).find_map(|it| {
                 match &it.payload {
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -75,6 +75,24 @@
         is_voter(self.log.members(), &self.me)
     }
 
+    /// Whether this host may ask for votes.
+    ///
+    /// A voter that is being removed still may: until its removal is accepted, it can be the only
+    /// one whose log is new enough.
+    pub(crate) fn may_campaign(&self) -> bool {
+        self.is_voter() || (self.has_unsettled_members() && self.was_voter())
+    }
+
+    /// Whether the newest change of members is not known to be accepted.
+    pub(crate) fn has_unsettled_members(&self) -> bool {
+        self.log.members_index() > self.commit
+    }
+
+    fn was_voter(&self) -> bool {
+        let before_change = LogIndex(self.log.members_index().0.saturating_sub(1));
+        is_voter(&self.log.members_at(before_change), &self.me)
+    }
+
     /// Sends a message of the current term.
     pub(crate) fn send(&mut self, to: HostId, body: ConsensusBody) {
         self.send_for_term(to, self.vote.term, body);
--- a/components/consensus/tests/cluster/mod.rs
+++ b/components/consensus/tests/cluster/mod.rs
@@ -7,7 +7,7 @@
 use consensus::{Action, Consensus, Settings};
 use ids::{Blob, HostId, Incarnation, LogIndex, Millis, Term, Timestamp};
 use schema::{
-    consensus::{ConsensusMessage, Members, Snapshot, Vote, VotedFor},
+    consensus::{ConsensusMessage, Member, Members, Snapshot, Vote, VotedFor},
     storage::{Identity, Persisted, Record},
 };
 
@@ -143,11 +143,50 @@
     pub fn whole_voters(&self) -> Option<usize> {
         let process = self.process(self.leader()?)?;
         let members = process.members();
-        let is_whole =
-            |it: &&schema::consensus::Member| self.hosts[&it.host].disk.identity.disk == it.disk;
+        let is_whole = |it: &&Member| self.hosts[&it.host].disk.identity.disk == it.disk;
         Some(members.voters.iter().filter(is_whole).count())
     }
 
+    /// Whether the host's disk may be lost without losing accepted entries.
+    ///
+    /// As many voters as make up a minority may be without the disk that the log knows.
+    pub fn may_lose_disk(&self, host: HostId) -> bool {
+        let Some(process) = self.leader().and_then(|it| self.process(it)) else {
+            return false;
+        };
+        let voters = &process.members().voters;
+        process.has_settled_members() && self.whole_without(host, voters) > voters.len() / 2
+    }
+
+    /// Whether the voters that are left without the host could still accept entries.
+    pub fn may_remove_voter(&self, host: HostId) -> bool {
+        let Some(process) = self.leader().and_then(|it| self.process(it)) else {
+            return false;
+        };
+        let voters = &process.members().voters;
+        self.whole_without(host, voters) > (voters.len() - 1) / 2
+    }
+
+    fn whole_without(&self, host: HostId, voters: &[Member]) -> usize {
+        let is_kept =
+            |it: &&Member| it.host != host && self.hosts[&it.host].disk.identity.disk == it.disk;
+        voters.iter().filter(is_kept).count()
+    }
+
+    /// Whether the host was removed from the log while its own log says otherwise.
+    pub fn is_removed(&self, host: HostId) -> bool {
+        let Some(process) = self.leader().and_then(|it| self.process(it)) else {
+            return false;
+        };
+        let members = process.members();
+        !members.voters.iter().chain(&members.learners).any(|it| it.host == host)
+    }
+
+    /// Whether any host has ever led.
+    pub fn has_led(&self) -> bool {
+        !self.leaders.is_empty()
+    }
+
     pub fn start(&mut self, host: HostId) {
         let now = self.clock(host);
         let seed = u64::from(host.0) + self.next_disk * 100;
@@ -258,7 +297,21 @@
             }
             self.step();
         }
-        panic!("the condition did not come true within a minute of cluster time");
+        panic!("the condition did not come true within a minute:\n{}", self.describe());
+    }
+
+    /// The roles and logs of all hosts.
+    fn describe(&self) -> String {
+        let line = |(host, it): (&HostId, &Host)| {
+            let disk = it.disk.identity.disk;
+            let Some(process) = &it.process else {
+                return format!("{host} on disk {disk} is down");
+            };
+            let (role, term, members) = (process.role(), process.term(), process.members());
+            let (commit, last) = (process.commit(), process.last_index());
+            format!("{host} on disk {disk}: {role:?} {term} {commit} of {last} {members:?}")
+        };
+        self.hosts.iter().map(line).collect::<Vec<_>>().join("\n")
     }
 
     fn new_disk(&mut self) -> u64 {
--- /dev/null
+++ b/components/consensus/tests/schedules.rs
@@ -0,0 +1,177 @@
+//! Random schedules of delivery, loss, duplication, cuts, crashes and lost disks.
+//!
+//! The cluster checks after each action that accepted entries are never replaced, that a term has
+//! one leader, and that a host that answers as current knows all that was accepted.
+
+mod cluster;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use cluster::Cluster;
+use ids::HostId;
+
+const CASES_OF_THREE: u64 = 300;
+const CASES_OF_FIVE: u64 = 150;
+const CASES_OF_FOUNDING: u64 = 200;
+const CASE_BYTES: u64 = 2500;
+
+/// Runs schedules until their bytes run out, and checks the cluster after each.
+fn run_schedules(cases: u64, schedule: impl Fn(&mut Unstructured<'_>)) {
+    for case in 0..cases {
+        let seed = ((case + 1) << 32) | CASE_BYTES;
+        arbtest::arbtest(|u| {
+            schedule(u);
+            Ok(())
+        })
+        .seed(seed)
+        .run();
+    }
+}
+
+fn any_host(cluster: &Cluster, u: &mut Unstructured<'_>) -> Result<HostId> {
+    Ok(*u.choose(&cluster.ids())?)
+}
+
+/// Does one random thing that networks, processes and operators do.
+fn disturb(cluster: &mut Cluster, u: &mut Unstructured<'_>, value: &mut u64) -> Result<()> {
+    let host = any_host(cluster, u)?;
+    match u.int_in_range(0..=99)? {
+        0..40 => deliver_any(cluster, u)?,
+        40..45 => drop(take_any(cluster, u)?),
+        45..48 => duplicate_any(cluster, u)?,
+        48..62 => cluster.tick_all(),
+        62..75 => (0..u.int_in_range(1..=30)?).for_each(|_| cluster.step()),
+        75..84 => {
+            *value += 1;
+            cluster.propose(host, *value);
+        }
+        84..88 => {
+            let to = any_host(cluster, u)?;
+            cluster.cuts.insert((host, to));
+        }
+        88..90 => cluster.cuts.clear(),
+        90..92 => cluster.crash(host),
+        92..95 => cluster.crash_after(host, u.int_in_range(0..=3)?),
+        95..97 => restart_all(cluster),
+        97..99 => cluster.compact(host),
+        _ => {
+            let voter = any_host(cluster, u)?;
+            if cluster.may_remove_voter(voter) {
+                cluster.remove_voter(host, voter);
+            }
+        }
+    }
+    cluster.check_current();
+    Ok(())
+}
+
+fn deliver_any(cluster: &mut Cluster, u: &mut Unstructured<'_>) -> Result<()> {
+    if let Some(packet) = take_any(cluster, u)? {
+        cluster.deliver(packet);
+    }
+    Ok(())
+}
+
+fn duplicate_any(cluster: &mut Cluster, u: &mut Unstructured<'_>) -> Result<()> {
+    if let Some(packet) = take_any(cluster, u)? {
+        cluster.packets.push(packet.clone());
+        cluster.deliver(packet);
+    }
+    Ok(())
+}
+
+fn take_any(cluster: &mut Cluster, u: &mut Unstructured<'_>) -> Result<Option<cluster::Packet>> {
+    if cluster.packets.is_empty() {
+        return Ok(None);
+    }
+    let position = u.choose_index(cluster.packets.len())?;
+    Ok(Some(cluster.packets.swap_remove(position)))
+}
+
+fn restart_all(cluster: &mut Cluster) {
+    for host in cluster.ids() {
+        if !cluster.is_up(host) {
+            cluster.start(host);
+        }
+    }
+}
+
+/// Ends all faults; then all hosts become voters again and hold the same state.
+fn recover(cluster: &mut Cluster) {
+    cluster.cuts.clear();
+    for host in cluster.ids() {
+        cluster.crash(host);
+    }
+    restart_all(cluster);
+    cluster.run_until(|it| it.leader().is_some());
+    for host in cluster.ids() {
+        if cluster.is_removed(host) {
+            cluster.lose_disk(host, false);
+            cluster.start(host);
+        }
+    }
+    let size = cluster.ids().len();
+    cluster.run_until(|it| it.whole_voters() == Some(size));
+    let leader = cluster.leader().unwrap();
+    assert!(cluster.propose(leader, u64::MAX));
+    cluster.run_until(|it| {
+        let expected = it.accepted();
+        expected.last() == Some(&u64::MAX)
+            && it.ids().iter().all(|host| it.state(*host) == expected)
+    });
+}
+
+fn lose_disks(cluster: &mut Cluster, u: &mut Unstructured<'_>) -> Result<()> {
+    let mut value = 0;
+    while !u.is_empty() {
+        let host = any_host(cluster, u)?;
+        let loses_disk = u.ratio(1, 20)?;
+        if loses_disk && cluster.may_lose_disk(host) {
+            cluster.lose_disk(host, u.arbitrary()?);
+            cluster.start(host);
+        }
+        disturb(cluster, u, &mut value)?;
+    }
+    Ok(())
+}
+
+#[test]
+fn three_voters_lose_nothing() {
+    run_schedules(CASES_OF_THREE, |u| {
+        let mut cluster = Cluster::with_leader(3);
+        let _ = lose_disks(&mut cluster, u);
+        recover(&mut cluster);
+    });
+}
+
+#[test]
+fn five_voters_lose_nothing() {
+    run_schedules(CASES_OF_FIVE, |u| {
+        let mut cluster = Cluster::with_leader(5);
+        let _ = lose_disks(&mut cluster, u);
+        recover(&mut cluster);
+    });
+}
+
+/// Loses any disks but that of one host, once a leader was elected and that host has a log.
+fn lose_disks_while_founding(cluster: &mut Cluster, u: &mut Unstructured<'_>) -> Result<()> {
+    let mut value = 0;
+    let kept = any_host(cluster, u)?;
+    while !u.is_empty() {
+        let host = any_host(cluster, u)?;
+        let kept_has_log = cluster.copy_disk(kept).entries.first().is_some();
+        if u.ratio(1, 10)? && host != kept && (kept_has_log || !cluster.has_led()) {
+            cluster.lose_disk(host, true);
+            cluster.start(host);
+        }
+        disturb(cluster, u, &mut value)?;
+    }
+    Ok(())
+}
+
+#[test]
+fn a_cluster_is_founded_once() {
+    run_schedules(CASES_OF_FOUNDING, |u| {
+        let mut cluster = Cluster::bootstrapping(3);
+        let _ = lose_disks_while_founding(&mut cluster, u);
+    });
+}
--- a/components/control_core/src/requests.rs
+++ b/components/control_core/src/requests.rs
@@ -206,8 +206,8 @@
         ProposeError::NotLeader { leader } => OperatorResponse::NotLeader(hint(leader)),
         ProposeError::LeaseExpired => OperatorResponse::LeaseExpired(LeaderHint::Unknown),
         ProposeError::TooLarge(limit) => OperatorResponse::TooLarge(ByteSize(limit.0)),
-        ProposeError::ChangePending | ProposeError::NotRemovable(_) => {
-            OperatorResponse::MembershipChangeRefused
-        }
+        ProposeError::ChangePending
+        | ProposeError::MajorityUnheard
+        | ProposeError::NotRemovable(_) => OperatorResponse::MembershipChangeRefused,
     }
 }
