Claim idempotency keys at a majority of three replicas

A request that must not repeat is claimed before a byte of it leaves: the entry host asks the three replicas of the key's shard, in one round trip, and is granted the key when a majority says so. A claimant that sent nothing gives the key back; one that sent something stores the outcome.

Weighed: asking only the nearest two replicas saves two messages a claim but leaves the third without a record, so that one slow replica costs a timeout; all three are asked and the first two answers decide.

The ticket carries the claim map's epoch besides home and mint time, so that a shard reopened after a loss refuses older keys without comparing clocks.

--- /dev/null
+++ b/components/claims/src/claimant/vote.rs
@@ -0,0 +1,215 @@
+//! Counts the replies of a shard's replicas in one round of a claim.
+
+use std::collections::BTreeMap;
+
+use ids::{Fingerprint, HostId, Incarnation};
+use schema::claims::{ClaimVerdict, ClaimantId, FinishedClaim, HeldBy, Refusal, StoredAnswer};
+
+use crate::map::quorum;
+
+/// What the replies of a round come to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Outcome {
+    /// Not enough replies yet.
+    Open,
+    /// A majority has granted the key.
+    Granted,
+    /// The request has run.
+    Finished(FinishedClaim),
+    /// A majority holds the key for one other claimant.
+    Held(Fingerprint),
+    /// Replicas hold the key for a process that has ended, so that no majority can grant it.
+    Lost(Fingerprint),
+    /// Claimants compete and none can be granted the key in this round.
+    Split,
+    /// The key is older than the retention.
+    Expired,
+    /// The key is older than its shard.
+    Closed,
+    /// Replicas are full; tells whether a majority holds no record of the key.
+    Full(bool),
+}
+
+#[derive(Debug, Clone)]
+struct Reply {
+    incarnation: Incarnation,
+    verdict: ClaimVerdict,
+}
+
+/// The replies of one round.
+#[derive(Debug, Clone)]
+pub(super) struct Vote {
+    replicas: Vec<HostId>,
+    replies: BTreeMap<HostId, Reply>,
+}
+
+/// Replies by kind.
+#[derive(Debug, Default)]
+struct Tally {
+    granted: usize,
+    lost: usize,
+    held: usize,
+    expired: usize,
+    closed: usize,
+    full: usize,
+}
+
+impl Vote {
+    pub(super) fn new(replicas: Vec<HostId>) -> Self {
+        Self { replicas, replies: BTreeMap::new() }
+    }
+
+    /// Takes in a reply; one of an earlier start of the replica does not replace a later one's.
+    pub(super) fn add(&mut self, from: HostId, incarnation: Incarnation, verdict: ClaimVerdict) {
+        if !self.replicas.contains(&from) {
+            return;
+        }
+        let known = self.replies.get(&from);
+        if known.is_none_or(|it| it.incarnation <= incarnation) {
+            self.replies.insert(from, Reply { incarnation, verdict });
+        }
+    }
+
+    /// The replicas that have to be asked again.
+    pub(super) fn unanswered(&self) -> Vec<HostId> {
+        let is_open =
+            |host: &HostId| self.replies.get(host).is_none_or(|it| self.is_open(*host, it));
+        self.replicas.iter().copied().filter(is_open).collect()
+    }
+
+    /// What the replies come to so far.
+    pub(super) fn outcome(&self) -> Outcome {
+        let needed = quorum(self.replicas.len());
+        let unanswered = self.unanswered().len();
+        if let Some(finished) = self.finished() {
+            let is_kept = matches!(finished.answer, StoredAnswer::Kept(_));
+            if is_kept || self.replicas.len() - unanswered >= needed {
+                return Outcome::Finished(finished.clone());
+            }
+            return Outcome::Open;
+        }
+        let tally = self.tally();
+        if tally.granted >= needed {
+            return Outcome::Granted;
+        }
+        if tally.granted + unanswered >= needed {
+            return Outcome::Open;
+        }
+        self.refused(&tally, needed)
+    }
+
+    /// What the replies come to when no further ones are waited for.
+    pub(super) fn last_outcome(&self) -> Outcome {
+        if let Some(finished) = self.finished() {
+            return Outcome::Finished(finished.clone());
+        }
+        match self.outcome() {
+            Outcome::Open => self.partial(&self.tally()),
+            outcome => outcome,
+        }
+    }
+
+    /// Why a majority of grants can't be reached any more.
+    fn refused(&self, tally: &Tally, needed: usize) -> Outcome {
+        if let Some(held) = self.held_by_majority(needed) {
+            return Outcome::Held(held.payload);
+        }
+        if self.replicas.len() - tally.lost < needed {
+            return self.first_lost();
+        }
+        if tally.held + tally.lost > 0 {
+            return Outcome::Split;
+        }
+        if tally.full > 0 {
+            return Outcome::Full(tally.full + tally.granted >= needed);
+        }
+        self.partial(tally)
+    }
+
+    fn partial(&self, tally: &Tally) -> Outcome {
+        if tally.held > 0 {
+            return Outcome::Split;
+        }
+        if tally.lost > 0 {
+            return self.first_lost();
+        }
+        if tally.expired > 0 {
+            return Outcome::Expired;
+        }
+        if tally.closed > 0 {
+            return Outcome::Closed;
+        }
+        Outcome::Open
+    }
+
+    fn finished(&self) -> Option<&FinishedClaim> {
+        let finished = self.replies.values().filter_map(|it| match &it.verdict {
+            ClaimVerdict::Finished(finished) => Some(finished),
+            _ => None,
+        });
+        finished.max_by_key(|it| match it.answer {
+            StoredAnswer::Unknown => 0,
+            StoredAnswer::NotKept => 1,
+            StoredAnswer::Kept(_) => 2,
+        })
+    }
+
+    fn held_by_majority(&self, needed: usize) -> Option<&HeldBy> {
+        let holders = || {
+            self.replies.values().filter_map(|it| match &it.verdict {
+                ClaimVerdict::Held(held) => Some(held),
+                _ => None,
+            })
+        };
+        let votes = |claimant: &ClaimantId| holders().filter(|it| it.claimant == *claimant).count();
+        holders().find(|it| votes(&it.claimant) >= needed)
+    }
+
+    fn first_lost(&self) -> Outcome {
+        let lost = self.replies.values().find_map(|it| match &it.verdict {
+            ClaimVerdict::Lost(held) => Some(held.payload),
+            _ => None,
+        });
+        lost.map_or(Outcome::Open, Outcome::Lost)
+    }
+
+    fn tally(&self) -> Tally {
+        let mut tally = Tally::default();
+        for (host, reply) in &self.replies {
+            match &reply.verdict {
+                ClaimVerdict::Granted(_) if self.is_outdated(*host, reply) => {}
+                ClaimVerdict::Granted(_) => tally.granted += 1,
+                ClaimVerdict::Held(_) => tally.held += 1,
+                ClaimVerdict::Lost(_) => tally.lost += 1,
+                ClaimVerdict::Refused(Refusal::Expired) => tally.expired += 1,
+                ClaimVerdict::Refused(Refusal::Closed) => tally.closed += 1,
+                ClaimVerdict::Refused(Refusal::Full) => tally.full += 1,
+                ClaimVerdict::Finished(_) | ClaimVerdict::Refused(_) => {}
+            }
+        }
+        tally
+    }
+
+    /// Whether another reply of the replica is needed.
+    fn is_open(&self, host: HostId, reply: &Reply) -> bool {
+        match &reply.verdict {
+            ClaimVerdict::Granted(_) => self.is_outdated(host, reply),
+            ClaimVerdict::Refused(refusal) => {
+                matches!(refusal, Refusal::Abstaining | Refusal::WrongEpoch | Refusal::MintedAhead)
+            }
+            _ => false,
+        }
+    }
+
+    /// Whether another replica knew, when it granted the key, of a later start of this one.
+    ///
+    /// The grant of the earlier start may be forgotten by now.
+    fn is_outdated(&self, host: HostId, reply: &Reply) -> bool {
+        self.replies.values().any(|other| match &other.verdict {
+            ClaimVerdict::Granted(starts) => {
+                starts.iter().any(|it| it.host == host && it.incarnation > reply.incarnation)
+            }
+            _ => false,
+        })
+    }
+}
--- /dev/null
+++ b/components/claims/src/claims.rs
@@ -0,0 +1,230 @@
+//! The claim replica and the claimant of one process, composed.
+
+use std::collections::VecDeque;
+
+use ids::{Fingerprint, HostId, Incarnation, RequestId, Timestamp, WallTime};
+use schema::claims::{ClaimsMessage, StoredAnswer};
+
+use crate::{ClaimKey, ClaimMap, ClaimReplica, Claimant, ClaimsSettings, Decision, ShardNumber};
+
+/// What the claim protocol asks its process to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ClaimAction {
+    /// Send a message to the claim protocol of another host.
+    Send {
+        /// The host to send to.
+        to: HostId,
+        /// The message.
+        message: ClaimsMessage,
+    },
+    /// A claim is decided.
+    Decided {
+        /// The request that the claim was begun for.
+        request: RequestId,
+        /// What the claim came to.
+        decision: Decision,
+    },
+}
+
+/// A message on its way to a host, which may be this one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Outgoing {
+    pub(crate) to: HostId,
+    pub(crate) message: ClaimsMessage,
+}
+
+impl Outgoing {
+    pub(crate) fn new(to: HostId, message: ClaimsMessage) -> Self {
+        Self { to, message }
+    }
+}
+
+/// What a process holds and waits for, for status pages and metrics.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ClaimsStatus {
+    /// Claims held by the replica.
+    pub held: usize,
+    /// Bytes of answers kept by the replica.
+    pub answer_bytes: usize,
+    /// Claims that the claimant has open.
+    pub open: usize,
+    /// Shards in which the replica abstains.
+    pub abstaining: Vec<ShardNumber>,
+}
+
+/// One process's part in the claim protocol.
+#[derive(Debug)]
+pub struct Claims {
+    me: HostId,
+    incarnation: Incarnation,
+    map: ClaimMap,
+    replica: ClaimReplica,
+    claimant: Claimant,
+}
+
+impl Claims {
+    /// The claims of a process that has just started and knows no map.
+    pub fn new(me: HostId, incarnation: Incarnation, settings: ClaimsSettings) -> Self {
+        let ClaimsSettings { retention, replica, claimant, seed } = settings;
+        Self {
+            me,
+            incarnation,
+            map: ClaimMap::empty(),
+            replica: ClaimReplica::new(me, incarnation, replica, retention),
+            claimant: Claimant::new(me, incarnation, claimant, retention, seed),
+        }
+    }
+
+    /// The map in force.
+    pub fn map(&self) -> &ClaimMap {
+        &self.map
+    }
+
+    /// Acts on a map from now on, if its epoch is higher than that of the one in force.
+    pub fn set_map(&mut self, now: Timestamp, wall: WallTime, map: ClaimMap) -> Vec<ClaimAction> {
+        if map.epoch() <= self.map.epoch() {
+            return Vec::new();
+        }
+        self.replica.set_map(&map);
+        let old = std::mem::replace(&mut self.map, map);
+        let actions = self.claimant.set_map(now, &old, &self.map);
+        self.deliver_local(now, wall, actions)
+    }
+
+    /// Claims `key` for a request; `Decided` follows, at once or later.
+    pub fn begin(
+        &mut self,
+        now: Timestamp,
+        wall: WallTime,
+        request: RequestId,
+        key: ClaimKey,
+        payload: Fingerprint,
+    ) -> Vec<ClaimAction> {
+        let actions = self.claimant.begin(now, wall, request, key, payload, &self.map);
+        self.deliver_local(now, wall, actions)
+    }
+
+    /// Gives a claim up; allowed only when no byte of the request has left.
+    pub fn release(
+        &mut self,
+        now: Timestamp,
+        wall: WallTime,
+        request: RequestId,
+    ) -> Vec<ClaimAction> {
+        let actions = self.claimant.release(request, &self.map);
+        self.deliver_local(now, wall, actions)
+    }
+
+    /// Stores the outcome of a request that was granted and sent.
+    pub fn finish(
+        &mut self,
+        now: Timestamp,
+        wall: WallTime,
+        request: RequestId,
+        answer: StoredAnswer,
+    ) -> Vec<ClaimAction> {
+        let actions = self.claimant.finish(now, request, answer, &self.map);
+        self.deliver_local(now, wall, actions)
+    }
+
+    /// Takes in that the process `incarnation` of `host`, and any before it, has ended.
+    pub fn host_lost(&mut self, host: HostId, incarnation: Incarnation) {
+        self.replica.host_lost(host, incarnation);
+    }
+
+    /// Takes in a message of the process `from_incarnation` of host `from`.
+    pub fn handle(
+        &mut self,
+        now: Timestamp,
+        wall: WallTime,
+        from: HostId,
+        from_incarnation: Incarnation,
+        message: ClaimsMessage,
+    ) -> Vec<ClaimAction> {
+        let actions = self.handle_one(now, wall, from, from_incarnation, message);
+        self.deliver_local(now, wall, actions)
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Timestamp, wall: WallTime) -> Vec<ClaimAction> {
+        self.replica.tick(now, wall);
+        let actions = self.claimant.tick(now, &self.map);
+        self.deliver_local(now, wall, actions)
+    }
+
+    /// When `tick` is due next.
+    pub fn next_wakeup(&self) -> Option<Timestamp> {
+        let wakeups = [self.replica.next_wakeup(), self.claimant.next_wakeup()];
+        wakeups.into_iter().flatten().min()
+    }
+
+    /// What the process holds and waits for.
+    pub fn status(&self) -> ClaimsStatus {
+        let usage = self.replica.usage();
+        ClaimsStatus {
+            held: usage.claims,
+            answer_bytes: usage.answer_bytes,
+            open: self.claimant.open(),
+            abstaining: self.replica.abstaining(),
+        }
+    }
+
+    fn handle_one(
+        &mut self,
+        now: Timestamp,
+        wall: WallTime,
+        from: HostId,
+        from_incarnation: Incarnation,
+        message: ClaimsMessage,
+    ) -> Vec<ClaimAction> {
+        match message {
+            ClaimsMessage::Claim(req) => into_actions(self.replica.handle_claim(wall, &req)),
+            ClaimsMessage::ClaimReply(reply) => {
+                self.claimant.handle_reply(now, from, from_incarnation, reply, &self.map)
+            }
+            ClaimsMessage::Release(req) => {
+                self.replica.handle_release(&req);
+                Vec::new()
+            }
+            ClaimsMessage::Finish(req) => into_actions(self.replica.handle_finish(wall, req)),
+            ClaimsMessage::FinishAck(ack) => {
+                self.claimant.handle_ack(from, ack);
+                Vec::new()
+            }
+            ClaimsMessage::Check(check) => self.claimant.handle_check(from, check),
+            ClaimsMessage::Gone(gone) => {
+                let ended = Incarnation(gone.incarnation.0.saturating_sub(1));
+                self.replica.host_lost(gone.host, ended);
+                Vec::new()
+            }
+            ClaimsMessage::Copy(_)
+            | ClaimsMessage::CopyPage(_)
+            | ClaimsMessage::HandOver(_)
+            | ClaimsMessage::HandOverAck(_) => Vec::new(),
+        }
+    }
+
+    /// Handles the messages to this process itself, and returns the rest.
+    fn deliver_local(
+        &mut self,
+        now: Timestamp,
+        wall: WallTime,
+        actions: Vec<ClaimAction>,
+    ) -> Vec<ClaimAction> {
+        let mut queue = VecDeque::from(actions);
+        let mut remote = Vec::new();
+        while let Some(action) = queue.pop_front() {
+            match action {
+                ClaimAction::Send { to, message } if to == self.me => {
+                    queue.extend(self.handle_one(now, wall, self.me, self.incarnation, message));
+                }
+                action => remote.push(action),
+            }
+        }
+        remote
+    }
+}
+
+fn into_actions(outgoing: Vec<Outgoing>) -> Vec<ClaimAction> {
+    outgoing.into_iter().map(ClaimAction::from).collect()
+}
--- /dev/null
+++ b/components/claims/src/map/build.rs
@@ -0,0 +1,194 @@
+//! Builds a claim map from the live hosts and the previous map.
+
+use std::collections::BTreeSet;
+
+use ids::{DataCentreName, Epoch, HostId, Incarnation, KeyDigest, RegionName, WallTime};
+use schema::claims::{
+    ClaimHome, ClaimMapState, ClaimShard, PreviousEpoch, PreviousReplicas, ReplicaStart,
+};
+
+use super::{ClaimMap, REPLICAS_PER_SHARD, SHARDS_PER_HOME, quorum};
+use crate::ShardNumber;
+
+/// A live host that can hold claims.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimHost {
+    /// The host.
+    pub host: HostId,
+    /// The start of the process that runs on it.
+    pub incarnation: Incarnation,
+    /// The host's data centre.
+    pub data_centre: DataCentreName,
+    /// The data centre's region.
+    pub region: RegionName,
+}
+
+impl ClaimMap {
+    /// The map for the live `hosts`, keeping what it can of the previous map.
+    ///
+    /// A shard that has lost a minority of its replicas gets new ones, which copy the shard
+    /// first. A shard that has lost a majority stays as it is until it is reopened.
+    pub fn build(epoch: Epoch, hosts: &[ClaimHost], previous: Option<&ClaimMap>) -> Self {
+        let mut shards = previous.map(|it| it.state.shards.clone()).unwrap_or_default();
+        for (number, shard) in (0..).map(ShardNumber).zip(&mut shards) {
+            replace_lost_replicas(epoch, number, shard, hosts);
+        }
+        for home in new_homes(hosts, &shards) {
+            for _ in 0..SHARDS_PER_HOME {
+                let number = ShardNumber(u32::try_from(shards.len()).unwrap_or(u32::MAX));
+                let chosen = choose(number, &home, hosts, &[]);
+                shards.push(fresh_shard(epoch, home.clone(), chosen, WallTime(0)));
+            }
+        }
+        Self::from_state(ClaimMapState { epoch, shards })
+    }
+
+    /// Marks `settled` shards, whose replicas have all copied the previous epoch.
+    pub fn settle(&self, epoch: Epoch, settled: &[ShardNumber]) -> Self {
+        let mut shards = self.state.shards.clone();
+        for number in settled {
+            if let Some(shard) = shards.get_mut(number.0 as usize) {
+                shard.previous = PreviousReplicas::None;
+            }
+        }
+        Self::from_state(ClaimMapState { epoch, shards })
+    }
+
+    /// Opens the `lost` shards anew and empty, after a majority of their replicas has forgotten.
+    ///
+    /// Keys with a ticket of an earlier epoch are refused from then on, and keys without a ticket
+    /// until `unticketed_from`, which must be `retention` after the last claim of the old replicas.
+    pub fn reopen(
+        &self,
+        epoch: Epoch,
+        hosts: &[ClaimHost],
+        lost: &[ShardNumber],
+        unticketed_from: WallTime,
+    ) -> Self {
+        let mut shards = self.state.shards.clone();
+        for number in lost {
+            if let Some(shard) = shards.get_mut(number.0 as usize) {
+                let chosen = choose(*number, &shard.home, hosts, &[]);
+                *shard = fresh_shard(epoch, shard.home.clone(), chosen, unticketed_from);
+            }
+        }
+        Self::from_state(ClaimMapState { epoch, shards })
+    }
+}
+
+fn fresh_shard(
+    epoch: Epoch,
+    home: ClaimHome,
+    replicas: Vec<ReplicaStart>,
+    unticketed_from: WallTime,
+) -> ClaimShard {
+    ClaimShard {
+        home,
+        epoch,
+        opened: epoch,
+        unticketed_from,
+        replicas,
+        previous: PreviousReplicas::None,
+    }
+}
+
+/// The homes that hosts belong to and that have no shards yet.
+fn new_homes(hosts: &[ClaimHost], shards: &[ClaimShard]) -> Vec<ClaimHome> {
+    let names: BTreeSet<_> = hosts.iter().map(|it| it.data_centre.clone()).collect();
+    let mut homes = Vec::new();
+    if !names.is_empty() {
+        homes.push(ClaimHome::Fleet);
+    }
+    homes.extend(names.into_iter().map(ClaimHome::DataCentre));
+    homes.retain(|home| shards.iter().all(|it| it.home != *home));
+    homes
+}
+
+fn replace_lost_replicas(
+    epoch: Epoch,
+    number: ShardNumber,
+    shard: &mut ClaimShard,
+    hosts: &[ClaimHost],
+) {
+    if shard.previous != PreviousReplicas::None {
+        return;
+    }
+    let live = |host| hosts.iter().any(|it: &ClaimHost| it.host == host);
+    let (kept, lost): (Vec<_>, Vec<_>) =
+        shard.replicas.iter().cloned().partition(|it| live(it.host));
+    if kept.len() < quorum(shard.replicas.len()) {
+        return;
+    }
+    let chosen = choose(number, &shard.home, hosts, &kept);
+    let unchanged = lost.is_empty() && chosen.len() == shard.replicas.len();
+    if unchanged || chosen.len() < shard.replicas.len() {
+        return;
+    }
+    let replicas = shard.replicas.iter().map(|it| it.host).collect();
+    let copied = PreviousEpoch { epoch: shard.epoch, replicas };
+    shard.previous = PreviousReplicas::CopyFrom(copied);
+    shard.epoch = epoch;
+    shard.replicas = chosen;
+}
+
+/// Chooses a shard's replicas: those kept, then the first of the others by rendezvous hash.
+///
+/// A data centre's shards stay in it, or in its region when it has too few hosts. The fleet's
+/// shards go to different data centres as far as possible.
+fn choose(
+    number: ShardNumber,
+    home: &ClaimHome,
+    hosts: &[ClaimHost],
+    kept: &[ReplicaStart],
+) -> Vec<ReplicaStart> {
+    let mut chosen: Vec<&ClaimHost> =
+        hosts.iter().filter(|it| kept.iter().any(|kept| kept.host == it.host)).collect();
+    chosen.truncate(REPLICAS_PER_SHARD);
+    let mut others: Vec<_> =
+        hosts.iter().filter(|it| chosen.iter().all(|other| other.host != it.host)).collect();
+    others.sort_by_key(|it| weight(number, it.host));
+    while chosen.len() < REPLICAS_PER_SHARD {
+        let ranked = others.iter().enumerate();
+        let nearest = ranked.min_by_key(|(rank, it)| (distance(home, it, hosts, &chosen), *rank));
+        let Some((rank, _)) = nearest else { break };
+        let next = others.remove(rank);
+        if distance(home, next, hosts, &chosen) == OUT_OF_REACH {
+            break;
+        }
+        chosen.push(next);
+    }
+    let mut starts: Vec<_> = chosen
+        .into_iter()
+        .map(|it| ReplicaStart { host: it.host, incarnation: it.incarnation })
+        .collect();
+    starts.sort_by_key(|it| it.host);
+    starts
+}
+
+/// The distance of a host that never holds a shard's claims.
+const OUT_OF_REACH: usize = usize::MAX;
+
+/// How little `host` suits a shard of `home`; 0 suits best.
+fn distance(
+    home: &ClaimHome,
+    host: &ClaimHost,
+    hosts: &[ClaimHost],
+    chosen: &[&ClaimHost],
+) -> usize {
+    let ClaimHome::DataCentre(name) = home else {
+        return chosen.iter().filter(|it| it.data_centre == host.data_centre).count();
+    };
+    if host.data_centre == *name {
+        return 0;
+    }
+    let region = hosts.iter().find(|it| it.data_centre == *name).map(|it| &it.region);
+    if region.is_some_and(|it| *it == host.region) { 1 } else { OUT_OF_REACH }
+}
+
+/// The rendezvous weight of a host for a shard.
+fn weight(number: ShardNumber, host: HostId) -> KeyDigest {
+    let mut data = [0; 8];
+    data[..4].copy_from_slice(&number.0.to_be_bytes());
+    data[4..].copy_from_slice(&host.0.to_be_bytes());
+    KeyDigest::of(&data)
+}
--- /dev/null
+++ b/components/claims/tests/fleet/mod.rs
@@ -0,0 +1,229 @@
+//! A few processes with claims and a network that can lose, delay and repeat messages.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+
+use claims::{
+    ClaimAction, ClaimHost, ClaimKey, ClaimMap, Claims, ClaimsSettings, Decision, Ticket,
+};
+use ids::{
+    ByteSize, DataCentreName, Epoch, Fingerprint, HostId, Incarnation, KeyDigest, Millis,
+    RequestId, Timestamp, WallTime,
+};
+use schema::claims::{ClaimsMessage, StoredAnswer};
+
+/// The wall clock time at the fleet's start.
+pub const WALL_START: u64 = 1_000_000_000;
+
+/// A message on its way.
+#[derive(Debug, Clone)]
+pub struct Envelope {
+    pub from: HostId,
+    pub from_incarnation: Incarnation,
+    pub to: HostId,
+    pub message: ClaimsMessage,
+}
+
+/// A decision that a process has made.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Decided {
+    pub host: HostId,
+    pub request: RequestId,
+    pub decision: Decision,
+}
+
+pub struct Fleet {
+    pub now: Timestamp,
+    pub map: ClaimMap,
+    pub nodes: BTreeMap<HostId, Claims>,
+    pub incarnations: BTreeMap<HostId, Incarnation>,
+    pub in_flight: Vec<Envelope>,
+    pub decided: Vec<Decided>,
+    pub settings: ClaimsSettings,
+    next_request: u64,
+}
+
+pub fn data_centre() -> DataCentreName {
+    "rvk-1".parse().unwrap()
+}
+
+pub fn claim_host(host: HostId, incarnation: Incarnation) -> ClaimHost {
+    ClaimHost {
+        host,
+        incarnation,
+        data_centre: data_centre(),
+        region: "reykjavik".parse().unwrap(),
+    }
+}
+
+pub fn settings() -> ClaimsSettings {
+    let mut settings = ClaimsSettings::default();
+    settings.replica.max_answer = ByteSize(1024);
+    settings
+}
+
+pub fn payload(number: u8) -> Fingerprint {
+    Fingerprint([number; 16])
+}
+
+pub fn answer(text: &str) -> StoredAnswer {
+    StoredAnswer::Kept(text.as_bytes().to_vec().into())
+}
+
+impl Fleet {
+    pub fn new(hosts: u32) -> Self {
+        Self::with_settings(hosts, settings())
+    }
+
+    pub fn with_settings(hosts: u32, settings: ClaimsSettings) -> Self {
+        let incarnations: BTreeMap<_, _> =
+            (1..=hosts).map(|it| (HostId(it), Incarnation(1))).collect();
+        let live: Vec<_> = incarnations.iter().map(|(&h, &i)| claim_host(h, i)).collect();
+        let mut fleet = Self {
+            now: Timestamp(0),
+            map: ClaimMap::build(Epoch(1), &live, None),
+            nodes: BTreeMap::new(),
+            incarnations,
+            in_flight: Vec::new(),
+            decided: Vec::new(),
+            settings,
+            next_request: 1,
+        };
+        for host in 1..=hosts {
+            fleet.start(HostId(host));
+        }
+        fleet
+    }
+
+    pub fn wall(&self) -> WallTime {
+        WallTime(WALL_START + self.now.0 / 1000)
+    }
+
+    fn start(&mut self, host: HostId) {
+        let mut settings = self.settings.clone();
+        settings.seed = u64::from(host.0);
+        let node = Claims::new(host, self.incarnations[&host], settings);
+        self.nodes.insert(host, node);
+        self.install_map(host);
+    }
+
+    /// Ends the process of a host and starts a new one, which has forgotten everything.
+    pub fn restart(&mut self, host: HostId) {
+        self.incarnations.entry(host).and_modify(|it| *it = it.next());
+        self.start(host);
+    }
+
+    /// Ends the process of a host for good.
+    pub fn stop(&mut self, host: HostId) {
+        self.nodes.remove(&host);
+    }
+
+    pub fn install_map(&mut self, host: HostId) {
+        let (now, wall, map) = (self.now, self.wall(), self.map.clone());
+        if let Some(node) = self.nodes.get_mut(&host) {
+            let actions = node.set_map(now, wall, map);
+            self.take(host, actions);
+        }
+    }
+
+    pub fn live(&self) -> Vec<ClaimHost> {
+        self.nodes.keys().map(|&it| claim_host(it, self.incarnations[&it])).collect()
+    }
+
+    /// A key with a ticket of the map in force.
+    pub fn key(&self, number: u8) -> ClaimKey {
+        let ticket = Ticket { home: data_centre(), epoch: self.map.epoch(), minted: self.wall() };
+        ClaimKey { digest: KeyDigest::of(&[number]), ticket: Some(ticket) }
+    }
+
+    pub fn begin(&mut self, host: HostId, key: &ClaimKey, payload: Fingerprint) -> RequestId {
+        let request = RequestId(self.next_request);
+        self.next_request += 1;
+        let (now, wall) = (self.now, self.wall());
+        let node = self.nodes.get_mut(&host).unwrap();
+        let actions = node.begin(now, wall, request, key.clone(), payload);
+        self.take(host, actions);
+        request
+    }
+
+    pub fn release(&mut self, host: HostId, request: RequestId) {
+        let (now, wall) = (self.now, self.wall());
+        let actions = self.nodes.get_mut(&host).unwrap().release(now, wall, request);
+        self.take(host, actions);
+    }
+
+    pub fn finish(&mut self, host: HostId, request: RequestId, answer: StoredAnswer) {
+        let (now, wall) = (self.now, self.wall());
+        let actions = self.nodes.get_mut(&host).unwrap().finish(now, wall, request, answer);
+        self.take(host, actions);
+    }
+
+    pub fn take(&mut self, host: HostId, actions: Vec<ClaimAction>) {
+        for action in actions {
+            match action {
+                ClaimAction::Send { to, message } => {
+                    let from_incarnation = self.incarnations[&host];
+                    self.in_flight.push(Envelope { from: host, from_incarnation, to, message });
+                }
+                ClaimAction::Decided { request, decision } => {
+                    self.decided.push(Decided { host, request, decision });
+                }
+            }
+        }
+    }
+
+    /// Delivers the message at this place of the queue.
+    pub fn deliver(&mut self, index: usize) {
+        let envelope = self.in_flight.remove(index);
+        self.hand_in(envelope);
+    }
+
+    pub fn hand_in(&mut self, envelope: Envelope) {
+        let Envelope { from, from_incarnation, to, message } = envelope;
+        let message = schema::decode(&schema::encode(&message)).unwrap();
+        let (now, wall) = (self.now, self.wall());
+        if let Some(node) = self.nodes.get_mut(&to) {
+            let actions = node.handle(now, wall, from, from_incarnation, message);
+            self.take(to, actions);
+        }
+    }
+
+    /// Delivers all messages in order, until none is left.
+    pub fn settle(&mut self) {
+        while !self.in_flight.is_empty() {
+            self.deliver(0);
+        }
+    }
+
+    /// Moves the time on and lets every process do what is due.
+    pub fn advance(&mut self, millis: u64) {
+        self.now = self.now + Millis(millis);
+        let hosts: Vec<_> = self.nodes.keys().copied().collect();
+        for host in hosts {
+            let (now, wall) = (self.now, self.wall());
+            let actions = self.nodes.get_mut(&host).unwrap().tick(now, wall);
+            self.take(host, actions);
+        }
+    }
+
+    /// Runs without faults for a while.
+    pub fn run(&mut self, millis: u64) {
+        const STEP_MILLIS: u64 = 10;
+        for _ in 0..millis.div_ceil(STEP_MILLIS) {
+            self.settle();
+            self.advance(STEP_MILLIS);
+        }
+        self.settle();
+    }
+
+    pub fn decision(&self, request: RequestId) -> Option<&Decision> {
+        self.decided.iter().find(|it| it.request == request).map(|it| &it.decision)
+    }
+
+    /// The replicas of a key and one host that is none of them.
+    pub fn replicas_and_other(&self, key: &ClaimKey) -> (Vec<HostId>, HostId) {
+        let replicas = self.map.replicas_of(key);
+        let other = self.nodes.keys().find(|it| !replicas.contains(it)).copied();
+        (replicas, other.unwrap())
+    }
+}
--- /dev/null
+++ b/components/claims/tests/outcomes.rs
@@ -0,0 +1,185 @@
+//! Each outcome of a claim, without faults.
+
+mod fleet;
+
+use claims::{ClaimKey, Decision, NotGranted};
+use fleet::{Fleet, answer, payload, settings};
+use ids::{HostId, KeyDigest, Millis};
+use schema::claims::StoredAnswer;
+
+#[test]
+fn the_first_claim_is_granted_and_a_resend_elsewhere_gets_the_answer() {
+    let mut fleet = Fleet::new(5);
+    let key = fleet.key(1);
+    let first = fleet.begin(HostId(1), &key, payload(1));
+    fleet.settle();
+    fleet.finish(HostId(1), first, answer("booked"));
+    fleet.settle();
+
+    let resend = fleet.begin(HostId(5), &key, payload(1));
+    fleet.settle();
+
+    assert_eq!(fleet.decision(first), Some(&Decision::Granted));
+    assert_eq!(fleet.decision(resend), Some(&Decision::Finished(answer("booked"))));
+    assert!(fleet.nodes.values().all(|it| it.status().open == 0));
+}
+
+#[test]
+fn a_claim_takes_one_round_trip_to_the_replicas() {
+    let mut fleet = Fleet::new(5);
+    let key = fleet.key(1);
+    let (replicas, other) = fleet.replicas_and_other(&key);
+
+    let request = fleet.begin(other, &key, payload(1));
+    let asked: Vec<_> = fleet.in_flight.iter().map(|it| it.to).collect();
+    (0..3).for_each(|_| fleet.deliver(0));
+    (0..2).for_each(|_| fleet.deliver(0));
+
+    assert_eq!(asked, replicas);
+    assert_eq!(fleet.decision(request), Some(&Decision::Granted));
+}
+
+#[test]
+fn one_and_two_hosts_are_enough() {
+    for hosts in [1, 2] {
+        let mut fleet = Fleet::new(hosts);
+        let key = fleet.key(1);
+        let first = fleet.begin(HostId(1), &key, payload(1));
+        fleet.settle();
+        fleet.finish(HostId(1), first, answer("booked"));
+        fleet.settle();
+
+        let resend = fleet.begin(HostId(hosts), &key, payload(1));
+        fleet.settle();
+
+        assert_eq!(fleet.decision(first), Some(&Decision::Granted));
+        assert_eq!(fleet.decision(resend), Some(&Decision::Finished(answer("booked"))));
+    }
+}
+
+#[test]
+fn a_key_in_progress_and_another_payload_are_told_apart() {
+    let mut fleet = Fleet::new(5);
+    let key = fleet.key(1);
+    fleet.begin(HostId(1), &key, payload(1));
+    fleet.settle();
+
+    let same = fleet.begin(HostId(2), &key, payload(1));
+    let other = fleet.begin(HostId(3), &key, payload(2));
+    fleet.settle();
+
+    assert_eq!(fleet.decision(same), Some(&Decision::InProgress));
+    assert_eq!(fleet.decision(other), Some(&Decision::PayloadMismatch));
+}
+
+#[test]
+fn a_released_key_can_be_claimed_again() {
+    let mut fleet = Fleet::new(5);
+    let key = fleet.key(1);
+    let first = fleet.begin(HostId(1), &key, payload(1));
+    fleet.settle();
+    fleet.release(HostId(1), first);
+    fleet.settle();
+
+    let second = fleet.begin(HostId(2), &key, payload(1));
+    fleet.settle();
+
+    assert_eq!(fleet.decision(second), Some(&Decision::Granted));
+}
+
+#[test]
+fn an_answer_too_large_to_keep_is_told_as_such() {
+    let mut fleet = Fleet::new(3);
+    let key = fleet.key(1);
+    let first = fleet.begin(HostId(1), &key, payload(1));
+    fleet.settle();
+    let large = StoredAnswer::Kept(vec![0; 1025].into());
+    fleet.finish(HostId(1), first, large);
+    fleet.settle();
+
+    let resend = fleet.begin(HostId(2), &key, payload(1));
+    fleet.settle();
+
+    let expected = Decision::Finished(StoredAnswer::NotKept);
+    assert_eq!(fleet.decision(resend), Some(&expected));
+}
+
+#[test]
+fn a_key_older_than_the_retention_is_refused_and_forgotten() {
+    let mut fleet = Fleet::new(3);
+    let key = fleet.key(1);
+    let first = fleet.begin(HostId(1), &key, payload(1));
+    fleet.settle();
+    fleet.finish(HostId(1), first, answer("booked"));
+    fleet.settle();
+    fleet.advance(settings().retention.0 + 1);
+
+    let resend = fleet.begin(HostId(2), &key, payload(1));
+    fleet.settle();
+
+    assert_eq!(fleet.decision(resend), Some(&Decision::Expired));
+    assert!(fleet.nodes.values().all(|it| it.status().held == 0));
+}
+
+#[test]
+fn a_key_without_ticket_is_claimed_all_the_same() {
+    let mut fleet = Fleet::new(5);
+    let key = ClaimKey { digest: KeyDigest::of(b"free"), ticket: None };
+    let first = fleet.begin(HostId(1), &key, payload(1));
+    fleet.settle();
+
+    let second = fleet.begin(HostId(4), &key, payload(1));
+    fleet.settle();
+
+    assert_eq!(fleet.decision(first), Some(&Decision::Granted));
+    assert_eq!(fleet.decision(second), Some(&Decision::InProgress));
+}
+
+#[test]
+fn claims_of_an_ended_process_are_unknown() {
+    let mut fleet = Fleet::new(5);
+    let key = fleet.key(1);
+    let (replicas, other) = fleet.replicas_and_other(&key);
+    fleet.begin(other, &key, payload(1));
+    fleet.settle();
+    fleet.restart(other);
+    let before = fleet.begin(replicas[0], &key, payload(1));
+    fleet.settle();
+
+    let after = fleet.begin(replicas[0], &key, payload(1));
+    fleet.settle();
+
+    assert_eq!(fleet.decision(before), Some(&Decision::InProgress));
+    assert_eq!(fleet.decision(after), Some(&Decision::Unknown));
+}
+
+#[test]
+fn a_full_replica_set_proves_that_nothing_ran() {
+    let mut settings = settings();
+    settings.replica.max_claims = 1;
+    let mut fleet = Fleet::with_settings(3, settings);
+    let first = fleet.key(1);
+    fleet.begin(HostId(1), &first, payload(1));
+    fleet.settle();
+
+    let second = fleet.key(2);
+    let request = fleet.begin(HostId(1), &second, payload(1));
+    fleet.settle();
+
+    let expected = Decision::Unavailable(NotGranted::NotRun);
+    assert_eq!(fleet.decision(request), Some(&expected));
+}
+
+#[test]
+fn too_few_replicas_prove_nothing() {
+    let mut fleet = Fleet::new(3);
+    let key = fleet.key(1);
+    fleet.stop(HostId(2));
+    fleet.stop(HostId(3));
+
+    let request = fleet.begin(HostId(1), &key, payload(1));
+    fleet.run(Millis(1_000).0);
+
+    let expected = Decision::Unavailable(NotGranted::Unknown);
+    assert_eq!(fleet.decision(request), Some(&expected));
+}
