Copy shards after a restart, a new epoch or before a planned stop

A restarted replica has forgotten its grants. It abstains until it has copied the shard from all other replicas: with three replicas, the one of the others that shares a grant with it may be either. A grant that its earlier start had sent and that is still on its way is a second danger: it could join a grant made after the copy. Every replica that let it copy therefore names its new start in later grants, and claimants drop grants of earlier starts.

A changed shard copies the previous epoch from a majority, which makes no more grants in it. A stopping replica hands its records to the others and counts as copied wherever they are copied.

Two different claimants found for one key in two copies: either may have a majority together with a forgotten grant, so the copy grants it to neither.

Ruled out: copying from one other replica (misses grants shared with the third), and waiting a fixed time after a restart (unsafe when a claimant is frozen longer than that).

--- a/components/claims/src/claimant/vote.rs
+++ b/components/claims/src/claimant/vote.rs
@@ -59,13 +59,20 @@
         Self { replicas, replies: BTreeMap::new() }
     }
 
-    /// Takes in a reply; one of an earlier start of the replica does not replace a later one's.
+    /// Takes in a reply.
+    ///
+    /// One of an earlier start of the replica does not replace a later one's, and a grant stands
+    /// until the round ends.
     pub(super) fn add(&mut self, from: HostId, incarnation: Incarnation, verdict: ClaimVerdict) {
         if !self.replicas.contains(&from) {
             return;
         }
-        let known = self.replies.get(&from);
-        if known.is_none_or(|it| it.incarnation <= incarnation) {
+        let is_better = self.replies.get(&from).is_none_or(|known| {
+            let is_late = matches!(known.verdict, ClaimVerdict::Granted(_))
+                && matches!(verdict, ClaimVerdict::Held(_) | ClaimVerdict::Refused(_));
+            known.incarnation < incarnation || known.incarnation == incarnation && !is_late
+        });
+        if is_better {
             self.replies.insert(from, Reply { incarnation, verdict });
         }
     }
--- a/components/claims/src/claims.rs
+++ b/components/claims/src/claims.rs
@@ -85,9 +85,9 @@
         if map.epoch() <= self.map.epoch() {
             return Vec::new();
         }
-        self.replica.set_map(&map);
         let old = std::mem::replace(&mut self.map, map);
-        let actions = self.claimant.set_map(now, &old, &self.map);
+        let mut actions = into_actions(self.replica.set_map(now, &self.map));
+        actions.extend(self.claimant.set_map(now, &old, &self.map));
         self.deliver_local(now, wall, actions)
     }
 
@@ -132,6 +132,17 @@
         self.replica.host_lost(host, incarnation);
     }
 
+    /// Hands the replica's shards over before a planned stop; claims in hand go on as before.
+    pub fn drain(&mut self, now: Timestamp, wall: WallTime) -> Vec<ClaimAction> {
+        let actions = into_actions(self.replica.drain(now));
+        self.deliver_local(now, wall, actions)
+    }
+
+    /// Whether every shard is handed over and no claim is open, so that the process may stop.
+    pub fn is_drained(&self) -> bool {
+        self.replica.is_drained() && self.claimant.open() == 0
+    }
+
     /// Takes in a message of the process `from_incarnation` of host `from`.
     pub fn handle(
         &mut self,
@@ -147,8 +158,8 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now: Timestamp, wall: WallTime) -> Vec<ClaimAction> {
-        self.replica.tick(now, wall);
-        let actions = self.claimant.tick(now, &self.map);
+        let mut actions = into_actions(self.replica.tick(now, wall));
+        actions.extend(self.claimant.tick(now, &self.map));
         self.deliver_local(now, wall, actions)
     }
 
@@ -186,7 +197,7 @@
                 self.replica.handle_release(&req);
                 Vec::new()
             }
-            ClaimsMessage::Finish(req) => into_actions(self.replica.handle_finish(wall, req)),
+            ClaimsMessage::Finish(req) => into_actions(self.replica.handle_finish(wall, &req)),
             ClaimsMessage::FinishAck(ack) => {
                 self.claimant.handle_ack(from, ack);
                 Vec::new()
@@ -197,10 +208,18 @@
                 self.replica.host_lost(gone.host, ended);
                 Vec::new()
             }
-            ClaimsMessage::Copy(_)
-            | ClaimsMessage::CopyPage(_)
-            | ClaimsMessage::HandOver(_)
-            | ClaimsMessage::HandOverAck(_) => Vec::new(),
+            ClaimsMessage::Copy(req) => {
+                into_actions(self.replica.handle_copy(wall, from, from_incarnation, &req))
+            }
+            ClaimsMessage::CopyPage(page) => {
+                into_actions(self.replica.handle_page(wall, from, from_incarnation, page))
+            }
+            ClaimsMessage::HandOver(page) => {
+                into_actions(self.replica.handle_hand_over(from, from_incarnation, page))
+            }
+            ClaimsMessage::HandOverAck(ack) => {
+                into_actions(self.replica.handle_hand_over_ack(from, from_incarnation, &ack))
+            }
         }
     }
 
--- a/components/claims/src/replica/mod.rs
+++ b/components/claims/src/replica/mod.rs
@@ -1,17 +1,20 @@
 //! A claim replica: grants each key to one claimant and keeps the outcome.
 
+mod copy;
+mod hand_over;
 mod record;
 mod shard;
+mod shard_epoch;
 
 use std::collections::BTreeMap;
 
 use ids::{HostId, Incarnation, Millis, Timestamp, WallTime};
 use schema::claims::{
-    CheckRequest, ClaimReply, ClaimRequest, ClaimVerdict, ClaimsMessage, FinishAck, FinishRequest,
-    Refusal, ReleaseRequest,
+    CheckRequest, ClaimReply, ClaimRequest, ClaimVerdict, ClaimsMessage, CopyPage, CopyRequest,
+    FinishAck, FinishRequest, HandOverAck, HandOverPage, Refusal, ReleaseRequest,
 };
 
-use self::shard::ShardReplica;
+use self::shard::{Process, Room, ShardReplica, clocks_differ};
 use crate::{ClaimMap, ReplicaSettings, ShardNumber, claims::Outgoing};
 
 /// How often records are searched for those that may be forgotten.
@@ -20,8 +23,7 @@
 /// The claims that one process holds for the fleet, in memory.
 #[derive(Debug)]
 pub struct ClaimReplica {
-    me: HostId,
-    incarnation: Incarnation,
+    me: Process,
     settings: ReplicaSettings,
     retention: Millis,
     map_epoch: ids::Epoch,
@@ -46,8 +48,7 @@
         retention: Millis,
     ) -> Self {
         Self {
-            me,
-            incarnation,
+            me: Process { host: me, incarnation },
             settings,
             retention,
             map_epoch: ids::Epoch(0),
@@ -58,20 +59,17 @@
     }
 
     /// Takes in a map with a higher epoch.
-    pub(crate) fn set_map(&mut self, map: &ClaimMap) {
+    pub(crate) fn set_map(&mut self, now: Timestamp, map: &ClaimMap) -> Vec<Outgoing> {
         self.map_epoch = map.epoch();
         for (number, shard) in map.shards() {
-            let own = shard.replicas.iter().find(|it| it.host == self.me);
-            let Some(own) = own else {
-                self.shards.remove(&number);
-                continue;
-            };
-            let known = self.shards.get(&number).map(ShardReplica::epoch);
-            if known != Some(shard.epoch) {
-                let first_start = own.incarnation == self.incarnation;
-                self.shards.insert(number, ShardReplica::new(shard, first_start));
+            let me = self.me;
+            let is_replica = shard.replicas.iter().any(|it| it.host == me.host);
+            if is_replica || self.shards.contains_key(&number) {
+                self.shards.entry(number).or_default().set_map(number, shard, me);
             }
         }
+        self.shards.retain(|_, it| !it.is_empty());
+        self.send_pages(now)
     }
 
     /// How much the replica holds.
@@ -84,9 +82,20 @@
         usage
     }
 
-    /// The shards in which this replica has forgotten what it granted.
+    /// How much more can be taken in; copies may take twice what claims may.
+    fn room(&self) -> Room {
+        let usage = self.usage();
+        let max_bytes = usize::try_from(self.settings.max_answer_bytes.0).unwrap_or(usize::MAX);
+        Room {
+            claims: (2 * self.settings.max_claims).saturating_sub(usage.claims),
+            answer_bytes: max_bytes.saturating_sub(usage.answer_bytes),
+        }
+    }
+
+    /// The shards in which this replica may have forgotten grants, or lacks those of others.
     pub(crate) fn abstaining(&self) -> Vec<ShardNumber> {
-        self.shards.iter().filter(|(_, it)| !it.is_whole()).map(|(number, _)| *number).collect()
+        let abstaining = self.shards.iter().filter(|(_, it)| it.is_abstaining());
+        abstaining.map(|(number, _)| *number).collect()
     }
 
     pub(crate) fn handle_claim(&mut self, wall: WallTime, req: &ClaimRequest) -> Vec<Outgoing> {
@@ -118,62 +127,157 @@
 
     fn held_round(&self, req: &ClaimRequest) -> ids::AttemptNumber {
         let shard = self.shards.get(&ShardNumber(req.shard));
-        shard.and_then(|it| it.record(req.key)).map(|it| it.round).unwrap_or_default()
+        let current = shard.and_then(|it| it.current.as_ref());
+        current.and_then(|it| it.record(req.key)).map(|it| it.round).unwrap_or_default()
     }
 
     fn verdict(&mut self, wall: WallTime, req: &ClaimRequest) -> Option<ClaimVerdict> {
         let has_room = self.usage().claims < self.settings.max_claims;
-        let Some(shard) = self.shards.get_mut(&ShardNumber(req.shard)) else {
+        let shard = self.shards.get_mut(&ShardNumber(req.shard));
+        let Some(current) = shard.and_then(|it| it.current.as_mut()) else {
             return Some(ClaimVerdict::Refused(Refusal::WrongEpoch));
         };
-        if let Some(refusal) = shard.refusal(wall, self.map_epoch, self.forgotten, req) {
+        if let Some(refusal) = current.refusal(wall, self.map_epoch, self.forgotten, req) {
             return Some(ClaimVerdict::Refused(refusal));
         }
-        shard.claim(wall, has_room, req)
+        current.claim(wall, has_room, req)
     }
 
     pub(crate) fn handle_release(&mut self, req: &ReleaseRequest) {
         if let Some(shard) = self.shards.get_mut(&ShardNumber(req.shard)) {
-            shard.release(req);
+            shard.epochs_mut().for_each(|it| it.release(req));
         }
     }
 
-    pub(crate) fn handle_finish(&mut self, wall: WallTime, req: FinishRequest) -> Vec<Outgoing> {
+    /// Stores an outcome; it is acknowledged only where no one has begun to copy the epoch.
+    pub(crate) fn handle_finish(&mut self, wall: WallTime, req: &FinishRequest) -> Vec<Outgoing> {
         self.advance_wall(wall);
-        let usage = self.usage();
+        let max_answer = usize::try_from(self.settings.max_answer.0).unwrap_or(usize::MAX);
+        let max_answer = max_answer.min(self.room().answer_bytes);
         let Some(shard) = self.shards.get_mut(&ShardNumber(req.shard)) else { return Vec::new() };
+        for epoch in shard.epochs_mut() {
+            epoch.finish(wall, self.forgotten, max_answer, req);
+        }
+        let Some(current) = shard.current.as_ref().filter(|it| !it.is_sealed()) else {
+            return Vec::new();
+        };
         let ack = FinishAck {
             shard: req.shard,
-            epoch: shard.epoch(),
+            epoch: current.epoch,
             key: req.key,
             request: req.claimant.request,
         };
-        let to = req.claimant.host;
-        let free = self.settings.max_answer_bytes.0.saturating_sub(usage.answer_bytes as u64);
-        let max_answer = self.settings.max_answer.0.min(free);
-        shard.finish(wall, self.forgotten, max_answer, req);
-        vec![Outgoing::new(to, ClaimsMessage::FinishAck(ack))]
+        vec![Outgoing::new(req.claimant.host, ClaimsMessage::FinishAck(ack))]
+    }
+
+    /// Answers a replica that copies a shard.
+    pub(crate) fn handle_copy(
+        &mut self,
+        wall: WallTime,
+        from: HostId,
+        incarnation: Incarnation,
+        req: &CopyRequest,
+    ) -> Vec<Outgoing> {
+        self.advance_wall(wall);
+        let from = Process { host: from, incarnation };
+        let Some(shard) = self.shards.get_mut(&ShardNumber(req.shard)) else { return Vec::new() };
+        let page = shard.handle_copy(from, wall, self.forgotten, req);
+        page.map(|it| Outgoing::new(from.host, ClaimsMessage::CopyPage(it))).into_iter().collect()
+    }
+
+    /// Takes in a page of a copy.
+    pub(crate) fn handle_page(
+        &mut self,
+        wall: WallTime,
+        from: HostId,
+        incarnation: Incarnation,
+        page: CopyPage,
+    ) -> Vec<Outgoing> {
+        let room = self.room();
+        let forgotten = page.forgotten;
+        let from = Process { host: from, incarnation };
+        let Some(shard) = self.shards.get_mut(&ShardNumber(page.shard)) else { return Vec::new() };
+        if clocks_differ(wall, page.wall) {
+            return Vec::new();
+        }
+        self.forgotten = self.forgotten.max(forgotten);
+        shard.handle_page(from, room, page).into_iter().collect()
+    }
+
+    /// Takes in a page of a stopping replica's hand-over.
+    pub(crate) fn handle_hand_over(
+        &mut self,
+        from: HostId,
+        incarnation: Incarnation,
+        page: HandOverPage,
+    ) -> Vec<Outgoing> {
+        let room = self.room();
+        let from = Process { host: from, incarnation };
+        let Some(shard) = self.shards.get_mut(&ShardNumber(page.shard)) else { return Vec::new() };
+        let ack = HandOverAck { shard: page.shard, epoch: page.epoch, cursor: page.cursor.clone() };
+        if !shard.handle_hand_over(from, room, page) {
+            return Vec::new();
+        }
+        vec![Outgoing::new(from.host, ClaimsMessage::HandOverAck(ack))]
+    }
+
+    /// Takes in that another replica has stored a page of a hand-over.
+    pub(crate) fn handle_hand_over_ack(
+        &mut self,
+        from: HostId,
+        incarnation: Incarnation,
+        ack: &HandOverAck,
+    ) -> Vec<Outgoing> {
+        let shard = self.shards.get_mut(&ShardNumber(ack.shard));
+        let hand_over = shard.and_then(ShardReplica::hand_over_mut);
+        let next = hand_over.and_then(|it| it.handle_ack(from, incarnation, ack));
+        next.into_iter().collect()
+    }
+
+    /// Stops granting keys and hands all shards over.
+    pub(crate) fn drain(&mut self, now: Timestamp) -> Vec<Outgoing> {
+        for (number, shard) in &mut self.shards {
+            shard.drain(*number, self.me.host);
+        }
+        self.send_pages(now)
+    }
+
+    /// Whether nothing is left to hand over.
+    pub(crate) fn is_drained(&self) -> bool {
+        self.shards.values().all(ShardReplica::is_drained)
     }
 
     /// Marks the claims of processes on `host` up to `newest` as lost.
     pub(crate) fn host_lost(&mut self, host: HostId, newest: Incarnation) {
-        self.shards.values_mut().for_each(|it| it.lose_host(host, newest));
+        let epochs = self.shards.values_mut().flat_map(ShardReplica::epochs_mut);
+        epochs.for_each(|it| it.records.lose_host(host, newest));
     }
 
-    pub(crate) fn tick(&mut self, now: Timestamp, wall: WallTime) {
-        if now < self.next_forget {
-            return;
+    pub(crate) fn tick(&mut self, now: Timestamp, wall: WallTime) -> Vec<Outgoing> {
+        if self.next_forget <= now {
+            self.next_forget = now + FORGET_INTERVAL;
+            self.forget(wall);
         }
-        self.next_forget = now + FORGET_INTERVAL;
+        self.send_pages(now)
+    }
+
+    fn forget(&mut self, wall: WallTime) {
         self.advance_wall(wall);
-        for shard in self.shards.values_mut() {
-            shard.forget(self.forgotten);
-            shard.lose_overdue(wall, self.settings.hold_limit);
+        for epoch in self.shards.values_mut().flat_map(ShardReplica::epochs_mut) {
+            epoch.records.forget(self.forgotten);
+            epoch.records.lose_overdue(wall, self.settings.hold_limit);
         }
     }
 
+    fn send_pages(&mut self, now: Timestamp) -> Vec<Outgoing> {
+        let retry = self.settings.copy_retry;
+        self.shards.values_mut().flat_map(|it| it.tick(now, retry)).collect()
+    }
+
     pub(crate) fn next_wakeup(&self) -> Option<Timestamp> {
-        (self.usage().claims > 0).then_some(self.next_forget)
+        let pages = self.shards.values().filter_map(ShardReplica::next_wakeup).min();
+        let forget = (self.usage().claims > 0).then_some(self.next_forget);
+        [pages, forget].into_iter().flatten().min()
     }
 
     /// Moves the time up to which keys are forgotten; it never goes back.
--- a/components/claims/src/replica/record.rs
+++ b/components/claims/src/replica/record.rs
@@ -1,9 +1,23 @@
 //! The records of one shard in one epoch.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, ops::Bound};
 
 use ids::{HostId, Incarnation, KeyDigest, Millis, WallTime};
-use schema::claims::{ClaimRecord, ClaimState, KeyAge, StoredAnswer};
+use schema::claims::{ClaimRecord, ClaimState, CopyCursor, KeyAge, StoredAnswer};
+
+/// The most records of a page.
+const PAGE_RECORDS: usize = 512;
+
+/// The bytes of answers after which a page takes no more records.
+const PAGE_ANSWER_BYTES: usize = 256 * 1024;
+
+/// A part of the records that fits into one message.
+#[derive(Debug)]
+pub(super) struct Page {
+    pub(super) records: Vec<ClaimRecord>,
+    /// Whether no record follows.
+    pub(super) last: bool,
+}
 
 /// What a replica remembers, by key.
 #[derive(Debug, Clone, Default)]
@@ -39,6 +53,25 @@
         }
     }
 
+    /// Takes in a record of another replica.
+    ///
+    /// Where two claimants hold the key in different replicas, either may have a majority, so
+    /// that this replica can grant it to neither from then on.
+    pub(super) fn merge(&mut self, record: ClaimRecord) {
+        let Some(known) = self.by_key.get_mut(&record.key) else {
+            self.insert(record);
+            return;
+        };
+        let rivals = known.claimant != record.claimant;
+        if rivals && !is_finished(known) && !is_finished(&record) {
+            known.state = ClaimState::Contested;
+            return;
+        }
+        if (progress(&known.state), known.round) < (progress(&record.state), record.round) {
+            self.insert(record);
+        }
+    }
+
     /// Drops the records that no claim can ask for any more.
     pub(super) fn forget(&mut self, forgotten: WallTime) {
         let old = self.by_key.values().filter(|it| is_forgotten(it, forgotten));
@@ -65,6 +98,45 @@
             }
         }
     }
+
+    /// The records after `cursor`, as many as fit into one message.
+    pub(super) fn page(&self, cursor: &CopyCursor) -> Page {
+        let start = match cursor {
+            CopyCursor::Start => Bound::Unbounded,
+            CopyCursor::After(key) => Bound::Excluded(*key),
+        };
+        let mut page = Page { records: Vec::new(), last: true };
+        let mut bytes = 0;
+        for record in self.by_key.range((start, Bound::Unbounded)).map(|(_, it)| it) {
+            if page.records.len() >= PAGE_RECORDS || bytes >= PAGE_ANSWER_BYTES {
+                page.last = false;
+                break;
+            }
+            bytes += answer_bytes(record);
+            page.records.push(record.clone());
+        }
+        page
+    }
+}
+
+impl Page {
+    /// Where the next page starts.
+    pub(super) fn next_cursor(records: &[ClaimRecord], cursor: CopyCursor) -> CopyCursor {
+        records.last().map_or(cursor, |it| CopyCursor::After(it.key))
+    }
+}
+
+/// Whether the record's request has run.
+pub(super) fn is_finished(record: &ClaimRecord) -> bool {
+    matches!(record.state, ClaimState::Finished(_))
+}
+
+/// The answer as it is kept where answers may have `max_answer` bytes.
+pub(super) fn bounded_answer(answer: StoredAnswer, max_answer: usize) -> StoredAnswer {
+    match answer {
+        StoredAnswer::Kept(answer) if answer.as_slice().len() > max_answer => StoredAnswer::NotKept,
+        answer => answer,
+    }
 }
 
 /// Whether a key is so old that its record may be dropped and its claims are refused.
@@ -85,3 +157,14 @@
         _ => 0,
     }
 }
+
+fn progress(state: &ClaimState) -> u8 {
+    match state {
+        ClaimState::Held => 0,
+        ClaimState::Lost => 1,
+        ClaimState::Contested => 2,
+        ClaimState::Finished(StoredAnswer::Unknown) => 3,
+        ClaimState::Finished(StoredAnswer::NotKept) => 4,
+        ClaimState::Finished(StoredAnswer::Kept(_)) => 5,
+    }
+}
--- a/components/claims/src/replica/shard.rs
+++ b/components/claims/src/replica/shard.rs
@@ -1,208 +1,271 @@
-//! One shard of a claim replica.
+//! One shard of a claim replica, across a change of its epoch.
 
-use std::collections::BTreeMap;
-
-use ids::{Epoch, HostId, Incarnation, KeyDigest, Millis, WallTime};
+use ids::{HostId, Incarnation, Timestamp, WallTime};
 use schema::claims::{
-    ClaimRecord, ClaimRequest, ClaimShard, ClaimState, ClaimVerdict, FinishRequest, FinishedClaim,
-    HeldBy, KeyAge, KeyTicket, PreviousReplicas, Refusal, ReleaseRequest, ReplicaStart,
-    StoredAnswer,
+    ClaimShard, CopyPage, CopyPurpose, CopyRequest, HandOverPage, PreviousReplicas,
 };
 
-use super::record::{Records, is_too_old};
-use crate::MAX_CLOCK_SKEW;
+use super::{
+    copy::CopyProgress,
+    hand_over::HandOver,
+    shard_epoch::{Mode, ShardEpoch},
+};
+use crate::{MAX_CLOCK_SKEW, ShardNumber, claims::Outgoing, map::replica_hosts};
 
-/// Whether a replica may grant keys of a shard.
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum Mode {
-    /// It may not know of grants that it or others have made, and abstains.
-    Copying,
-    /// It knows all that it must know.
-    Whole,
+/// A process and its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Process {
+    pub(super) host: HostId,
+    pub(super) incarnation: Incarnation,
 }
 
-/// What a replica knows of one shard in one epoch.
-#[derive(Debug)]
+/// What a replica knows of one shard.
+#[derive(Debug, Default)]
 pub(super) struct ShardReplica {
-    epoch: Epoch,
-    opened: Epoch,
-    unticketed_from: WallTime,
-    mode: Mode,
-    records: Records,
-    /// The newest starts of the other replicas that have recovered in this epoch.
-    starts: BTreeMap<HostId, Incarnation>,
+    /// The epoch that this host is a replica of.
+    pub(super) current: Option<ShardEpoch>,
+    /// The epoch before, kept until its replicas' successors have copied it.
+    retired: Option<ShardEpoch>,
+    hand_over: Option<HandOver>,
 }
 
 impl ShardReplica {
-    /// The shard at its first start in this epoch, or after a restart within the epoch.
-    pub(super) fn new(shard: &ClaimShard, first_start: bool) -> Self {
-        let is_fresh = shard.epoch == shard.opened && shard.previous == PreviousReplicas::None;
-        Self {
-            epoch: shard.epoch,
-            opened: shard.opened,
-            unticketed_from: shard.unticketed_from,
-            mode: if is_fresh && first_start { Mode::Whole } else { Mode::Copying },
-            records: Records::default(),
-            starts: BTreeMap::new(),
+    /// Takes in the shard as a new map has it.
+    pub(super) fn set_map(&mut self, number: ShardNumber, shard: &ClaimShard, me: Process) {
+        if self.current.as_ref().is_some_and(|it| it.epoch == shard.epoch) {
+            self.settle(number, shard, me);
+            return;
+        }
+        self.retire(shard);
+        let Some(own) = shard.replicas.iter().find(|it| it.host == me.host) else { return };
+        let first_start = own.incarnation == me.incarnation;
+        let mut next = ShardEpoch::new(shard, self.first_mode(number, shard, me, first_start));
+        self.copy_own(&mut next, me.host);
+        self.current = Some(next);
+    }
+
+    /// Keeps the epoch that the shard's next replicas copy, and drops any other.
+    fn retire(&mut self, shard: &ClaimShard) {
+        self.hand_over = None;
+        let mut old = self.current.take().or_else(|| self.retired.take());
+        self.retired = match &shard.previous {
+            PreviousReplicas::CopyFrom(previous) => {
+                old.take_if(|it| it.epoch == previous.epoch && it.knows_all())
+            }
+            PreviousReplicas::None => None,
+        };
+        if let Some(retired) = &mut self.retired {
+            retired.mode = Mode::Sealed;
+        }
+    }
+
+    /// What has to happen before keys are granted in a new epoch.
+    fn first_mode(
+        &self,
+        number: ShardNumber,
+        shard: &ClaimShard,
+        me: Process,
+        first_start: bool,
+    ) -> Mode {
+        match &shard.previous {
+            PreviousReplicas::CopyFrom(previous) if first_start => {
+                let copy = CopyProgress::next_epoch(number, previous.epoch, &previous.replicas);
+                Mode::Copying(copy)
+            }
+            PreviousReplicas::None if first_start && shard.epoch == shard.opened => Mode::Whole,
+            _ => recovery(number, shard, me),
         }
     }
 
-    pub(super) fn epoch(&self) -> Epoch {
-        self.epoch
+    /// Copies what this host itself knows of the epoch before.
+    fn copy_own(&self, next: &mut ShardEpoch, me: HostId) {
+        let Some(retired) = &self.retired else { return };
+        let Mode::Copying(copy) = &mut next.mode else { return };
+        if copy.purpose() != CopyPurpose::NextEpoch {
+            return;
+        }
+        copy.mark_done(me);
+        retired.handed_over().into_iter().for_each(|it| copy.mark_done(it));
+        next.records = retired.records.clone();
+        next.finish_copy();
+    }
+
+    /// Drops the epoch before, once all replicas have copied it.
+    fn settle(&mut self, number: ShardNumber, shard: &ClaimShard, me: Process) {
+        if shard.previous != PreviousReplicas::None {
+            return;
+        }
+        self.retired = None;
+        let Some(current) = &mut self.current else { return };
+        let Mode::Copying(copy) = &current.mode else { return };
+        if copy.purpose() == CopyPurpose::NextEpoch {
+            current.mode = recovery(number, shard, me);
+        }
     }
 
-    pub(super) fn is_whole(&self) -> bool {
-        self.mode == Mode::Whole
+    /// Whether neither epoch is held here.
+    pub(super) fn is_empty(&self) -> bool {
+        self.current.is_none() && self.retired.is_none()
+    }
+
+    pub(super) fn is_abstaining(&self) -> bool {
+        self.current.as_ref().is_some_and(|it| matches!(it.mode, Mode::Copying(_)))
     }
 
     pub(super) fn claims(&self) -> usize {
-        self.records.len()
+        self.epochs().map(|it| it.records.len()).sum()
     }
 
     pub(super) fn answer_bytes(&self) -> usize {
-        self.records.answer_bytes()
+        self.epochs().map(|it| it.records.answer_bytes()).sum()
     }
 
-    pub(super) fn record(&self, key: KeyDigest) -> Option<&ClaimRecord> {
-        self.records.get(key)
+    pub(super) fn epochs(&self) -> impl Iterator<Item = &ShardEpoch> {
+        self.current.iter().chain(&self.retired)
     }
 
-    /// Why the claim can't be judged here, if so.
-    pub(super) fn refusal(
-        &self,
+    pub(super) fn epochs_mut(&mut self) -> impl Iterator<Item = &mut ShardEpoch> {
+        self.current.iter_mut().chain(&mut self.retired)
+    }
+
+    /// Answers a replica that copies the shard; seals the epoch when a later one is filled.
+    pub(super) fn handle_copy(
+        &mut self,
+        from: Process,
         wall: WallTime,
-        map_epoch: Epoch,
         forgotten: WallTime,
-        req: &ClaimRequest,
-    ) -> Option<Refusal> {
-        if req.epoch != self.epoch {
-            return Some(Refusal::WrongEpoch);
-        }
-        if self.mode != Mode::Whole {
-            return Some(Refusal::Abstaining);
-        }
-        match &req.age {
-            KeyAge::Ticket(ticket) if ticket.epoch > map_epoch => Some(Refusal::WrongEpoch),
-            KeyAge::Ticket(ticket) if ticket.epoch < self.opened => Some(Refusal::Closed),
-            KeyAge::Ticket(ticket) if is_minted_ahead(ticket, wall) => Some(Refusal::MintedAhead),
-            age if is_too_old(age, forgotten) => Some(Refusal::Expired),
-            KeyAge::Unknown if wall < self.unticketed_from => Some(Refusal::Closed),
-            _ => None,
+        req: &CopyRequest,
+    ) -> Option<CopyPage> {
+        let epoch = self.epochs_mut().find(|it| it.epoch == req.epoch)?;
+        match req.purpose {
+            CopyPurpose::Recover => epoch.admit_recovery(from)?,
+            CopyPurpose::NextEpoch => epoch.seal()?,
         }
+        let page = epoch.records.page(&req.cursor);
+        Some(CopyPage {
+            shard: req.shard,
+            epoch: req.epoch,
+            cursor: req.cursor.clone(),
+            wall,
+            forgotten,
+            starts: epoch.starts(),
+            handed_over: epoch.handed_over(),
+            records: page.records,
+            last: page.last,
+        })
     }
 
-    /// Grants the key unless another claimant has it; a late copy of a claim gets no answer.
-    pub(super) fn claim(
+    /// Takes in a page of a copy and asks for the next one.
+    pub(super) fn handle_page(
         &mut self,
-        wall: WallTime,
-        has_room: bool,
-        req: &ClaimRequest,
-    ) -> Option<ClaimVerdict> {
-        let Some(record) = self.records.get(req.key) else {
-            if !has_room {
-                return Some(ClaimVerdict::Refused(Refusal::Full));
-            }
-            self.records.insert(new_record(wall, req));
-            return Some(self.granted());
-        };
-        if let ClaimState::Finished(answer) = &record.state {
-            let finished = FinishedClaim { payload: record.payload, answer: answer.clone() };
-            return Some(ClaimVerdict::Finished(finished));
+        from: Process,
+        room: Room,
+        page: CopyPage,
+    ) -> Option<Outgoing> {
+        if page.records.len() > room.claims {
+            return None;
         }
-        let held = HeldBy { claimant: record.claimant.clone(), payload: record.payload };
-        if record.state == ClaimState::Lost {
-            return Some(ClaimVerdict::Lost(held));
+        let current = self.current.as_mut()?;
+        let Mode::Copying(copy) = &mut current.mode else { return None };
+        if !copy.expects(from.host, from.incarnation, &page) {
+            return copy.request(from.host);
         }
-        if record.claimant != req.claimant {
-            return Some(ClaimVerdict::Held(held));
+        copy.advance(from.host, &page);
+        let next = copy.request(from.host);
+        let recovers = copy.purpose() == CopyPurpose::Recover;
+        if recovers {
+            page.starts.iter().for_each(|it| current.learn_start(it.host, it.incarnation));
         }
-        if record.round > req.round {
-            return None;
-        }
-        let since = record.since;
-        self.records.insert(ClaimRecord { since, ..new_record(wall, req) });
-        Some(self.granted())
+        current.merge(page.records, room.answer_bytes);
+        current.finish_copy();
+        next
     }
 
-    fn granted(&self) -> ClaimVerdict {
-        let starts = self.starts.iter();
-        let starts = starts.map(|(&host, &incarnation)| ReplicaStart { host, incarnation });
-        ClaimVerdict::Granted(starts.collect())
+    /// Asks again for the pages of a copy, or sends again those of a hand-over.
+    pub(super) fn tick(&mut self, now: Timestamp, retry: ids::Millis) -> Vec<Outgoing> {
+        if let Some(hand_over) = &mut self.hand_over
+            && hand_over.next_try <= now
+        {
+            hand_over.next_try = now + retry;
+            return hand_over.pages();
+        }
+        let Some(current) = &mut self.current else { return Vec::new() };
+        let Mode::Copying(copy) = &mut current.mode else { return Vec::new() };
+        if copy.next_try > now {
+            return Vec::new();
+        }
+        copy.next_try = now + retry;
+        copy.requests()
     }
 
-    /// Drops the claim of a claimant that sent nothing.
-    pub(super) fn release(&mut self, req: &ReleaseRequest) {
-        let Some(record) = self.records.get(req.key) else { return };
-        let is_finished = matches!(record.state, ClaimState::Finished(_));
-        if is_finished || record.claimant != req.claimant || record.round > req.round {
-            return;
+    /// When `tick` has something to send.
+    pub(super) fn next_wakeup(&self) -> Option<Timestamp> {
+        if let Some(hand_over) = self.hand_over.as_ref().filter(|it| !it.is_complete()) {
+            return Some(hand_over.next_try);
+        }
+        match &self.current.as_ref()?.mode {
+            Mode::Copying(copy) => Some(copy.next_try),
+            Mode::Whole | Mode::Sealed => None,
         }
-        self.records.remove(req.key);
     }
 
-    /// Stores an outcome; whoever sends one has held the claim at a majority.
-    pub(super) fn finish(
-        &mut self,
-        wall: WallTime,
-        forgotten: WallTime,
-        max_answer: u64,
-        req: FinishRequest,
-    ) {
-        if is_too_old(&req.age, forgotten) || self.is_closed_to(&req.age) {
-            return;
-        }
-        let known = self.records.get(req.key);
-        let since = known.map_or(wall, |it| it.since);
-        if known.is_some_and(|it| matches!(it.state, ClaimState::Finished(_))) {
+    /// Stops granting keys and starts to hand the records over.
+    pub(super) fn drain(&mut self, number: ShardNumber, me: HostId) {
+        let Some(current) = &mut self.current else { return };
+        if current.seal().is_none() || self.hand_over.is_some() {
             return;
         }
-        let answer = match req.answer {
-            StoredAnswer::Kept(answer) if answer.as_slice().len() as u64 > max_answer => {
-                StoredAnswer::NotKept
-            }
-            answer => answer,
-        };
-        self.records.insert(ClaimRecord {
-            key: req.key,
-            age: req.age,
-            claimant: req.claimant,
-            round: ids::AttemptNumber(0),
-            payload: req.payload,
-            since,
-            state: ClaimState::Finished(answer),
-        });
+        let others: Vec<_> = current.replicas.iter().copied().filter(|it| *it != me).collect();
+        let records = current.records.clone();
+        self.hand_over = Some(HandOver::new(number, current.epoch, records, &others));
     }
 
-    fn is_closed_to(&self, age: &KeyAge) -> bool {
-        matches!(age, KeyAge::Ticket(ticket) if ticket.epoch < self.opened)
+    /// Whether nothing is left to hand over.
+    pub(super) fn is_drained(&self) -> bool {
+        self.hand_over.as_ref().is_none_or(HandOver::is_complete)
     }
 
-    pub(super) fn lose_host(&mut self, host: HostId, newest: Incarnation) {
-        self.records.lose_host(host, newest);
+    pub(super) fn hand_over_mut(&mut self) -> Option<&mut HandOver> {
+        self.hand_over.as_mut()
     }
 
-    pub(super) fn lose_overdue(&mut self, wall: WallTime, limit: Millis) {
-        self.records.lose_overdue(wall, limit);
+    /// Takes in a page of a hand-over; returns whether it is stored.
+    pub(super) fn handle_hand_over(
+        &mut self,
+        from: Process,
+        room: Room,
+        page: HandOverPage,
+    ) -> bool {
+        let Some(current) = &mut self.current else { return false };
+        let known_start = current.known_start(from.host);
+        let is_outdated = known_start.is_some_and(|it| it > from.incarnation);
+        let accepts = current.epoch == page.epoch && current.is_whole() && !is_outdated;
+        if !accepts || page.records.len() > room.claims {
+            return false;
+        }
+        current.merge(page.records, room.answer_bytes);
+        if page.last {
+            current.add_handed_over(from.host);
+        }
+        true
     }
+}
 
-    pub(super) fn forget(&mut self, forgotten: WallTime) {
-        self.records.forget(forgotten);
-    }
+/// How much more a replica can take in.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Room {
+    pub(super) claims: usize,
+    pub(super) answer_bytes: usize,
 }
 
-fn new_record(wall: WallTime, req: &ClaimRequest) -> ClaimRecord {
-    ClaimRecord {
-        key: req.key,
-        age: req.age.clone(),
-        claimant: req.claimant.clone(),
-        round: req.round,
-        payload: req.payload,
-        since: wall,
-        state: ClaimState::Held,
-    }
+/// A copy from all other replicas of the shard.
+fn recovery(number: ShardNumber, shard: &ClaimShard, me: Process) -> Mode {
+    let mut others = replica_hosts(shard);
+    others.retain(|it| *it != me.host);
+    Mode::Copying(CopyProgress::recover(number, shard.epoch, &others))
 }
 
-/// Whether the mint time lies further ahead than clocks may differ.
-fn is_minted_ahead(ticket: &KeyTicket, wall: WallTime) -> bool {
-    ticket.minted.since(wall) > MAX_CLOCK_SKEW
+/// Whether two wall clocks differ too much for one host to trust the other's times.
+pub(super) fn clocks_differ(ours: WallTime, theirs: WallTime) -> bool {
+    ours.since(theirs).max(theirs.since(ours)) > MAX_CLOCK_SKEW
 }
--- /dev/null
+++ b/components/claims/src/replica/shard_epoch.rs
@@ -0,0 +1,267 @@
+//! What a replica knows of one shard in one epoch.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ids::{Epoch, HostId, Incarnation, KeyDigest, WallTime};
+use schema::claims::{
+    ClaimRecord, ClaimRequest, ClaimShard, ClaimState, ClaimVerdict, FinishRequest, FinishedClaim,
+    HeldBy, KeyAge, KeyTicket, Refusal, ReleaseRequest, ReplicaStart,
+};
+
+use super::{
+    copy::CopyProgress,
+    record::{Records, bounded_answer, is_finished, is_too_old},
+    shard::Process,
+};
+use crate::{MAX_CLOCK_SKEW, map::replica_hosts};
+
+/// Whether a replica may grant keys of a shard.
+#[derive(Debug)]
+pub(super) enum Mode {
+    /// It may not know of grants that it or others have made, and abstains.
+    Copying(CopyProgress),
+    /// It knows all that it must know.
+    Whole,
+    /// It knows all that it must know, and others rely on its making no more grants.
+    Sealed,
+}
+
+/// What a replica knows of one shard in one epoch.
+#[derive(Debug)]
+pub(super) struct ShardEpoch {
+    pub(super) epoch: Epoch,
+    pub(super) replicas: Vec<HostId>,
+    pub(super) mode: Mode,
+    pub(super) records: Records,
+    opened: Epoch,
+    unticketed_from: WallTime,
+    /// The newest starts of the other replicas that have recovered in this epoch.
+    starts: BTreeMap<HostId, Incarnation>,
+    /// The replicas that stopped and whose records are all here.
+    handed_over: BTreeSet<HostId>,
+}
+
+impl ShardEpoch {
+    pub(super) fn new(shard: &ClaimShard, mode: Mode) -> Self {
+        Self {
+            epoch: shard.epoch,
+            replicas: replica_hosts(shard),
+            mode,
+            records: Records::default(),
+            opened: shard.opened,
+            unticketed_from: shard.unticketed_from,
+            starts: BTreeMap::new(),
+            handed_over: BTreeSet::new(),
+        }
+    }
+
+    pub(super) fn is_whole(&self) -> bool {
+        matches!(self.mode, Mode::Whole)
+    }
+
+    pub(super) fn is_sealed(&self) -> bool {
+        matches!(self.mode, Mode::Sealed)
+    }
+
+    /// Whether every grant that may have reached a majority with this replica's is known.
+    pub(super) fn knows_all(&self) -> bool {
+        !matches!(self.mode, Mode::Copying(_))
+    }
+
+    pub(super) fn record(&self, key: KeyDigest) -> Option<&ClaimRecord> {
+        self.records.get(key)
+    }
+
+    pub(super) fn starts(&self) -> Vec<ReplicaStart> {
+        let starts = self.starts.iter();
+        starts.map(|(&host, &incarnation)| ReplicaStart { host, incarnation }).collect()
+    }
+
+    pub(super) fn handed_over(&self) -> Vec<HostId> {
+        self.handed_over.iter().copied().collect()
+    }
+
+    pub(super) fn add_handed_over(&mut self, host: HostId) {
+        self.handed_over.insert(host);
+    }
+
+    pub(super) fn known_start(&self, host: HostId) -> Option<Incarnation> {
+        self.starts.get(&host).copied()
+    }
+
+    /// Takes in that a replica has started anew, so that its earlier grants may be forgotten.
+    pub(super) fn learn_start(&mut self, host: HostId, incarnation: Incarnation) {
+        let known = self.starts.entry(host).or_insert(incarnation);
+        *known = incarnation.max(*known);
+    }
+
+    /// Lets a restarted replica copy this epoch, if this one can tell it all.
+    ///
+    /// From now on grants say that the earlier start's grants no longer count.
+    pub(super) fn admit_recovery(&mut self, from: Process) -> Option<()> {
+        if !self.is_whole() || !self.replicas.contains(&from.host) {
+            return None;
+        }
+        self.learn_start(from.host, from.incarnation);
+        self.handed_over.remove(&from.host);
+        Some(())
+    }
+
+    /// Makes no more grants in this epoch; impossible while records are missing.
+    pub(super) fn seal(&mut self) -> Option<()> {
+        if !self.knows_all() {
+            return None;
+        }
+        self.mode = Mode::Sealed;
+        Some(())
+    }
+
+    /// Takes in records of another replica.
+    pub(super) fn merge(&mut self, records: Vec<ClaimRecord>, max_answer_bytes: usize) {
+        let limit = self.records.answer_bytes() + max_answer_bytes;
+        for mut record in records {
+            if let ClaimState::Finished(answer) = record.state {
+                let room = limit.saturating_sub(self.records.answer_bytes());
+                record.state = ClaimState::Finished(bounded_answer(answer, room));
+            }
+            self.records.merge(record);
+        }
+    }
+
+    /// Becomes whole once enough has been copied.
+    pub(super) fn finish_copy(&mut self) {
+        let Mode::Copying(copy) = &self.mode else { return };
+        if !copy.is_complete() {
+            return;
+        }
+        let starts: Vec<_> = copy.source_starts().collect();
+        self.mode = Mode::Whole;
+        for (host, incarnation) in starts {
+            if self.replicas.contains(&host) {
+                self.learn_start(host, incarnation);
+            }
+        }
+    }
+
+    /// Why the claim can't be judged here, if so.
+    pub(super) fn refusal(
+        &self,
+        wall: WallTime,
+        map_epoch: Epoch,
+        forgotten: WallTime,
+        req: &ClaimRequest,
+    ) -> Option<Refusal> {
+        if req.epoch != self.epoch {
+            return Some(Refusal::WrongEpoch);
+        }
+        match self.mode {
+            Mode::Copying(_) => return Some(Refusal::Abstaining),
+            Mode::Sealed => return Some(Refusal::WrongEpoch),
+            Mode::Whole => {}
+        }
+        match &req.age {
+            KeyAge::Ticket(ticket) if ticket.epoch > map_epoch => Some(Refusal::WrongEpoch),
+            KeyAge::Ticket(ticket) if ticket.epoch < self.opened => Some(Refusal::Closed),
+            KeyAge::Ticket(ticket) if is_minted_ahead(ticket, wall) => Some(Refusal::MintedAhead),
+            age if is_too_old(age, forgotten) => Some(Refusal::Expired),
+            KeyAge::Unknown if wall < self.unticketed_from => Some(Refusal::Closed),
+            _ => None,
+        }
+    }
+
+    /// Grants the key unless another claimant has it; a late copy of a claim gets no answer.
+    pub(super) fn claim(
+        &mut self,
+        wall: WallTime,
+        has_room: bool,
+        req: &ClaimRequest,
+    ) -> Option<ClaimVerdict> {
+        let Some(record) = self.records.get(req.key) else {
+            if !has_room {
+                return Some(ClaimVerdict::Refused(Refusal::Full));
+            }
+            self.records.insert(new_record(wall, req));
+            return Some(self.granted());
+        };
+        if let ClaimState::Finished(answer) = &record.state {
+            let finished = FinishedClaim { payload: record.payload, answer: answer.clone() };
+            return Some(ClaimVerdict::Finished(finished));
+        }
+        let held = HeldBy { claimant: record.claimant.clone(), payload: record.payload };
+        if record.state != ClaimState::Held {
+            return Some(ClaimVerdict::Lost(held));
+        }
+        if record.claimant != req.claimant {
+            return Some(ClaimVerdict::Held(held));
+        }
+        if record.round > req.round {
+            return None;
+        }
+        let since = record.since;
+        self.records.insert(ClaimRecord { since, ..new_record(wall, req) });
+        Some(self.granted())
+    }
+
+    fn granted(&self) -> ClaimVerdict {
+        ClaimVerdict::Granted(self.starts())
+    }
+
+    /// Drops the claim of a claimant that sent nothing.
+    pub(super) fn release(&mut self, req: &ReleaseRequest) {
+        let Some(record) = self.records.get(req.key) else { return };
+        let is_releasable = matches!(record.state, ClaimState::Held | ClaimState::Lost);
+        if !is_releasable || record.claimant != req.claimant || record.round > req.round {
+            return;
+        }
+        self.records.remove(req.key);
+    }
+
+    /// Stores an outcome; whoever sends one has held the claim at a majority.
+    pub(super) fn finish(
+        &mut self,
+        wall: WallTime,
+        forgotten: WallTime,
+        max_answer: usize,
+        req: &FinishRequest,
+    ) {
+        if is_too_old(&req.age, forgotten) || self.is_closed_to(&req.age) {
+            return;
+        }
+        let known = self.records.get(req.key);
+        let since = known.map_or(wall, |it| it.since);
+        if known.is_some_and(is_finished) {
+            return;
+        }
+        let answer = bounded_answer(req.answer.clone(), max_answer);
+        self.records.insert(ClaimRecord {
+            key: req.key,
+            age: req.age.clone(),
+            claimant: req.claimant.clone(),
+            round: ids::AttemptNumber(0),
+            payload: req.payload,
+            since,
+            state: ClaimState::Finished(answer),
+        });
+    }
+
+    fn is_closed_to(&self, age: &KeyAge) -> bool {
+        matches!(age, KeyAge::Ticket(ticket) if ticket.epoch < self.opened)
+    }
+}
+
+fn new_record(wall: WallTime, req: &ClaimRequest) -> ClaimRecord {
+    ClaimRecord {
+        key: req.key,
+        age: req.age.clone(),
+        claimant: req.claimant.clone(),
+        round: req.round,
+        payload: req.payload,
+        since: wall,
+        state: ClaimState::Held,
+    }
+}
+
+/// Whether the mint time lies further ahead than clocks may differ.
+fn is_minted_ahead(ticket: &KeyTicket, wall: WallTime) -> bool {
+    ticket.minted.since(wall) > MAX_CLOCK_SKEW
+}
--- a/components/claims/tests/fleet/mod.rs
+++ b/components/claims/tests/fleet/mod.rs
@@ -40,6 +40,8 @@
     pub in_flight: Vec<Envelope>,
     pub decided: Vec<Decided>,
     pub settings: ClaimsSettings,
+    /// How far each host's wall clock is ahead, in milliseconds.
+    pub skew: BTreeMap<HostId, u64>,
     next_request: u64,
 }
 
@@ -87,6 +89,7 @@
             in_flight: Vec::new(),
             decided: Vec::new(),
             settings,
+            skew: BTreeMap::new(),
             next_request: 1,
         };
         for host in 1..=hosts {
@@ -99,6 +102,26 @@
         WallTime(WALL_START + self.now.0 / 1000)
     }
 
+    /// The wall clock of one host.
+    pub fn wall_of(&self, host: HostId) -> WallTime {
+        WallTime(self.wall().0 + self.skew.get(&host).copied().unwrap_or(0))
+    }
+
+    /// Keeps only the first shard of each home, so that schedules hit the same shards.
+    pub fn shrink_map(&mut self) {
+        let mut state = self.map.state().clone();
+        let shards = std::mem::take(&mut state.shards);
+        for shard in shards {
+            if state.shards.iter().all(|it| it.home != shard.home) {
+                state.shards.push(shard);
+            }
+        }
+        state.epoch = state.epoch.next();
+        self.map = ClaimMap::from_state(state);
+        let hosts: Vec<_> = self.nodes.keys().copied().collect();
+        hosts.into_iter().for_each(|it| self.start(it));
+    }
+
     fn start(&mut self, host: HostId) {
         let mut settings = self.settings.clone();
         settings.seed = u64::from(host.0);
@@ -113,13 +136,20 @@
         self.start(host);
     }
 
+    /// Lets a host hand its shards over.
+    pub fn drain(&mut self, host: HostId) {
+        let (now, wall) = (self.now, self.wall_of(host));
+        let actions = self.nodes.get_mut(&host).unwrap().drain(now, wall);
+        self.take(host, actions);
+    }
+
     /// Ends the process of a host for good.
     pub fn stop(&mut self, host: HostId) {
         self.nodes.remove(&host);
     }
 
     pub fn install_map(&mut self, host: HostId) {
-        let (now, wall, map) = (self.now, self.wall(), self.map.clone());
+        let (now, wall, map) = (self.now, self.wall_of(host), self.map.clone());
         if let Some(node) = self.nodes.get_mut(&host) {
             let actions = node.set_map(now, wall, map);
             self.take(host, actions);
@@ -139,7 +169,7 @@
     pub fn begin(&mut self, host: HostId, key: &ClaimKey, payload: Fingerprint) -> RequestId {
         let request = RequestId(self.next_request);
         self.next_request += 1;
-        let (now, wall) = (self.now, self.wall());
+        let (now, wall) = (self.now, self.wall_of(host));
         let node = self.nodes.get_mut(&host).unwrap();
         let actions = node.begin(now, wall, request, key.clone(), payload);
         self.take(host, actions);
@@ -147,13 +177,13 @@
     }
 
     pub fn release(&mut self, host: HostId, request: RequestId) {
-        let (now, wall) = (self.now, self.wall());
+        let (now, wall) = (self.now, self.wall_of(host));
         let actions = self.nodes.get_mut(&host).unwrap().release(now, wall, request);
         self.take(host, actions);
     }
 
     pub fn finish(&mut self, host: HostId, request: RequestId, answer: StoredAnswer) {
-        let (now, wall) = (self.now, self.wall());
+        let (now, wall) = (self.now, self.wall_of(host));
         let actions = self.nodes.get_mut(&host).unwrap().finish(now, wall, request, answer);
         self.take(host, actions);
     }
@@ -181,7 +211,7 @@
     pub fn hand_in(&mut self, envelope: Envelope) {
         let Envelope { from, from_incarnation, to, message } = envelope;
         let message = schema::decode(&schema::encode(&message)).unwrap();
-        let (now, wall) = (self.now, self.wall());
+        let (now, wall) = (self.now, self.wall_of(to));
         if let Some(node) = self.nodes.get_mut(&to) {
             let actions = node.handle(now, wall, from, from_incarnation, message);
             self.take(to, actions);
@@ -200,7 +230,7 @@
         self.now = self.now + Millis(millis);
         let hosts: Vec<_> = self.nodes.keys().copied().collect();
         for host in hosts {
-            let (now, wall) = (self.now, self.wall());
+            let (now, wall) = (self.now, self.wall_of(host));
             let actions = self.nodes.get_mut(&host).unwrap().tick(now, wall);
             self.take(host, actions);
         }
