--- a/components/claims/src/claimant/mod.rs
+++ b/components/claims/src/claimant/mod.rs
@@ -19,12 +19,13 @@
 };
 
 use self::{
-    open_claim::{Collecting, Finishing, OpenClaim, Phase, kept_bytes},
+    open_claim::{Collecting, Finishing, OpenClaim, Phase},
     timers::Timers,
     vote::{Outcome, Vote},
 };
 use crate::{
     ClaimAction, ClaimKey, ClaimMap, ClaimantSettings, MAX_CLOCK_SKEW, ShardNumber,
+    answer::kept_bytes,
     claims::Outgoing,
     map::{all_hosts, quorum, replica_hosts},
 };
--- a/components/claims/src/claimant/open_claim.rs
+++ b/components/claims/src/claimant/open_claim.rs
@@ -8,7 +8,7 @@
 };
 
 use super::vote::Vote;
-use crate::{ClaimKey, ShardNumber};
+use crate::{ClaimKey, ShardNumber, answer::kept_bytes};
 
 /// A claim from its first message until its outcome is stored.
 #[derive(Debug)]
@@ -96,11 +96,3 @@
         }
     }
 }
-
-/// The bytes of an answer that is kept.
-pub(super) fn kept_bytes(answer: &StoredAnswer) -> usize {
-    match answer {
-        StoredAnswer::Kept(answer) => answer.as_slice().len(),
-        StoredAnswer::NotKept | StoredAnswer::Unknown => 0,
-    }
-}
--- a/components/claims/src/claims.rs
+++ b/components/claims/src/claims.rs
@@ -197,7 +197,7 @@
                 self.replica.handle_release(&req);
                 Vec::new()
             }
-            ClaimsMessage::Finish(req) => into_actions(self.replica.handle_finish(wall, &req)),
+            ClaimsMessage::Finish(req) => into_actions(self.replica.handle_finish(wall, req)),
             ClaimsMessage::FinishAck(ack) => {
                 self.claimant.handle_ack(from, ack);
                 Vec::new()
--- a/components/claims/src/lib.rs
+++ b/components/claims/src/lib.rs
@@ -3,6 +3,7 @@
 //! Before a byte of such a request leaves, its entry host claims the key at a majority of the
 //! key's replicas. The outcome and the answer are stored there for resends.
 
+mod answer;
 mod claimant;
 mod claims;
 mod key;
--- a/components/claims/src/replica/mod.rs
+++ b/components/claims/src/replica/mod.rs
@@ -150,24 +150,24 @@
     }
 
     /// Stores an outcome; it is acknowledged only where no one has begun to copy the epoch.
-    pub(crate) fn handle_finish(&mut self, wall: WallTime, req: &FinishRequest) -> Vec<Outgoing> {
+    pub(crate) fn handle_finish(&mut self, wall: WallTime, req: FinishRequest) -> Vec<Outgoing> {
         self.advance_wall(wall);
         let max_answer = usize::try_from(self.settings.max_answer.0).unwrap_or(usize::MAX);
-        let max_answer = max_answer.min(self.room().answer_bytes);
-        let Some(shard) = self.shards.get_mut(&ShardNumber(req.shard)) else { return Vec::new() };
-        for epoch in shard.epochs_mut() {
-            epoch.finish(wall, self.forgotten, max_answer, req);
+        let room = self.room();
+        let max_answer = max_answer.min(room.answer_bytes);
+        let number = ShardNumber(req.shard);
+        let Some(shard) = self.shards.get_mut(&number) else { return Vec::new() };
+        let (key, claimant) = (req.key, req.claimant.clone());
+        if room.claims == 0 && !shard.has_record(key) {
+            return Vec::new();
         }
+        shard.finish(wall, self.forgotten, max_answer, req);
         let Some(current) = shard.current.as_ref().filter(|it| !it.is_sealed()) else {
             return Vec::new();
         };
-        let ack = FinishAck {
-            shard: req.shard,
-            epoch: current.epoch,
-            key: req.key,
-            request: req.claimant.request,
-        };
-        vec![Outgoing::new(req.claimant.host, ClaimsMessage::FinishAck(ack))]
+        let ack =
+            FinishAck { shard: number.0, epoch: current.epoch, key, request: claimant.request };
+        vec![Outgoing::new(claimant.host, ClaimsMessage::FinishAck(ack))]
     }
 
     /// Answers a replica that copies a shard.
--- a/components/claims/src/replica/record.rs
+++ b/components/claims/src/replica/record.rs
@@ -5,6 +5,8 @@
 use ids::{HostId, Incarnation, KeyDigest, Millis, WallTime};
 use schema::claims::{ClaimRecord, ClaimState, CopyCursor, KeyAge, StoredAnswer};
 
+use crate::answer::kept_bytes;
+
 /// The most records of a page.
 const PAGE_RECORDS: usize = 512;
 
@@ -131,14 +133,6 @@
     matches!(record.state, ClaimState::Finished(_))
 }
 
-/// The answer as it is kept where answers may have `max_answer` bytes.
-pub(super) fn bounded_answer(answer: StoredAnswer, max_answer: usize) -> StoredAnswer {
-    match answer {
-        StoredAnswer::Kept(answer) if answer.as_slice().len() > max_answer => StoredAnswer::NotKept,
-        answer => answer,
-    }
-}
-
 /// Whether a key is so old that its record may be dropped and its claims are refused.
 pub(super) fn is_too_old(age: &KeyAge, forgotten: WallTime) -> bool {
     matches!(age, KeyAge::Ticket(ticket) if ticket.minted <= forgotten)
@@ -153,8 +147,8 @@
 
 fn answer_bytes(record: &ClaimRecord) -> usize {
     match &record.state {
-        ClaimState::Finished(StoredAnswer::Kept(answer)) => answer.as_slice().len(),
-        _ => 0,
+        ClaimState::Finished(answer) => kept_bytes(answer),
+        ClaimState::Held | ClaimState::Lost | ClaimState::Contested => 0,
     }
 }
 
--- a/components/claims/src/replica/shard.rs
+++ b/components/claims/src/replica/shard.rs
@@ -1,8 +1,8 @@
 //! One shard of a claim replica, across a change of its epoch.
 
-use ids::{HostId, Incarnation, Timestamp, WallTime};
+use ids::{HostId, Incarnation, KeyDigest, Timestamp, WallTime};
 use schema::claims::{
-    ClaimShard, CopyPage, CopyPurpose, CopyRequest, HandOverPage, PreviousReplicas,
+    ClaimShard, CopyPage, CopyPurpose, CopyRequest, FinishRequest, HandOverPage, PreviousReplicas,
 };
 
 use super::{
@@ -10,7 +10,9 @@
     hand_over::HandOver,
     shard_epoch::{Mode, ShardEpoch},
 };
-use crate::{MAX_CLOCK_SKEW, ShardNumber, claims::Outgoing, map::replica_hosts};
+use crate::{
+    MAX_CLOCK_SKEW, ShardNumber, answer::kept_bytes, claims::Outgoing, map::replica_hosts,
+};
 
 /// A process and its start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,6 +28,8 @@
     pub(super) current: Option<ShardEpoch>,
     /// The epoch before, kept until its replicas' successors have copied it.
     retired: Option<ShardEpoch>,
+    /// Whether the answers of the epoch before are the same buffers as those of the current one.
+    shares_answers: bool,
     hand_over: Option<HandOver>,
 }
 
@@ -47,6 +51,7 @@
     /// Keeps the epoch that the shard's next replicas copy, and drops any other.
     fn retire(&mut self, shard: &ClaimShard) {
         self.hand_over = None;
+        self.shares_answers = false;
         let mut old = self.current.take().or_else(|| self.retired.take());
         self.retired = match &shard.previous {
             PreviousReplicas::CopyFrom(previous) => {
@@ -78,7 +83,7 @@
     }
 
     /// Copies what this host itself knows of the epoch before.
-    fn copy_own(&self, next: &mut ShardEpoch, me: HostId) {
+    fn copy_own(&mut self, next: &mut ShardEpoch, me: HostId) {
         let Some(retired) = &self.retired else { return };
         let Mode::Copying(copy) = &mut next.mode else { return };
         if copy.purpose() != CopyPurpose::NextEpoch {
@@ -87,6 +92,7 @@
         copy.mark_done(me);
         retired.handed_over().into_iter().for_each(|it| copy.mark_done(it));
         next.records = retired.records.clone();
+        self.shares_answers = true;
         next.finish_copy();
     }
 
@@ -117,7 +123,33 @@
     }
 
     pub(super) fn answer_bytes(&self) -> usize {
-        self.epochs().map(|it| it.records.answer_bytes()).sum()
+        let retired = self.retired.as_ref().filter(|_| !self.shares_answers);
+        self.current.iter().chain(retired).map(|it| it.records.answer_bytes()).sum()
+    }
+
+    /// Whether a record of the key is held in the current epoch.
+    pub(super) fn has_record(&self, key: KeyDigest) -> bool {
+        self.current.as_ref().is_some_and(|it| it.record(key).is_some())
+    }
+
+    /// Stores an outcome in both epochs.
+    pub(super) fn finish(
+        &mut self,
+        wall: WallTime,
+        forgotten: WallTime,
+        max_answer: usize,
+        mut req: FinishRequest,
+    ) {
+        if let Some(current) = &mut self.current {
+            current.finish(wall, forgotten, max_answer, &req);
+        }
+        let Some(retired) = &mut self.retired else { return };
+        let known = self.current.as_ref().and_then(|it| it.answer(req.key));
+        if let Some(answer) = known {
+            req.answer = answer.clone();
+        }
+        let taken = if self.shares_answers { 0 } else { known.map_or(0, kept_bytes) };
+        retired.finish(wall, forgotten, max_answer.saturating_sub(taken), &req);
     }
 
     pub(super) fn epochs(&self) -> impl Iterator<Item = &ShardEpoch> {
--- a/components/claims/src/replica/shard_epoch.rs
+++ b/components/claims/src/replica/shard_epoch.rs
@@ -5,15 +5,15 @@
 use ids::{Epoch, HostId, Incarnation, KeyDigest, WallTime};
 use schema::claims::{
     ClaimRecord, ClaimRequest, ClaimShard, ClaimState, ClaimVerdict, FinishRequest, FinishedClaim,
-    HeldBy, KeyAge, KeyTicket, Refusal, ReleaseRequest, ReplicaStart,
+    HeldBy, KeyAge, KeyTicket, Refusal, ReleaseRequest, ReplicaStart, StoredAnswer,
 };
 
 use super::{
     copy::CopyProgress,
-    record::{Records, bounded_answer, is_finished, is_too_old},
+    record::{Records, is_finished, is_too_old},
     shard::Process,
 };
-use crate::{MAX_CLOCK_SKEW, map::replica_hosts};
+use crate::{MAX_CLOCK_SKEW, answer::bounded_answer, map::replica_hosts};
 
 /// Whether a replica may grant keys of a shard.
 #[derive(Debug)]
@@ -72,6 +72,14 @@
         self.records.get(key)
     }
 
+    /// The answer that is stored for a key.
+    pub(super) fn answer(&self, key: KeyDigest) -> Option<&StoredAnswer> {
+        match &self.records.get(key)?.state {
+            ClaimState::Finished(answer) => Some(answer),
+            ClaimState::Held | ClaimState::Lost | ClaimState::Contested => None,
+        }
+    }
+
     pub(super) fn starts(&self) -> Vec<ReplicaStart> {
         let starts = self.starts.iter();
         starts.map(|(&host, &incarnation)| ReplicaStart { host, incarnation }).collect()
--- a/components/claims/src/settings.rs
+++ b/components/claims/src/settings.rs
@@ -21,7 +21,10 @@
 /// Settings of a claim replica.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplicaSettings {
-    /// The most claims that are held at once.
+    /// The most claims that are granted at once.
+    ///
+    /// Records that other replicas hold already are taken in up to twice this number, which
+    /// doubles for as long as two epochs of a shard are held.
     pub max_claims: usize,
     /// The most bytes of stored answers.
     pub max_answer_bytes: ByteSize,
