Decide which hosts are alive from heartbeats and indirect probes

Each host exchanges heartbeats with a bounded number of neighbours in its data centre; relays and control hosts also link to the relays of other data centres. A heartbeat says whether its receiver is heard, so a link counts only when both directions work. A host is suspected only when probes by way of other hosts fail too, and contradicts by raising its revision.

All-to-all heartbeats were ruled out: at 140 hosts in a data centre they alone would take the whole budget for control traffic.

--- /dev/null
+++ b/components/membership/src/membership.rs
@@ -0,0 +1,602 @@
+//! The membership decisions of one host.
+
+use std::net::SocketAddr;
+
+use ids::{DataCentreName, HostId, Incarnation, Timestamp};
+use rand_xoshiro::{Xoshiro256PlusPlus, rand_core::SeedableRng};
+use schema::membership::{
+    Heartbeat, Join, Member, MemberState, MemberUpdate, MembershipMessage, Probe, Suspicion,
+};
+use statig::blocking::{IntoStateMachineExt, StateMachine};
+
+use crate::{
+    gossip::{self, Gossip},
+    lifecycle::{Lifecycle, LifecycleEvent, State},
+    links::{Link, Links},
+    reach::Reach,
+    settings::{MembershipSettings, Seed},
+    table::{Applied, Table, version_of},
+    topology::Topology,
+};
+
+/// What the caller has to do after a decision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MembershipAction {
+    /// Send a message; it may be lost.
+    Send {
+        /// The receiver.
+        to: HostId,
+        /// Where the receiver listens.
+        address: SocketAddr,
+        /// What to send.
+        message: MembershipMessage,
+    },
+    /// Another host is now live.
+    Joined {
+        /// The host.
+        member: Member,
+    },
+    /// The record of another live host changed.
+    Changed {
+        /// The host.
+        member: Member,
+    },
+    /// Another host has stopped or is dead.
+    Lost {
+        /// The host as last known.
+        member: Member,
+    },
+}
+
+/// The fleet's hosts as this one knows them.
+pub struct Membership {
+    pub(crate) settings: MembershipSettings,
+    seeds: Vec<Seed>,
+    pub(crate) table: Table,
+    pub(crate) links: Links,
+    pub(crate) topology: Topology,
+    pub(crate) reach: Reach,
+    pub(crate) rng: Xoshiro256PlusPlus,
+    lifecycle: StateMachine<Lifecycle>,
+    gossip: Gossip,
+    incarnation: Incarnation,
+    revision: u64,
+    in_flight: u32,
+    has_list: bool,
+    pub(crate) last_tick: Timestamp,
+    last_join: Option<Timestamp>,
+    last_rejoin: Timestamp,
+    last_compare: Timestamp,
+}
+
+impl Membership {
+    /// Starts a host that knows only its seeds.
+    pub fn new(settings: MembershipSettings, seeds: Vec<Seed>, now: Timestamp) -> Self {
+        let rng = Xoshiro256PlusPlus::seed_from_u64(settings.seed);
+        let incarnation = settings.incarnation;
+        let own = settings.host;
+        let mut membership = Self {
+            settings,
+            seeds: seeds.into_iter().filter(|it| it.host != own).collect(),
+            table: Table::new(),
+            links: Links::new(),
+            topology: Topology::default(),
+            reach: Reach::default(),
+            rng,
+            lifecycle: Lifecycle.state_machine(),
+            gossip: Gossip::default(),
+            incarnation,
+            revision: 0,
+            in_flight: 0,
+            has_list: false,
+            last_tick: now,
+            last_join: None,
+            last_rejoin: now,
+            last_compare: now,
+        };
+        membership.lifecycle.init();
+        let own = membership.own();
+        membership.table.apply(now, own);
+        membership.refresh_topology(now);
+        membership
+    }
+
+    /// Takes in a message of another host.
+    pub fn handle(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        message: MembershipMessage,
+    ) -> Vec<MembershipAction> {
+        let mut actions = Vec::new();
+        if from == self.settings.host {
+            return actions;
+        }
+        if let Some(link) = self.links.get_mut(&from) {
+            link.heard = Some(now);
+        }
+        match message {
+            MembershipMessage::Join(join) => self.on_join(now, from, join, &mut actions),
+            MembershipMessage::Heartbeat(it) => self.on_heartbeat(now, from, it, &mut actions),
+            MembershipMessage::Updates(updates) => {
+                self.has_list = true;
+                self.take_updates(now, Some(from), updates, &mut actions);
+            }
+            MembershipMessage::Buckets(theirs) => {
+                let records = self.table.differing(&theirs);
+                self.send_records(from, records, &mut actions);
+            }
+            MembershipMessage::ProbeRequest(probe) => {
+                self.send(probe.target, MembershipMessage::Probe(probe), &mut actions);
+            }
+            MembershipMessage::Probe(probe) => {
+                if probe.target == self.settings.host {
+                    self.send(from, MembershipMessage::ProbeAnswer(probe), &mut actions);
+                }
+            }
+            MembershipMessage::ProbeAnswer(probe) => {
+                self.on_probe_answer(now, from, probe, &mut actions);
+            }
+            MembershipMessage::Unreachable(names) => self.on_unreachable(now, from, names),
+        }
+        actions
+    }
+
+    /// Does what is due; to be called every 50 to 100 ms.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<MembershipAction> {
+        let mut actions = Vec::new();
+        if now.since(self.last_tick) > self.settings.timing.stall {
+            self.forgive_silence(now);
+        }
+        self.last_tick = now;
+        self.table.forget(now, self.settings.timing.forget);
+        self.gossip.expire(now, self.settings.timing.repeat);
+        self.request_join(now, &mut actions);
+        self.rejoin(now, &mut actions);
+        self.watch_links(now, &mut actions);
+        self.judge_suspects(now, &mut actions);
+        self.watch_data_centres(now, &mut actions);
+        self.compare_lists(now, &mut actions);
+        self.send_heartbeats(now, &mut actions);
+        actions
+    }
+
+    /// Says that the host can now do its work.
+    pub fn ready(&mut self, now: Timestamp) -> Vec<MembershipAction> {
+        self.advance(now, LifecycleEvent::Ready)
+    }
+
+    /// Says that the host finishes its work and takes no more.
+    pub fn drain(&mut self, now: Timestamp) -> Vec<MembershipAction> {
+        self.advance(now, LifecycleEvent::Drain)
+    }
+
+    /// Says that the host leaves.
+    pub fn stop(&mut self, now: Timestamp) -> Vec<MembershipAction> {
+        self.advance(now, LifecycleEvent::Stop)
+    }
+
+    /// Sets the load hint that the next heartbeats carry.
+    pub fn set_in_flight(&mut self, in_flight: u32) {
+        self.in_flight = in_flight;
+        self.table.note_load(self.settings.host, in_flight);
+    }
+
+    /// All known hosts, this one and lost ones too, in the order of their ids.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.table.members()
+    }
+
+    /// The record of one host.
+    pub fn member(&self, host: HostId) -> Option<&Member> {
+        self.table.get(host).map(|it| &it.member)
+    }
+
+    /// Whether the fleet holds the host to be up.
+    pub fn is_live(&self, host: HostId) -> bool {
+        self.table.is_live(host)
+    }
+
+    /// Whether this host and the other one hear each other, as far as is known.
+    pub fn reachable(&self, host: HostId) -> bool {
+        if host == self.settings.host {
+            return true;
+        }
+        let Some(entry) = self.table.get(host) else {
+            return false;
+        };
+        let silence = self.settings.timing.silence;
+        let remote = entry.member.data_centre != self.settings.data_centre;
+        if remote && self.reach.is_unreachable(self.last_tick, &entry.member.data_centre) {
+            return false;
+        }
+        let cut = self.links.get(&host).is_some_and(|it| !it.is_two_way(self.last_tick, silence));
+        self.is_live(host) && !cut
+    }
+
+    /// This host's own record.
+    pub fn own(&self) -> Member {
+        Member {
+            host: self.settings.host,
+            role: self.settings.role.clone(),
+            region: self.settings.region.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            incarnation: self.incarnation,
+            revision: self.revision,
+            peer_address: self.settings.peer_address,
+            admin_address: self.settings.admin_address,
+            state: MemberState::from(*self.lifecycle.state()),
+            in_flight: self.in_flight,
+        }
+    }
+
+    /// The hosts of the same data centre that this one exchanges changes with.
+    pub fn neighbours(&self) -> &[HostId] {
+        &self.topology.neighbours
+    }
+
+    /// The relays of other data centres that this host exchanges changes with.
+    pub fn remote_links(&self) -> &[HostId] {
+        &self.topology.remote
+    }
+
+    /// The relay of a data centre.
+    pub fn relay(&self, data_centre: &DataCentreName) -> Option<HostId> {
+        self.topology.relays.get(data_centre).copied()
+    }
+
+    /// Whether this host is the relay of its data centre.
+    pub fn is_relay(&self) -> bool {
+        self.topology.is_relay(&self.settings.data_centre, self.settings.host)
+    }
+
+    fn advance(&mut self, now: Timestamp, event: LifecycleEvent) -> Vec<MembershipAction> {
+        let mut actions = Vec::new();
+        let before = *self.lifecycle.state();
+        self.lifecycle.handle(&event);
+        if *self.lifecycle.state() != before {
+            self.renew_own_record(now, &mut actions);
+        }
+        actions
+    }
+
+    /// Spreads this host's record under a higher revision.
+    fn renew_own_record(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
+        self.revision += 1;
+        let own = self.own();
+        self.table.apply(now, own.clone());
+        self.refresh_topology(now);
+        self.spread(now, None, vec![MemberUpdate::Record(own)], actions);
+    }
+
+    fn on_join(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        join: Join,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if join.member.host != from {
+            return;
+        }
+        let update = MemberUpdate::Record(join.member);
+        self.take_updates(now, Some(from), vec![update], actions);
+        self.correct_sender(from, actions);
+        if join.wants_list {
+            let records = self.table.live().cloned().collect();
+            self.send_records(from, records, actions);
+        }
+    }
+
+    fn on_heartbeat(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        heartbeat: Heartbeat,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        self.take_updates(now, Some(from), heartbeat.updates, actions);
+        self.correct_sender(from, actions);
+        let Some(incarnation) = self.member(from).map(|it| it.incarnation) else {
+            return;
+        };
+        if heartbeat.incarnation < incarnation {
+            return;
+        }
+        self.table.note_load(from, heartbeat.in_flight);
+        let same = heartbeat.table_digest == self.table.digest();
+        let link = self.links.entry(from).or_insert_with(|| Link::new(now));
+        link.heard = Some(now);
+        if heartbeat.hears_you {
+            link.hears_us = Some(now);
+        }
+        link.differs = if same { None } else { link.differs.or(Some(now)) };
+    }
+
+    /// Tells a host that others hold it to be lost, so that it can contradict.
+    fn correct_sender(&self, from: HostId, actions: &mut Vec<MembershipAction>) {
+        if let Some(entry) = self.table.get(from)
+            && entry.member.state == MemberState::Dead
+        {
+            let record = entry.member.clone();
+            self.send_records(from, vec![record], actions);
+        }
+    }
+
+    pub(crate) fn take_updates(
+        &mut self,
+        now: Timestamp,
+        from: Option<HostId>,
+        updates: Vec<MemberUpdate>,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let mut fresh = Vec::new();
+        for update in updates {
+            if self.take_update(now, &update, actions) {
+                fresh.push(update);
+            }
+        }
+        if !fresh.is_empty() {
+            self.spread(now, from, fresh, actions);
+        }
+    }
+
+    /// Applies one update; returns whether it is news.
+    fn take_update(
+        &mut self,
+        now: Timestamp,
+        update: &MemberUpdate,
+        actions: &mut Vec<MembershipAction>,
+    ) -> bool {
+        match update {
+            MemberUpdate::Record(member) if member.host == self.settings.host => {
+                self.contradict(now, member.incarnation, member.revision, member.state, actions);
+                false
+            }
+            MemberUpdate::Dead(version) if version.host == self.settings.host => {
+                let dead = MemberState::Dead;
+                self.contradict(now, version.incarnation, version.revision, dead, actions);
+                false
+            }
+            MemberUpdate::Suspected(it) if it.suspect.host == self.settings.host => {
+                let (incarnation, revision) = (it.suspect.incarnation, it.suspect.revision);
+                self.contradict(now, incarnation, revision, MemberState::Dead, actions);
+                false
+            }
+            MemberUpdate::Record(member) => {
+                let applied = self.table.apply(now, member.clone());
+                self.report(now, member.host, applied, actions)
+            }
+            MemberUpdate::Dead(version) => {
+                let applied = self.table.mark_dead(now, version);
+                self.report(now, version.host, applied, actions)
+            }
+            MemberUpdate::Suspected(suspicion) => self.note_suspicion(now, suspicion),
+        }
+    }
+
+    /// Raises this host's revision above one that others hold it dead or changed by.
+    fn contradict(
+        &mut self,
+        now: Timestamp,
+        incarnation: Incarnation,
+        revision: u64,
+        state: MemberState,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let seen = (incarnation, revision);
+        let own = (self.incarnation, self.revision);
+        let stopped = matches!(self.lifecycle.state(), State::Stopped {});
+        if seen < own || (seen == own && state != MemberState::Dead) || stopped {
+            return;
+        }
+        if incarnation > self.incarnation {
+            self.incarnation = incarnation.next();
+        }
+        self.revision = self.revision.max(revision);
+        self.renew_own_record(now, actions);
+    }
+
+    /// Tells the caller of a change; returns whether it is news.
+    pub(crate) fn report(
+        &mut self,
+        now: Timestamp,
+        host: HostId,
+        applied: Applied,
+        actions: &mut Vec<MembershipAction>,
+    ) -> bool {
+        let Some(member) = self.member(host).cloned() else {
+            return false;
+        };
+        match applied {
+            Applied::Old => return false,
+            Applied::Noted => return true,
+            Applied::Joined => actions.push(MembershipAction::Joined { member }),
+            Applied::Changed => actions.push(MembershipAction::Changed { member }),
+            Applied::Lost => actions.push(MembershipAction::Lost { member }),
+        }
+        self.refresh_topology(now);
+        true
+    }
+
+    fn note_suspicion(&mut self, now: Timestamp, suspicion: &Suspicion) -> bool {
+        let Some(entry) = self.table.get_mut(suspicion.suspect.host) else {
+            return false;
+        };
+        if version_of(&entry.member) != suspicion.suspect
+            || !crate::table::is_live_state(entry.member.state)
+        {
+            return false;
+        }
+        if entry.suspected_by.is_empty() {
+            entry.suspected_at = now;
+        }
+        entry.suspected_by.insert(suspicion.by)
+    }
+
+    /// Sends changes to all links but the one that they came from.
+    pub(crate) fn spread(
+        &mut self,
+        now: Timestamp,
+        except: Option<HostId>,
+        updates: Vec<MemberUpdate>,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        for update in &updates {
+            self.gossip.add(now, update);
+        }
+        let targets = self.links.keys().copied().filter(|it| Some(*it) != except);
+        let targets = targets.collect::<Vec<_>>();
+        for page in gossip::pages(updates) {
+            for target in &targets {
+                self.send(*target, MembershipMessage::Updates(page.clone()), actions);
+            }
+        }
+    }
+
+    fn send_records(&self, to: HostId, records: Vec<Member>, actions: &mut Vec<MembershipAction>) {
+        let updates = records.into_iter().map(MemberUpdate::Record).collect();
+        for page in gossip::pages(updates) {
+            self.send(to, MembershipMessage::Updates(page), actions);
+        }
+    }
+
+    pub(crate) fn send(
+        &self,
+        to: HostId,
+        message: MembershipMessage,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if let Some(member) = self.member(to) {
+            actions.push(MembershipAction::Send { to, address: member.peer_address, message });
+        }
+    }
+
+    /// Asks the seeds for the list until one has answered.
+    fn request_join(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
+        let due = self.last_join.is_none_or(|it| now.since(it) >= self.settings.timing.join);
+        if self.has_list || !due {
+            return;
+        }
+        self.last_join = Some(now);
+        for seed in &self.seeds {
+            actions.push(self.join_to(seed.host, seed.address));
+        }
+    }
+
+    /// Tries to reach seeds that are not known to be live, and one dead host.
+    fn rejoin(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
+        if now.since(self.last_rejoin) < self.settings.timing.rejoin {
+            return;
+        }
+        self.last_rejoin = now;
+        for seed in self.seeds.iter().filter(|it| !self.is_live(it.host)) {
+            actions.push(self.join_to(seed.host, seed.address));
+        }
+        let dead = self.table.members().filter(|it| it.state == MemberState::Dead);
+        let dead = dead.map(|it| (it.host, it.peer_address)).collect::<Vec<_>>();
+        if let Some((host, address)) = crate::probing::choose(&mut self.rng, &dead) {
+            actions.push(self.join_to(host, address));
+        }
+    }
+
+    fn join_to(&self, to: HostId, address: SocketAddr) -> MembershipAction {
+        let join = Join { member: self.own(), wants_list: true };
+        MembershipAction::Send { to, address, message: MembershipMessage::Join(join) }
+    }
+
+    /// Compares the whole list with one host whose list has differed for a while.
+    fn compare_lists(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
+        let after = self.settings.timing.differ;
+        if now.since(self.last_compare) < after {
+            return;
+        }
+        let differing = self
+            .links
+            .iter()
+            .filter(|(_, it)| it.differs.is_some_and(|since| now.since(since) >= after))
+            .map(|(host, _)| *host)
+            .collect::<Vec<_>>();
+        let Some(host) = crate::probing::choose(&mut self.rng, &differing) else {
+            return;
+        };
+        self.last_compare = now;
+        let buckets = self.table.bucket_digests();
+        self.send(host, MembershipMessage::Buckets(buckets), actions);
+    }
+
+    fn send_heartbeats(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
+        let timing = &self.settings.timing;
+        let digest = self.table.digest();
+        let updates = self.gossip.latest();
+        let mut due = Vec::new();
+        for (host, link) in &mut self.links {
+            let Some(entry) = self.table.get(*host) else {
+                continue;
+            };
+            let local = entry.member.data_centre == self.settings.data_centre;
+            let interval = if local { timing.heartbeat } else { timing.remote_heartbeat };
+            if link.sent.is_some_and(|it| now.since(it) < interval) {
+                continue;
+            }
+            link.sent = Some(now);
+            let hears_you = link.heard.is_some_and(|it| now.since(it) <= timing.silence);
+            due.push((*host, hears_you));
+        }
+        for (host, hears_you) in due {
+            let heartbeat = Heartbeat {
+                incarnation: self.incarnation,
+                hears_you,
+                table_digest: digest,
+                in_flight: self.in_flight,
+                updates: updates.clone(),
+            };
+            self.send(host, MembershipMessage::Heartbeat(heartbeat), actions);
+        }
+    }
+
+    /// Recomputes the links after a change of the list.
+    pub(crate) fn refresh_topology(&mut self, now: Timestamp) {
+        let was_relay = self.is_relay();
+        self.topology = Topology::of(&self.table, &self.own());
+        if self.is_relay() && !was_relay {
+            self.reach.reset();
+        }
+        let wanted = self.topology.neighbours.iter().chain(&self.topology.remote);
+        for host in wanted {
+            self.links.entry(*host).or_insert_with(|| Link::new(now));
+        }
+        let table = &self.table;
+        self.links.retain(|host, _| table.is_live(*host));
+    }
+
+    fn on_probe_answer(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        probe: Probe,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if probe.origin != self.settings.host {
+            self.send(probe.origin, MembershipMessage::ProbeAnswer(probe), actions);
+            return;
+        }
+        if from == probe.target {
+            self.prove_data_centre(now, from);
+        }
+        if let Some(link) = self.links.get_mut(&probe.target) {
+            if from == probe.target {
+                link.hears_us = Some(now);
+            } else {
+                link.indirect = Some(now);
+            }
+        }
+    }
+
+    fn on_unreachable(&mut self, now: Timestamp, from: HostId, names: Vec<DataCentreName>) {
+        let same = |it: &Member| it.data_centre == self.settings.data_centre;
+        if self.member(from).is_some_and(same) {
+            self.reach.report(now, names);
+        }
+    }
+}
--- a/components/schema/tests/codec.rs
+++ b/components/schema/tests/codec.rs
@@ -3,7 +3,7 @@
 use ids::{HostId, Incarnation};
 use schema::{
     DecodeError, MAX_FRAME_BYTES, decode, encode,
-    membership::MembershipMessage,
+    membership::{MembershipMessage, Probe},
     peer::{PeerFrame, PeerMessage},
 };
 
@@ -15,7 +15,10 @@
         from: HostId(1),
         to: HostId(2),
         incarnation: Incarnation(3),
-        message: PeerMessage::Membership(MembershipMessage::Heartbeat(Incarnation(3))),
+        message: PeerMessage::Membership(MembershipMessage::Probe(Probe {
+            origin: HostId(1),
+            target: HostId(2),
+        })),
     }
 }
 
