--- /dev/null
+++ b/components/dissemination/src/fragments.rs
@@ -0,0 +1,174 @@
+//! Splits a configuration into fragments and puts it together again.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use ids::{Blob, ConfigVersion, ContentDigest};
+use schema::{
+    config_text::{ConfigText, Organisation, Route},
+    dissemination::{Fragment, FragmentContent, FragmentKey, General, ManifestEntry},
+};
+
+/// Routes or organisations in a page, on average; a page holds at most about twice as many.
+const PAGE_ITEMS: usize = 32;
+
+/// A fragment with its digest.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Held {
+    pub(crate) fragment: Fragment,
+    pub(crate) digest: ContentDigest,
+}
+
+/// The encoded key, which orders the fragments.
+pub(crate) type OrderedKey = Vec<u8>;
+
+/// All fragments of one configuration, in the order of their encoded keys.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Fragments(BTreeMap<OrderedKey, Held>);
+
+impl Fragments {
+    /// Splits `text`; texts that differ only in the order of their lists give the same fragments.
+    pub(crate) fn split(text: &ConfigText) -> Self {
+        let mut fragments = Self::default();
+        let general = General {
+            regions: text.regions.clone(),
+            default_organisation: text.default_organisation.clone(),
+        };
+        fragments.add(FragmentKey::General, &FragmentContent::General(general));
+        for service in &text.services {
+            let key = FragmentKey::Service(service.name.clone());
+            fragments.add(key, &FragmentContent::Service(service.clone()));
+        }
+        for (page, routes) in route_pages(&text.routes) {
+            fragments.add(FragmentKey::Routes(page), &FragmentContent::Routes(routes));
+        }
+        for (page, organisations) in organisation_pages(&text.organisations) {
+            let content = FragmentContent::Organisations(organisations);
+            fragments.add(FragmentKey::Organisations(page), &content);
+        }
+        fragments
+    }
+
+    /// Puts the configuration together; `None` when a fragment is missing or malformed.
+    pub(crate) fn join(&self, version: ConfigVersion) -> Option<ConfigText> {
+        let mut general = None;
+        let mut services = Vec::new();
+        let mut routes = Vec::new();
+        let mut organisations = Vec::new();
+        for held in self.0.values() {
+            match schema::decode(held.fragment.content.as_slice()).ok()? {
+                FragmentContent::General(it) => general = Some(it),
+                FragmentContent::Service(it) => services.push(it),
+                FragmentContent::Routes(it) => routes.extend(it),
+                FragmentContent::Organisations(it) => organisations.extend(it),
+            }
+        }
+        let general: General = general?;
+        services.sort_by(|a, b| a.name.cmp(&b.name));
+        routes.sort_by(|a, b| (&a.host, &a.path).cmp(&(&b.host, &b.path)));
+        organisations.sort_by(|a, b| a.name.cmp(&b.name));
+        Some(ConfigText {
+            version,
+            regions: general.regions,
+            services,
+            routes,
+            organisations,
+            default_organisation: general.default_organisation,
+        })
+    }
+
+    /// The digest of all keys and digests.
+    pub(crate) fn manifest_digest(&self) -> ContentDigest {
+        let mut data = Vec::with_capacity(self.0.len() * 48);
+        for (key, held) in &self.0 {
+            data.extend_from_slice(&(key.len() as u32).to_le_bytes());
+            data.extend_from_slice(key);
+            data.extend_from_slice(&held.digest.0);
+        }
+        ContentDigest::of(&data)
+    }
+
+    pub(crate) fn manifest(&self) -> Vec<ManifestEntry> {
+        let entry = |it: &Held| ManifestEntry { key: it.fragment.key.clone(), digest: it.digest };
+        self.0.values().map(entry).collect()
+    }
+
+    pub(crate) fn insert(&mut self, fragment: Fragment) {
+        let digest = ContentDigest::of(fragment.content.as_slice());
+        self.0.insert(ordered(&fragment.key), Held { fragment, digest });
+    }
+
+    pub(crate) fn insert_held(&mut self, held: Held) {
+        self.0.insert(ordered(&held.fragment.key), held);
+    }
+
+    pub(crate) fn remove(&mut self, key: &FragmentKey) {
+        self.0.remove(&ordered(key));
+    }
+
+    pub(crate) fn get(&self, key: &FragmentKey) -> Option<&Held> {
+        self.0.get(&ordered(key))
+    }
+
+    pub(crate) fn keys(&self) -> impl Iterator<Item = &FragmentKey> {
+        self.0.values().map(|it| &it.fragment.key)
+    }
+
+    /// The keys whose content differs from `base` or is not in it.
+    pub(crate) fn changed_since(&self, base: &Self) -> Vec<FragmentKey> {
+        self.0
+            .iter()
+            .filter(|(key, held)| base.0.get(*key).is_none_or(|it| it.digest != held.digest))
+            .map(|(_, held)| held.fragment.key.clone())
+            .collect()
+    }
+
+    /// The keys of `base` that are no longer there.
+    pub(crate) fn removed_since(&self, base: &Self) -> Vec<FragmentKey> {
+        base.keys().filter(|it| self.get(it).is_none()).cloned().collect()
+    }
+
+    fn add(&mut self, key: FragmentKey, content: &FragmentContent) {
+        let content = Blob::from(schema::encode(content));
+        self.insert(Fragment { key, content });
+    }
+}
+
+/// The encoded key, which orders the fragments.
+pub(crate) fn ordered(key: &FragmentKey) -> OrderedKey {
+    schema::encode(key)
+}
+
+/// A configuration as it was put together from its fragments.
+pub(crate) type SharedText = Arc<ConfigText>;
+
+/// Pages are chosen by a hash of the name, so that one change touches one page.
+fn route_pages(routes: &[Route]) -> BTreeMap<u32, Vec<Route>> {
+    let mut pages = BTreeMap::<u32, Vec<Route>>::new();
+    for route in routes {
+        let name = format!("{} {}", route.host, route.path);
+        pages.entry(page_of(&name, routes.len())).or_default().push(route.clone());
+    }
+    for page in pages.values_mut() {
+        page.sort_by(|a, b| (&a.host, &a.path).cmp(&(&b.host, &b.path)));
+    }
+    pages
+}
+
+fn organisation_pages(organisations: &[Organisation]) -> BTreeMap<u32, Vec<Organisation>> {
+    let mut pages = BTreeMap::<u32, Vec<Organisation>>::new();
+    for organisation in organisations {
+        let page = page_of(organisation.name.as_str(), organisations.len());
+        pages.entry(page).or_default().push(organisation.clone());
+    }
+    for page in pages.values_mut() {
+        page.sort_by(|a, b| a.name.cmp(&b.name));
+    }
+    pages
+}
+
+fn page_of(name: &str, items: usize) -> u32 {
+    let pages = items.div_ceil(PAGE_ITEMS).next_power_of_two() as u32;
+    let digest = ContentDigest::of(name.as_bytes());
+    let [a, b, c, d, ..] = digest.0;
+    u32::from_le_bytes([a, b, c, d]) % pages
+}
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -62,6 +62,7 @@
     incarnation: Incarnation,
     revision: u64,
     in_flight: u32,
+    generation: u64,
     has_list: bool,
     pub(crate) last_tick: Timestamp,
     last_join: Option<Timestamp>,
@@ -88,6 +89,7 @@
             incarnation,
             revision: 0,
             in_flight: 0,
+            generation: 0,
             has_list: false,
             last_tick: now,
             last_join: None,
@@ -245,6 +247,11 @@
         self.topology.relays.get(data_centre).copied()
     }
 
+    /// Higher after each change of the list or of the links.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// Whether this host is the relay of its data centre.
     pub fn is_relay(&self) -> bool {
         self.topology.is_relay(&self.settings.data_centre, self.settings.host)
@@ -558,6 +565,7 @@
     /// Recomputes the links after a change of the list.
     pub(crate) fn refresh_topology(&mut self, now: Timestamp) {
         let was_relay = self.is_relay();
+        self.generation += 1;
         self.topology = Topology::of(&self.table, &self.own());
         if self.is_relay() && !was_relay {
             self.reach.reset();
