Test membership and dissemination under random faults

A fleet of which one host is left is judged apart: that host hears nobody, so it gives up nobody and only reports the others as not reachable.

--- a/components/dissemination/tests/fleet/mod.rs
+++ b/components/dissemination/tests/fleet/mod.rs
@@ -35,6 +35,7 @@
     pub seen: BTreeMap<HostId, Vec<(ConfigVersion, ContentDigest)>>,
     pub events: Vec<(HostId, DisseminationAction)>,
     pub bytes: usize,
+    pub restarted: BTreeSet<HostId>,
     control: Vec<HostId>,
     data_centres: u32,
     per_data_centre: u32,
@@ -56,6 +57,7 @@
             seen: BTreeMap::new(),
             events: Vec::new(),
             bytes: 0,
+            restarted: BTreeSet::new(),
             control: (count - control..count).map(HostId).collect(),
             data_centres,
             per_data_centre,
@@ -74,7 +76,9 @@
         let mut dissemination = Dissemination::new(settings);
         let actions = dissemination.set_view(self.now, self.view(host));
         self.hosts.insert(host, dissemination);
-        self.seen.insert(host, Vec::new());
+        if self.seen.insert(host, Vec::new()).is_some() {
+            self.restarted.insert(host);
+        }
         self.act(host, actions);
     }
 
--- /dev/null
+++ b/components/dissemination/tests/properties.rs
@@ -0,0 +1,197 @@
+//! Random faults: versions only rise, all hosts converge, and old announcements undo nothing.
+
+mod fleet;
+
+use std::collections::BTreeMap;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use dissemination::DisseminationAction;
+use ids::{ConfigVersion, HostId, Millis};
+use schema::announcement::ServerState;
+
+use crate::fleet::{Fleet, announcement, text};
+
+const CASES: u64 = 150;
+const CASE_BYTES: u64 = 512;
+
+/// Time in which all hosts converge after the last fault.
+const CONVERGENCE: Millis = Millis(25_000);
+
+const DATA_CENTRES: u32 = 3;
+const PER_DATA_CENTRE: u32 = 4;
+const HOSTS: u32 = DATA_CENTRES * PER_DATA_CENTRE;
+const CONTROL: u32 = 3;
+
+fn for_each_case(property: impl Fn(u64, &mut Unstructured<'_>) -> Result<()>) {
+    for case in 0..CASES {
+        let seed = ((case + 1) << 32) | CASE_BYTES;
+        arbtest::arbtest(|u| property(seed, u)).seed(seed).run();
+    }
+}
+
+fn new_fleet(seed: u64, u: &mut Unstructured<'_>) -> Result<Fleet> {
+    let mut fleet = Fleet::new(DATA_CENTRES, PER_DATA_CENTRE, CONTROL, seed);
+    fleet.loss_percent = u.int_in_range(0..=20)?;
+    fleet.duplicate_percent = u.int_in_range(0..=20)?;
+    fleet.max_delay = Millis(u.int_in_range(5..=1_500)?);
+    Ok(fleet)
+}
+
+fn any_host(u: &mut Unstructured<'_>) -> Result<HostId> {
+    Ok(HostId(u.int_in_range(0..=HOSTS - 1)?))
+}
+
+/// Cuts one direction between two hosts, or restarts an entry host.
+fn disturb(fleet: &mut Fleet, u: &mut Unstructured<'_>) -> Result<()> {
+    match u.int_in_range(0..=3)? {
+        0 | 1 => {
+            let cut = (any_host(u)?, any_host(u)?);
+            fleet.cuts.insert(cut);
+        }
+        2 => fleet.cuts.clear(),
+        _ => {
+            let host = HostId(u.int_in_range(0..=HOSTS - CONTROL - 1)?);
+            fleet.start(host);
+        }
+    }
+    Ok(())
+}
+
+fn end_faults(fleet: &mut Fleet) {
+    fleet.cuts.clear();
+    fleet.loss_percent = 0;
+    fleet.duplicate_percent = 0;
+    fleet.max_delay = Millis(30);
+}
+
+/// Each host has acted on rising versions only, and all on the same text for each.
+fn assert_versions_rise(fleet: &Fleet, seed: u64) {
+    let mut texts = BTreeMap::new();
+    for (host, seen) in &fleet.seen {
+        assert!(seen.is_sorted_by(|a, b| a.0 < b.0), "seed {seed}: {host} saw {seen:?}");
+        for (version, digest) in seen {
+            assert_eq!(texts.entry(*version).or_insert(*digest), digest, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn versions_rise_and_all_hosts_converge() {
+    for_each_case(|seed, u| {
+        let mut fleet = new_fleet(seed, u)?;
+        let mut published = 0;
+        for _ in 0..u.int_in_range(2..=12)? {
+            let control = HostId(HOSTS - 1 - u.int_in_range(0..=CONTROL - 1)?);
+            if u.ratio(1, 2)? {
+                published += 1;
+                let organisations = u.int_in_range(0..=120)?;
+                fleet.publish(control, &text(published, organisations, published as u32));
+            }
+            if disturb(&mut fleet, u).is_err() {
+                break;
+            }
+            fleet.run(Millis(u.int_in_range(0..=1_500)?));
+        }
+
+        end_faults(&mut fleet);
+        fleet.run(CONVERGENCE);
+
+        assert_versions_rise(&fleet, seed);
+        assert!(fleet.all_at(published), "seed {seed}");
+        Ok(())
+    });
+}
+
+#[test]
+fn one_way_cuts_hide_no_version() {
+    for_each_case(|seed, u| {
+        let mut fleet = Fleet::new(DATA_CENTRES, PER_DATA_CENTRE, CONTROL, seed);
+        fleet.publish(HostId(HOSTS - 1), &text(1, 50, 1));
+        fleet.run(Millis(1_000));
+        for _ in 0..2 {
+            fleet.cuts.insert((any_host(u)?, any_host(u)?));
+        }
+
+        fleet.publish(HostId(HOSTS - 1), &text(2, 50, 2));
+        fleet.run(Millis(6_000));
+
+        assert!(fleet.all_at(2), "seed {seed}: {:?}", fleet.cuts);
+        Ok(())
+    });
+}
+
+#[test]
+fn an_isolated_control_host_turns_nobody_back() {
+    for_each_case(|seed, u| {
+        let mut fleet = Fleet::new(DATA_CENTRES, PER_DATA_CENTRE, CONTROL, seed);
+        let (isolated, other) = (HostId(HOSTS - 1), HostId(HOSTS - 2));
+        fleet.publish(isolated, &text(1, 20, 1));
+        fleet.run(Millis(1_000));
+        for host in (0..HOSTS - 1).map(HostId) {
+            fleet.cuts.insert((host, isolated));
+            if u.ratio(1, 2)? {
+                fleet.cuts.insert((isolated, host));
+            }
+        }
+        fleet.publish(other, &text(2, 20, 2));
+        fleet.run(Millis(2_000));
+
+        let restarted = HostId(u.int_in_range(0..=HOSTS - CONTROL - 1)?);
+        fleet.start(restarted);
+        fleet.run(Millis(6_000));
+
+        assert!(fleet.hosts[&restarted].is_ready(), "seed {seed}");
+        assert_eq!(fleet.hosts[&restarted].version(), ConfigVersion(2), "seed {seed}");
+        assert_eq!(fleet.hosts[&isolated].version(), ConfigVersion(1), "seed {seed}");
+        Ok(())
+    });
+}
+
+#[test]
+fn late_announcements_undo_nothing() {
+    for_each_case(|seed, u| {
+        let mut fleet = new_fleet(seed, u)?;
+        let server = "server-1".parse().unwrap();
+        let states = [ServerState::Starting, ServerState::Serving, ServerState::Draining];
+        let mut all = Vec::new();
+        for sequence in 1..=u.int_in_range(2..=8)? {
+            all.push(announcement("server-1", sequence, *u.choose(&states)?));
+        }
+        let newest = all.last().cloned().unwrap();
+        while !all.is_empty() {
+            let next = all.remove(u.int_in_range(0..=all.len().min(3) - 1)?);
+            fleet.announce(any_host(u)?, next);
+            if disturb(&mut fleet, u).is_err() {
+                break;
+            }
+            fleet.run(Millis(u.int_in_range(0..=600)?));
+        }
+        for rest in all {
+            fleet.announce(HostId(0), rest);
+        }
+
+        end_faults(&mut fleet);
+        fleet.run(CONVERGENCE);
+
+        let states = fleet.states(&server);
+        assert!(states.iter().all(|it| *it == states[0]), "seed {seed}: {states:?}");
+        assert_sequences_rise(&fleet, seed);
+        if fleet.hosts.values().any(|it| it.servers().any(|it| *it == newest)) {
+            assert!(states.iter().all(|it| *it == Some(newest.state)), "seed {seed}");
+        }
+        Ok(())
+    });
+}
+
+/// Between two starts no host goes back to an earlier announcement.
+fn assert_sequences_rise(fleet: &Fleet, seed: u64) {
+    let mut last = BTreeMap::new();
+    for (host, event) in &fleet.events {
+        if let DisseminationAction::ServerChanged { announcement } = event
+            && !fleet.restarted.contains(host)
+        {
+            let before = last.insert(host, announcement.sequence);
+            assert!(before < Some(announcement.sequence), "seed {seed}: {host}");
+        }
+    }
+}
--- a/components/membership/tests/fleet/mod.rs
+++ b/components/membership/tests/fleet/mod.rs
@@ -28,6 +28,7 @@
     pub frozen: BTreeSet<HostId>,
     pub cuts: BTreeSet<(HostId, HostId)>,
     pub loss_percent: u64,
+    pub duplicate_percent: u64,
     pub lost: Vec<(HostId, HostId, Timestamp)>,
     pub joined: Vec<(HostId, HostId, Timestamp)>,
     pub largest_message: usize,
@@ -46,6 +47,7 @@
             frozen: BTreeSet::new(),
             cuts: BTreeSet::new(),
             loss_percent: 0,
+            duplicate_percent: 0,
             lost: Vec::new(),
             joined: Vec::new(),
             largest_message: 0,
@@ -143,9 +145,12 @@
         if self.cuts.contains(&(from, to)) || self.next_random() % 100 < self.loss_percent {
             return;
         }
-        let random = self.next_random();
-        let at = Timestamp(self.now.0 + 1_000 + random % 30_000);
-        self.flights.push((at, random, Flight { from, to, message }));
+        let copies = 1 + u64::from(self.next_random() % 100 < self.duplicate_percent);
+        for _ in 0..copies {
+            let random = self.next_random();
+            let at = Timestamp(self.now.0 + 1_000 + random % 30_000);
+            self.flights.push((at, random, Flight { from, to, message: message.clone() }));
+        }
     }
 
     pub fn next_random(&mut self) -> u64 {
@@ -155,6 +160,21 @@
         self.random
     }
 
+    /// The hosts that each running one holds to be live.
+    pub fn views(&self) -> BTreeMap<HostId, Vec<HostId>> {
+        let live = |it: &Membership| {
+            it.members().map(|it| it.host).filter(|host| it.is_live(*host)).collect()
+        };
+        self.hosts.iter().map(|(host, it)| (*host, live(it))).collect()
+    }
+
+    /// Whether no running host reaches another; one that hears nobody gives up nobody.
+    pub fn reaches_nobody(&self) -> bool {
+        self.hosts.iter().all(|(own, it)| {
+            it.members().all(|member| member.host == *own || !it.reachable(member.host))
+        })
+    }
+
     /// Whether every running host holds exactly the running hosts to be live.
     pub fn agrees(&self) -> bool {
         let running = self.hosts.keys().filter(|it| !self.frozen.contains(it));
