--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -1,11 +1,16 @@
-//! Serves metrics, status and operators' requests over HTTP.
+//! What every process of the fleet has around its decisions: clocks, settings files, stop
+//! signals, metrics and an HTTP server for operators.
 
+mod clock;
 mod server;
 mod settings_file;
 mod shutdown;
+mod transport_metrics;
 
 pub use crate::{
+    clock::Clock,
     server::{AdminRequest, AdminResponse, AdminService, MAX_ADMIN_BODY_BYTES, serve},
     settings_file::{SettingsError, read_settings},
     shutdown::stop_signal,
+    transport_metrics::{TransportMetrics, clamp},
 };
--- /dev/null
+++ b/components/control/src/metrics.rs
@@ -0,0 +1,49 @@
+//! Metrics of a control host.
+
+use admin::{TransportMetrics, clamp};
+use prometheus_client::{encoding::text::encode, metrics::gauge::Gauge, registry::Registry};
+use transport::StatsSnapshot;
+
+use crate::driver::SharedStatus;
+
+/// The gauges of a control host.
+pub(crate) struct Metrics {
+    registry: Registry,
+    transport: TransportMetrics,
+    leads: Gauge,
+    term: Gauge,
+    version: Gauge,
+    commit: Gauge,
+    members: Gauge,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("daisypaddle");
+        let transport = TransportMetrics::register(&mut registry);
+        let mut gauge = |name: &str, help: &str| {
+            let gauge = Gauge::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        let leads = gauge("control_leads", "1 on the leader of the replicated log");
+        let term = gauge("control_term", "Term of the replicated log");
+        let version = gauge("config_version", "Newest accepted configuration version");
+        let commit = gauge("control_commit_index", "Newest accepted entry of the log");
+        let members = gauge("members", "Hosts of the fleet that are listed");
+        Self { registry, transport, leads, term, version, commit, members }
+    }
+
+    /// The metrics in the exposition format.
+    pub(crate) fn render(&self, status: &SharedStatus, stats: StatsSnapshot) -> String {
+        self.transport.set(stats);
+        self.leads.set(i64::from(status.leads));
+        self.term.set(clamp(status.term));
+        self.version.set(clamp(status.version.0));
+        self.commit.set(clamp(status.commit));
+        self.members.set(clamp(status.fleet.hosts.len() as u64));
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("a string takes any text");
+        text
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,3 @@
-//! A proxy fleet for backend servers with gray failures.
+//! What the command lines of the daisypaddle binaries share.
+
+pub mod cli;
