--- /dev/null
+++ b/components/routing/src/route_table.rs
@@ -0,0 +1,139 @@
+//! Finds the service of a request by host and longest path prefix.
+//!
+//! The look-up walks a tree of path segments, so its cost depends on the depth of the path and
+//! not on the number of routes. Paths are compared byte by byte without percent decoding.
+
+use std::borrow::Cow;
+
+use ids::{FastMap, ServiceName};
+use schema::config_text::Route;
+
+/// The host of a route that matches every host.
+const ANY_HOST: &str = "*";
+
+/// Routes by host and path prefix.
+#[derive(Debug, Clone, Default)]
+pub struct RouteTable {
+    hosts: FastMap<Box<str>, PathTree>,
+    any_host: PathTree,
+}
+
+/// The routes of one host as a tree of path segments.
+#[derive(Debug, Clone)]
+struct PathTree {
+    nodes: Vec<Node>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Node {
+    service: Option<ServiceName>,
+    children: FastMap<Box<str>, usize>,
+}
+
+impl RouteTable {
+    /// Builds the table; of two routes with the same host and path, the first is kept.
+    pub fn build(routes: &[Route]) -> Self {
+        let mut table = Self::default();
+        for route in routes {
+            table.tree_mut(&route.host).insert(&route.path, &route.service);
+        }
+        table
+    }
+
+    /// The service of the longest route that covers `path`.
+    ///
+    /// Routes that name the host come before routes for any host. The query is ignored. Paths
+    /// that don't begin with `/`, or hold a dot segment, match no route.
+    pub fn lookup(&self, host: &str, path: &str) -> Option<&ServiceName> {
+        let path = without_query(path);
+        if !is_routable(path) {
+            return None;
+        }
+        let host = normalised_host(host);
+        let exact = self.hosts.get(host.as_ref()).and_then(|tree| tree.longest_prefix(path));
+        exact.or_else(|| self.any_host.longest_prefix(path))
+    }
+
+    fn tree_mut(&mut self, host: &str) -> &mut PathTree {
+        if host == ANY_HOST {
+            return &mut self.any_host;
+        }
+        self.hosts.entry(normalised_host(host).into()).or_default()
+    }
+}
+
+impl Default for PathTree {
+    fn default() -> Self {
+        Self { nodes: vec![Node::default()] }
+    }
+}
+
+impl PathTree {
+    fn insert(&mut self, path: &str, service: &ServiceName) {
+        let mut index = 0;
+        for segment in segments(path.trim_end_matches('/')) {
+            index = self.child(index, segment);
+        }
+        self.nodes[index].service.get_or_insert_with(|| service.clone());
+    }
+
+    fn child(&mut self, index: usize, segment: &str) -> usize {
+        if let Some(&child) = self.nodes[index].children.get(segment) {
+            return child;
+        }
+        let child = self.nodes.len();
+        self.nodes.push(Node::default());
+        self.nodes[index].children.insert(segment.into(), child);
+        child
+    }
+
+    fn longest_prefix(&self, path: &str) -> Option<&ServiceName> {
+        let mut node = &self.nodes[0];
+        let mut found = node.service.as_ref();
+        for segment in segments(path) {
+            let Some(&child) = node.children.get(segment) else { break };
+            node = &self.nodes[child];
+            found = node.service.as_ref().or(found);
+        }
+        found
+    }
+}
+
+fn segments(path: &str) -> impl Iterator<Item = &str> {
+    path.split('/').skip(1)
+}
+
+fn without_query(path: &str) -> &str {
+    let end = path.find(['?', '#']).unwrap_or(path.len());
+    &path[..end]
+}
+
+fn is_routable(path: &str) -> bool {
+    path.starts_with('/') && !segments(path).any(is_dot_segment)
+}
+
+/// Whether a server might read the segment as `.` or `..`.
+fn is_dot_segment(segment: &str) -> bool {
+    if !segment.starts_with(['.', '%']) || segment.len() > "%2e%2e".len() {
+        return false;
+    }
+    let decoded = segment.replace("%2e", ".").replace("%2E", ".");
+    decoded == "." || decoded == ".."
+}
+
+/// The host in lower case, without its port and final dot.
+fn normalised_host(host: &str) -> Cow<'_, str> {
+    let name = without_port(host);
+    let name = name.strip_suffix('.').unwrap_or(name);
+    if name.bytes().any(|byte| byte.is_ascii_uppercase()) {
+        return Cow::Owned(name.to_ascii_lowercase());
+    }
+    Cow::Borrowed(name)
+}
+
+fn without_port(host: &str) -> &str {
+    if let Some(end) = host.strip_prefix('[').and_then(|rest| rest.find(']')) {
+        return &host[..end + 2];
+    }
+    host.split(':').next().unwrap_or(host)
+}
--- /dev/null
+++ b/components/routing/tests/directory.rs
@@ -0,0 +1,133 @@
+//! Directory answers hold their promises for any set of entry hosts.
+
+use std::{collections::BTreeSet, net::SocketAddr};
+
+use ids::HostId;
+use routing::{CallerLocation, Directory, EntryHost, EntryHostState};
+
+const CASES: u64 = 300;
+const CASE_BYTES: u64 = 512;
+
+const DATA_CENTRES: [(&str, &str); 6] =
+    [("r1", "r1a"), ("r1", "r1b"), ("r2", "r2a"), ("r2", "r2b"), ("r3", "r3a"), ("r3", "r3b")];
+
+fn entry_host(number: u32, place: usize, load_milli: u32, state: EntryHostState) -> EntryHost {
+    let (region, data_centre) = DATA_CENTRES[place];
+    EntryHost {
+        host: HostId(number),
+        region: region.parse().unwrap(),
+        data_centre: data_centre.parse().unwrap(),
+        address: SocketAddr::from(([10, 0, 0, 1], 1_000 + number as u16)),
+        load_milli,
+        state,
+    }
+}
+
+fn caller(place: usize) -> CallerLocation {
+    let (region, data_centre) = DATA_CENTRES[place];
+    CallerLocation { region: region.parse().unwrap(), data_centre: data_centre.parse().unwrap() }
+}
+
+fn fleet(state: EntryHostState) -> Vec<EntryHost> {
+    (0..36).map(|i| entry_host(i, i as usize % DATA_CENTRES.len(), 0, state)).collect()
+}
+
+#[test]
+fn the_nearest_data_centre_comes_first() {
+    let mut directory = Directory::new(1);
+
+    let answer = directory.answer(&caller(2), &fleet(EntryHostState::Serving));
+
+    let names: Vec<String> =
+        answer.addresses.iter().map(|address| address.data_centre.to_string()).collect();
+    assert_eq!(names, ["r2a", "r2a", "r2b", "r2b"]);
+}
+
+#[test]
+fn overloaded_hosts_are_named_when_there_is_no_other() {
+    let mut directory = Directory::new(1);
+
+    let answer = directory.answer(&caller(0), &fleet(EntryHostState::Overloaded));
+
+    assert!(answer.addresses.len() >= 3);
+}
+
+#[test]
+fn first_addresses_are_spread_by_load() {
+    let mut directory = Directory::new(1);
+    let mut hosts = fleet(EntryHostState::Serving);
+    hosts[0].load_milli = 750;
+    let mut firsts = [0_u32; 36];
+
+    for _ in 0..6_000 {
+        let answer = directory.answer(&caller(0), &hosts);
+        firsts[answer.addresses[0].host.0 as usize] += 1;
+    }
+
+    // Six hosts share the data centre: one with a weight of 250, five with 1,000.
+    assert!((200..380).contains(&firsts[0]), "{firsts:?}");
+    for host in [6, 12, 18, 24, 30] {
+        assert!((1_000..1_290).contains(&firsts[host]), "{firsts:?}");
+    }
+}
+
+fn random_state(
+    u: &mut arbtest::arbitrary::Unstructured<'_>,
+) -> arbtest::arbitrary::Result<EntryHostState> {
+    use EntryHostState::{Dead, Draining, Overloaded, Serving};
+    Ok(*u.choose(&[Serving, Serving, Overloaded, Draining, Dead])?)
+}
+
+fn check_answer(caller: &CallerLocation, hosts: &[EntryHost], directory: &mut Directory) {
+    let answer = directory.answer(caller, hosts);
+    let named: Vec<&EntryHost> = answer
+        .addresses
+        .iter()
+        .map(|address| hosts.iter().find(|entry| entry.host == address.host).unwrap())
+        .collect();
+    let able = |entry: &&EntryHost| {
+        matches!(entry.state, EntryHostState::Serving | EntryHostState::Overloaded)
+    };
+    let centres = |entries: &[&EntryHost]| -> BTreeSet<String> {
+        entries.iter().map(|entry| entry.data_centre.to_string()).collect()
+    };
+    let usable: Vec<&EntryHost> = hosts.iter().filter(able).collect();
+    let distinct: BTreeSet<HostId> = named.iter().map(|entry| entry.host).collect();
+
+    assert!(named.iter().all(able));
+    assert_eq!(distinct.len(), named.len());
+    assert!(named.len() >= usable.len().min(3));
+    assert!(centres(&named).len() >= centres(&usable).len().min(2));
+    assert!(answer.keep_for <= Directory::max_keep());
+    if usable.iter().any(|entry| entry.state == EntryHostState::Serving) {
+        assert_eq!(named[0].state, EntryHostState::Serving);
+    }
+    let distance = |entry: &EntryHost| match () {
+        () if entry.data_centre == caller.data_centre => 0,
+        () if entry.region == caller.region => 1,
+        () => 2,
+    };
+    assert!(named.is_sorted_by_key(|entry| (entry.state, distance(entry))));
+}
+
+#[test]
+fn answers_hold_their_promises() {
+    for case in 0..CASES {
+        let seed = ((case + 1) << 32) | CASE_BYTES;
+        arbtest::arbtest(|u| {
+            let mut directory = Directory::new(case);
+            while u.len() > 64 {
+                let mut hosts = Vec::new();
+                for i in 0..u.int_in_range(0..=8)? {
+                    let place = u.int_in_range(0..=DATA_CENTRES.len() - 1)?;
+                    let load = u.int_in_range(0..=1_200)?;
+                    hosts.push(entry_host(i, place, load, random_state(u)?));
+                }
+                check_answer(&caller(u.int_in_range(0..=5)?), &hosts, &mut directory);
+            }
+            Ok(())
+        })
+        .seed(seed)
+        .run();
+    }
+}
