--- /dev/null
+++ b/components/limits/tests/dependencies.rs
@@ -0,0 +1,57 @@
+//! Services whose dependencies can't serve are blocked, and recover at once.
+
+mod common;
+
+use common::{at, name, service};
+use limits::Dependencies;
+use schema::config_text::Service;
+
+fn services() -> Vec<Service> {
+    let mut booking = service("booking");
+    booking.depends_on = vec![name("deposit"), name("parts")];
+    let mut deposit = service("deposit");
+    deposit.depends_on = vec![name("ledger")];
+    vec![booking, deposit, service("parts"), service("ledger"), service("queue")]
+}
+
+#[test]
+fn a_service_is_blocked_by_direct_and_indirect_dependencies() {
+    let mut dependencies = Dependencies::build(&services());
+
+    dependencies.set_able(at(0), &name("ledger"), false);
+
+    let now = at(2_000);
+    assert_eq!(dependencies.blocked_by(now, &name("booking")), Some(&name("ledger")));
+    assert_eq!(dependencies.blocked_by(now, &name("deposit")), Some(&name("ledger")));
+    for free in ["ledger", "parts", "queue", "no-such-service"] {
+        assert_eq!(dependencies.blocked_by(now, &name(free)), None);
+    }
+}
+
+#[test]
+fn short_gaps_don_t_block_and_recovery_is_immediate() {
+    let mut dependencies = Dependencies::build(&services());
+
+    dependencies.set_able(at(0), &name("parts"), false);
+    dependencies.set_able(at(900), &name("parts"), false);
+    assert_eq!(dependencies.blocked_by(at(999), &name("booking")), None);
+    assert!(dependencies.blocked_by(at(1_000), &name("booking")).is_some());
+    dependencies.set_able(at(1_500), &name("parts"), true);
+    assert_eq!(dependencies.blocked_by(at(1_500), &name("booking")), None);
+    dependencies.set_able(at(1_600), &name("parts"), false);
+    assert_eq!(dependencies.blocked_by(at(2_500), &name("booking")), None);
+}
+
+#[test]
+fn a_new_configuration_keeps_what_is_known() {
+    let mut dependencies = Dependencies::build(&services());
+    dependencies.set_able(at(0), &name("parts"), false);
+
+    dependencies.configure(&services());
+    assert!(dependencies.blocked_by(at(1_000), &name("booking")).is_some());
+
+    let without_parts: Vec<Service> =
+        services().into_iter().filter(|service| service.name != name("parts")).collect();
+    dependencies.configure(&without_parts);
+    assert_eq!(dependencies.blocked_by(at(1_000), &name("booking")), None);
+}
