Tell control which claim shards are settled and which are lost

A shard's change of replicas is settled when all new replicas have copied the previous epoch, and it is lost when neither the new nor the previous replicas have a majority that knows all its records. Both follow from reports that the replicas make from their state, so control needs no view of its own.

--- a/components/claims/src/claims.rs
+++ b/components/claims/src/claims.rs
@@ -5,7 +5,10 @@
 use ids::{Fingerprint, HostId, Incarnation, RequestId, Timestamp, WallTime};
 use schema::claims::{ClaimsMessage, StoredAnswer};
 
-use crate::{ClaimKey, ClaimMap, ClaimReplica, Claimant, ClaimsSettings, Decision, ShardNumber};
+use crate::{
+    ClaimKey, ClaimMap, ClaimReplica, Claimant, ClaimsSettings, Decision, ReplicaReport,
+    ShardNumber,
+};
 
 /// What the claim protocol asks its process to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -169,6 +172,11 @@
         wakeups.into_iter().flatten().min()
     }
 
+    /// What control needs to know to settle and reopen shards.
+    pub fn report(&self) -> ReplicaReport {
+        ReplicaReport { map_epoch: self.map.epoch(), whole: self.replica.whole() }
+    }
+
     /// What the process holds and waits for.
     pub fn status(&self) -> ClaimsStatus {
         let usage = self.replica.usage();
--- a/components/claims/src/map/mod.rs
+++ b/components/claims/src/map/mod.rs
@@ -1,13 +1,17 @@
 //! The claim map: which hosts hold the claim on a key.
 
 mod build;
+mod repair;
 
 use std::collections::BTreeMap;
 
 use ids::{DataCentreName, Epoch, HostId, KeyDigest};
 use schema::claims::{ClaimHome, ClaimMapState, ClaimShard, PreviousReplicas};
 
-pub use self::build::ClaimHost;
+pub use self::{
+    build::ClaimHost,
+    repair::{ReplicaReport, ShardEpochNumber},
+};
 use crate::{ClaimKey, ShardNumber};
 
 /// How many replicas a shard has where there are enough hosts.
--- /dev/null
+++ b/components/claims/src/map/repair.rs
@@ -0,0 +1,72 @@
+//! Tells from the replicas' reports which shards are settled and which are lost.
+
+use std::collections::BTreeMap;
+
+use ids::{Epoch, HostId};
+use schema::claims::{ClaimShard, PreviousReplicas};
+
+use super::{ClaimMap, quorum, replica_hosts};
+use crate::ShardNumber;
+
+/// A shard in one of its epochs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ShardEpochNumber {
+    /// The shard.
+    pub shard: ShardNumber,
+    /// Its epoch.
+    pub epoch: Epoch,
+}
+
+/// What a live host says of the shards that it holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ReplicaReport {
+    /// The epoch of the claim map that the host acts on.
+    pub map_epoch: Epoch,
+    /// The shards of which the host knows all that it must know.
+    pub whole: Vec<ShardEpochNumber>,
+}
+
+impl ClaimMap {
+    /// The unsettled shards whose replicas have all copied the previous epoch.
+    pub fn copied_shards(&self, reports: &BTreeMap<HostId, ReplicaReport>) -> Vec<ShardNumber> {
+        let is_whole = |shard: ShardEpochNumber, host: &HostId| {
+            reports.get(host).is_some_and(|it| it.whole.contains(&shard))
+        };
+        let unsettled = self.shards().filter(|(_, it)| it.previous != PreviousReplicas::None);
+        let copied = unsettled.filter(|(number, shard)| {
+            let wanted = ShardEpochNumber { shard: *number, epoch: shard.epoch };
+            replica_hosts(shard).iter().all(|it| is_whole(wanted, it))
+        });
+        copied.map(|(number, _)| number).collect()
+    }
+
+    /// The shards that can only go on when they are reopened: a majority of their replicas has
+    /// forgotten, or is not among the live hosts that the reports are from.
+    pub fn lost_shards(&self, reports: &BTreeMap<HostId, ReplicaReport>) -> Vec<ShardNumber> {
+        let lost = self.shards().filter(|(number, it)| self.is_lost(*number, it, reports));
+        lost.map(|(number, _)| number).collect()
+    }
+
+    fn is_lost(
+        &self,
+        number: ShardNumber,
+        shard: &ClaimShard,
+        reports: &BTreeMap<HostId, ReplicaReport>,
+    ) -> bool {
+        let has_majority = |replicas: &[HostId], epoch: Epoch| {
+            let wanted = ShardEpochNumber { shard: number, epoch };
+            let may_know = |host: &&HostId| {
+                let report = reports.get(host);
+                report.is_some_and(|it| it.map_epoch < self.epoch() || it.whole.contains(&wanted))
+            };
+            replicas.iter().filter(may_know).count() >= quorum(replicas.len())
+        };
+        if has_majority(&replica_hosts(shard), shard.epoch) {
+            return false;
+        }
+        match &shard.previous {
+            PreviousReplicas::CopyFrom(it) => !has_majority(&it.replicas, it.epoch),
+            PreviousReplicas::None => true,
+        }
+    }
+}
--- a/components/claims/src/replica/mod.rs
+++ b/components/claims/src/replica/mod.rs
@@ -15,7 +15,7 @@
 };
 
 use self::shard::{Process, Room, ShardReplica, clocks_differ};
-use crate::{ClaimMap, ReplicaSettings, ShardNumber, claims::Outgoing};
+use crate::{ClaimMap, ReplicaSettings, ShardEpochNumber, ShardNumber, claims::Outgoing};
 
 /// How often records are searched for those that may be forgotten.
 const FORGET_INTERVAL: Millis = Millis(1_000);
@@ -98,6 +98,16 @@
         abstaining.map(|(number, _)| *number).collect()
     }
 
+    /// The shards, with their epochs, of which this replica knows all that it must know.
+    pub(crate) fn whole(&self) -> Vec<ShardEpochNumber> {
+        let mut whole = Vec::new();
+        for (&shard, replica) in &self.shards {
+            let epochs = replica.epochs().filter(|it| it.knows_all());
+            whole.extend(epochs.map(|it| ShardEpochNumber { shard, epoch: it.epoch }));
+        }
+        whole
+    }
+
     pub(crate) fn handle_claim(&mut self, wall: WallTime, req: &ClaimRequest) -> Vec<Outgoing> {
         self.advance_wall(wall);
         let verdict = self.verdict(wall, req);
--- /dev/null
+++ b/components/claims/tests/claim_map.rs
@@ -0,0 +1,174 @@
+//! Where claims are held, and tickets.
+
+use std::collections::BTreeSet;
+
+use claims::{ClaimHost, ClaimKey, ClaimMap, SHARDS_PER_HOME, Ticket, TicketError};
+use ids::{DataCentreName, Epoch, HostId, IdempotencyKey, Incarnation, KeyDigest, WallTime};
+use schema::claims::{ClaimHome, ClaimShard, PreviousReplicas};
+
+fn data_centre(number: u32) -> DataCentreName {
+    format!("dc-{number}").parse().unwrap()
+}
+
+/// Hosts in four data centres of two regions.
+fn hosts(per_data_centre: u32) -> Vec<ClaimHost> {
+    let mut hosts = Vec::new();
+    for number in 0..4 * per_data_centre {
+        let home = number / per_data_centre;
+        hosts.push(ClaimHost {
+            host: HostId(number + 1),
+            incarnation: Incarnation(1),
+            data_centre: data_centre(home),
+            region: format!("region-{}", home / 2).parse().unwrap(),
+        });
+    }
+    hosts
+}
+
+fn build(hosts: &[ClaimHost]) -> ClaimMap {
+    ClaimMap::build(Epoch(1), hosts, None)
+}
+
+fn places(shard: &ClaimShard, hosts: &[ClaimHost]) -> BTreeSet<DataCentreName> {
+    let chosen = hosts.iter().filter(|it| shard.replicas.iter().any(|r| r.host == it.host));
+    chosen.map(|it| it.data_centre.clone()).collect()
+}
+
+#[test]
+fn each_home_has_its_shards_with_three_replicas() {
+    let hosts = hosts(4);
+
+    let map = build(&hosts);
+
+    assert_eq!(map.shards().count(), 5 * SHARDS_PER_HOME);
+    for (_, shard) in map.shards() {
+        assert_eq!(shard.replicas.len(), 3);
+        match &shard.home {
+            ClaimHome::DataCentre(name) => {
+                assert_eq!(places(shard, &hosts), BTreeSet::from([name.clone()]));
+            }
+            ClaimHome::Fleet => assert_eq!(places(shard, &hosts).len(), 3),
+        }
+    }
+}
+
+#[test]
+fn a_data_centre_with_too_few_hosts_borrows_from_its_region() {
+    let hosts = hosts(2);
+
+    let map = build(&hosts);
+
+    for (_, shard) in map.shards().filter(|(_, it)| it.home != ClaimHome::Fleet) {
+        let regions: BTreeSet<_> = hosts
+            .iter()
+            .filter(|it| shard.replicas.iter().any(|r| r.host == it.host))
+            .map(|it| it.region.clone())
+            .collect();
+        assert_eq!(shard.replicas.len(), 3);
+        assert_eq!(regions.len(), 1);
+    }
+}
+
+#[test]
+fn small_deployments_use_what_exists() {
+    for count in [1, 2] {
+        let hosts = &hosts(2)[..count];
+
+        let map = build(hosts);
+
+        assert!(map.shards().all(|(_, it)| it.replicas.len() == count));
+    }
+}
+
+#[test]
+fn losing_a_host_changes_only_its_shards_and_keeps_the_others_replicas() {
+    let all = hosts(4);
+    let map = build(&all);
+    let lost = HostId(1);
+    let live: Vec<_> = all.iter().filter(|it| it.host != lost).cloned().collect();
+
+    let next = ClaimMap::build(Epoch(2), &live, Some(&map));
+
+    for ((_, old), (_, new)) in map.shards().zip(next.shards()) {
+        if !old.replicas.iter().any(|it| it.host == lost) {
+            assert_eq!(old, new);
+            continue;
+        }
+        let kept = old.replicas.iter().filter(|it| it.host != lost);
+        assert!(kept.clone().all(|it| new.replicas.contains(it)));
+        assert_eq!(new.epoch, Epoch(2));
+        assert_eq!(new.opened, Epoch(1));
+        assert!(matches!(new.previous, PreviousReplicas::CopyFrom(_)));
+    }
+}
+
+#[test]
+fn a_shard_that_lost_a_majority_or_is_not_settled_stays_as_it_is() {
+    let all = hosts(1);
+    let map = build(&all);
+    let two_lost = ClaimMap::build(Epoch(2), &all[2..], Some(&map));
+    let one_lost = ClaimMap::build(Epoch(2), &all[1..], Some(&map));
+    let again = ClaimMap::build(Epoch(3), &all[2..], Some(&one_lost));
+
+    for (number, shard) in map.shards() {
+        let lost = shard.replicas.iter().filter(|it| it.host.0 <= 2).count();
+        if lost == 2 {
+            assert_eq!(two_lost.shard(number), Some(shard));
+        }
+        let moved = one_lost.shard(number).unwrap();
+        if moved.previous != PreviousReplicas::None {
+            assert_eq!(again.shard(number), Some(moved));
+        }
+    }
+}
+
+#[test]
+fn the_map_depends_on_the_set_of_hosts_only() {
+    let mut hosts = hosts(4);
+    let map = build(&hosts);
+
+    hosts.reverse();
+
+    assert_eq!(build(&hosts), map);
+    assert_eq!(ClaimMap::build(Epoch(1), &hosts, Some(&map)), map);
+}
+
+#[test]
+fn keys_spread_over_the_shards_of_their_home() {
+    const KEYS: u32 = 64_000;
+    let map = build(&hosts(4));
+    let mut counts = vec![0; map.shards().count()];
+    for number in 0..KEYS {
+        let digest = KeyDigest::of(&number.to_be_bytes());
+        let ticket = Ticket { home: data_centre(2), epoch: Epoch(1), minted: WallTime(5) };
+        let key = ClaimKey { digest, ticket: Some(ticket) };
+        counts[map.shard_of(&key).unwrap().0 as usize] += 1;
+    }
+
+    let used: Vec<_> = counts.into_iter().filter(|it| *it > 0).collect();
+
+    assert_eq!(used.len(), SHARDS_PER_HOME);
+    assert!(used.iter().all(|it| (800..1200).contains(it)), "{used:?}");
+}
+
+#[test]
+fn a_ticket_survives_its_text_form_inside_a_key() {
+    let ticket = Ticket { home: data_centre(1), epoch: Epoch(77), minted: WallTime(123_456) };
+
+    let key: IdempotencyKey = format!("{ticket}order~7").parse().unwrap();
+
+    assert_eq!(ticket.to_string(), "dp1~dc-1~4d~1e240~");
+    assert_eq!(Ticket::of_key(&key), Ok(Some(ticket)));
+}
+
+#[test]
+fn keys_without_a_ticket_and_broken_tickets_are_told_apart() {
+    let parse = |text: &str| Ticket::of_key(&text.parse().unwrap());
+
+    assert_eq!(parse("order-7"), Ok(None));
+    assert_eq!(parse("dp1order"), Ok(None));
+    assert_eq!(parse("dp1~dc-1~4d~1e240"), Err(TicketError::MissingPart));
+    assert_eq!(parse("dp1~d/c~4d~1~x"), Err(TicketError::BadHome));
+    assert_eq!(parse("dp1~dc-1~zz~1~x"), Err(TicketError::BadEpoch));
+    assert_eq!(parse("dp1~dc-1~1~-1~x"), Err(TicketError::BadMintTime));
+}
