--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder.
+//! Runs an entry host: its sockets, its clock, and the connections to callers and backend
+//! servers.
+
+mod api;
+mod backend;
+mod callers;
+mod headers;
+mod host;
+mod memory;
+mod metrics;
+mod pages;
+mod pool;
+mod reply;
+mod shared;
+mod status_page;
+
+pub use crate::{
+    headers::{
+        DEADLINE_HEADER, KEY_HEADER, LOAD_HEADER, ORGANISATION_HEADER, OUTCOME_HEADER,
+        PROBE_HEADER, REPLAYED_HEADER, REQUEST_HEADER, SHED_HEADER,
+    },
+    host::{EntryError, RunningEntry, start},
+};
--- /dev/null
+++ b/components/entry/src/metrics.rs
@@ -0,0 +1,108 @@
+//! Metrics of an entry host.
+
+use admin::{TransportMetrics, clamp};
+use entry_core::EntryStatus;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+use transport::StatsSnapshot;
+
+/// Upper bounds of the added latency's buckets, in seconds.
+const ADDED_LATENCY_BUCKETS: [f64; 12] =
+    [0.0001, 0.0002, 0.0003, 0.0005, 0.0008, 0.0012, 0.0017, 0.003, 0.006, 0.02, 0.1, 1.0];
+
+/// The latency that this host adds to requests.
+#[derive(Debug, Clone)]
+pub(crate) struct LatencyMetrics {
+    added: Histogram,
+}
+
+impl Default for LatencyMetrics {
+    fn default() -> Self {
+        Self { added: Histogram::new(ADDED_LATENCY_BUCKETS) }
+    }
+}
+
+impl LatencyMetrics {
+    /// Notes the time that a request spent here and not at its backend server.
+    pub(crate) fn observe(&self, micros: u64) {
+        self.added.observe(micros as f64 / 1e6);
+    }
+}
+
+/// Labels of the responses.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResponseLabels {
+    service: String,
+    outcome: String,
+    reason: &'static str,
+}
+
+/// The metrics of an entry host, registered once and set at each scrape.
+pub(crate) struct Metrics {
+    registry: Registry,
+    transport: TransportMetrics,
+    responses: Family<ResponseLabels, Gauge<i64, std::sync::atomic::AtomicI64>>,
+    gauges: Vec<NamedGauge>,
+}
+
+/// A gauge and how its value is read.
+struct NamedGauge {
+    gauge: Gauge,
+    read: fn(&EntryStatus) -> u64,
+}
+
+/// Name, help text and reader of each plain gauge.
+const GAUGES: [(&str, &str, fn(&EntryStatus) -> u64); 13] = [
+    ("config_version", "Configuration version in force", |it| it.version.0),
+    ("claim_epoch", "Epoch of the claim map in force", |it| it.claim_epoch.0),
+    ("claims_held", "Claims held for the fleet", |it| it.claims_held as u64),
+    ("requests_in_flight", "Requests in work", |it| it.in_flight as u64),
+    ("members", "Hosts of the fleet that are listed", |it| it.members.len() as u64),
+    ("servers", "Backend servers that are listed", |it| it.servers.len() as u64),
+    ("requests_received", "Requests received whole", |it| it.counters.received),
+    ("attempts", "Attempts sent to backend servers", |it| it.counters.attempts),
+    ("retries", "Attempts after the first of a request", |it| it.counters.retries),
+    ("hedges", "Attempts beside a slow one", |it| it.counters.hedges),
+    ("sheds", "Attempts that a busy server refused", |it| it.counters.sheds),
+    ("probes", "Probes sent", |it| it.counters.probes),
+    ("replays", "Stored answers given to resends", |it| it.counters.replays),
+];
+
+impl Metrics {
+    pub(crate) fn new(latency: &LatencyMetrics) -> Self {
+        let mut registry = Registry::with_prefix("daisypaddle");
+        let transport = TransportMetrics::register(&mut registry);
+        let responses = Family::default();
+        registry.register("responses", "Responses to callers", responses.clone());
+        let help = "Time that requests spent in this host, in seconds";
+        registry.register("added_latency_seconds", help, latency.added.clone());
+        let gauges = GAUGES.map(|(name, help, read)| {
+            let gauge: Gauge<i64, std::sync::atomic::AtomicI64> = Gauge::default();
+            registry.register(name, help, gauge.clone());
+            NamedGauge { gauge, read }
+        });
+        Self { registry, transport, responses, gauges: gauges.into() }
+    }
+
+    /// The metrics in the exposition format.
+    pub(crate) fn render(&self, status: &EntryStatus, stats: StatsSnapshot) -> String {
+        self.transport.set(stats);
+        for it in &self.gauges {
+            it.gauge.set(clamp((it.read)(status)));
+        }
+        for it in status.counters.responses() {
+            let labels = ResponseLabels {
+                service: it.service.map_or_else(String::new, |it| it.to_string()),
+                outcome: it.outcome.to_string(),
+                reason: it.reason,
+            };
+            self.responses.get_or_create(&labels).set(clamp(it.count));
+        }
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("a string takes any text");
+        text
+    }
+}
--- /dev/null
+++ b/components/entry_core/src/core.rs
@@ -0,0 +1,189 @@
+//! Composes the decisions of an entry host.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use claims::{Claims, ClaimsSettings};
+use config::Config;
+use fleet_core::{FleetCore, FleetSettings};
+use health::{Health, Settings as HealthSettings};
+use ids::{FastMap, RequestId, ServerId, ServiceName, Timestamp, WallTime};
+use limits::{
+    Dependencies,
+    admission::{Admission, AdmissionSettings},
+    organisations::OrganisationLimits,
+    retry::{HedgePolicy, RetryBudget, RetryBudgetSettings},
+};
+use membership::{MemberRole, MemberState, MembershipSettings, Timing};
+use routing::{Directory, RouteTable, ServerChooser};
+use schema::{
+    announcement::Announcement,
+    config_text::{OrganisationLimit, Service},
+};
+
+use crate::{
+    EntryCoreSettings,
+    event::{EntryAction, EntryEvent},
+    request::RequestTable,
+    status::Counters,
+};
+
+/// The limit of organisations before a configuration is in force.
+const NO_LIMIT_YET: OrganisationLimit =
+    OrganisationLimit { requests_per_second: ids::RequestRate(1), burst: 1 };
+
+/// All decisions of an entry host.
+pub struct EntryCore {
+    pub(crate) settings: EntryCoreSettings,
+    pub(crate) fleet: FleetCore,
+    pub(crate) claims: Claims,
+    pub(crate) health: Health,
+    pub(crate) chooser: ServerChooser,
+    pub(crate) admission: Admission,
+    pub(crate) organisations: OrganisationLimits,
+    pub(crate) dependencies: Dependencies,
+    pub(crate) directory: Directory,
+    pub(crate) routes: RouteTable,
+    pub(crate) config: Option<Arc<Config>>,
+    pub(crate) services: FastMap<ServiceName, ServiceState>,
+    pub(crate) servers: BTreeMap<ServerId, KnownServer>,
+    pub(crate) requests: RequestTable,
+    pub(crate) counters: Counters,
+    pub(crate) drain_until: Option<Timestamp>,
+    pub(crate) actions: Vec<EntryAction>,
+}
+
+/// What this host keeps for each service.
+pub(crate) struct ServiceState {
+    pub(crate) service: Arc<Service>,
+    pub(crate) budget: RetryBudget,
+    pub(crate) hedge: HedgePolicy,
+}
+
+impl ServiceState {
+    pub(crate) fn new(now: Timestamp, service: Arc<Service>) -> Self {
+        let budget = RetryBudget::new(now, RetryBudgetSettings::default());
+        Self { service, budget, hedge: HedgePolicy::default() }
+    }
+}
+
+/// A backend server that has announced itself.
+pub(crate) struct KnownServer {
+    pub(crate) announcement: Announcement,
+    pub(crate) is_stale: bool,
+}
+
+impl EntryCore {
+    /// Starts an entry host that knows only the hosts of its settings.
+    pub fn new(settings: EntryCoreSettings, now: Timestamp) -> Self {
+        let seed = settings.seed ^ (u64::from(settings.host.0) << 32);
+        let health = Health::new(HealthSettings {
+            host: settings.host,
+            data_centre: settings.data_centre.clone(),
+            incarnation: settings.incarnation,
+            seed,
+        });
+        let claims_settings = ClaimsSettings { seed, ..ClaimsSettings::default() };
+        Self {
+            fleet: FleetCore::new(fleet_settings(&settings, seed), now),
+            claims: Claims::new(settings.host, settings.incarnation, claims_settings),
+            health,
+            chooser: ServerChooser::new(seed),
+            admission: Admission::new(AdmissionSettings::default()),
+            organisations: OrganisationLimits::new(settings.host, NO_LIMIT_YET),
+            dependencies: Dependencies::default(),
+            directory: Directory::new(seed),
+            routes: RouteTable::build(&[]),
+            config: None,
+            services: FastMap::default(),
+            servers: BTreeMap::new(),
+            requests: RequestTable::default(),
+            counters: Counters::default(),
+            drain_until: None,
+            actions: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Decides what to do about an event.
+    pub fn handle(&mut self, now: Timestamp, wall: WallTime, event: EntryEvent) -> Vec<EntryAction> {
+        match event {
+            EntryEvent::Tick => self.tick(now, wall),
+            EntryEvent::Peer { from, incarnation, message } => {
+                self.on_peer(now, wall, from, incarnation, message);
+            }
+            EntryEvent::Request { request, head } => self.on_request(now, wall, request, head),
+            EntryEvent::CallerGone { request } => self.on_caller_gone(now, wall, request),
+            EntryEvent::AttemptEnded(ended) => self.on_attempt_ended(now, wall, ended),
+            EntryEvent::ProbeEnded { server, outcome, started } => {
+                self.on_probe_ended(now, &server, outcome, started);
+            }
+            EntryEvent::Announced(announcement) => {
+                let actions = self.fleet.announce(now, announcement);
+                self.on_fleet(now, wall, actions);
+            }
+            EntryEvent::Drain => self.on_drain(now, wall),
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// When [`EntryEvent::Tick`] is due, besides its regular times.
+    pub fn next_wakeup(&self) -> Option<Timestamp> {
+        let wakeups = [self.requests.next_wakeup(), self.claims.next_wakeup()];
+        wakeups.into_iter().flatten().min()
+    }
+
+    /// Where this host is in its life.
+    pub fn mode(&self) -> MemberState {
+        self.fleet.membership().own().state
+    }
+
+    fn tick(&mut self, now: Timestamp, wall: WallTime) {
+        let in_flight = u32::try_from(self.requests.len()).unwrap_or(u32::MAX);
+        self.fleet.set_in_flight(in_flight);
+        let actions = self.fleet.tick(now);
+        self.on_fleet(now, wall, actions);
+        let actions = self.claims.tick(now, wall);
+        self.on_claims(now, wall, actions);
+        let actions = self.health.tick(now);
+        self.on_health(now, actions);
+        let actions = self.organisations.tick(now);
+        self.on_limits(actions);
+        self.chooser.tick(now);
+        self.update_capacity(now, wall);
+        let actions = self.admission.tick(now);
+        self.on_admission(now, wall, actions);
+        self.check_requests(now, wall);
+        self.check_lifecycle(now, wall);
+    }
+
+    fn check_requests(&mut self, now: Timestamp, wall: WallTime) {
+        for request in self.requests.due(now) {
+            self.check_request(now, wall, request);
+        }
+    }
+
+    /// The requests in work.
+    pub fn in_flight(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Whether a request is in work.
+    pub fn has_request(&self, request: RequestId) -> bool {
+        self.requests.get(request).is_some()
+    }
+}
+
+fn fleet_settings(settings: &EntryCoreSettings, seed: u64) -> FleetSettings {
+    let membership = MembershipSettings {
+        host: settings.host,
+        role: MemberRole::Entry(settings.caller_address),
+        region: settings.region.clone(),
+        data_centre: settings.data_centre.clone(),
+        incarnation: settings.incarnation,
+        peer_address: settings.peer_address,
+        admin_address: settings.admin_address,
+        seed,
+        timing: Timing::default(),
+    };
+    FleetSettings { membership, peers: settings.peers.clone() }
+}
--- a/components/entry_core/src/lib.rs
+++ b/components/entry_core/src/lib.rs
@@ -1,1 +1,31 @@
-//! Placeholder.
+//! All decisions of an entry host, as one value fed with events.
+//!
+//! The owner passes events to [`EntryCore`] and carries out the returned actions. The core has no
+//! sockets, clocks or threads, so that any host, real or of a test, can drive it.
+
+mod attempts;
+mod claim_flow;
+mod configuration;
+mod core;
+mod directory;
+mod event;
+mod gate;
+mod lifecycle;
+mod peers;
+mod request;
+mod respond;
+mod response;
+mod settings;
+mod status;
+
+pub use crate::{
+    core::EntryCore,
+    directory::DirectoryPage,
+    event::{
+        AttemptEnded, AttemptOutcome, AttemptStart, EntryAction, EntryEvent, KeyHeader, ProbeStart,
+        RequestHead,
+    },
+    response::{CallerResponse, Outcome, Refusal, RefusalReason},
+    settings::EntryCoreSettings,
+    status::{Counters, EntryStatus, OutcomeCount},
+};
--- /dev/null
+++ b/components/entry_core/src/peers.rs
@@ -0,0 +1,164 @@
+//! Messages of other hosts, and what the shared components ask for.
+
+use claims::ClaimAction;
+use dissemination::DisseminationAction;
+use fleet_core::FleetAction;
+use health::HealthAction;
+use ids::{HostId, Incarnation, ServerId, Timestamp, WallTime};
+use limits::organisations::LimitsAction;
+use schema::{announcement::ServerState, peer::PeerMessage};
+
+use crate::{
+    core::EntryCore,
+    event::{AttemptOutcome, EntryAction, ProbeStart},
+};
+
+impl EntryCore {
+    pub(crate) fn on_peer(
+        &mut self,
+        now: Timestamp,
+        wall: WallTime,
+        from: HostId,
+        incarnation: Incarnation,
+        message: PeerMessage,
+    ) {
+        match message {
+            PeerMessage::Membership(it) => {
+                let actions = self.fleet.handle_membership(now, from, it);
+                self.on_fleet(now, wall, actions);
+            }
+            PeerMessage::Dissemination(it) => {
+                let actions = self.fleet.handle_dissemination(now, from, it);
+                self.on_fleet(now, wall, actions);
+            }
+            PeerMessage::Claims(it) => {
+                let actions = self.claims.handle(now, wall, from, incarnation, it);
+                self.on_claims(now, wall, actions);
+            }
+            PeerMessage::Health(it) => {
+                let actions = self.health.handle(now, from, it);
+                self.on_health(now, actions);
+            }
+            PeerMessage::Limits(it) => {
+                let actions = self.organisations.handle(now, from, it);
+                self.on_limits(actions);
+            }
+            // Entry hosts have no part in the replicated log.
+            PeerMessage::Consensus(_) => {}
+        }
+    }
+
+    pub(crate) fn on_fleet(&mut self, now: Timestamp, wall: WallTime, actions: Vec<FleetAction>) {
+        for action in actions {
+            match action {
+                FleetAction::Send(outgoing) => self.actions.push(EntryAction::Send(outgoing)),
+                FleetAction::MembersChanged => self.on_members_changed(now),
+                FleetAction::HostLost(member) => {
+                    self.claims.host_lost(member.host, member.incarnation);
+                }
+                FleetAction::Replicated(it) => self.on_replicated(now, wall, it),
+            }
+        }
+    }
+
+    fn on_replicated(&mut self, now: Timestamp, wall: WallTime, action: DisseminationAction) {
+        match action {
+            // Sends were turned into fleet actions already.
+            DisseminationAction::Send { .. } => {}
+            DisseminationAction::ConfigInForce { config, .. } => {
+                self.apply_config(now, wall, &config);
+            }
+            DisseminationAction::ServerChanged { announcement } => {
+                self.on_server_changed(now, announcement);
+            }
+            DisseminationAction::ServerStale { server } => self.set_stale(now, &server, true),
+            DisseminationAction::ServerFresh { server } => self.set_stale(now, &server, false),
+            DisseminationAction::ServerRemoved { server } => self.on_server_removed(now, &server),
+            DisseminationAction::ClaimMapChanged { content, .. } => {
+                self.apply_claim_map(now, wall, &content);
+            }
+        }
+    }
+
+    pub(crate) fn on_health(&mut self, now: Timestamp, actions: Vec<HealthAction>) {
+        for action in actions {
+            match action {
+                HealthAction::Send { to, message } => {
+                    self.send(to, PeerMessage::Health(message));
+                }
+                HealthAction::Probe { server, timeout } => self.start_probe(&server, timeout),
+                HealthAction::Changed { server, from, to, .. } => {
+                    self.counters.server_changes += 1;
+                    log::info!(server:% = server, from:? = from, to:? = to; "server status changed");
+                }
+            }
+        }
+        let _ = now;
+    }
+
+    pub(crate) fn on_limits(&mut self, actions: Vec<LimitsAction>) {
+        for LimitsAction::Send { to, message } in actions {
+            self.send(to, PeerMessage::Limits(message));
+        }
+    }
+
+    pub(crate) fn on_claims(&mut self, now: Timestamp, wall: WallTime, actions: Vec<ClaimAction>) {
+        for action in actions {
+            match action {
+                ClaimAction::Send { to, message } => self.send(to, PeerMessage::Claims(message)),
+                ClaimAction::Decided { request, decision } => {
+                    self.on_claim_decided(now, wall, request, decision);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: HostId, message: PeerMessage) {
+        if let Some(outgoing) = self.fleet.address_message(to, message) {
+            self.actions.push(EntryAction::Send(outgoing));
+        }
+    }
+
+    fn start_probe(&mut self, server: &ServerId, timeout: ids::Millis) {
+        let Some(known) = self.servers.get(server) else { return };
+        if known.announcement.state == ServerState::Stopped {
+            return;
+        }
+        let Some(state) = self.services.get(&known.announcement.service) else { return };
+        self.counters.probes += 1;
+        self.actions.push(EntryAction::StartProbe(ProbeStart {
+            server: server.clone(),
+            address: known.announcement.address,
+            path: state.service.probe_path.clone(),
+            timeout,
+            max_answer: state.service.max_response_bytes,
+        }));
+    }
+
+    pub(crate) fn on_probe_ended(
+        &mut self,
+        now: Timestamp,
+        server: &ServerId,
+        outcome: Option<AttemptOutcome>,
+        started: Timestamp,
+    ) {
+        let kind = probe_kind(outcome);
+        let latency = std::time::Duration::from_micros(now.micros_since(started));
+        self.health.probe_result(now, server, health::ProbeResult { kind, latency });
+    }
+}
+
+fn probe_kind(outcome: Option<AttemptOutcome>) -> health::OutcomeKind {
+    match outcome {
+        None => health::OutcomeKind::TimedOut,
+        Some(AttemptOutcome::Answered(answer)) if answer.status < 400 => {
+            health::OutcomeKind::Answered
+        }
+        Some(AttemptOutcome::Answered(_) | AttemptOutcome::NotSent | AttemptOutcome::Reset) => {
+            health::OutcomeKind::Failed
+        }
+        Some(AttemptOutcome::Shed { .. }) => health::OutcomeKind::Shed,
+        Some(AttemptOutcome::Truncated) => health::OutcomeKind::Truncated,
+        Some(AttemptOutcome::Wrong) => health::OutcomeKind::Wrong,
+    }
+}
--- a/components/limits/src/retry/policy.rs
+++ b/components/limits/src/retry/policy.rs
@@ -202,6 +202,11 @@
         self.may_have_run
     }
 
+    /// Notes a failed attempt while another one of the request is still in flight.
+    pub fn note_parallel(&mut self, failure: AttemptFailure) {
+        self.note(failure);
+    }
+
     fn note(&mut self, failure: AttemptFailure) {
         self.may_have_run |= may_have_run(failure);
         if counts_as_run(failure) {
