Judge health by pooled sequential tests and keep the floor locally

Cause: entry hosts see a given server only now and then, so no host alone can tell a sick server from noise. Each server gets three watchers in different regions; all hosts send them outcome counts; the watchers run cumulative sums of log-likelihood ratios whose threshold follows from a budget of false ejections, and need the evidence to stand without any one region.

A first version relied on suspicions of the service's other watchers alone to tell a service that fails as a whole; its test failed, because the first suspect was ejected before the others were suspect. Watchers now also probe three other servers of the service while they look at a suspect.

Each entry host applies verdicts by itself: ejected servers are left out only while at least the floor of believed-healthy servers stays.

--- /dev/null
+++ b/components/health/src/baseline.rs
@@ -0,0 +1,58 @@
+//! What latency is usual for a service, as this host sees it.
+
+use std::time::Duration;
+
+/// Share of usual answers that are faster than the tracked quantile.
+const QUANTILE: f64 = 0.95;
+
+/// Step of the quantile tracker, in natural logarithms of the latency.
+const STEP: f64 = 0.1;
+
+/// An answer is slow when it takes this many times the tracked quantile.
+const SLOW_FACTOR: f64 = 1.25;
+
+/// A request is overdue after this many times the tracked quantile.
+const OVERDUE_FACTOR: f64 = 2.5;
+
+/// Observations before the tracker is trusted.
+const WARM_UP_OBSERVATIONS: u32 = 20;
+
+/// Tracks a high quantile of the latency over all servers of a service.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Baseline {
+    log_quantile: f64,
+    observations: u32,
+}
+
+impl Baseline {
+    /// Notes an answer and says whether it is slow beside the others.
+    pub(crate) fn note(&mut self, latency: Duration) -> bool {
+        let log_latency = log_seconds(latency);
+        let slow = self.is_warm() && log_latency > self.log_quantile + SLOW_FACTOR.ln();
+        if self.observations == 0 {
+            self.log_quantile = log_latency;
+        }
+        let step = if self.is_warm() { STEP } else { STEP * 3.0 };
+        self.log_quantile += if log_latency > self.log_quantile {
+            step * QUANTILE
+        } else {
+            -step * (1.0 - QUANTILE)
+        };
+        self.observations = self.observations.saturating_add(1);
+        slow
+    }
+
+    /// The latency that is overdue, once enough answers were seen.
+    pub(crate) fn overdue_after(&self) -> Option<Duration> {
+        let seconds = (self.log_quantile + OVERDUE_FACTOR.ln()).exp();
+        self.is_warm().then(|| Duration::from_secs_f64(seconds.min(60.0)))
+    }
+
+    fn is_warm(&self) -> bool {
+        self.observations >= WARM_UP_OBSERVATIONS
+    }
+}
+
+fn log_seconds(latency: Duration) -> f64 {
+    latency.as_secs_f64().max(1e-6).ln()
+}
--- /dev/null
+++ b/components/health/src/health/inbound.rs
@@ -0,0 +1,247 @@
+//! What this host sees and hears: outcomes, probes, hints and messages.
+
+use std::time::Duration;
+
+use ids::{HostId, Millis, ServerId, Timestamp};
+use schema::health::{HealthMessage, OutcomeCounts, Verdicts};
+
+use crate::{
+    evidence::Observer,
+    health::{Health, record::no_outcomes},
+    judge::JudgeEvent,
+    types::{HealthAction, Hint, Observation, OutcomeKind, ProbeResult},
+};
+
+/// How long a watcher's suspicion counts without being repeated.
+const SUSPICION_LIFETIME: Millis = Millis(2_500);
+
+/// How long a server's own bad report makes its watchers look closer.
+const HINT_TIME: Millis = Millis(2_000);
+
+/// Share of other servers of a data centre that fail when the path there is bad.
+const BAD_PATH_SHARE: f64 = 0.5;
+
+/// Other servers seen lately that are needed to call the path bad.
+const BAD_PATH_SERVERS: usize = 2;
+
+/// Share of all other servers that fail when this host's own links are bad.
+const BAD_LINKS_SHARE: f64 = 0.4;
+
+/// Other servers seen lately that are needed to call the links bad.
+const BAD_LINKS_SERVERS: usize = 4;
+
+/// Where an outcome comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    Request,
+    Probe,
+}
+
+impl Health {
+    /// Takes in the outcome of a real request.
+    pub fn observe(&mut self, now: Timestamp, observation: Observation) {
+        if observation.was_overdue {
+            return;
+        }
+        let Observation { server, kind, latency, .. } = observation;
+        self.note(now, &server, kind, latency, Source::Request);
+    }
+
+    /// Takes in the outcome of a probe.
+    pub fn probe_result(&mut self, now: Timestamp, server: &ServerId, result: ProbeResult) {
+        self.note(now, server, result.kind, result.latency, Source::Probe);
+    }
+
+    /// Takes in what a server says of itself: it only makes its watchers look closer.
+    pub fn hint(&mut self, now: Timestamp, server: &ServerId, hint: Hint) {
+        let watch = self.servers.get_mut(server).and_then(|it| it.watch.as_mut());
+        if let (Hint::Unwell, Some(watch)) = (hint, watch) {
+            watch.hinted_until = now + HINT_TIME;
+        }
+    }
+
+    /// Takes in a message of another entry host.
+    pub fn handle(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        message: HealthMessage,
+    ) -> Vec<HealthAction> {
+        match message {
+            HealthMessage::Digest(digest) => {
+                digest.entries.iter().for_each(|it| self.add_evidence(now, from, it, true));
+            }
+            HealthMessage::Suspicions(suspicions) => {
+                for server in suspicions.servers {
+                    self.suspicions.insert(server, now + SUSPICION_LIFETIME);
+                }
+            }
+            HealthMessage::Verdicts(verdicts) => self.take_verdicts(now, verdicts),
+        }
+        std::mem::take(&mut self.outgoing)
+    }
+
+    fn note(
+        &mut self,
+        now: Timestamp,
+        server: &ServerId,
+        kind: OutcomeKind,
+        latency: Duration,
+        source: Source,
+    ) {
+        let Some(mut counts) = self.count(now, server, kind, latency, source) else { return };
+        let bad_links = self.explains_by_links(now, server);
+        let Some(record) = self.servers.get_mut(server) else { return };
+        if record.path.note(now, &counts) {
+            self.stale.insert(record.known.service.clone());
+            self.timed.insert(server.clone());
+        }
+        if bad_links {
+            counts.failed = 0;
+            counts.slow = 0;
+        }
+        let passive = source == Source::Request;
+        self.add_evidence(now, self.settings.host, &counts, passive);
+        self.pend(server, &counts);
+    }
+
+    /// Turns an outcome into counts; `None` when it says nothing about the server.
+    fn count(
+        &mut self,
+        now: Timestamp,
+        server: &ServerId,
+        kind: OutcomeKind,
+        latency: Duration,
+        source: Source,
+    ) -> Option<OutcomeCounts> {
+        let record = self.servers.get_mut(server)?;
+        let service = self.services.get_mut(&record.known.service)?;
+        let cold = record.is_cold(now);
+        let mut counts = no_outcomes(&record.known);
+        match kind {
+            OutcomeKind::Answered => {
+                let baseline = match source {
+                    Source::Request => &mut service.requests,
+                    Source::Probe => &mut service.probes,
+                };
+                let slow = baseline.note(latency);
+                if source == Source::Request {
+                    record.path.note_latency(latency);
+                }
+                counts.slow = u32::from(slow && !cold);
+                counts.good = 1 - counts.slow;
+            }
+            OutcomeKind::Failed | OutcomeKind::TimedOut | OutcomeKind::Overdue => {
+                counts.failed = u32::from(!cold || kind == OutcomeKind::Failed);
+            }
+            OutcomeKind::Wrong | OutcomeKind::Truncated => counts.wrong = 1,
+            OutcomeKind::Shed | OutcomeKind::CrashedByRequest => return None,
+        }
+        Some(counts)
+    }
+
+    /// Whether this host's own links explain a failure: it sees many other servers fail too.
+    fn explains_by_links(&self, now: Timestamp, server: &ServerId) -> bool {
+        let Some(record) = self.servers.get(server) else { return false };
+        let mut here = Tally::default();
+        let mut all = Tally::default();
+        for (id, other) in &self.servers {
+            let Some(bad) = other.path.recently_bad(now).filter(|_| id != server) else { continue };
+            all.add(bad);
+            if other.known.data_centre == record.known.data_centre {
+                here.add(bad);
+            }
+        }
+        here.reaches(BAD_PATH_SERVERS, BAD_PATH_SHARE)
+            || all.reaches(BAD_LINKS_SERVERS, BAD_LINKS_SHARE)
+    }
+
+    /// Keeps outcomes for the next digest to the watchers.
+    fn pend(&mut self, server: &ServerId, counts: &OutcomeCounts) {
+        let Some(record) = self.servers.get_mut(server) else { return };
+        let pending = &mut record.pending;
+        pending.good += counts.good;
+        pending.slow += counts.slow;
+        pending.failed += counts.failed;
+        pending.wrong += counts.wrong;
+        self.pending.insert(server.clone());
+    }
+
+    /// Adds an observer's outcomes to the evidence on a server that this host watches.
+    fn add_evidence(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        counts: &OutcomeCounts,
+        passive: bool,
+    ) {
+        let Some(host) = self.hosts.get(from) else { return };
+        let Some(record) = self.servers.get_mut(&counts.server) else { return };
+        let Some(service) = self.services.get(&record.known.service) else { return };
+        let Some(watch) = record.watch.as_mut() else { return };
+        if counts.incarnation != record.known.incarnation {
+            return;
+        }
+        let observer = Observer {
+            host: from,
+            data_centre: host.data_centre.clone(),
+            region: host.region.clone(),
+        };
+        watch.evidence.add(now, &observer, counts, &service.budget);
+        let bad = counts.failed + counts.wrong + counts.slow > 0;
+        let event = if bad { JudgeEvent::Bad } else { JudgeEvent::Good };
+        watch.judge.handle(&event);
+        if passive {
+            let all = counts.good + counts.slow + counts.failed + counts.wrong;
+            watch.note_passive(now, all);
+        }
+    }
+
+    fn take_verdicts(&mut self, now: Timestamp, verdicts: Verdicts) {
+        let mut news = false;
+        for verdict in &verdicts.verdicts {
+            let Some(record) = self.servers.get_mut(&verdict.server) else { continue };
+            let taken =
+                record.verdicts.take(now, verdicts.watcher, verdicts.watcher_incarnation, verdict);
+            if taken {
+                news = true;
+                self.timed.insert(verdict.server.clone());
+            }
+        }
+        if news && verdicts.relay {
+            self.relay(&verdicts);
+        }
+        if news {
+            self.refresh(now);
+        }
+    }
+
+    /// Passes verdicts on within this data centre.
+    fn relay(&mut self, verdicts: &Verdicts) {
+        let message = HealthMessage::Verdicts(Verdicts { relay: false, ..verdicts.clone() });
+        let own = self.settings.host;
+        for host in self.hosts.in_data_centre(&self.settings.data_centre) {
+            if *host != own && *host != verdicts.watcher {
+                self.outgoing.push(HealthAction::Send { to: *host, message: message.clone() });
+            }
+        }
+    }
+}
+
+/// Counts other servers seen lately and those that failed.
+#[derive(Debug, Default)]
+struct Tally {
+    seen: usize,
+    bad: usize,
+}
+
+impl Tally {
+    fn add(&mut self, bad: bool) {
+        self.seen += 1;
+        self.bad += usize::from(bad);
+    }
+
+    fn reaches(&self, servers: usize, share: f64) -> bool {
+        self.seen >= servers && self.bad as f64 >= share * self.seen as f64
+    }
+}
--- /dev/null
+++ b/components/health/src/health/outbound.rs
@@ -0,0 +1,268 @@
+//! What this host does as time passes: digests, probes, suspicions and verdicts.
+
+use std::collections::BTreeMap;
+
+use ids::{HostId, Millis, ServerId, Timestamp};
+use schema::health::{
+    EvidenceSummary, HealthMessage, OutcomeCounts, OutcomeDigest, Suspicions, Symptom, Verdict,
+    VerdictStage, Verdicts,
+};
+
+use crate::{
+    evidence::Evidence,
+    health::Health,
+    judge::{Findings, JudgeEvent},
+    types::{HealthAction, KnownState},
+    verdicts::VERDICT_LIFETIME,
+};
+
+/// Time between digests of successes.
+const FLUSH_INTERVAL: Millis = Millis(1_000);
+
+/// Time between a watcher's repeated suspicions.
+const SUSPICION_INTERVAL: Millis = Millis(500);
+
+/// Time between a watcher's renewals of its verdicts.
+const RENEWAL_INTERVAL: Millis = Millis(VERDICT_LIFETIME.0 / 3);
+
+/// Share of a service's servers that may be suspect before the service as a whole is.
+const WHOLE_SERVICE_SHARE: f64 = 0.5;
+
+impl Health {
+    /// Does what is due; call it every 50 ms or so.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<HealthAction> {
+        self.send_digests(now);
+        self.judge_watched(now);
+        self.send_suspicions(now);
+        self.renew_verdicts(now);
+        self.probe(now);
+        self.suspicions.retain(|_, until| *until > now);
+        self.refresh(now);
+        std::mem::take(&mut self.outgoing)
+    }
+
+    /// Sends bad outcomes at once and good ones in batches.
+    fn send_digests(&mut self, now: Timestamp) {
+        let flush = now >= self.last_flush + FLUSH_INTERVAL;
+        if flush {
+            self.last_flush = now;
+        }
+        let mut digests: BTreeMap<HostId, Vec<OutcomeCounts>> = BTreeMap::new();
+        for server in std::mem::take(&mut self.pending) {
+            let Some(record) = self.servers.get_mut(&server) else { continue };
+            let counts = &record.pending;
+            if !flush && counts.failed + counts.wrong + counts.slow == 0 {
+                self.pending.insert(server);
+                continue;
+            }
+            let counts = record.take_pending();
+            for watcher in self.other_watchers(&server) {
+                digests.entry(watcher).or_default().push(counts.clone());
+            }
+        }
+        for (to, entries) in digests {
+            let message = HealthMessage::Digest(OutcomeDigest { entries });
+            self.outgoing.push(HealthAction::Send { to, message });
+        }
+    }
+
+    /// Looks at the evidence on each watched server and gives verdicts.
+    fn judge_watched(&mut self, now: Timestamp) {
+        let mut changed = Vec::new();
+        for server in self.watched.clone() {
+            let excused = self.is_excused(now, &server);
+            let Some(findings) = self.findings(now, &server, excused) else { continue };
+            let before = self.own_stage(&server);
+            let was_suspect = self.holds_suspect(&server);
+            if let Some(watch) = self.servers.get_mut(&server).and_then(|it| it.watch.as_mut()) {
+                let explained = findings.excused && findings.conviction.is_some();
+                watch.judge.handle(&JudgeEvent::Look(findings));
+                if explained {
+                    watch.evidence = Evidence::default();
+                }
+                if before == Some(VerdictStage::Ejected)
+                    && watch.judge.state().stage() == VerdictStage::Probation
+                {
+                    watch.evidence = Evidence::default();
+                }
+            }
+            if was_suspect != self.holds_suspect(&server) {
+                self.timed.insert(server.clone());
+            }
+            if before != self.own_stage(&server) {
+                changed.push(server);
+            }
+        }
+        self.give_verdicts(now, &changed);
+    }
+
+    fn findings(&self, now: Timestamp, server: &ServerId, excused: bool) -> Option<Findings> {
+        let record = self.servers.get(server)?;
+        let service = self.services.get(&record.known.service)?;
+        let watch = record.watch.as_ref()?;
+        Some(Findings {
+            now,
+            suspect: watch.evidence.strongest() >= service.budget.suspicion,
+            conviction: watch.evidence.conviction(now, &service.budget),
+            excused,
+            settle: service.budget.settle,
+        })
+    }
+
+    /// Whether something larger than the server explains the evidence.
+    fn is_excused(&self, now: Timestamp, server: &ServerId) -> bool {
+        let Some(record) = self.servers.get(server) else { return true };
+        let Some(service) = self.services.get(&record.known.service) else { return true };
+        let in_trouble = |it| self.has_whole_trouble(it);
+        in_trouble(&record.known.service)
+            || service.depends_on.iter().any(in_trouble)
+            || !self.sees_peers_well(now, server)
+    }
+
+    /// Whether this host lately saw most of the other servers of the service do well.
+    fn sees_peers_well(&self, now: Timestamp, server: &ServerId) -> bool {
+        let peers = self.peers(server);
+        let needed = peers.len().min(COMPARED_PEERS) / 2 + 1;
+        if peers.is_empty() {
+            return true;
+        }
+        let outcomes = peers.iter().filter_map(|it| self.servers[it].path.recently_bad(now));
+        let seen: Vec<bool> = outcomes.collect();
+        let well = seen.iter().filter(|bad| !**bad).count();
+        well >= needed && well * 2 > seen.len()
+    }
+
+    /// The other serving servers of a server's service.
+    pub(super) fn peers(&self, server: &ServerId) -> Vec<ServerId> {
+        let service = self.servers.get(server).map(|it| &it.known.service);
+        let Some(service) = service.and_then(|it| self.services.get(it)) else { return Vec::new() };
+        let is_serving = |it: &&ServerId| {
+            self.servers.get(*it).is_some_and(|it| it.known.state == KnownState::Serving)
+        };
+        service.members.iter().filter(|it| *it != server).filter(is_serving).cloned().collect()
+    }
+
+    fn has_whole_trouble(&self, service: &ids::ServiceName) -> bool {
+        let Some(service) = self.services.get(service) else { return false };
+        let suspects = service.members.iter().filter(|it| self.suspicions.contains_key(*it));
+        suspects.count() as f64 > (service.members.len() as f64 * WHOLE_SERVICE_SHARE).max(1.0)
+    }
+
+    /// Tells the watchers of a suspect's service about it.
+    fn send_suspicions(&mut self, now: Timestamp) {
+        if now < self.last_suspicions + SUSPICION_INTERVAL {
+            return;
+        }
+        let suspects: Vec<ServerId> =
+            self.watched.iter().filter(|it| self.holds_suspect(it)).cloned().collect();
+        if suspects.is_empty() {
+            return;
+        }
+        self.last_suspicions = now;
+        let mut by_host: BTreeMap<HostId, Vec<ServerId>> = BTreeMap::new();
+        for server in suspects {
+            self.suspicions.insert(server.clone(), now + Millis(SUSPICION_INTERVAL.0 * 4));
+            for host in self.service_watchers(&server) {
+                by_host.entry(host).or_default().push(server.clone());
+            }
+        }
+        for (to, servers) in by_host {
+            let message = HealthMessage::Suspicions(Suspicions { servers });
+            self.outgoing.push(HealthAction::Send { to, message });
+        }
+    }
+
+    pub(super) fn holds_suspect(&self, server: &ServerId) -> bool {
+        let watch = self.servers.get(server).and_then(|it| it.watch.as_ref());
+        watch.is_some_and(|it| it.judge.state().is_suspect())
+    }
+
+    /// The other watchers of all servers of `server`'s service.
+    fn service_watchers(&self, server: &ServerId) -> Vec<HostId> {
+        let service = self.servers.get(server).map(|it| &it.known.service);
+        let Some(service) = service.and_then(|it| self.services.get(it)) else { return Vec::new() };
+        let mut hosts: Vec<HostId> =
+            service.members.iter().flat_map(|it| self.other_watchers(it)).collect();
+        hosts.sort_unstable();
+        hosts.dedup();
+        hosts
+    }
+
+    /// Repeats the verdicts of this host that keep servers out.
+    fn renew_verdicts(&mut self, now: Timestamp) {
+        if now < self.last_renewal + RENEWAL_INTERVAL {
+            return;
+        }
+        self.last_renewal = now;
+        let holds_out =
+            |it: &&ServerId| self.own_stage(it).is_some_and(|it| it != VerdictStage::Cleared);
+        let renewed: Vec<ServerId> = self.watched.iter().filter(holds_out).cloned().collect();
+        self.give_verdicts(now, &renewed);
+    }
+
+    /// Gives this host's present verdicts on `servers` to all entry hosts.
+    fn give_verdicts(&mut self, now: Timestamp, servers: &[ServerId]) {
+        if servers.is_empty() {
+            return;
+        }
+        let verdicts: Vec<Verdict> = servers.iter().filter_map(|it| self.verdict(it)).collect();
+        let own = self.settings.host;
+        for verdict in &verdicts {
+            if let Some(record) = self.servers.get_mut(&verdict.server) {
+                record.verdicts.take(now, own, self.settings.incarnation, verdict);
+                self.timed.insert(verdict.server.clone());
+            }
+        }
+        let message = Verdicts {
+            watcher: own,
+            watcher_incarnation: self.settings.incarnation,
+            relay: false,
+            verdicts,
+        };
+        self.spread(message);
+    }
+
+    /// Sends verdicts to this data centre's hosts, and to one relay in each other one.
+    fn spread(&mut self, verdicts: Verdicts) {
+        let relayed = HealthMessage::Verdicts(Verdicts { relay: true, ..verdicts.clone() });
+        let direct = HealthMessage::Verdicts(verdicts);
+        let own = self.settings.host;
+        for data_centre in self.hosts.data_centres() {
+            let hosts = self.hosts.in_data_centre(data_centre);
+            if *data_centre == self.settings.data_centre {
+                for to in hosts.iter().filter(|it| **it != own) {
+                    self.outgoing.push(HealthAction::Send { to: *to, message: direct.clone() });
+                }
+                continue;
+            }
+            let turn = (self.sequence as usize) % hosts.len();
+            for i in 0..hosts.len().min(RELAYS) {
+                let to = hosts[(turn + i) % hosts.len()];
+                self.outgoing.push(HealthAction::Send { to, message: relayed.clone() });
+            }
+        }
+    }
+
+    fn verdict(&mut self, server: &ServerId) -> Option<Verdict> {
+        self.sequence += 1;
+        let sequence = self.sequence;
+        let record = self.servers.get(server)?;
+        let judge = &record.watch.as_ref()?.judge;
+        Some(Verdict {
+            server: server.clone(),
+            incarnation: record.known.incarnation,
+            sequence,
+            stage: judge.state().stage(),
+            evidence: judge.evidence.clone().unwrap_or(NO_EVIDENCE),
+        })
+    }
+}
+
+/// Other servers of the service that a watcher compares a suspect with.
+pub(super) const COMPARED_PEERS: usize = 3;
+
+/// Hosts in each other data centre that pass verdicts on.
+const RELAYS: usize = 2;
+
+const NO_EVIDENCE: EvidenceSummary =
+    EvidenceSummary { symptom: Symptom::Down, milli_nats: 0, data_centres: 0 };
--- /dev/null
+++ b/components/health/src/health/record.rs
@@ -0,0 +1,148 @@
+//! What this host holds of one backend server.
+
+use ids::{HostId, Millis, ServerId, Timestamp};
+use schema::health::OutcomeCounts;
+use statig::prelude::*;
+
+use crate::{
+    evidence::Evidence,
+    hash,
+    judge::Judge,
+    path::PathState,
+    rotation::{FULL_WEIGHT, PROBATION_WEIGHT, STARTING_WEIGHT},
+    types::{KnownServer, KnownState, ServerStatus, Settings},
+    verdicts::VerdictTable,
+};
+
+/// Time between a watcher's probes of a server without enough other evidence.
+pub(crate) const PROBE_INTERVAL: Millis = Millis(1_000);
+
+/// Time in which a newly started server is expected to be slow.
+const WARM_UP: Millis = Millis(10_000);
+
+/// Time over which a server that comes back gets its full share.
+const SLOW_START: Millis = Millis(20_000);
+
+/// A server on this host.
+pub(crate) struct ServerRecord {
+    pub(crate) known: KnownServer,
+    pub(crate) started: Timestamp,
+    pub(crate) watchers: Vec<HostId>,
+    pub(crate) path: PathState,
+    pub(crate) pending: OutcomeCounts,
+    pub(crate) verdicts: VerdictTable,
+    pub(crate) status: ServerStatus,
+    pub(crate) slow_start: Option<Timestamp>,
+    pub(crate) watch: Option<Watch>,
+}
+
+/// What a watcher holds besides.
+pub(crate) struct Watch {
+    pub(crate) evidence: Evidence,
+    pub(crate) judge: StateMachine<Judge>,
+    pub(crate) next_probe: Timestamp,
+    pub(crate) hinted_until: Timestamp,
+    /// Passive observations a second, a moving average.
+    pub(crate) passive_rate: f64,
+    pub(crate) rate_updated: Timestamp,
+}
+
+impl Watch {
+    pub(crate) fn new(now: Timestamp, server: &ServerId, settings: &Settings) -> Self {
+        let spread = hash::mix(settings.seed ^ hash::text(server.as_str()));
+        let delay = Millis(spread % PROBE_INTERVAL.0);
+        Self {
+            evidence: Evidence::default(),
+            judge: Judge::default().state_machine(),
+            next_probe: now + delay,
+            hinted_until: Timestamp::default(),
+            passive_rate: 0.0,
+            rate_updated: now,
+        }
+    }
+}
+
+impl ServerRecord {
+    pub(crate) fn new(now: Timestamp, known: &KnownServer, watchers: Vec<HostId>) -> Self {
+        Self {
+            known: known.clone(),
+            started: now,
+            watchers,
+            path: PathState::default(),
+            pending: no_outcomes(known),
+            verdicts: VerdictTable::default(),
+            status: ServerStatus::InRotation,
+            slow_start: None,
+            watch: None,
+        }
+    }
+
+    /// Follows the membership; a new incarnation starts with a clean record.
+    pub(crate) fn update(&mut self, now: Timestamp, known: &KnownServer) {
+        if known.incarnation != self.known.incarnation {
+            self.started = now;
+            self.path = PathState::default();
+            self.pending = no_outcomes(known);
+            if let Some(watch) = &mut self.watch {
+                watch.evidence = Evidence::default();
+            }
+        }
+        self.known = known.clone();
+    }
+
+    /// Whether the server is expected to be slow because it started just now.
+    pub(crate) fn is_cold(&self, now: Timestamp) -> bool {
+        self.known.state == KnownState::Starting || now < self.started + WARM_UP
+    }
+
+    /// Takes the outcomes that are not yet sent.
+    pub(crate) fn take_pending(&mut self) -> OutcomeCounts {
+        std::mem::replace(&mut self.pending, no_outcomes(&self.known))
+    }
+
+    /// The server's share of the work, in thousandths.
+    pub(crate) fn weight(&self, now: Timestamp, usual_latency: Option<f64>) -> u32 {
+        if self.status == ServerStatus::Probation {
+            return PROBATION_WEIGHT;
+        }
+        if self.known.state == KnownState::Starting {
+            return STARTING_WEIGHT;
+        }
+        let share = self.slow_start_share(now) * self.latency_share(usual_latency);
+        (share * f64::from(FULL_WEIGHT)) as u32
+    }
+
+    fn slow_start_share(&self, now: Timestamp) -> f64 {
+        let Some(start) = self.slow_start else { return 1.0 };
+        let passed = now.since(start).0 as f64 / SLOW_START.0 as f64;
+        passed.clamp(0.1, 1.0)
+    }
+
+    fn latency_share(&self, usual_latency: Option<f64>) -> f64 {
+        match (usual_latency, self.path.mean_latency()) {
+            (Some(usual), Some(mean)) if mean > 0.0 => (usual / mean).clamp(0.1, 1.0),
+            _ => 1.0,
+        }
+    }
+
+    /// Ends a slow start that is over; says whether one runs or just ended.
+    pub(crate) fn advance_slow_start(&mut self, now: Timestamp) -> bool {
+        let Some(start) = self.slow_start else { return false };
+        if now >= start + SLOW_START {
+            self.slow_start = None;
+        }
+        true
+    }
+}
+
+/// Empty counts for the present incarnation of a server.
+pub(crate) fn no_outcomes(known: &KnownServer) -> OutcomeCounts {
+    OutcomeCounts {
+        server: known.server.clone(),
+        incarnation: known.incarnation,
+        good: 0,
+        slow: 0,
+        failed: 0,
+        wrong: 0,
+    }
+}
--- /dev/null
+++ b/components/health/src/verdicts.rs
@@ -0,0 +1,100 @@
+//! The verdicts that this host holds on one server.
+
+use std::collections::BTreeMap;
+
+use ids::{HostId, Incarnation, Millis, Timestamp};
+use schema::health::{EvidenceSummary, Verdict, VerdictStage};
+
+use crate::types::WatcherVerdict;
+
+/// How long a verdict holds without being renewed.
+pub(crate) const VERDICT_LIFETIME: Millis = Millis(15_000);
+
+/// Watchers that must agree, where that many watch.
+const AGREEING_WATCHERS: usize = 2;
+
+/// Orders the verdicts of one watcher over its restarts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct VerdictOrder {
+    watcher_incarnation: Incarnation,
+    sequence: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    order: VerdictOrder,
+    verdict: Verdict,
+    until: Timestamp,
+}
+
+/// The newest verdict of each watcher.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct VerdictTable {
+    held: BTreeMap<HostId, Held>,
+}
+
+impl VerdictTable {
+    /// Takes in a verdict unless a newer one of the same watcher is held.
+    pub(crate) fn take(
+        &mut self,
+        now: Timestamp,
+        watcher: HostId,
+        watcher_incarnation: Incarnation,
+        verdict: &Verdict,
+    ) -> bool {
+        let order = VerdictOrder { watcher_incarnation, sequence: verdict.sequence };
+        if self.held.get(&watcher).is_some_and(|it| it.order >= order) {
+            return false;
+        }
+        let until = now + VERDICT_LIFETIME;
+        self.held.insert(watcher, Held { order, verdict: verdict.clone(), until });
+        true
+    }
+
+    /// Drops verdicts that ran out, and says whether there were any.
+    pub(crate) fn expire(&mut self, now: Timestamp) -> bool {
+        let before = self.held.len();
+        self.held.retain(|_, it| it.until > now);
+        self.held.len() != before
+    }
+
+    /// Whether no verdict is held.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// What the watchers agree on for `incarnation`.
+    pub(crate) fn agreed_stage(&self, incarnation: Incarnation, watchers: usize) -> VerdictStage {
+        let needed = AGREEING_WATCHERS.min(watchers.max(1));
+        let at_least = |stage| self.current(incarnation).filter(|it| it.stage >= stage).count();
+        if at_least(VerdictStage::Ejected) >= needed {
+            return VerdictStage::Ejected;
+        }
+        if at_least(VerdictStage::Probation) >= needed {
+            return VerdictStage::Probation;
+        }
+        VerdictStage::Cleared
+    }
+
+    /// The strongest evidence among the verdicts.
+    pub(crate) fn evidence(&self, incarnation: Incarnation) -> Option<EvidenceSummary> {
+        let strongest = self.current(incarnation).max_by_key(|it| it.evidence.milli_nats);
+        strongest.map(|it| it.evidence.clone())
+    }
+
+    /// The verdicts, for operators.
+    pub(crate) fn report(&self) -> Vec<WatcherVerdict> {
+        self.held
+            .iter()
+            .map(|(watcher, it)| WatcherVerdict {
+                watcher: *watcher,
+                stage: it.verdict.stage,
+                evidence: it.verdict.evidence.clone(),
+            })
+            .collect()
+    }
+
+    fn current(&self, incarnation: Incarnation) -> impl Iterator<Item = &Verdict> {
+        self.held.values().map(|it| &it.verdict).filter(move |it| it.incarnation == incarnation)
+    }
+}
