Split the claimant into rounds, outcomes and changes of the map

An answer larger than replicas keep is now left out before it is sent to them. Random schedules get a focus, so that competition and repair are both reached often.

--- /dev/null
+++ b/components/claims/src/claimant/map_change.rs
@@ -0,0 +1,65 @@
+//! Moves open claims to a new claim map.
+
+use ids::{RequestId, Timestamp};
+
+use super::{Claimant, Decision, open_claim::Phase, release_actions};
+use crate::{ClaimAction, ClaimMap};
+
+impl Claimant {
+    /// Moves the open claims to a new map.
+    pub(crate) fn set_map(
+        &mut self,
+        now: Timestamp,
+        old: &ClaimMap,
+        map: &ClaimMap,
+    ) -> Vec<ClaimAction> {
+        let requests: Vec<_> = self.open.keys().copied().collect();
+        let mut actions = Vec::new();
+        for request in requests {
+            actions.extend(self.move_to_map(now, request, old, map));
+        }
+        actions
+    }
+
+    fn move_to_map(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        old: &ClaimMap,
+        map: &ClaimMap,
+    ) -> Vec<ClaimAction> {
+        let Some(claim) = self.open.get_mut(&request) else { return Vec::new() };
+        let Some(shard) = map.shard(claim.shard) else { return Vec::new() };
+        if shard.epoch == claim.epoch {
+            return Vec::new();
+        }
+        let is_closed = claim.key.ticket.as_ref().is_some_and(|it| it.epoch < shard.opened);
+        let mut actions = Vec::new();
+        match &mut claim.phase {
+            Phase::Holding => {
+                claim.epoch = shard.epoch;
+                return actions;
+            }
+            Phase::Finishing(_) if is_closed => {
+                self.close(request);
+                return actions;
+            }
+            Phase::Finishing(finishing) => {
+                finishing.stored.clear();
+                claim.epoch = shard.epoch;
+                return self.store(now, request, map);
+            }
+            Phase::Collecting(_) => actions = release_actions(claim, old),
+            Phase::BackingOff => {}
+        }
+        if is_closed {
+            self.close(request);
+            actions.push(ClaimAction::Decided { request, decision: Decision::Unknown });
+            return actions;
+        }
+        claim.epoch = shard.epoch;
+        claim.round = claim.round.next();
+        actions.extend(self.ask(now, request, map));
+        actions
+    }
+}
--- a/components/claims/src/claimant/mod.rs
+++ b/components/claims/src/claimant/mod.rs
@@ -1,66 +1,33 @@
 //! The claimant: claims keys for the requests of one entry host process.
 
+mod decision;
+mod map_change;
 mod open_claim;
+mod outcome;
+mod rounds;
 mod timers;
 mod vote;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use ids::{
     AttemptNumber, Fingerprint, HostId, Incarnation, Millis, RequestId, Timestamp, WallTime,
 };
-use rand_xoshiro::{
-    Xoshiro256PlusPlus,
-    rand_core::{RngCore, SeedableRng},
-};
+use rand_xoshiro::{Xoshiro256PlusPlus, rand_core::SeedableRng};
 use schema::claims::{
-    CheckRequest, ClaimReply, ClaimVerdict, ClaimantGone, ClaimantId, ClaimsMessage, FinishAck,
-    ReleaseRequest, StoredAnswer,
+    CheckRequest, ClaimReply, ClaimVerdict, ClaimantGone, ClaimantId, ClaimsMessage, ReleaseRequest,
 };
 
+pub use self::decision::{Decision, NotGranted};
 use self::{
-    open_claim::{Collecting, Finishing, OpenClaim, Phase},
+    open_claim::{OpenClaim, Phase},
     timers::Timers,
-    vote::{Outcome, Vote},
 };
 use crate::{
-    ClaimAction, ClaimKey, ClaimMap, ClaimantSettings, MAX_CLOCK_SKEW, ShardNumber,
-    answer::kept_bytes,
-    claims::Outgoing,
-    map::{all_hosts, quorum, replica_hosts},
+    ClaimAction, ClaimKey, ClaimMap, ClaimantSettings, ClaimsSettings, MAX_CLOCK_SKEW, ShardNumber,
+    map::all_hosts,
 };
 
-/// How often the replicas beyond a majority are still asked to store an outcome.
-const TRIES_BEYOND_MAJORITY: u32 = 3;
-
-/// What a claim came to.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Decision {
-    /// The request may be sent, once.
-    Granted,
-    /// The request ran before; this is what is kept of its answer.
-    Finished(StoredAnswer),
-    /// Another send of the key is under way.
-    InProgress,
-    /// The key was used for another payload.
-    PayloadMismatch,
-    /// The request may have run and nothing more can be learnt.
-    Unknown,
-    /// The key is older than the retention; whether its request ran is forgotten.
-    Expired,
-    /// Not enough replicas could answer; the same key may be sent again later.
-    Unavailable(NotGranted),
-}
-
-/// What is known of a key's request when the key could not be claimed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NotGranted {
-    /// A majority of the replicas holds no record of the key: its request was not run.
-    NotRun,
-    /// Too few replicas answered to tell whether an earlier send of the key was run.
-    Unknown,
-}
-
 /// The open claims of one entry host process.
 #[derive(Debug)]
 pub struct Claimant {
@@ -68,6 +35,8 @@
     incarnation: Incarnation,
     settings: ClaimantSettings,
     retention: Millis,
+    /// The largest answer that replicas store, in bytes.
+    max_answer: usize,
     open: BTreeMap<RequestId, OpenClaim>,
     timers: Timers,
     pending_bytes: usize,
@@ -75,22 +44,17 @@
 }
 
 impl Claimant {
-    pub(crate) fn new(
-        me: HostId,
-        incarnation: Incarnation,
-        settings: ClaimantSettings,
-        retention: Millis,
-        seed: u64,
-    ) -> Self {
+    pub(crate) fn new(me: HostId, incarnation: Incarnation, cfg: &ClaimsSettings) -> Self {
         Self {
             me,
             incarnation,
-            settings,
-            retention,
+            settings: cfg.claimant.clone(),
+            retention: cfg.retention,
+            max_answer: usize::try_from(cfg.replica.max_answer.0).unwrap_or(usize::MAX),
             open: BTreeMap::new(),
             timers: Timers::default(),
             pending_bytes: 0,
-            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            rng: Xoshiro256PlusPlus::seed_from_u64(cfg.seed),
         }
     }
 
@@ -169,35 +133,6 @@
         actions
     }
 
-    /// Stores the outcome of a request that was sent under its claim.
-    pub(crate) fn finish(
-        &mut self,
-        now: Timestamp,
-        request: RequestId,
-        answer: StoredAnswer,
-        map: &ClaimMap,
-    ) -> Vec<ClaimAction> {
-        let Some(claim) = self.open.get_mut(&request) else { return Vec::new() };
-        if !matches!(claim.phase, Phase::Holding) {
-            return Vec::new();
-        }
-        let limit = usize::try_from(self.settings.max_pending_answer_bytes.0).unwrap_or(usize::MAX);
-        let fits = self.pending_bytes + kept_bytes(&answer) <= limit;
-        let answer = match answer {
-            StoredAnswer::Kept(_) if !fits => StoredAnswer::NotKept,
-            answer => answer,
-        };
-        self.pending_bytes += kept_bytes(&answer);
-        claim.phase = Phase::Finishing(Finishing {
-            answer,
-            replicas: Vec::new(),
-            stored: BTreeSet::new(),
-            pause: self.settings.retry,
-            tries_left: TRIES_BEYOND_MAJORITY,
-        });
-        self.store(now, request, map)
-    }
-
     /// Takes in a replica's answer to a claim.
     pub(crate) fn handle_reply(
         &mut self,
@@ -265,76 +200,6 @@
         vec![ClaimAction::Send { to: from, message: ClaimsMessage::Release(release) }]
     }
 
-    /// Takes in that a replica has stored an outcome.
-    pub(crate) fn handle_ack(&mut self, from: HostId, ack: FinishAck) {
-        let Some(claim) = self.open.get_mut(&ack.request) else { return };
-        if claim.key.digest != ack.key || claim.epoch != ack.epoch {
-            return;
-        }
-        let Phase::Finishing(finishing) = &mut claim.phase else { return };
-        finishing.stored.insert(from);
-        if finishing.replicas.iter().all(|it| finishing.stored.contains(it)) {
-            self.close(ack.request);
-        }
-    }
-
-    /// Moves the open claims to a new map.
-    pub(crate) fn set_map(
-        &mut self,
-        now: Timestamp,
-        old: &ClaimMap,
-        map: &ClaimMap,
-    ) -> Vec<ClaimAction> {
-        let requests: Vec<_> = self.open.keys().copied().collect();
-        let mut actions = Vec::new();
-        for request in requests {
-            actions.extend(self.move_to_map(now, request, old, map));
-        }
-        actions
-    }
-
-    fn move_to_map(
-        &mut self,
-        now: Timestamp,
-        request: RequestId,
-        old: &ClaimMap,
-        map: &ClaimMap,
-    ) -> Vec<ClaimAction> {
-        let Some(claim) = self.open.get_mut(&request) else { return Vec::new() };
-        let Some(shard) = map.shard(claim.shard) else { return Vec::new() };
-        if shard.epoch == claim.epoch {
-            return Vec::new();
-        }
-        let is_closed = claim.key.ticket.as_ref().is_some_and(|it| it.epoch < shard.opened);
-        let mut actions = Vec::new();
-        match &mut claim.phase {
-            Phase::Holding => {
-                claim.epoch = shard.epoch;
-                return actions;
-            }
-            Phase::Finishing(_) if is_closed => {
-                self.close(request);
-                return actions;
-            }
-            Phase::Finishing(finishing) => {
-                finishing.stored.clear();
-                claim.epoch = shard.epoch;
-                return self.store(now, request, map);
-            }
-            Phase::Collecting(_) => actions = release_actions(claim, old),
-            Phase::BackingOff => {}
-        }
-        if is_closed {
-            self.close(request);
-            actions.push(ClaimAction::Decided { request, decision: Decision::Unknown });
-            return actions;
-        }
-        claim.epoch = shard.epoch;
-        claim.round = claim.round.next();
-        actions.extend(self.ask(now, request, map));
-        actions
-    }
-
     /// Does what is due.
     pub(crate) fn tick(&mut self, now: Timestamp, map: &ClaimMap) -> Vec<ClaimAction> {
         let mut actions = Vec::new();
@@ -370,95 +235,6 @@
         }
     }
 
-    /// Starts a round: asks all replicas.
-    fn ask(&mut self, now: Timestamp, request: RequestId, map: &ClaimMap) -> Vec<ClaimAction> {
-        let Some(claim) = self.open.get_mut(&request) else { return Vec::new() };
-        let replicas = map.shard(claim.shard).map(replica_hosts).unwrap_or_default();
-        claim.phase = Phase::Collecting(Collecting { vote: Vote::new(replicas.clone()), tries: 1 });
-        let message = claim.claim_message();
-        self.set_timer(request, now + self.settings.retry);
-        send_all(replicas, &message)
-    }
-
-    /// Acts on what a round has come to.
-    fn conclude(
-        &mut self,
-        now: Timestamp,
-        request: RequestId,
-        outcome: Outcome,
-        map: &ClaimMap,
-    ) -> Vec<ClaimAction> {
-        match outcome {
-            Outcome::Open => Vec::new(),
-            Outcome::Granted => self.hold(request),
-            Outcome::Split if self.has_rounds_left(request) => self.back_off(now, request, map),
-            outcome => self.give_up(request, outcome, map),
-        }
-    }
-
-    fn hold(&mut self, request: RequestId) -> Vec<ClaimAction> {
-        let Some(claim) = self.open.get_mut(&request) else { return Vec::new() };
-        claim.phase = Phase::Holding;
-        self.clear_timer(request);
-        vec![ClaimAction::Decided { request, decision: Decision::Granted }]
-    }
-
-    fn has_rounds_left(&self, request: RequestId) -> bool {
-        let round = self.open.get(&request).map_or(0, |it| it.round.0);
-        round + 1 < self.settings.max_rounds
-    }
-
-    /// Gives the grants of a split vote back and tries again after a random pause.
-    fn back_off(&mut self, now: Timestamp, request: RequestId, map: &ClaimMap) -> Vec<ClaimAction> {
-        let random = self.rng.next_u64();
-        let Some(claim) = self.open.get_mut(&request) else { return Vec::new() };
-        let actions = release_actions(claim, map);
-        let longest_micros = (self.settings.backoff.0 * 1000) << claim.round.0.min(16);
-        claim.round = claim.round.next();
-        claim.phase = Phase::BackingOff;
-        self.set_timer(request, Timestamp(now.0 + 1 + random % longest_micros.max(1)));
-        actions
-    }
-
-    /// Ends a claim that was not granted.
-    fn give_up(
-        &mut self,
-        request: RequestId,
-        outcome: Outcome,
-        map: &ClaimMap,
-    ) -> Vec<ClaimAction> {
-        let Some(claim) = self.open.get(&request) else { return Vec::new() };
-        let mut actions = release_actions(claim, map);
-        let decision = decision(outcome, claim.payload);
-        self.close(request);
-        actions.push(ClaimAction::Decided { request, decision });
-        actions
-    }
-
-    /// Sends the outcome to the replicas that have not stored it.
-    fn store(&mut self, now: Timestamp, request: RequestId, map: &ClaimMap) -> Vec<ClaimAction> {
-        let Some(claim) = self.open.get_mut(&request) else { return Vec::new() };
-        let replicas = map.shard(claim.shard).map(replica_hosts).unwrap_or_default();
-        let Phase::Finishing(finishing) = &mut claim.phase else { return Vec::new() };
-        let stored = replicas.iter().filter(|it| finishing.stored.contains(it)).count();
-        if stored >= quorum(replicas.len()) {
-            if finishing.tries_left == 0 {
-                self.close(request);
-                return Vec::new();
-            }
-            finishing.tries_left -= 1;
-        }
-        let missing =
-            replicas.iter().copied().filter(|it| !finishing.stored.contains(it)).collect();
-        finishing.replicas = replicas;
-        let due = now + finishing.pause;
-        finishing.pause = Millis((finishing.pause.0 * 2).min(self.settings.max_retry.0));
-        let Phase::Finishing(finishing) = &claim.phase else { return Vec::new() };
-        let message = claim.finish_message(&finishing.answer);
-        self.set_timer(request, due);
-        send_all(missing, &message)
-    }
-
     fn close(&mut self, request: RequestId) {
         self.clear_timer(request);
         if let Some(claim) = self.open.remove(&request) {
@@ -491,29 +267,3 @@
     let send = |to| ClaimAction::Send { to, message: message.clone() };
     hosts.into_iter().map(send).collect()
 }
-
-/// What a caller with this payload is told.
-fn decision(outcome: Outcome, payload: Fingerprint) -> Decision {
-    match outcome {
-        Outcome::Granted => Decision::Granted,
-        Outcome::Finished(finished) if finished.payload != payload => Decision::PayloadMismatch,
-        Outcome::Finished(finished) => match finished.answer {
-            StoredAnswer::Unknown => Decision::Unknown,
-            answer => Decision::Finished(answer),
-        },
-        Outcome::Held(other) | Outcome::Lost(other) if other != payload => {
-            Decision::PayloadMismatch
-        }
-        Outcome::Held(_) | Outcome::Split => Decision::InProgress,
-        Outcome::Lost(_) | Outcome::Closed => Decision::Unknown,
-        Outcome::Expired => Decision::Expired,
-        Outcome::Full(true) => Decision::Unavailable(NotGranted::NotRun),
-        Outcome::Full(false) | Outcome::Open => Decision::Unavailable(NotGranted::Unknown),
-    }
-}
-
-impl From<Outgoing> for ClaimAction {
-    fn from(outgoing: Outgoing) -> Self {
-        ClaimAction::Send { to: outgoing.to, message: outgoing.message }
-    }
-}
--- /dev/null
+++ b/components/claims/src/claimant/rounds.rs
@@ -0,0 +1,90 @@
+//! Asks the replicas for a key, in one round or several.
+
+use ids::{RequestId, Timestamp};
+use rand_xoshiro::rand_core::RngCore;
+
+use super::{
+    Claimant, Decision,
+    decision::decision,
+    open_claim::{Collecting, Phase},
+    release_actions, send_all,
+    vote::{Outcome, Vote},
+};
+use crate::{ClaimAction, ClaimMap, map::replica_hosts};
+
+impl Claimant {
+    /// Starts a round: asks all replicas.
+    pub(super) fn ask(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        map: &ClaimMap,
+    ) -> Vec<ClaimAction> {
+        let Some(claim) = self.open.get_mut(&request) else { return Vec::new() };
+        let replicas = map.shard(claim.shard).map(replica_hosts).unwrap_or_default();
+        claim.phase = Phase::Collecting(Collecting { vote: Vote::new(replicas.clone()), tries: 1 });
+        let message = claim.claim_message();
+        self.set_timer(request, now + self.settings.retry);
+        send_all(replicas, &message)
+    }
+
+    /// Acts on what a round has come to.
+    pub(super) fn conclude(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        outcome: Outcome,
+        map: &ClaimMap,
+    ) -> Vec<ClaimAction> {
+        match outcome {
+            Outcome::Open => Vec::new(),
+            Outcome::Granted => self.hold(request),
+            Outcome::Split if self.has_rounds_left(request) => self.back_off(now, request, map),
+            outcome => self.give_up(request, outcome, map),
+        }
+    }
+
+    pub(super) fn hold(&mut self, request: RequestId) -> Vec<ClaimAction> {
+        let Some(claim) = self.open.get_mut(&request) else { return Vec::new() };
+        claim.phase = Phase::Holding;
+        self.clear_timer(request);
+        vec![ClaimAction::Decided { request, decision: Decision::Granted }]
+    }
+
+    fn has_rounds_left(&self, request: RequestId) -> bool {
+        let round = self.open.get(&request).map_or(0, |it| it.round.0);
+        round + 1 < self.settings.max_rounds
+    }
+
+    /// Gives the grants of a split vote back and tries again after a random pause.
+    pub(super) fn back_off(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        map: &ClaimMap,
+    ) -> Vec<ClaimAction> {
+        let random = self.rng.next_u64();
+        let Some(claim) = self.open.get_mut(&request) else { return Vec::new() };
+        let actions = release_actions(claim, map);
+        let longest_micros = (self.settings.backoff.0 * 1000) << claim.round.0.min(16);
+        claim.round = claim.round.next();
+        claim.phase = Phase::BackingOff;
+        self.set_timer(request, Timestamp(now.0 + 1 + random % longest_micros.max(1)));
+        actions
+    }
+
+    /// Ends a claim that was not granted.
+    pub(super) fn give_up(
+        &mut self,
+        request: RequestId,
+        outcome: Outcome,
+        map: &ClaimMap,
+    ) -> Vec<ClaimAction> {
+        let Some(claim) = self.open.get(&request) else { return Vec::new() };
+        let mut actions = release_actions(claim, map);
+        let decision = decision(outcome, claim.payload);
+        self.close(request);
+        actions.push(ClaimAction::Decided { request, decision });
+        actions
+    }
+}
--- a/components/claims/src/claims.rs
+++ b/components/claims/src/claims.rs
@@ -42,6 +42,12 @@
     }
 }
 
+impl From<Outgoing> for ClaimAction {
+    fn from(outgoing: Outgoing) -> Self {
+        Self::Send { to: outgoing.to, message: outgoing.message }
+    }
+}
+
 /// What a process holds and waits for, for status pages and metrics.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ClaimsStatus {
@@ -68,13 +74,13 @@
 impl Claims {
     /// The claims of a process that has just started and knows no map.
     pub fn new(me: HostId, incarnation: Incarnation, settings: ClaimsSettings) -> Self {
-        let ClaimsSettings { retention, replica, claimant, seed } = settings;
+        let claimant = Claimant::new(me, incarnation, &settings);
         Self {
             me,
             incarnation,
             map: ClaimMap::empty(),
-            replica: ClaimReplica::new(me, incarnation, replica, retention),
-            claimant: Claimant::new(me, incarnation, claimant, retention, seed),
+            replica: ClaimReplica::new(me, incarnation, settings.replica, settings.retention),
+            claimant,
         }
     }
 
--- a/components/claims/tests/at_most_once.rs
+++ b/components/claims/tests/at_most_once.rs
@@ -10,7 +10,7 @@
 use ids::{ByteSize, HostId, Incarnation, KeyDigest, Millis, RequestId, Timestamp};
 use schema::claims::StoredAnswer;
 
-const CASES: u64 = 300;
+const CASES: u64 = 500;
 const CASE_BYTES: u64 = 4096;
 const HOSTS: u32 = 5;
 const MAX_KEYS: u8 = 20;
@@ -24,6 +24,16 @@
 /// How far wall clocks differ at most, in milliseconds.
 const MAX_SKEW_MILLIS: u64 = 3_000;
 
+/// What a schedule has much of.
+#[derive(Debug, Clone, Copy)]
+enum Focus {
+    Everything,
+    /// Claims that compete, without restarts and map changes.
+    Competition,
+    /// Restarts, hand-overs and map changes.
+    Repair,
+}
+
 /// A send of a key by one process.
 #[derive(Debug, Clone)]
 struct Send {
@@ -52,6 +62,7 @@
 }
 
 struct Schedule {
+    focus: Focus,
     fleet: Fleet,
     maps: Vec<ClaimMap>,
     keys: Vec<ClaimKey>,
@@ -81,7 +92,8 @@
         let unticketed = ClaimKey { digest: KeyDigest::of(b"unticketed"), ticket: None };
         let keys = vec![fleet.key(0), unticketed];
         let runs = BTreeMap::new();
-        Ok(Self { fleet, maps, keys, sends: BTreeMap::new(), runs, seen: 0, max_claims })
+        let focus = *u.choose(&[Focus::Everything, Focus::Competition, Focus::Repair])?;
+        Ok(Self { focus, fleet, maps, keys, sends: BTreeMap::new(), runs, seen: 0, max_claims })
     }
 
     fn host(&self, u: &mut Unstructured<'_>) -> Result<HostId> {
@@ -89,7 +101,15 @@
     }
 
     fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
-        match u.int_in_range(0..=99u8)? {
+        let roll = match (self.focus, u.int_in_range(0..=99u8)?) {
+            (Focus::Competition, 91 | 95..=99) => 61,
+            (Focus::Repair, 61..=62) => 91,
+            (Focus::Repair, 63..=64) => 95,
+            (Focus::Repair, 65..=66) => 96,
+            (Focus::Repair, 67..=68) => 97,
+            (_, roll) => roll,
+        };
+        match roll {
             0..=51 => self.deliver(u)?,
             52..=56 => self.repeat(u)?,
             57..=60 => self.lose(u)?,
