Make the random schedules of the replicated log harder

Networks now lose, delay, repeat and reorder messages by a seed of the schedule, hosts freeze, groups are cut off, lost disks are found again, and a host that answers as current is compared with the newest accepted entry of any host, those without a command included.

--- a/components/consensus/tests/cluster/mod.rs
+++ b/components/consensus/tests/cluster/mod.rs
@@ -6,6 +6,10 @@
 
 use consensus::{Action, Consensus, Settings};
 use ids::{Blob, HostId, Incarnation, LogIndex, Millis, Term, Timestamp};
+use rand_xoshiro::{
+    Xoshiro256PlusPlus,
+    rand_core::{RngCore, SeedableRng},
+};
 use schema::{
     consensus::{ConsensusMessage, Member, Members, Snapshot, Vote, VotedFor},
     storage::{Identity, Persisted, Record},
@@ -13,6 +17,9 @@
 
 pub const TICK: Millis = Millis(50);
 
+/// Messages on their way at most; a random one is lost when there are more.
+const MAX_PACKETS: usize = 300;
+
 /// A message on its way.
 #[derive(Clone)]
 pub struct Packet {
@@ -43,6 +50,10 @@
     /// What was applied at each index, by whichever host came first.
     accepted: BTreeMap<LogIndex, u64>,
     leaders: BTreeMap<Term, HostId>,
+    /// Decides what happens to messages.
+    random: Xoshiro256PlusPlus,
+    /// All disks that were lost, to be found again.
+    lost_disks: Vec<Persisted>,
 }
 
 fn empty_disk(host: HostId, disk: u64, bootstrap: bool) -> Persisted {
@@ -78,6 +89,8 @@
             next_disk: 1,
             accepted: BTreeMap::new(),
             leaders: BTreeMap::new(),
+            random: Xoshiro256PlusPlus::seed_from_u64(1),
+            lost_disks: Vec::new(),
         };
         for host in (1..=size).map(HostId) {
             let disk = empty_disk(host, cluster.new_disk(), true);
@@ -104,6 +117,11 @@
         cluster
     }
 
+    /// Sets the seed of what happens to messages.
+    pub fn reseed(&mut self, seed: u64) {
+        self.random = Xoshiro256PlusPlus::seed_from_u64(seed);
+    }
+
     pub fn ids(&self) -> Vec<HostId> {
         self.hosts.keys().copied().collect()
     }
@@ -168,6 +186,17 @@
         !members.voters.iter().chain(&members.learners).any(|it| it.host == host)
     }
 
+    /// Whether the host runs on a disk that the log has replaced.
+    pub fn is_on_found_disk(&self, host: HostId) -> bool {
+        let Some(process) = self.leader().and_then(|it| self.process(it)) else {
+            return false;
+        };
+        let disk = self.hosts[&host].disk.identity.disk;
+        let members = process.members();
+        let mut all = members.voters.iter().chain(&members.learners);
+        all.any(|it| it.host == host && it.disk > disk)
+    }
+
     /// Whether any host has ever led.
     pub fn has_led(&self) -> bool {
         !self.leaders.is_empty()
@@ -194,9 +223,15 @@
     }
 
     pub fn lose_disk(&mut self, host: HostId, bootstrap: bool) {
-        self.crash(host);
-        let disk = self.new_disk();
-        self.hosts.get_mut(&host).unwrap().disk = empty_disk(host, disk, bootstrap);
+        let disk = empty_disk(host, self.new_disk(), bootstrap);
+        self.replace_disk(host, disk);
+    }
+
+    /// Puts the oldest lost disk of the host in the place of its present one.
+    pub fn find_lost_disk(&mut self, host: HostId) {
+        if let Some(disk) = self.lost_disks.iter().find(|it| it.identity.host == host).cloned() {
+            self.replace_disk(host, disk);
+        }
     }
 
     /// A copy of the disk as it is, to be put back later.
@@ -204,9 +239,10 @@
         self.hosts[&host].disk.clone()
     }
 
-    pub fn put_disk_back(&mut self, host: HostId, disk: Persisted) {
+    pub fn replace_disk(&mut self, host: HostId, disk: Persisted) {
         self.crash(host);
-        self.hosts.get_mut(&host).unwrap().disk = disk;
+        let it = self.hosts.get_mut(&host).unwrap();
+        self.lost_disks.push(std::mem::replace(&mut it.disk, disk));
     }
 
     pub fn propose(&mut self, host: HostId, value: u64) -> bool {
@@ -254,6 +290,40 @@
         }
     }
 
+    /// Lets time pass on a network that loses, delays, repeats and reorders messages, and for
+    /// hosts that freeze.
+    pub fn step_badly(&mut self) {
+        self.now = self.now + TICK;
+        for host in self.ids() {
+            if self.random.next_u32() % 8 > 0 {
+                self.tick(host);
+            }
+        }
+        for _ in 0..self.packets.len() * 2 {
+            self.treat_any_packet();
+        }
+    }
+
+    fn treat_any_packet(&mut self) {
+        if self.packets.is_empty() {
+            return;
+        }
+        let position = self.random.next_u32() as usize % self.packets.len();
+        match self.random.next_u32() % 20 {
+            0..4 => {}
+            4 => drop(self.packets.swap_remove(position)),
+            5 => self.deliver(self.packets[position].clone()),
+            _ => {
+                let packet = self.packets.swap_remove(position);
+                self.deliver(packet);
+            }
+        }
+        if self.packets.len() > MAX_PACKETS {
+            let position = self.random.next_u32() as usize % self.packets.len();
+            self.packets.swap_remove(position);
+        }
+    }
+
     /// Delivers a message, unless its way is cut or the host is down.
     pub fn deliver(&mut self, packet: Packet) {
         if self.cuts.contains(&(packet.from, packet.to)) {
@@ -382,7 +452,8 @@
     }
 
     pub fn check_current(&self) {
-        let newest = self.accepted.keys().next_back().copied().unwrap_or_default();
+        let commits = self.hosts.values().filter_map(|it| it.process.as_ref());
+        let newest = commits.map(Consensus::commit).max().unwrap_or_default();
         for host in self.ids() {
             if self.answers_as_current(host) {
                 let commit = self.process(host).unwrap().commit();
--- a/components/consensus/tests/schedules.rs
+++ b/components/consensus/tests/schedules.rs
@@ -1,4 +1,4 @@
-//! Random schedules of delivery, loss, duplication, cuts, crashes and lost disks.
+//! Random schedules of delivery, loss, duplication, cuts, crashes, lost and found disks.
 //!
 //! The cluster checks after each action that accepted entries are never replaced, that a term has
 //! one leader, and that a host that answers as current knows all that was accepted.
@@ -9,9 +9,9 @@
 use cluster::Cluster;
 use ids::HostId;
 
-const CASES_OF_THREE: u64 = 300;
-const CASES_OF_FIVE: u64 = 150;
-const CASES_OF_FOUNDING: u64 = 200;
+const CASES_OF_THREE: u64 = 1500;
+const CASES_OF_FIVE: u64 = 500;
+const CASES_OF_FOUNDING: u64 = 500;
 const CASE_BYTES: u64 = 2500;
 
 /// Runs schedules until their bytes run out, and checks the cluster after each.
@@ -35,58 +35,46 @@
 fn disturb(cluster: &mut Cluster, u: &mut Unstructured<'_>, value: &mut u64) -> Result<()> {
     let host = any_host(cluster, u)?;
     match u.int_in_range(0..=99)? {
-        0..40 => deliver_any(cluster, u)?,
-        40..45 => drop(take_any(cluster, u)?),
-        45..48 => duplicate_any(cluster, u)?,
-        48..62 => cluster.tick_all(),
-        62..75 => (0..u.int_in_range(1..=30)?).for_each(|_| cluster.step()),
-        75..84 => {
+        0..35 => (0..u.int_in_range(1..=10)?).for_each(|_| cluster.step_badly()),
+        35..42 => (0..u.int_in_range(1..=20)?).for_each(|_| cluster.step()),
+        42..45 => (0..u.int_in_range(1..=40)?).for_each(|_| cluster.tick_all()),
+        45..60 => {
             *value += 1;
             cluster.propose(host, *value);
         }
-        84..88 => {
-            let to = any_host(cluster, u)?;
-            cluster.cuts.insert((host, to));
-        }
-        88..90 => cluster.cuts.clear(),
-        90..92 => cluster.crash(host),
-        92..95 => cluster.crash_after(host, u.int_in_range(0..=3)?),
-        95..97 => restart_all(cluster),
-        97..99 => cluster.compact(host),
-        _ => {
-            let voter = any_host(cluster, u)?;
-            if cluster.can_do_without(voter) {
-                cluster.remove_voter(host, voter);
-            }
+        60..68 => cut(cluster, u)?,
+        68..73 => cluster.cuts.clear(),
+        73..76 => cluster.crash(host),
+        76..81 => cluster.crash_after(host, u.int_in_range(0..=3)?),
+        81..89 if !cluster.is_up(host) => cluster.start(host),
+        89..91 => restart_all(cluster),
+        91..97 => cluster.compact(host),
+        97 if cluster.can_do_without(host) => {
+            let leader = cluster.leader().unwrap();
+            cluster.remove_voter(leader, host);
         }
+        _ => {}
     }
     cluster.check_current();
     Ok(())
 }
 
-fn deliver_any(cluster: &mut Cluster, u: &mut Unstructured<'_>) -> Result<()> {
-    if let Some(packet) = take_any(cluster, u)? {
-        cluster.deliver(packet);
-    }
-    Ok(())
-}
-
-fn duplicate_any(cluster: &mut Cluster, u: &mut Unstructured<'_>) -> Result<()> {
-    if let Some(packet) = take_any(cluster, u)? {
-        cluster.packets.push(packet.clone());
-        cluster.deliver(packet);
+/// Cuts the ways between two parts of the cluster, or the ways in one direction.
+fn cut(cluster: &mut Cluster, u: &mut Unstructured<'_>) -> Result<()> {
+    let side: u8 = u.arbitrary()?;
+    let is_one_way = u.ratio(1, 3)?;
+    let is_there = |host: HostId| side >> (host.0 % 8) & 1 == 1;
+    for from in cluster.ids() {
+        for to in cluster.ids() {
+            let crosses = is_there(from) != is_there(to);
+            if crosses && (is_there(from) || !is_one_way) {
+                cluster.cuts.insert((from, to));
+            }
+        }
     }
     Ok(())
 }
 
-fn take_any(cluster: &mut Cluster, u: &mut Unstructured<'_>) -> Result<Option<cluster::Packet>> {
-    if cluster.packets.is_empty() {
-        return Ok(None);
-    }
-    let position = u.choose_index(cluster.packets.len())?;
-    Ok(Some(cluster.packets.swap_remove(position)))
-}
-
 fn restart_all(cluster: &mut Cluster) {
     for host in cluster.ids() {
         if !cluster.is_up(host) {
@@ -104,7 +92,7 @@
     restart_all(cluster);
     cluster.run_until(|it| it.leader().is_some());
     for host in cluster.ids() {
-        if cluster.is_removed(host) {
+        if cluster.is_removed(host) || cluster.is_on_found_disk(host) {
             cluster.lose_disk(host, false);
             cluster.start(host);
         }
@@ -122,11 +110,15 @@
 
 fn lose_disks(cluster: &mut Cluster, u: &mut Unstructured<'_>) -> Result<()> {
     let mut value = 0;
+    cluster.reseed(u.arbitrary()?);
     while !u.is_empty() {
         let host = any_host(cluster, u)?;
-        let loses_disk = u.ratio(1, 20)?;
+        let loses_disk = u.ratio(1, 10)?;
         if loses_disk && cluster.can_do_without(host) {
-            cluster.lose_disk(host, u.arbitrary()?);
+            match u.ratio(3, 4)? {
+                true => cluster.lose_disk(host, u.arbitrary()?),
+                false => cluster.find_lost_disk(host),
+            }
             cluster.start(host);
         }
         disturb(cluster, u, &mut value)?;
@@ -155,6 +147,7 @@
 /// Loses any disks but that of one host, once a leader was elected and that host has a log.
 fn lose_disks_while_founding(cluster: &mut Cluster, u: &mut Unstructured<'_>) -> Result<()> {
     let mut value = 0;
+    cluster.reseed(u.arbitrary()?);
     let kept = any_host(cluster, u)?;
     while !u.is_empty() {
         let host = any_host(cluster, u)?;
