--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -19,6 +19,9 @@
     topology::Topology,
 };
 
+/// Seeds that a starting host asks at a time.
+const SEEDS_AT_ONCE: usize = 2;
+
 /// What the caller has to do after a decision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MembershipAction {
@@ -63,6 +66,7 @@
     revision: u64,
     in_flight: u32,
     generation: u64,
+    topology_is_old: bool,
     has_list: bool,
     pub(crate) last_tick: Timestamp,
     last_join: Option<Timestamp>,
@@ -90,6 +94,7 @@
             revision: 0,
             in_flight: 0,
             generation: 0,
+            topology_is_old: true,
             has_list: false,
             last_tick: now,
             last_join: None,
@@ -141,6 +146,7 @@
             }
             MembershipMessage::Unreachable(names) => self.on_unreachable(now, from, names),
         }
+        self.refresh_topology(now);
         actions
     }
 
@@ -159,6 +165,7 @@
         self.judge_suspects(now, &mut actions);
         self.watch_data_centres(now, &mut actions);
         self.compare_lists(now, &mut actions);
+        self.refresh_topology(now);
         self.send_heartbeats(now, &mut actions);
         actions
     }
@@ -264,6 +271,7 @@
         if *self.lifecycle.state() != before {
             self.renew_own_record(now, &mut actions);
         }
+        self.refresh_topology(now);
         actions
     }
 
@@ -272,7 +280,7 @@
         self.revision += 1;
         let own = self.own();
         self.table.apply(now, own.clone());
-        self.refresh_topology(now);
+        self.topology_is_old = true;
         self.spread(now, None, vec![MemberUpdate::Record(own)], actions);
     }
 
@@ -372,11 +380,11 @@
             }
             MemberUpdate::Record(member) => {
                 let applied = self.table.apply(now, member.clone());
-                self.report(now, member.host, applied, actions)
+                self.report(member.host, applied, actions)
             }
             MemberUpdate::Dead(version) => {
                 let applied = self.table.mark_dead(now, version);
-                self.report(now, version.host, applied, actions)
+                self.report(version.host, applied, actions)
             }
             MemberUpdate::Suspected(suspicion) => self.note_suspicion(now, suspicion),
         }
@@ -405,9 +413,8 @@
     }
 
     /// Tells the caller of a change; returns whether it is news.
-    pub(crate) fn report(
+    fn report(
         &mut self,
-        now: Timestamp,
         host: HostId,
         applied: Applied,
         actions: &mut Vec<MembershipAction>,
@@ -422,7 +429,7 @@
             Applied::Changed => actions.push(MembershipAction::Changed { member }),
             Applied::Lost => actions.push(MembershipAction::Lost { member }),
         }
-        self.refresh_topology(now);
+        self.topology_is_old = true;
         true
     }
 
@@ -486,8 +493,10 @@
             return;
         }
         self.last_join = Some(now);
-        for seed in &self.seeds {
-            actions.push(self.join_to(seed.host, seed.address));
+        for _ in 0..SEEDS_AT_ONCE {
+            if let Some(seed) = crate::probing::choose(&mut self.rng, &self.seeds) {
+                actions.push(self.join_to(seed.host, seed.address));
+            }
         }
     }
 
@@ -563,7 +572,10 @@
     }
 
     /// Recomputes the links after a change of the list.
-    pub(crate) fn refresh_topology(&mut self, now: Timestamp) {
+    fn refresh_topology(&mut self, now: Timestamp) {
+        if !std::mem::take(&mut self.topology_is_old) {
+            return;
+        }
         let was_relay = self.is_relay();
         self.generation += 1;
         self.topology = Topology::of(&self.table, &self.own());
--- a/components/membership/tests/fleet/mod.rs
+++ b/components/membership/tests/fleet/mod.rs
@@ -32,6 +32,8 @@
     pub lost: Vec<(HostId, HostId, Timestamp)>,
     pub joined: Vec<(HostId, HostId, Timestamp)>,
     pub largest_message: usize,
+    pub bytes: usize,
+    pub messages: usize,
     data_centres: u32,
     incarnation: u64,
     flights: Vec<(Timestamp, u64, Flight)>,
@@ -51,6 +53,8 @@
             lost: Vec::new(),
             joined: Vec::new(),
             largest_message: 0,
+            bytes: 0,
+            messages: 0,
             data_centres,
             incarnation: 1,
             flights: Vec::new(),
@@ -141,7 +145,10 @@
     }
 
     fn send(&mut self, from: HostId, to: HostId, message: MembershipMessage) {
-        self.largest_message = self.largest_message.max(schema::encode(&message).len());
+        let bytes = schema::encode(&message).len();
+        self.largest_message = self.largest_message.max(bytes);
+        self.bytes += bytes;
+        self.messages += 1;
         if self.cuts.contains(&(from, to)) || self.next_random() % 100 < self.loss_percent {
             return;
         }
