Test the data folder at every byte

The log is cut off at every byte and changed at every byte; random records are compared with a model. An open no longer rewrites an unchanged identity, and a new folder's name is synced in its parent.

--- a/components/storage/src/files.rs
+++ b/components/storage/src/files.rs
@@ -8,6 +8,18 @@
 
 use crate::error::StorageError;
 
+/// Creates a folder unless it is there, and makes its name durable.
+pub(crate) fn create_folder(folder: &Path) -> Result<(), StorageError> {
+    if folder.is_dir() {
+        return Ok(());
+    }
+    fs::create_dir_all(folder).map_err(StorageError::io(folder))?;
+    match folder.parent() {
+        Some(parent) if !parent.as_os_str().is_empty() => sync_folder(parent),
+        _ => sync_folder(Path::new(".")),
+    }
+}
+
 /// Replaces a file by a synced temporary file that is renamed.
 pub(crate) fn replace(path: &Path, data: &[u8]) -> Result<(), StorageError> {
     let temporary = path.with_extension("tmp");
--- a/components/storage/src/folder.rs
+++ b/components/storage/src/folder.rs
@@ -56,12 +56,13 @@
         new_disk: Incarnation,
         bootstrap: bool,
     ) -> Result<Opened, StorageError> {
-        fs::create_dir_all(folder).map_err(StorageError::io(folder))?;
+        files::create_folder(folder)?;
         let lock = lock(folder)?;
         let identity_path = folder.join(IDENTITY_FILE);
         let segments = segment::list(folder)?;
-        let identity = match read_file(&identity_path)? {
-            Some(identity) => identity,
+        let known: Option<Identity> = read_file(&identity_path)?;
+        let identity = match &known {
+            Some(identity) => identity.clone(),
             None if segments.is_empty() => Identity { host, disk: new_disk, bootstrap: false },
             None => return Err(StorageError::Damaged { path: identity_path, offset: 0 }),
         };
@@ -73,7 +74,9 @@
         let log = replay(folder, &segments, &snapshot)?;
         let is_empty = log.entries.is_empty() && snapshot.index == LogIndex(0);
         let identity = Identity { bootstrap: bootstrap && is_empty, ..identity };
-        files::replace(&identity_path, &encode_file(&identity))?;
+        if known.as_ref() != Some(&identity) {
+            files::replace(&identity_path, &encode_file(&identity))?;
+        }
         let segment = match segments.last() {
             Some((number, path)) => Segment::open(path.clone(), *number)?,
             None => Segment::create(folder, 1, &[])?,
--- /dev/null
+++ b/components/storage/tests/data_folder.rs
@@ -0,0 +1,304 @@
+//! What was written is there after each restart; what was damaged is refused.
+
+use std::{
+    fs::{self, OpenOptions},
+    path::{Path, PathBuf},
+};
+
+use ids::{Blob, HostId, Incarnation, LogIndex, Term};
+use schema::{
+    consensus::{Entry, Members, Payload, Snapshot, Vote, VotedFor},
+    storage::{Persisted, Record},
+};
+use storage::{Opened, Storage, StorageError};
+use tempfile::TempDir;
+
+const HOST: HostId = HostId(3);
+const CASES: u64 = 60;
+const CASE_BYTES: u64 = 150;
+
+fn open(folder: &Path) -> Result<Opened, StorageError> {
+    Storage::open(folder, HOST, Incarnation(77), false)
+}
+
+fn reopen(folder: &Path) -> Persisted {
+    open(folder).unwrap().persisted
+}
+
+fn entry(index: u64, bytes: usize) -> Entry {
+    let data = Blob::from(vec![index as u8 | 1; bytes]);
+    Entry { index: LogIndex(index), term: Term(1), payload: Payload::Data(data) }
+}
+
+fn append(indices: impl Iterator<Item = u64>) -> Record {
+    Record::Append(indices.map(|it| entry(it, 20)).collect())
+}
+
+fn vote(term: u64) -> Record {
+    Record::Vote(Vote { term: Term(term), voted_for: VotedFor::Host(HOST) })
+}
+
+fn snapshot(index: u64) -> Snapshot {
+    let members = Members { voters: Vec::new(), learners: Vec::new() };
+    Snapshot { index: LogIndex(index), term: Term(1), members, data: Blob::from(vec![9; 100]) }
+}
+
+fn indices(persisted: &Persisted) -> Vec<u64> {
+    persisted.entries.iter().map(|it| it.index.0).collect()
+}
+
+/// A folder with a few synced writes, and the size of the log after each of them.
+fn written_folder() -> (TempDir, Vec<u64>) {
+    let folder = tempfile::tempdir().unwrap();
+    let mut storage = open(folder.path()).unwrap().storage;
+    let mut sizes = vec![0];
+    for record in [vote(1), append(1..=3), vote(2), append(4..=5)] {
+        storage.write(&[record]).unwrap();
+        sizes.push(log_len(folder.path()));
+    }
+    (folder, sizes)
+}
+
+fn log_path(folder: &Path) -> PathBuf {
+    let names = fs::read_dir(folder).unwrap().map(|it| it.unwrap().path());
+    names.filter(|it| it.file_name().unwrap().to_string_lossy().starts_with("log-")).max().unwrap()
+}
+
+fn log_len(folder: &Path) -> u64 {
+    fs::metadata(log_path(folder)).unwrap().len()
+}
+
+fn copy(folder: &Path) -> TempDir {
+    let target = tempfile::tempdir().unwrap();
+    for file in fs::read_dir(folder).unwrap() {
+        let path = file.unwrap().path();
+        fs::copy(&path, target.path().join(path.file_name().unwrap())).unwrap();
+    }
+    target
+}
+
+#[test]
+fn a_new_folder_is_empty_and_keeps_its_identity() {
+    let folder = tempfile::tempdir().unwrap();
+    let first = Storage::open(folder.path(), HOST, Incarnation(1), true).unwrap().persisted;
+    let second = Storage::open(folder.path(), HOST, Incarnation(2), true).unwrap().persisted;
+
+    assert_eq!(first.identity.disk, Incarnation(1));
+    assert_eq!(second, first);
+    assert!(second.identity.bootstrap);
+    assert!(second.entries.is_empty());
+}
+
+#[test]
+fn a_folder_with_a_log_is_not_bootstrapped_again() {
+    let (folder, _) = written_folder();
+
+    let opened = Storage::open(folder.path(), HOST, Incarnation(1), true).unwrap();
+
+    assert!(!opened.persisted.identity.bootstrap);
+}
+
+#[test]
+fn a_second_process_and_another_host_are_kept_out() {
+    let (folder, _) = written_folder();
+    let other = Storage::open(folder.path(), HostId(4), Incarnation(1), false);
+    assert!(matches!(other, Err(StorageError::OtherHost { owner: HOST, .. })));
+
+    let _first = open(folder.path()).unwrap();
+
+    assert!(matches!(open(folder.path()), Err(StorageError::Locked(_))));
+}
+
+#[test]
+fn a_log_cut_off_at_any_byte_keeps_all_whole_writes() {
+    let (folder, sizes) = written_folder();
+    let whole = reopen(folder.path());
+
+    for len in 0..*sizes.last().unwrap() {
+        let cut = copy(folder.path());
+        let file = OpenOptions::new().write(true).open(log_path(cut.path())).unwrap();
+        file.set_len(len).unwrap();
+
+        let persisted = reopen(cut.path());
+
+        let writes = sizes.iter().filter(|it| **it <= len).count() - 1;
+        let expected = [0, 0, 3, 3][writes];
+        assert_eq!(persisted.entries, whole.entries[..expected], "cut to {len}");
+        let mut storage = open(cut.path()).unwrap().storage;
+        storage.write(&[append(expected as u64 + 1..=9)]).unwrap();
+        drop(storage);
+        assert_eq!(indices(&reopen(cut.path())), (1..=9).collect::<Vec<_>>(), "cut to {len}");
+    }
+}
+
+#[test]
+fn a_changed_byte_is_refused_with_its_file_and_offset() {
+    let (folder, sizes) = written_folder();
+    let whole = fs::read(log_path(folder.path())).unwrap();
+
+    for position in 0..whole.len() {
+        for change in [1, whole[position]] {
+            let damaged = copy(folder.path());
+            let mut data = whole.clone();
+            data[position] ^= change;
+            if data == whole {
+                continue;
+            }
+            fs::write(log_path(damaged.path()), &data).unwrap();
+
+            let result = open(damaged.path());
+
+            let Err(StorageError::Damaged { path, offset }) = result.map(|it| it.persisted) else {
+                panic!("byte {position} changed by {change} is not refused");
+            };
+            assert_eq!(path, log_path(damaged.path()));
+            let start = sizes.iter().rev().find(|it| **it <= position as u64).unwrap();
+            assert_eq!(offset, *start, "byte {position}");
+        }
+    }
+}
+
+#[test]
+fn sectors_that_were_never_written_are_cut_off() {
+    let (folder, _) = written_folder();
+    let whole = reopen(folder.path());
+    let mut data = fs::read(log_path(folder.path())).unwrap();
+    data.resize(data.len() + 4096, 0);
+    fs::write(log_path(folder.path()), &data).unwrap();
+
+    assert_eq!(reopen(folder.path()), whole);
+}
+
+#[test]
+fn a_changed_snapshot_or_identity_is_refused() {
+    let (folder, _) = written_folder();
+    open(folder.path()).unwrap().storage.save_snapshot(&snapshot(4)).unwrap();
+
+    for name in ["snapshot", "identity"] {
+        let whole = fs::read(folder.path().join(name)).unwrap();
+        for position in 0..whole.len() {
+            let damaged = copy(folder.path());
+            let mut data = whole.clone();
+            data[position] ^= 0x55;
+            fs::write(damaged.path().join(name), &data).unwrap();
+
+            let result = open(damaged.path()).map(|it| it.persisted);
+
+            assert!(matches!(result, Err(StorageError::Damaged { .. })), "{name} {position}");
+        }
+    }
+}
+
+#[test]
+fn a_missing_snapshot_or_identity_is_refused() {
+    for name in ["snapshot", "identity"] {
+        let (folder, _) = written_folder();
+        open(folder.path()).unwrap().storage.save_snapshot(&snapshot(4)).unwrap();
+        fs::remove_file(folder.path().join(name)).unwrap();
+
+        assert!(open(folder.path()).is_err(), "without {name}");
+    }
+}
+
+#[test]
+fn a_crash_between_snapshot_and_log_loses_nothing() {
+    let (folder, _) = written_folder();
+    let before = copy(folder.path());
+    open(folder.path()).unwrap().storage.save_snapshot(&snapshot(4)).unwrap();
+    fs::copy(folder.path().join("snapshot"), before.path().join("snapshot")).unwrap();
+
+    let interrupted = reopen(before.path());
+    let finished = reopen(folder.path());
+
+    assert_eq!(interrupted, finished);
+    assert_eq!(indices(&finished), [5]);
+    assert_eq!(finished.vote.term, Term(2));
+}
+
+#[test]
+fn a_crash_before_old_segments_are_removed_loses_nothing() {
+    let (folder, _) = written_folder();
+    let old = copy(folder.path());
+    open(folder.path()).unwrap().storage.save_snapshot(&snapshot(4)).unwrap();
+    let finished = reopen(folder.path());
+    fs::copy(log_path(old.path()), folder.path().join("log-0000000000000001")).unwrap();
+
+    assert_eq!(reopen(folder.path()), finished);
+}
+
+#[test]
+fn a_missing_segment_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut storage = open(folder.path()).unwrap().storage;
+    for index in 1..=12 {
+        storage.write(&[Record::Append(vec![entry(index, 3_000_000)])]).unwrap();
+    }
+    drop(storage);
+    fs::remove_file(folder.path().join("log-0000000000000001")).unwrap();
+
+    assert!(matches!(open(folder.path()), Err(StorageError::Gap(LogIndex(1), _))));
+}
+
+#[test]
+fn large_logs_are_split_and_read_whole() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut storage = open(folder.path()).unwrap().storage;
+    for index in 1..=12 {
+        storage.write(&[Record::Append(vec![entry(index, 3_000_000)])]).unwrap();
+    }
+    drop(storage);
+
+    let files = fs::read_dir(folder.path()).unwrap().count();
+
+    assert!(files >= 5, "{files} files");
+    assert_eq!(indices(&reopen(folder.path())), (1..=12).collect::<Vec<_>>());
+}
+
+/// Writes random records and compares the folder with what they mean.
+#[test]
+fn random_records_are_read_back() {
+    for case in 0..CASES {
+        let seed = ((case + 1) << 32) | CASE_BYTES;
+        arbtest::arbtest(|u| {
+            let folder = tempfile::tempdir().unwrap();
+            let mut storage = open(folder.path()).unwrap().storage;
+            let (mut first, mut last, mut term) = (1, 0, 0);
+            while !u.is_empty() {
+                match u.int_in_range(0..=9)? {
+                    0..5 => {
+                        let count = u.int_in_range(1..=4)?;
+                        storage.write(&[append(last + 1..=last + count)]).unwrap();
+                        last += count;
+                    }
+                    5..7 => {
+                        term += 1;
+                        storage.write(&[vote(term)]).unwrap();
+                    }
+                    7 if last >= first => {
+                        let from = u.int_in_range(first..=last)?;
+                        storage.write(&[Record::Truncate(LogIndex(from))]).unwrap();
+                        last = from - 1;
+                    }
+                    8 if last >= first => {
+                        let index = u.int_in_range(first..=last + 3)?;
+                        storage.save_snapshot(&snapshot(index)).unwrap();
+                        first = index + 1;
+                        last = last.max(index);
+                    }
+                    _ => {
+                        drop(storage);
+                        storage = open(folder.path()).unwrap().storage;
+                    }
+                }
+            }
+            drop(storage);
+            let persisted = reopen(folder.path());
+            assert_eq!(indices(&persisted), (first..=last).collect::<Vec<_>>());
+            assert_eq!(persisted.vote.term, Term(term));
+            assert_eq!(persisted.snapshot.index, LogIndex(first - 1));
+            Ok(())
+        })
+        .seed(seed)
+        .run();
+    }
+}
