Serve a request end to end through separate hosts

daisypaddle-dev runs three control hosts, six entry hosts and stand-in backend servers in one process; the same parts run as processes of their own.

--- a/components/entry/src/api.rs
+++ b/components/entry/src/api.rs
@@ -42,8 +42,7 @@
 
     fn server(&self, name: &str) -> AdminResponse {
         let Ok(server) = name.parse::<ServerId>() else { return AdminResponse::not_found() };
-        let page =
-            self.shared.with_core(|core, now| status_page::server_page(core, now, &server));
+        let page = self.shared.with_core(|core, now| status_page::server_page(core, now, &server));
         match page {
             Some(page) => json(&page),
             None => AdminResponse::not_found(),
--- a/components/entry/src/backend.rs
+++ b/components/entry/src/backend.rs
@@ -57,7 +57,8 @@
         Err(outcome) => return CallEnd::without_answer(outcome),
     };
     let (connection, response) = sent;
-    let reported_load = headers::text(response.headers(), LOAD_HEADER).and_then(|it| it.parse().ok());
+    let reported_load =
+        headers::text(response.headers(), LOAD_HEADER).and_then(|it| it.parse().ok());
     let is_own = response.headers().get(REQUEST_HEADER).is_none_or(|it| Some(it) == tag.as_ref());
     let keeps_open = keeps_connection(response.headers());
     let end = read_answer(response, max_answer, reservation).await;
--- a/components/entry/src/callers.rs
+++ b/components/entry/src/callers.rs
@@ -1,16 +1,10 @@
 //! Serves callers and backend servers over HTTP.
 
-use std::{
-    convert::Infallible,
-    future::Future,
-    pin::pin,
-    sync::Arc,
-    time::Duration,
-};
+use std::{convert::Infallible, future::Future, pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use entry_core::{EntryEvent, KeyHeader, RequestHead};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
     body::{Body, Incoming},
@@ -28,6 +22,7 @@
 use crate::{
     headers::{self, DEADLINE_HEADER, KEY_HEADER, ORGANISATION_HEADER, REQUEST_HEADER},
     pages, reply,
+    reply_body::ReplyBody,
     shared::{CallerRequest, Shared},
 };
 
@@ -87,7 +82,7 @@
 async fn handle(
     shared: Arc<Shared>,
     req: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+) -> Result<Response<ReplyBody>, Infallible> {
     let response = match (req.method(), req.uri().path()) {
         (&Method::GET, "/directory") => pages::directory(&shared, req.uri().query()),
         (&Method::POST, "/announce") => pages::announce(&shared, req).await,
@@ -96,7 +91,7 @@
     Ok(response)
 }
 
-async fn proxy(shared: &Arc<Shared>, req: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn proxy(shared: &Arc<Shared>, req: Request<Incoming>) -> Response<ReplyBody> {
     let (mut head, body) = req.into_parts();
     let host = host_of(&head.headers, &head.uri);
     let path = head.uri.path().to_owned();
@@ -129,7 +124,7 @@
     let (id, guard, rx) = shared.register(request);
     shared.feed(EntryEvent::Request { request: id, head: request_head });
     let response = match rx.await {
-        Ok(it) => reply::to_caller(*it.response),
+        Ok(it) => reply::to_caller(it),
         Err(_) => reply::text(StatusCode::INTERNAL_SERVER_ERROR, "the answer was lost\n"),
     };
     drop(guard);
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -13,9 +13,7 @@
 };
 use transport::{FleetKeys, KeyError, Transport, TransportSettings};
 
-use crate::{
-    api::EntryApi, callers, memory::MemoryBudget, metrics::Metrics, shared::Shared,
-};
+use crate::{api::EntryApi, callers, memory::MemoryBudget, metrics::Metrics, shared::Shared};
 
 /// Between two regular ticks of the decisions.
 const TICK: Duration = Duration::from_millis(50);
@@ -85,8 +83,12 @@
     let admin_listener = listen(settings.admin_address).await?;
     let caller_address = local_address(&caller_listener, settings.caller_address)?;
     let admin_address = local_address(&admin_listener, settings.admin_address)?;
-    let transport_settings =
-        TransportSettings { host: settings.host, incarnation, address: settings.peer_address, keys };
+    let transport_settings = TransportSettings {
+        host: settings.host,
+        incarnation,
+        address: settings.peer_address,
+        keys,
+    };
     let (transport, frames) = Transport::bind(transport_settings)
         .await
         .map_err(|e| EntryError::Listen(settings.peer_address, e))?;
@@ -107,8 +109,7 @@
     };
     let core = EntryCore::new(core_settings, clock.now());
     let budget = MemoryBudget::new(settings.memory_budget_bytes.0);
-    let shared =
-        Arc::new(Shared::new(core, clock, settings.host, incarnation, transport, budget));
+    let shared = Arc::new(Shared::new(core, clock, settings.host, incarnation, transport, budget));
     let feeders = [
         tokio::spawn(feed_ticks(shared.clone())),
         tokio::spawn(feed_wakeups(shared.clone())),
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod pages;
 mod pool;
 mod reply;
+mod reply_body;
 mod shared;
 mod status_page;
 
--- a/components/entry/src/memory.rs
+++ b/components/entry/src/memory.rs
@@ -37,7 +37,11 @@
     /// Reserves memory if there is enough at once.
     pub(crate) fn try_reserve(&self, bytes: u64) -> Option<Reservation> {
         let permit = self.units.clone().try_acquire_many_owned(units(bytes)).ok()?;
-        Some(Reservation { budget: self.clone(), permit, bytes: u64::from(units(bytes)) * UNIT_BYTES })
+        Some(Reservation {
+            budget: self.clone(),
+            permit,
+            bytes: u64::from(units(bytes)) * UNIT_BYTES,
+        })
     }
 }
 
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -54,8 +54,10 @@
     read: fn(&EntryStatus) -> u64,
 }
 
-/// Name, help text and reader of each plain gauge.
-const GAUGES: [(&str, &str, fn(&EntryStatus) -> u64); 13] = [
+/// Name, help text and reader of a plain gauge.
+type GaugeSpec = (&'static str, &'static str, fn(&EntryStatus) -> u64);
+
+const GAUGES: [GaugeSpec; 13] = [
     ("config_version", "Configuration version in force", |it| it.version.0),
     ("claim_epoch", "Epoch of the claim map in force", |it| it.claim_epoch.0),
     ("claims_held", "Claims held for the fleet", |it| it.claims_held as u64),
--- a/components/entry/src/pages.rs
+++ b/components/entry/src/pages.rs
@@ -2,9 +2,8 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use entry_core::EntryEvent;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use ids::{DataCentreName, Millis};
 use schema::{
@@ -12,7 +11,7 @@
     caller::{AnnounceAnswer, DirectoryAnswer, EntryAddress},
 };
 
-use crate::{reply, shared::Shared};
+use crate::{reply, reply_body::ReplyBody, shared::Shared};
 
 /// Largest announcement, in bytes.
 const MAX_ANNOUNCEMENT_BYTES: usize = 4096;
@@ -24,7 +23,7 @@
 const RENEWALS_PER_LIFETIME: u64 = 3;
 
 /// Answers `GET /directory?data_centre=NAME`.
-pub(crate) fn directory(shared: &Shared, query: Option<&str>) -> Response<Full<Bytes>> {
+pub(crate) fn directory(shared: &Shared, query: Option<&str>) -> Response<ReplyBody> {
     let data_centre = match query.and_then(|it| it.strip_prefix("data_centre=")) {
         None => None,
         Some(name) => match name.parse::<DataCentreName>() {
@@ -48,7 +47,7 @@
 }
 
 /// Takes `POST /announce` from a backend server.
-pub(crate) async fn announce(shared: &Arc<Shared>, req: Request<Incoming>) -> Response<Full<Bytes>> {
+pub(crate) async fn announce(shared: &Arc<Shared>, req: Request<Incoming>) -> Response<ReplyBody> {
     let body = Limited::new(req.into_body(), MAX_ANNOUNCEMENT_BYTES).collect().await;
     let Ok(body) = body else {
         return reply::text(StatusCode::PAYLOAD_TOO_LARGE, "the announcement is too large\n");
--- a/components/entry/src/reply.rs
+++ b/components/entry/src/reply.rs
@@ -2,7 +2,6 @@
 
 use bytes::Bytes;
 use entry_core::{CallerResponse, Outcome, Refusal};
-use http_body_util::Full;
 use hyper::{
     Response, StatusCode,
     header::{self, HeaderName, HeaderValue},
@@ -13,37 +12,47 @@
 use crate::{
     callers::BodyError,
     headers::{OUTCOME_HEADER, REPLAYED_HEADER},
+    memory::Reservation,
+    reply_body::ReplyBody,
+    shared::Reply,
 };
 
 /// When a caller comes back whose body found no memory.
 const NO_MEMORY_RETRY_AFTER: Millis = Millis(1_000);
 
 /// The HTTP response for a decision.
-pub(crate) fn to_caller(response: CallerResponse) -> Response<Full<Bytes>> {
-    match response {
-        CallerResponse::Answer { answer, replayed } => whole_answer(answer, replayed),
+pub(crate) fn to_caller(reply: Reply) -> Response<ReplyBody> {
+    match *reply.response {
+        CallerResponse::Answer { answer, replayed } => {
+            whole_answer(answer, replayed, reply.reservation)
+        }
         CallerResponse::Refusal(refusal) => refused(&refusal),
     }
 }
 
 /// A plain text response.
-pub(crate) fn text(status: StatusCode, message: &str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::copy_from_slice(message.as_bytes())));
+pub(crate) fn text(status: StatusCode, message: &str) -> Response<ReplyBody> {
+    let mut response =
+        Response::new(ReplyBody::new(Bytes::copy_from_slice(message.as_bytes()), None));
     *response.status_mut() = status;
     response
 }
 
 /// A response in JSON.
-pub(crate) fn json(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(body.into()));
+pub(crate) fn json(status: StatusCode, body: Vec<u8>) -> Response<ReplyBody> {
+    let mut response = Response::new(ReplyBody::new(body.into(), None));
     *response.status_mut() = status;
     let value = HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, value);
     response
 }
 
-fn whole_answer(answer: Answer, replayed: bool) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(answer.body.to_bytes()));
+fn whole_answer(
+    answer: Answer,
+    replayed: bool,
+    reservation: Option<Reservation>,
+) -> Response<ReplyBody> {
+    let mut response = Response::new(ReplyBody::new(answer.body.to_bytes(), reservation));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     for header in &answer.headers {
         let name = HeaderName::from_bytes(header.name.as_bytes());
@@ -59,14 +68,14 @@
     response
 }
 
-fn refused(refusal: &Refusal) -> Response<Full<Bytes>> {
+fn refused(refusal: &Refusal) -> Response<ReplyBody> {
     let status = StatusCode::from_u16(refusal.reason.status()).unwrap_or(StatusCode::BAD_GATEWAY);
     let code = refusal.reason.code();
     error(status, code, &refusal.reason.to_string(), refusal.outcome, refusal.retry_after)
 }
 
 /// The response to a request whose body was not read.
-pub(crate) fn body_refused(e: BodyError, has_key: bool) -> Response<Full<Bytes>> {
+pub(crate) fn body_refused(e: BodyError, has_key: bool) -> Response<ReplyBody> {
     // An earlier send of the key may have run: that was not looked up.
     let outcome = if has_key { Outcome::Unknown } else { Outcome::NotRun };
     match e {
@@ -92,7 +101,7 @@
     message: &str,
     outcome: Outcome,
     retry_after: Option<Millis>,
-) -> Response<Full<Bytes>> {
+) -> Response<ReplyBody> {
     let body = ErrorBody {
         error: code.to_owned(),
         message: message.to_owned(),
@@ -107,7 +116,7 @@
     response
 }
 
-fn set_outcome(response: &mut Response<Full<Bytes>>, outcome: Outcome) {
+fn set_outcome(response: &mut Response<ReplyBody>, outcome: Outcome) {
     let value = match outcome {
         Outcome::Ran => "ran",
         Outcome::NotRun => "not-run",
--- a/components/entry/src/shared.rs
+++ b/components/entry/src/shared.rs
@@ -235,10 +235,7 @@
         *request.method_mut() = caller.method.clone();
         *request.uri_mut() = caller.uri.clone();
         *request.headers_mut() = caller.headers.clone();
-        let tag = format!(
-            "{}-{}-{}-{}",
-            self.host, self.incarnation, start.request, start.attempt
-        );
+        let tag = format!("{}-{}-{}-{}", self.host, self.incarnation, start.request, start.attempt);
         set_header(request.headers_mut(), REQUEST_HEADER, &tag);
         set_header(request.headers_mut(), DEADLINE_HEADER, &start.time_left.to_string());
         Call {
--- a/components/entry/src/status_page.rs
+++ b/components/entry/src/status_page.rs
@@ -6,8 +6,9 @@
 
 /// The status of the whole host.
 pub(crate) fn status_page(core: &EntryCore, now: Timestamp) -> EntryStatusPage {
-    let EntryStatus { mode, version, claim_epoch, claims_held, in_flight, members, servers, .. } =
-        core.status(now);
+    let EntryStatus {
+        mode, version, claim_epoch, claims_held, in_flight, members, servers, ..
+    } = core.status(now);
     let members = members.into_iter().map(|it| MemberLine {
         host: it.host,
         data_centre: it.data_centre,
@@ -33,10 +34,10 @@
 ) -> Option<ServerPage> {
     let report = core.explain(now, server)?;
     let announcement = core.announcement(server)?;
-    let evidence = report.evidence.into_iter().map(|it| EvidenceLine {
-        data_centre: it.data_centre,
-        milli_nats: it.milli_nats,
-    });
+    let evidence = report
+        .evidence
+        .into_iter()
+        .map(|it| EvidenceLine { data_centre: it.data_centre, milli_nats: it.milli_nats });
     let verdicts = report.verdicts.iter();
     Some(ServerPage {
         server: server.clone(),
--- a/components/entry_core/src/attempts.rs
+++ b/components/entry_core/src/attempts.rs
@@ -69,8 +69,7 @@
         let Some(request) = self.requests.get_mut(id) else { return };
         let Some(known) = self.servers.get(&server) else { return };
         let Some(state) = self.services.get(&request.service.name) else { return };
-        let deadline =
-            RetryPolicy.attempt_deadline(now, request.retry_request(), &request.tries);
+        let deadline = RetryPolicy.attempt_deadline(now, request.retry_request(), &request.tries);
         let number = request.next_attempt;
         request.next_attempt = number.next();
         request.phase = Phase::Running;
@@ -158,12 +157,15 @@
     }
 
     fn observe(&mut self, now: Timestamp, live: &LiveAttempt, kind: OutcomeKind) {
-        self.health.observe(now, Observation {
-            server: live.server.clone(),
-            kind,
-            latency: Duration::from_micros(now.micros_since(live.started)),
-            was_overdue: live.was_overdue,
-        });
+        self.health.observe(
+            now,
+            Observation {
+                server: live.server.clone(),
+                kind,
+                latency: Duration::from_micros(now.micros_since(live.started)),
+                was_overdue: live.was_overdue,
+            },
+        );
     }
 
     fn on_answer(
@@ -216,9 +218,8 @@
             let refusal = Refusal::not_run(RefusalReason::ServiceRemoved, None);
             return self.refuse(now, wall, id, refusal);
         };
-        let servers_left = candidates
-            .iter()
-            .any(|it| it.weight_milli > 0 && !request.tried.contains(&it.server));
+        let servers_left =
+            candidates.iter().any(|it| it.weight_milli > 0 && !request.tried.contains(&it.server));
         let decision = RetryPolicy.decide(
             now,
             request.retry_request(),
--- a/components/entry_core/src/claim_flow.rs
+++ b/components/entry_core/src/claim_flow.rs
@@ -2,10 +2,7 @@
 
 use claims::{ClaimKey, Decision, NotGranted, Ticket};
 use ids::{IdempotencyKey, KeyDigest, Millis, RequestId, Timestamp, WallTime};
-use schema::{
-    answer::Answer,
-    claims::StoredAnswer,
-};
+use schema::{answer::Answer, claims::StoredAnswer};
 
 use crate::{
     core::EntryCore,
@@ -73,9 +70,7 @@
                 let kept = StoredAnswer::Kept(schema::encode(answer).into());
                 self.claims.finish(now, wall, id, kept)
             }
-            CallerResponse::Refusal(_) => {
-                self.claims.finish(now, wall, id, StoredAnswer::Unknown)
-            }
+            CallerResponse::Refusal(_) => self.claims.finish(now, wall, id, StoredAnswer::Unknown),
         };
         self.on_claims(now, wall, actions);
     }
--- a/components/entry_core/src/core.rs
+++ b/components/entry_core/src/core.rs
@@ -105,7 +105,12 @@
     }
 
     /// Decides what to do about an event.
-    pub fn handle(&mut self, now: Timestamp, wall: WallTime, event: EntryEvent) -> Vec<EntryAction> {
+    pub fn handle(
+        &mut self,
+        now: Timestamp,
+        wall: WallTime,
+        event: EntryEvent,
+    ) -> Vec<EntryAction> {
         match event {
             EntryEvent::Tick => self.tick(now, wall),
             EntryEvent::Peer { from, incarnation, message } => {
@@ -145,7 +150,7 @@
         let actions = self.claims.tick(now, wall);
         self.on_claims(now, wall, actions);
         let actions = self.health.tick(now);
-        self.on_health(now, actions);
+        self.on_health(actions);
         let actions = self.organisations.tick(now);
         self.on_limits(actions);
         self.chooser.tick(now);
--- a/components/entry_core/src/directory.rs
+++ b/components/entry_core/src/directory.rs
@@ -40,8 +40,7 @@
         let hosts: Vec<_> = others.chain([&own]).filter_map(entry_host).collect();
         let answer = self.directory.answer(&caller, &hosts);
         let home = answer.addresses.first().map_or(&own.data_centre, |it| &it.data_centre);
-        let ticket =
-            Ticket { home: home.clone(), epoch: self.claims.map().epoch(), minted: wall };
+        let ticket = Ticket { home: home.clone(), epoch: self.claims.map().epoch(), minted: wall };
         DirectoryPage { answer, ticket }
     }
 
--- a/components/entry_core/src/lifecycle.rs
+++ b/components/entry_core/src/lifecycle.rs
@@ -3,10 +3,7 @@
 use ids::{Timestamp, WallTime};
 use membership::MemberState;
 
-use crate::{
-    core::EntryCore,
-    event::EntryAction,
-};
+use crate::{core::EntryCore, event::EntryAction};
 
 impl EntryCore {
     pub(crate) fn on_drain(&mut self, now: Timestamp, wall: WallTime) {
--- a/components/entry_core/src/peers.rs
+++ b/components/entry_core/src/peers.rs
@@ -37,7 +37,7 @@
             }
             PeerMessage::Health(it) => {
                 let actions = self.health.handle(now, from, it);
-                self.on_health(now, actions);
+                self.on_health(actions);
             }
             PeerMessage::Limits(it) => {
                 let actions = self.organisations.handle(now, from, it);
@@ -80,7 +80,7 @@
         }
     }
 
-    pub(crate) fn on_health(&mut self, now: Timestamp, actions: Vec<HealthAction>) {
+    pub(crate) fn on_health(&mut self, actions: Vec<HealthAction>) {
         for action in actions {
             match action {
                 HealthAction::Send { to, message } => {
@@ -93,7 +93,6 @@
                 }
             }
         }
-        let _ = now;
     }
 
     pub(crate) fn on_limits(&mut self, actions: Vec<LimitsAction>) {
--- a/components/entry_core/src/request/mod.rs
+++ b/components/entry_core/src/request/mod.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use ids::{AttemptNumber, Millis, ServerId, Timestamp};
-use limits::retry::{RetryRequest, RequestTries};
+use limits::retry::{RequestTries, RetryRequest};
 use schema::{answer::Answer, config_text::Service};
 
 use crate::event::RequestHead;
@@ -41,7 +41,6 @@
 pub(crate) struct Request {
     pub(crate) head: RequestHead,
     pub(crate) service: Arc<Service>,
-    pub(crate) received: Timestamp,
     pub(crate) deadline: Timestamp,
     pub(crate) phase: Phase,
     pub(crate) admitted: bool,
@@ -63,7 +62,6 @@
         Self {
             head,
             service,
-            received: now,
             deadline: now + limit,
             phase: Phase::Queued,
             admitted: false,
@@ -94,10 +92,15 @@
             Phase::Waiting(until) => Some(until),
             Phase::Queued | Phase::Claiming | Phase::Running => None,
         };
-        let attempts = self.live.iter().map(|it| {
-            if it.was_overdue { it.deadline } else { it.deadline.min(it.overdue_at) }
-        });
-        attempts.chain(waiting).chain(self.hedge_at).chain([self.deadline]).min()
+        let attempts = self
+            .live
+            .iter()
+            .map(|it| if it.was_overdue { it.deadline } else { it.deadline.min(it.overdue_at) });
+        attempts
+            .chain(waiting)
+            .chain(self.hedge_at)
+            .chain([self.deadline])
+            .min()
             .unwrap_or(self.deadline)
     }
 
--- a/components/entry_core/src/status.rs
+++ b/components/entry_core/src/status.rs
@@ -7,7 +7,10 @@
 use membership::{Member, MemberState};
 use schema::announcement::Announcement;
 
-use crate::{core::EntryCore, response::{CallerResponse, Outcome}};
+use crate::{
+    core::EntryCore,
+    response::{CallerResponse, Outcome},
+};
 
 /// Counts since the start of the process.
 #[derive(Debug, Clone, Default)]
--- a/src/bin/daisypaddle-control.rs
+++ b/src/bin/daisypaddle-control.rs
@@ -10,7 +10,8 @@
 usage: daisypaddle-control --settings FILE [--bootstrap] [--check]
 
   --settings FILE  settings of this host, in YAML
-  --bootstrap      found a new cluster if the data folder is empty; give it once, to one host
+  --bootstrap      found a new cluster if the data folder is empty; give it to all voters when
+                   the cluster is founded, and never again
   --check          check the settings and exit
   -h, --help       print this help
   -V, --version    print the version
--- /dev/null
+++ b/src/bin/daisypaddle-dev.rs
@@ -0,0 +1,45 @@
+//! A whole fleet with a few stand-in backend servers in one process, for trying it out.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use daisypaddle::{
+    cli::{self, ExitError},
+    dev_fleet::{self, DevFleetSettings},
+};
+
+const HELP: &str = "\
+Runs a whole daisypaddle fleet and stand-in backend servers in one process, on loopback.
+
+usage: daisypaddle-dev [TEXT] [--entry-hosts N] [--servers N] [--data FOLDER]
+
+  TEXT             configuration text [examples/strengur.yaml]
+  --entry-hosts N  entry hosts, spread over the data centres [6]
+  --servers N      backend servers of each service [3]
+  --data FOLDER    folder for keys and the replicated log [a new temporary one]
+  -h, --help       print this help
+  -V, --version    print the version
+
+Stops at SIGTERM or SIGINT.
+";
+
+fn main() -> ExitCode {
+    cli::run_main("daisypaddle-dev", HELP, |mut args| {
+        let entry_hosts = args.opt_value_from_str("--entry-hosts")?.unwrap_or(6);
+        let servers = args.opt_value_from_str("--servers")?.unwrap_or(3);
+        let data: Option<PathBuf> = args.opt_value_from_str("--data")?;
+        let text: Option<PathBuf> = args.opt_free_from_str()?;
+        cli::finish(args)?;
+        let text = text.unwrap_or_else(|| "examples/strengur.yaml".into());
+        cli::start_logs();
+        let runtime = tokio::runtime::Runtime::new().map_err(ExitError::failed)?;
+        runtime.block_on(run(DevFleetSettings { text, entry_hosts, servers, data }))
+    })
+}
+
+async fn run(settings: DevFleetSettings) -> Result<(), ExitError> {
+    let stop = admin::stop_signal().map_err(ExitError::failed)?;
+    let fleet = dev_fleet::start(settings).await?;
+    cli::print(&fleet.guide());
+    stop.await;
+    fleet.stop().await
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,3 +1,5 @@
-//! What the command lines of the daisypaddle binaries share.
+//! What the daisypaddle binaries share.
 
 pub mod cli;
+pub mod dev_fleet;
+pub mod operator;
