Quarantine requests that crash servers

A request that crashes each server that runs it, sent again and again, took a server each time.

A connection lost in flight of a request that was not answered within the last second gives its fingerprint a strike, sent to all entry hosts at once and by a second path through the fingerprint's coordinator. From then on each run needs a lease of that coordinator (one by rendezvous hash), so one is in flight at a time; a whole answer clears, a second server or a crash under lease quarantines.

Weighed: restricting each fingerprint to two servers by hash needs no messages, but loads two of twelve servers with all equal requests; holding the answer until all hosts know the strike holds a final answer back, which is ruled out. So the bound of two holds from when the first strike has spread; runs that were in flight by then are beyond it.

--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -4,6 +4,8 @@
 mod dependencies;
 mod latency;
 pub mod organisations;
+pub mod quarantine;
+mod rendezvous;
 pub mod retry;
 
 pub use crate::{dependencies::Dependencies, latency::LatencyEstimate};
