--- /dev/null
+++ b/components/consensus/tests/messages.rs
@@ -0,0 +1,298 @@
+//! Single hosts, message by message: what they must refuse.
+
+use consensus::{Action, Consensus, ELECTION_TIMEOUT_MIN, ProposeError, Settings};
+use ids::{Blob, HostId, Incarnation, LogIndex, Millis, Term, Timestamp};
+use schema::{
+    consensus::{
+        Append, AppendReply, AppendResult, ConsensusBody, ConsensusMessage, Entry, Hello,
+        InstallSnapshot, Member, Members, Payload, Snapshot, Vote, VoteReply, VoteRequest,
+        VotedFor,
+    },
+    storage::{Identity, Persisted, Record},
+};
+
+const ME: HostId = HostId(1);
+const OTHER: HostId = HostId(2);
+const START: Timestamp = Timestamp(1_000_000);
+
+fn member(host: u32) -> Member {
+    Member { host: HostId(host), disk: Incarnation(u64::from(host) * 10) }
+}
+
+fn no_members() -> Members {
+    Members { voters: Vec::new(), learners: Vec::new() }
+}
+
+fn entry(index: u64, term: u64, payload: Payload) -> Entry {
+    Entry { index: LogIndex(index), term: Term(term), payload }
+}
+
+fn data(value: u8) -> Payload {
+    Payload::Data(Blob::from(vec![value]))
+}
+
+/// The first entry of a log with three voters.
+fn founding() -> Entry {
+    let voters = (1..=3).map(member).collect();
+    entry(1, 1, Payload::Members(Members { voters, learners: Vec::new() }))
+}
+
+fn persisted(entries: Vec<Entry>) -> Persisted {
+    let term = entries.last().map_or(Term(0), |it| it.term);
+    let data = Blob::default();
+    Persisted {
+        identity: Identity { host: ME, disk: member(1).disk, bootstrap: entries.is_empty() },
+        promised: Incarnation(0),
+        vote: Vote { term, voted_for: VotedFor::Nobody },
+        snapshot: Snapshot { index: LogIndex(0), term: Term(0), members: no_members(), data },
+        entries,
+    }
+}
+
+fn start(entries: Vec<Entry>) -> Consensus {
+    let settings = Settings { voters: (1..=3).map(HostId).collect(), seed: 1 };
+    Consensus::restore(settings, persisted(entries), START)
+}
+
+fn message(from: u32, term: u64, body: ConsensusBody) -> ConsensusMessage {
+    ConsensusMessage { term: Term(term), disk: member(from).disk, body }
+}
+
+fn vote_request(term: u64) -> ConsensusMessage {
+    let (last_index, last_term) = (LogIndex(100), Term(term));
+    let request = VoteRequest { pre: false, last_index, last_term };
+    message(2, term, ConsensusBody::VoteRequest(request))
+}
+
+fn vote_reply(pre: bool, term: u64) -> ConsensusMessage {
+    message(2, term, ConsensusBody::VoteReply(VoteReply { pre, granted: true }))
+}
+
+fn matched(term: u64, index: u64, sent: Timestamp) -> ConsensusMessage {
+    let result = AppendResult::Matched(LogIndex(index));
+    message(2, term, ConsensusBody::AppendReply(AppendReply { result, sent_us: sent.0 }))
+}
+
+fn mismatched(term: u64, index: u64, sent: Timestamp) -> ConsensusMessage {
+    let result = AppendResult::Mismatched(LogIndex(index));
+    message(2, term, ConsensusBody::AppendReply(AppendReply { result, sent_us: sent.0 }))
+}
+
+fn append(term: u64, prev: &Entry, commit: u64, entries: Vec<Entry>) -> ConsensusMessage {
+    let body = ConsensusBody::Append(Append {
+        prev_index: prev.index,
+        prev_term: prev.term,
+        commit: LogIndex(commit),
+        entries,
+        sent_us: 0,
+    });
+    message(2, term, body)
+}
+
+fn hello(from: u32, promised: u64) -> ConsensusMessage {
+    let hello = Hello { bootstrap: true, promised: Incarnation(promised) };
+    message(from, 0, ConsensusBody::Hello(hello))
+}
+
+fn after_election_timeout() -> Timestamp {
+    START + Millis(ELECTION_TIMEOUT_MIN.0 * 2 + 1)
+}
+
+/// Makes a host with this log leader of the next term by the votes of host 2.
+fn lead(entries: Vec<Entry>) -> Consensus {
+    let term = entries.last().unwrap().term.0 + 1;
+    let now = after_election_timeout();
+    let mut leader = start(entries);
+    leader.tick(now);
+    leader.handle(now, OTHER, vote_reply(true, term));
+    leader.handle(now, OTHER, vote_reply(false, term));
+    assert!(leader.is_leader());
+    leader
+}
+
+fn grants_vote(actions: &[Action]) -> bool {
+    actions.iter().any(|it| match it {
+        Action::Send { message, .. } => {
+            matches!(&message.body, ConsensusBody::VoteReply(reply) if reply.granted)
+        }
+        _ => false,
+    })
+}
+
+fn applied(actions: &[Action]) -> Vec<LogIndex> {
+    let index = |it: &Action| match it {
+        Action::Apply { index, .. } => Some(*index),
+        _ => None,
+    };
+    actions.iter().filter_map(index).collect()
+}
+
+#[test]
+fn a_host_with_an_empty_log_grants_no_vote() {
+    let now = after_election_timeout();
+
+    let empty = start(Vec::new()).handle(now, OTHER, vote_request(2));
+    let whole = start(vec![founding()]).handle(now, OTHER, vote_request(2));
+
+    assert!(!grants_vote(&empty));
+    assert!(grants_vote(&whole));
+}
+
+#[test]
+fn a_restarted_host_grants_no_vote_while_a_lease_may_run() {
+    let mut host = start(vec![founding()]);
+
+    let early = host.handle(START + Millis(ELECTION_TIMEOUT_MIN.0 - 1), OTHER, vote_request(2));
+    let late = host.handle(START + ELECTION_TIMEOUT_MIN, OTHER, vote_request(2));
+
+    assert!(!grants_vote(&early));
+    assert!(grants_vote(&late));
+}
+
+#[test]
+fn entries_of_an_earlier_term_are_accepted_only_with_one_of_the_own() {
+    let mut leader = lead(vec![founding(), entry(2, 2, data(7))]);
+    let now = after_election_timeout();
+
+    let earlier = leader.handle(now, OTHER, matched(3, 2, now));
+    let own = leader.handle(now, OTHER, matched(3, 3, now));
+
+    assert_eq!(applied(&earlier), []);
+    assert_eq!(applied(&own), [LogIndex(2)]);
+}
+
+#[test]
+fn answers_of_an_earlier_term_count_for_nothing() {
+    let mut leader = lead(vec![founding(), entry(2, 2, data(7))]);
+    let now = after_election_timeout();
+
+    let actions = leader.handle(now, OTHER, matched(2, 3, now));
+
+    assert_eq!(applied(&actions), []);
+    assert!(leader.read_lease(now).is_err());
+}
+
+#[test]
+fn a_follower_applies_no_entry_that_may_differ_from_the_leaders() {
+    let log = vec![founding(), entry(2, 1, data(1)), entry(3, 1, data(2))];
+    let mut follower = start(log.clone());
+
+    let actions = follower.handle(START, OTHER, append(2, &log[1], 3, Vec::new()));
+
+    assert_eq!(applied(&actions), [LogIndex(2)]);
+}
+
+#[test]
+fn following_a_leader_uses_up_the_vote_of_the_term() {
+    let mut follower = start(vec![founding()]);
+    follower.handle(START, HostId(3), append(2, &founding(), 0, Vec::new()));
+
+    let actions = follower.handle(after_election_timeout(), OTHER, vote_request(2));
+
+    assert!(!grants_vote(&actions));
+}
+
+#[test]
+fn a_founder_waits_for_voters_that_follow_its_present_disk() {
+    let mut founder = start(Vec::new());
+    founder.handle(START, OTHER, hello(2, 10));
+
+    founder.handle(START, HostId(3), hello(3, 9));
+    assert_eq!(founder.last_index(), LogIndex(0));
+    founder.handle(START, HostId(3), hello(3, 10));
+    assert_eq!(founder.last_index(), LogIndex(1));
+}
+
+#[test]
+fn a_voter_adopts_the_founding_of_the_newest_disk_only() {
+    let settings = Settings { voters: (1..=3).map(HostId).collect(), seed: 1 };
+    let mut disk = persisted(Vec::new());
+    disk.identity.host = HostId(3);
+    disk.identity.disk = member(3).disk;
+    disk.promised = Incarnation(11);
+    let mut voter = Consensus::restore(settings, disk, START);
+    let found = |disk: u64| {
+        let founder = Member { host: ME, disk: Incarnation(disk) };
+        let members = Members { voters: vec![founder, member(2), member(3)], learners: Vec::new() };
+        message(1, 1, ConsensusBody::Found(members))
+    };
+
+    voter.handle(START, ME, found(10));
+    assert_eq!(voter.last_index(), LogIndex(0));
+    voter.handle(START, ME, found(11));
+    assert_eq!(voter.last_index(), LogIndex(1));
+}
+
+#[test]
+fn a_voter_that_lost_acknowledged_entries_is_made_a_learner() {
+    let mut leader = lead(vec![founding()]);
+    let now = after_election_timeout();
+    leader.handle(now, OTHER, matched(2, 2, now));
+    let later = now + Millis(200);
+
+    leader.handle(later, OTHER, mismatched(2, 1, now));
+    leader.tick(later);
+    assert!(leader.members().learners.is_empty(), "an answer out of order proves nothing");
+    leader.handle(
+        later,
+        HostId(3),
+        ConsensusMessage { disk: member(3).disk, ..matched(2, 2, later) },
+    );
+    leader.handle(later, OTHER, mismatched(2, 1, later));
+    leader.tick(later);
+
+    assert_eq!(leader.members().learners, [member(2)]);
+}
+
+#[test]
+fn a_snapshot_replaces_a_conflicting_log_on_disk_too() {
+    let log = vec![founding(), entry(2, 2, data(1)), entry(3, 2, data(2)), entry(4, 2, data(3))];
+    let mut follower = start(log);
+    let Entry { payload: Payload::Members(members), .. } = founding() else { unreachable!() };
+    let install = InstallSnapshot {
+        index: LogIndex(3),
+        snapshot_term: Term(3),
+        members,
+        offset: 0,
+        total: 4,
+        data: Blob::from(vec![1; 4]),
+        sent_us: 0,
+    };
+
+    let body = ConsensusBody::InstallSnapshot(install);
+    let actions = follower.handle(START, OTHER, message(2, 3, body));
+
+    let position = |wanted: fn(&Action) -> bool| actions.iter().position(wanted).unwrap();
+    let cut = position(|it| *it == Action::Store(Record::Truncate(LogIndex(3))));
+    let saved = position(|it| matches!(it, Action::SaveSnapshot(_)));
+    let sent = position(|it| matches!(it, Action::Send { .. }));
+    assert!(cut < saved && saved < sent, "{actions:?}");
+    assert_eq!(follower.last_index(), LogIndex(3));
+}
+
+#[test]
+fn a_voter_whose_removal_is_not_accepted_asks_for_votes() {
+    let without_me = Members { voters: vec![member(2), member(3)], learners: Vec::new() };
+    let mut host = start(vec![founding(), entry(2, 1, Payload::Members(without_me))]);
+
+    let actions = host.tick(after_election_timeout());
+
+    let asks = |it: &Action| {
+        matches!(it, Action::Send { message, .. }
+        if matches!(message.body, ConsensusBody::VoteRequest(_)))
+    };
+    assert!(actions.iter().any(asks));
+}
+
+#[test]
+fn a_change_that_leaves_no_majority_that_is_heard_is_refused() {
+    let mut leader = lead(vec![founding()]);
+    let now = after_election_timeout();
+    leader.handle(now, OTHER, matched(2, 2, now));
+
+    let heard = leader.remove_voter(now, OTHER).outcome;
+    let unheard = leader.remove_voter(now, HostId(3)).outcome;
+
+    assert_eq!(heard, Err(ProposeError::MajorityUnheard));
+    assert_eq!(unheard, Ok(LogIndex(3)));
+}
