--- a/components/control_core/src/audit.rs
+++ b/components/control_core/src/audit.rs
@@ -111,21 +111,46 @@
 
 /// Checks that each entry of a page follows the one before.
 pub fn verify_page(page: &AuditPage) -> Result<(), BrokenChain> {
-    let mut before = page.base;
-    let mut expected = page.entries.first().map_or(0, |it| it.record.sequence);
+    let first = page.entries.first().map_or(page.next, |it| it.record.sequence);
+    let (last, hash) = verify_entries(page, first, page.base)?;
+    if last == page.next && hash != page.head {
+        return Err(BrokenChain(last));
+    }
+    Ok(())
+}
+
+/// Checks that pages that were read one after the other hold the whole trail up to its head.
+pub fn verify_trail(pages: &[AuditPage]) -> Result<(), BrokenChain> {
+    let Some(newest) = pages.last() else {
+        return Ok(());
+    };
+    let mut next = pages[0].oldest;
+    let mut hash = pages[0].base;
+    for page in pages {
+        (next, hash) = verify_entries(page, next, hash)?;
+    }
+    match next == newest.next && hash == newest.head {
+        true => Ok(()),
+        false => Err(BrokenChain(next)),
+    }
+}
+
+/// Checks the entries against the hash before them; gives the next sequence number and hash.
+fn verify_entries(
+    page: &AuditPage,
+    first: u64,
+    base: ContentDigest,
+) -> Result<(u64, ContentDigest), BrokenChain> {
+    let mut next = first;
+    let mut before = base;
     for entry in &page.entries {
-        let sequence = entry.record.sequence;
-        if sequence != expected || entry.hash != chain(before, &entry.record) {
-            return Err(BrokenChain(sequence));
+        if entry.record.sequence != next || entry.hash != chain(before, &entry.record) {
+            return Err(BrokenChain(next));
         }
         before = entry.hash;
-        expected += 1;
+        next += 1;
     }
-    let is_newest = expected == page.next && !page.entries.is_empty();
-    if is_newest && before != page.head {
-        return Err(BrokenChain(expected));
-    }
-    Ok(())
+    Ok((next, before))
 }
 
 fn chain(before: ContentDigest, record: &AuditRecord) -> ContentDigest {
--- a/components/control_core/src/lib.rs
+++ b/components/control_core/src/lib.rs
@@ -12,8 +12,8 @@
 
 pub use crate::{
     action::{Action, Event},
-    audit::{AuditTrail, BrokenChain, MAX_AUDIT_ENTRIES, verify_page},
+    audit::{AuditTrail, BrokenChain, MAX_AUDIT_ENTRIES, verify_page, verify_trail},
     core::ControlCore,
     requests::{MAX_AUDIT_PAGE, MAX_WAITING_SUBMITS},
-    state::{MAX_ACCEPTED_VERSIONS, ReplicatedState, SubmitOutcome},
+    state::{Applied, MAX_ACCEPTED_VERSIONS, ReplicatedState, SubmitOutcome},
 };
--- a/components/control_core/src/state.rs
+++ b/components/control_core/src/state.rs
@@ -101,7 +101,8 @@
         &self.claim_map
     }
 
-    pub(crate) fn apply(&mut self, command: Command) -> Applied {
+    /// Applies an accepted command.
+    pub fn apply(&mut self, command: Command) -> Applied {
         match command {
             Command::Submit(submit) => Applied::Submit(self.submit(submit)),
             Command::Refusal(refusal) => {
