--- /dev/null
+++ b/components/claims/src/replica/record.rs
@@ -0,0 +1,164 @@
+//! The records of one shard in one epoch.
+
+use std::{collections::BTreeMap, ops::Bound};
+
+use ids::{HostId, Incarnation, KeyDigest, Millis, WallTime};
+use schema::claims::{ClaimRecord, ClaimState, CopyCursor, KeyAge, StoredAnswer};
+
+use crate::answer::kept_bytes;
+
+/// The most records of a page.
+const PAGE_RECORDS: usize = 512;
+
+/// The bytes of answers after which a page takes no more records.
+const PAGE_ANSWER_BYTES: usize = 256 * 1024;
+
+/// A part of the records that fits into one message.
+#[derive(Debug)]
+pub(super) struct Page {
+    pub(super) records: Vec<ClaimRecord>,
+    /// Whether no record follows.
+    pub(super) last: bool,
+}
+
+/// What a replica remembers, by key.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Records {
+    by_key: BTreeMap<KeyDigest, ClaimRecord>,
+    answer_bytes: usize,
+}
+
+impl Records {
+    pub(super) fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
+    /// The bytes of the answers that are kept.
+    pub(super) fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
+    pub(super) fn get(&self, key: KeyDigest) -> Option<&ClaimRecord> {
+        self.by_key.get(&key)
+    }
+
+    pub(super) fn insert(&mut self, record: ClaimRecord) {
+        self.answer_bytes += answer_bytes(&record);
+        if let Some(old) = self.by_key.insert(record.key, record) {
+            self.answer_bytes -= answer_bytes(&old);
+        }
+    }
+
+    pub(super) fn remove(&mut self, key: KeyDigest) {
+        if let Some(old) = self.by_key.remove(&key) {
+            self.answer_bytes -= answer_bytes(&old);
+        }
+    }
+
+    /// Takes in a record of another replica.
+    ///
+    /// Where two claimants hold the key in different replicas, either may have a majority, so
+    /// that this replica can grant it to neither from then on.
+    pub(super) fn merge(&mut self, record: ClaimRecord) {
+        let Some(known) = self.by_key.get_mut(&record.key) else {
+            self.insert(record);
+            return;
+        };
+        let rivals = known.claimant != record.claimant;
+        if rivals && !is_finished(known) && !is_finished(&record) {
+            known.state = ClaimState::Contested;
+            return;
+        }
+        if (progress(&known.state), known.round) < (progress(&record.state), record.round) {
+            self.insert(record);
+        }
+    }
+
+    /// Drops the records that no claim can ask for any more.
+    pub(super) fn forget(&mut self, forgotten: WallTime) {
+        let old = self.by_key.values().filter(|it| is_forgotten(it, forgotten));
+        let keys: Vec<_> = old.map(|it| it.key).collect();
+        keys.into_iter().for_each(|it| self.remove(it));
+    }
+
+    /// Marks the claims of ended processes as lost.
+    pub(super) fn lose_host(&mut self, host: HostId, newest: Incarnation) {
+        let of_host =
+            |it: &ClaimRecord| it.claimant.host == host && it.claimant.incarnation <= newest;
+        self.lose(of_host);
+    }
+
+    /// Marks the claims that have been held for longer than `limit` as lost.
+    pub(super) fn lose_overdue(&mut self, wall: WallTime, limit: Millis) {
+        self.lose(|it| wall.since(it.since) > limit);
+    }
+
+    fn lose(&mut self, is_lost: impl Fn(&ClaimRecord) -> bool) {
+        for record in self.by_key.values_mut() {
+            if record.state == ClaimState::Held && is_lost(record) {
+                record.state = ClaimState::Lost;
+            }
+        }
+    }
+
+    /// The records after `cursor`, as many as fit into one message.
+    pub(super) fn page(&self, cursor: &CopyCursor) -> Page {
+        let start = match cursor {
+            CopyCursor::Start => Bound::Unbounded,
+            CopyCursor::After(key) => Bound::Excluded(*key),
+        };
+        let mut page = Page { records: Vec::new(), last: true };
+        let mut bytes = 0;
+        for record in self.by_key.range((start, Bound::Unbounded)).map(|(_, it)| it) {
+            if page.records.len() >= PAGE_RECORDS || bytes >= PAGE_ANSWER_BYTES {
+                page.last = false;
+                break;
+            }
+            bytes += answer_bytes(record);
+            page.records.push(record.clone());
+        }
+        page
+    }
+}
+
+impl Page {
+    /// Where the next page starts.
+    pub(super) fn next_cursor(records: &[ClaimRecord], cursor: CopyCursor) -> CopyCursor {
+        records.last().map_or(cursor, |it| CopyCursor::After(it.key))
+    }
+}
+
+/// Whether the record's request has run.
+pub(super) fn is_finished(record: &ClaimRecord) -> bool {
+    matches!(record.state, ClaimState::Finished(_))
+}
+
+/// Whether a key is so old that its record may be dropped and its claims are refused.
+pub(super) fn is_too_old(age: &KeyAge, forgotten: WallTime) -> bool {
+    matches!(age, KeyAge::Ticket(ticket) if ticket.minted <= forgotten)
+}
+
+fn is_forgotten(record: &ClaimRecord, forgotten: WallTime) -> bool {
+    match &record.age {
+        KeyAge::Ticket(ticket) => ticket.minted <= forgotten,
+        KeyAge::Unknown => record.since <= forgotten,
+    }
+}
+
+fn answer_bytes(record: &ClaimRecord) -> usize {
+    match &record.state {
+        ClaimState::Finished(answer) => kept_bytes(answer),
+        ClaimState::Held | ClaimState::Lost | ClaimState::Contested => 0,
+    }
+}
+
+fn progress(state: &ClaimState) -> u8 {
+    match state {
+        ClaimState::Held => 0,
+        ClaimState::Lost => 1,
+        ClaimState::Contested => 2,
+        ClaimState::Finished(StoredAnswer::Unknown) => 3,
+        ClaimState::Finished(StoredAnswer::NotKept) => 4,
+        ClaimState::Finished(StoredAnswer::Kept(_)) => 5,
+    }
+}
