--- a/components/health/src/health/inbound.rs
+++ b/components/health/src/health/inbound.rs
@@ -90,7 +90,8 @@
         source: Source,
     ) {
         let Some(mut counts) = self.count(now, server, kind, latency, source) else { return };
-        let bad_links = self.explains_by_links(now, server);
+        let bad = counts.failed + counts.slow > 0;
+        let bad_links = bad && self.explains_by_links(now, server);
         let Some(record) = self.servers.get_mut(server) else { return };
         if record.path.note(now, &counts) {
             self.stale.insert(record.known.service.clone());
--- a/components/health/src/health/outbound.rs
+++ b/components/health/src/health/outbound.rs
@@ -70,8 +70,7 @@
     fn judge_watched(&mut self, now: Timestamp) {
         let mut changed = Vec::new();
         for server in self.watched.clone() {
-            let excused = self.is_excused(now, &server);
-            let Some(findings) = self.findings(now, &server, excused) else { continue };
+            let Some(findings) = self.findings(now, &server) else { continue };
             let before = self.own_stage(&server);
             let was_suspect = self.holds_suspect(&server);
             if let Some(watch) = self.servers.get_mut(&server).and_then(|it| it.watch.as_mut()) {
@@ -96,15 +95,16 @@
         self.give_verdicts(now, &changed);
     }
 
-    fn findings(&self, now: Timestamp, server: &ServerId, excused: bool) -> Option<Findings> {
+    fn findings(&self, now: Timestamp, server: &ServerId) -> Option<Findings> {
         let record = self.servers.get(server)?;
         let service = self.services.get(&record.known.service)?;
         let watch = record.watch.as_ref()?;
+        let suspect = watch.evidence.strongest() >= service.budget.suspicion;
         Some(Findings {
             now,
-            suspect: watch.evidence.strongest() >= service.budget.suspicion,
+            suspect,
             conviction: watch.evidence.conviction(now, &service.budget),
-            excused,
+            excused: suspect && self.is_excused(now, server),
             settle: service.budget.settle,
         })
     }
