Tell troubles of a whole service and restarts from sickness

Cause of the false ejections measured before: evidence was thrown away when a service as a whole explained it, so servers stopped being suspect, the share of suspects fell below half, and the next one was ejected; suspicions were held back for up to 500 ms; and a watcher's state survived a restart of the server, so renewed verdicts named the new incarnation.

Now excused evidence is limited to just above the suspicion threshold, new suspicions go out at once, and a restart returns the judgement to in rotation (earlier ejections still lengthen the next one). Probing faster begins at 4 nats in place of 2, since one slow answer in twenty is usual.

--- a/components/health/src/evidence.rs
+++ b/components/health/src/evidence.rs
@@ -121,6 +121,22 @@
         }
     }
 
+    /// Scales the evidence down so that no symptom has more than `most` nats.
+    pub(crate) fn limit(&mut self, most: f64) {
+        let strongest = self.strongest();
+        if strongest <= most {
+            return;
+        }
+        let factor = most / strongest;
+        scale(&mut self.pooled, factor);
+        self.observers.values_mut().for_each(|it| scale(it, factor));
+        let groups = self.data_centres.values_mut().chain(self.regions.values_mut());
+        for group in groups {
+            scale(&mut group.within, factor);
+            scale(&mut group.without, factor);
+        }
+    }
+
     /// The pooled log-likelihood ratio of the strongest symptom, in nats.
     pub(crate) fn strongest(&self) -> f64 {
         self.pooled.iter().copied().fold(0.0, f64::max)
@@ -180,6 +196,10 @@
     }
 }
 
+fn scale(sums: &mut Sums, factor: f64) {
+    sums.iter_mut().for_each(|it| *it *= factor);
+}
+
 fn add_to_groups<K: Ord + Clone>(
     groups: &mut BTreeMap<K, Group>,
     key: &K,
--- a/components/health/src/health/mod.rs
+++ b/components/health/src/health/mod.rs
@@ -54,6 +54,7 @@
     last_flush: Timestamp,
     last_renewal: Timestamp,
     last_suspicions: Timestamp,
+    new_suspects: bool,
     outgoing: Vec<HealthAction>,
 }
 
@@ -74,6 +75,7 @@
             last_flush: Timestamp::default(),
             last_renewal: Timestamp::default(),
             last_suspicions: Timestamp::default(),
+            new_suspects: false,
             outgoing: Vec::new(),
         }
     }
--- a/components/health/src/health/outbound.rs
+++ b/components/health/src/health/outbound.rs
@@ -11,7 +11,7 @@
 use crate::{
     evidence::Evidence,
     health::Health,
-    judge::{Findings, JudgeEvent},
+    judge::{Excuse, Findings, JudgeEvent},
     types::{HealthAction, KnownState},
     verdicts::VERDICT_LIFETIME,
 };
@@ -74,11 +74,10 @@
             let before = self.own_stage(&server);
             let was_suspect = self.holds_suspect(&server);
             if let Some(watch) = self.servers.get_mut(&server).and_then(|it| it.watch.as_mut()) {
-                let explained = findings.excused && findings.conviction.is_some();
-                watch.judge.handle(&JudgeEvent::Look(findings));
-                if explained {
-                    watch.evidence = Evidence::default();
+                if findings.excuse == Excuse::WholeService {
+                    watch.evidence.limit(findings.excused_limit);
                 }
+                watch.judge.handle(&JudgeEvent::Look(findings));
                 if before == Some(VerdictStage::Ejected)
                     && watch.judge.state().stage() == VerdictStage::Probation
                 {
@@ -86,6 +85,7 @@
                 }
             }
             if was_suspect != self.holds_suspect(&server) {
+                self.new_suspects |= !was_suspect;
                 self.timed.insert(server.clone());
             }
             if before != self.own_stage(&server) {
@@ -104,32 +104,39 @@
             now,
             suspect,
             conviction: watch.evidence.conviction(now, &service.budget),
-            excused: suspect && self.is_excused(now, server),
+            excuse: if suspect { self.excuse(now, server) } else { Excuse::None },
             settle: service.budget.settle,
+            excused_limit: service.budget.suspicion * EXCUSED_EVIDENCE,
         })
     }
 
-    /// Whether something larger than the server explains the evidence.
-    fn is_excused(&self, now: Timestamp, server: &ServerId) -> bool {
-        let Some(record) = self.servers.get(server) else { return true };
-        let Some(service) = self.services.get(&record.known.service) else { return true };
+    /// What else explains the evidence against a suspect.
+    fn excuse(&self, now: Timestamp, server: &ServerId) -> Excuse {
+        let Some(record) = self.servers.get(server) else { return Excuse::Unknown };
+        let Some(service) = self.services.get(&record.known.service) else {
+            return Excuse::Unknown;
+        };
         let in_trouble = |it| self.has_whole_trouble(it);
-        in_trouble(&record.known.service)
-            || service.depends_on.iter().any(in_trouble)
-            || !self.sees_peers_well(now, server)
+        if in_trouble(&record.known.service) || service.depends_on.iter().any(in_trouble) {
+            return Excuse::WholeService;
+        }
+        self.compare_with_peers(now, server)
     }
 
     /// Whether this host lately saw most of the other servers of the service do well.
-    fn sees_peers_well(&self, now: Timestamp, server: &ServerId) -> bool {
+    fn compare_with_peers(&self, now: Timestamp, server: &ServerId) -> Excuse {
         let peers = self.peers(server);
         let needed = peers.len().min(COMPARED_PEERS) / 2 + 1;
-        if peers.is_empty() {
-            return true;
-        }
         let outcomes = peers.iter().filter_map(|it| self.servers[it].path.recently_bad(now));
         let seen: Vec<bool> = outcomes.collect();
-        let well = seen.iter().filter(|bad| !**bad).count();
-        well >= needed && well * 2 > seen.len()
+        let bad = seen.iter().filter(|bad| **bad).count();
+        if seen.len() >= needed && bad * 2 >= seen.len() {
+            return Excuse::WholeService;
+        }
+        if seen.len() < needed && !peers.is_empty() {
+            return Excuse::Unknown;
+        }
+        Excuse::None
     }
 
     /// The other serving servers of a server's service.
@@ -150,9 +157,10 @@
 
     /// Tells the watchers of a suspect's service about it.
     fn send_suspicions(&mut self, now: Timestamp) {
-        if now < self.last_suspicions + SUSPICION_INTERVAL {
+        if now < self.last_suspicions + SUSPICION_INTERVAL && !self.new_suspects {
             return;
         }
+        self.new_suspects = false;
         let suspects: Vec<ServerId> =
             self.watched.iter().filter(|it| self.holds_suspect(it)).cloned().collect();
         if suspects.is_empty() {
@@ -261,6 +269,9 @@
 /// Other servers of the service that a watcher compares a suspect with.
 pub(super) const COMPARED_PEERS: usize = 3;
 
+/// Evidence that is kept while a whole service is in trouble, in suspicion thresholds.
+const EXCUSED_EVIDENCE: f64 = 1.2;
+
 /// Hosts in each other data centre that pass verdicts on.
 const RELAYS: usize = 2;
 
--- a/components/health/src/health/record.rs
+++ b/components/health/src/health/record.rs
@@ -7,7 +7,7 @@
 use crate::{
     evidence::Evidence,
     hash,
-    judge::Judge,
+    judge::{Judge, JudgeEvent},
     path::PathState,
     rotation::{FULL_WEIGHT, PROBATION_WEIGHT, STARTING_WEIGHT},
     types::{KnownServer, KnownState, ServerStatus, Settings},
@@ -85,6 +85,7 @@
             self.pending = no_outcomes(known);
             if let Some(watch) = &mut self.watch {
                 watch.evidence = Evidence::default();
+                watch.judge.handle(&JudgeEvent::Restarted(now));
             }
         }
         self.known = known.clone();
--- a/components/health/src/health/refresh.rs
+++ b/components/health/src/health/refresh.rs
@@ -132,7 +132,7 @@
 }
 
 /// Evidence at which a watcher probes faster, in nats.
-const CLOSER_LOOK: f64 = 2.0;
+const CLOSER_LOOK: f64 = 4.0;
 
 fn rebuild(
     now: Timestamp,
