Choose servers by own load and latency alone

Cause: the expected wait counted the load that a server last reported times a latency which holds the wait at that server already. A report is old when it is used, and each host avoided servers for what had passed.

--- a/components/routing/src/chooser.rs
+++ b/components/routing/src/chooser.rs
@@ -1,8 +1,9 @@
 //! Chooses a backend server for each attempt of a request.
 //!
-//! Of up to four random candidates in each distance, the one with the lowest expected wait is
-//! taken: `(own in flight + reported load + 1) x latency / weight`. A farther server has to beat
-//! a nearer one by the factor of its distance.
+//! Of up to twelve random candidates in each distance, the one with the lowest expected wait is
+//! taken: `(own in flight + 1) x latency / weight`. A farther server has to beat a nearer one by
+//! the factor of its distance. The latency includes the wait at the server, so the load that
+//! servers report is only used when they shed.
 
 use ids::{FastMap, Millis, ServerId, Timestamp};
 use rand_xoshiro::{
@@ -11,16 +12,16 @@
 };
 
 /// Candidates that are compared in each distance.
-const SAMPLE_SIZE: usize = 4;
+const SAMPLE_SIZE: usize = 12;
 
 /// Share of a new latency in the moving average, in thousandths.
 const LATENCY_GAIN_MILLI: u64 = 250;
 
-/// Time in which an unused latency or load estimate halves.
-const LATENCY_HALF_LIFE: Millis = Millis(10_000);
+/// Time in which a latency estimate halves that gets no new observation.
+const LATENCY_HALF_LIFE: Millis = Millis(30_000);
 
-/// Time in which a reported load halves.
-const LOAD_HALF_LIFE: Millis = Millis(1_000);
+/// Time in which the load of a server that shed halves.
+const SHED_HALF_LIFE: Millis = Millis(200);
 
 /// Latency that is assumed before any server has answered, in microseconds.
 const DEFAULT_LATENCY_MICROS: u64 = 100_000;
@@ -91,7 +92,7 @@
 pub struct Attempt {
     /// When it was started.
     pub started: Timestamp,
-    /// The requests that the server said it holds, from its answer.
+    /// The requests that the server said it holds; used when it shed.
     pub reported_load: Option<u32>,
     /// How it ended.
     pub end: AttemptEnd,
@@ -109,8 +110,8 @@
     in_flight: u32,
     latency_micros: Option<u64>,
     latency_at: Timestamp,
-    reported_milli: u64,
-    reported_at: Timestamp,
+    shed_load_milli: u64,
+    shed_at: Timestamp,
     used_at: Timestamp,
 }
 
@@ -155,7 +156,7 @@
         let Some(load) = self.servers.get_mut(server) else { return };
         load.in_flight = load.in_flight.saturating_sub(1);
         load.used_at = now;
-        load.note_report(now, attempt);
+        load.note_shed(now, attempt);
         load.note_latency(now, attempt);
     }
 
@@ -217,15 +218,14 @@
 }
 
 impl ServerLoad {
-    fn note_report(&mut self, now: Timestamp, attempt: Attempt) {
-        let reported = match attempt.end {
-            AttemptEnd::Shed => Some(attempt.reported_load.unwrap_or(0).max(self.in_flight + 1)),
-            _ => attempt.reported_load,
-        };
-        if let Some(reported) = reported {
-            self.reported_milli = u64::from(reported) * 1_000;
-            self.reported_at = now;
+    /// A server that shed counts as busy for a short time.
+    fn note_shed(&mut self, now: Timestamp, attempt: Attempt) {
+        if attempt.end != AttemptEnd::Shed {
+            return;
         }
+        let load = attempt.reported_load.unwrap_or(0).max(self.in_flight + 1);
+        self.shed_load_milli = u64::from(load) * 1_000;
+        self.shed_at = now;
     }
 
     fn note_latency(&mut self, now: Timestamp, attempt: Attempt) {
@@ -249,8 +249,8 @@
     }
 
     fn work_milli(&self, now: Timestamp) -> u64 {
-        let reported = halved(self.reported_milli, now.since(self.reported_at), LOAD_HALF_LIFE);
-        u64::from(self.in_flight) * 1_000 + reported
+        let shed_load = halved(self.shed_load_milli, now.since(self.shed_at), SHED_HALF_LIFE);
+        u64::from(self.in_flight) * 1_000 + shed_load
     }
 }
 
