Drop grants of claims that stayed undecided for too long

A claim now has to be granted within a limit after its begin, so that a key without a ticket is safe for the retention less that limit and the clocks' difference.

Ruled out: having the claim carry its begin as wall time; the claimant's own monotonic clock needs no comparison of clocks.

Replicas no longer refuse a ticket of a later map epoch than theirs: the shard epoch is compared anyway, and a claimant does not use a ticket that is newer than its map.

--- a/components/claims/src/claimant/decision.rs
+++ b/components/claims/src/claimant/decision.rs
@@ -49,6 +49,8 @@
         Outcome::Lost(_) | Outcome::Closed => Decision::Unknown,
         Outcome::Expired => Decision::Expired,
         Outcome::Full(true) => Decision::Unavailable(NotGranted::NotRun),
-        Outcome::Full(false) | Outcome::Open => Decision::Unavailable(NotGranted::Unknown),
+        Outcome::Full(false) | Outcome::TooLate | Outcome::Open => {
+            Decision::Unavailable(NotGranted::Unknown)
+        }
     }
 }
--- a/components/claims/src/claimant/mod.rs
+++ b/components/claims/src/claimant/mod.rs
@@ -22,6 +22,7 @@
 use self::{
     open_claim::{OpenClaim, Phase},
     timers::Timers,
+    vote::Outcome,
 };
 use crate::{
     ClaimAction, ClaimKey, ClaimMap, ClaimantSettings, ClaimsSettings, MAX_CLOCK_SKEW, ShardNumber,
@@ -87,6 +88,7 @@
             payload,
             shard: number,
             epoch,
+            begun: now,
             round: AttemptNumber(0),
             phase: Phase::BackingOff,
             due: None,
@@ -148,7 +150,11 @@
         let Some(claim) = self.open.get_mut(&reply.request) else { return Vec::new() };
         let Phase::Collecting(collecting) = &mut claim.phase else { return Vec::new() };
         collecting.vote.add(from, from_incarnation, reply.verdict);
-        let outcome = collecting.vote.outcome();
+        let mut outcome = collecting.vote.outcome();
+        let is_late = now.since(claim.begun) > self.settings.claim_limit;
+        if is_late && matches!(outcome, Outcome::Granted | Outcome::Full(_)) {
+            outcome = Outcome::TooLate;
+        }
         self.conclude(now, reply.request, outcome, map)
     }
 
--- a/components/claims/src/claimant/open_claim.rs
+++ b/components/claims/src/claimant/open_claim.rs
@@ -18,6 +18,7 @@
     pub(super) payload: Fingerprint,
     pub(super) shard: ShardNumber,
     pub(super) epoch: Epoch,
+    pub(super) begun: Timestamp,
     pub(super) round: AttemptNumber,
     pub(super) phase: Phase,
     /// When the claim has to be looked at next.
--- a/components/claims/src/claimant/vote.rs
+++ b/components/claims/src/claimant/vote.rs
@@ -26,6 +26,8 @@
     Expired,
     /// The key is older than its shard.
     Closed,
+    /// A majority holds no record of the key, but the claim is so old that one may have expired.
+    TooLate,
     /// Replicas are full; tells whether a majority holds no record of the key.
     Full(bool),
 }
--- a/components/claims/src/replica/mod.rs
+++ b/components/claims/src/replica/mod.rs
@@ -26,7 +26,6 @@
     me: Process,
     settings: ReplicaSettings,
     retention: Millis,
-    map_epoch: ids::Epoch,
     shards: BTreeMap<ShardNumber, ShardReplica>,
     /// Keys minted until then are refused, for their records may be gone.
     forgotten: WallTime,
@@ -51,7 +50,6 @@
             me: Process { host: me, incarnation },
             settings,
             retention,
-            map_epoch: ids::Epoch(0),
             shards: BTreeMap::new(),
             forgotten: WallTime(0),
             next_forget: Timestamp(0),
@@ -60,7 +58,6 @@
 
     /// Takes in a map with a higher epoch.
     pub(crate) fn set_map(&mut self, now: Timestamp, map: &ClaimMap) -> Vec<Outgoing> {
-        self.map_epoch = map.epoch();
         for (number, shard) in map.shards() {
             let me = self.me;
             let is_replica = shard.replicas.iter().any(|it| it.host == me.host);
@@ -147,7 +144,7 @@
         let Some(current) = shard.and_then(|it| it.current.as_mut()) else {
             return Some(ClaimVerdict::Refused(Refusal::WrongEpoch));
         };
-        if let Some(refusal) = current.refusal(wall, self.map_epoch, self.forgotten, req) {
+        if let Some(refusal) = current.refusal(wall, self.forgotten, req) {
             return Some(ClaimVerdict::Refused(refusal));
         }
         current.claim(wall, has_room, req)
--- a/components/claims/src/replica/shard_epoch.rs
+++ b/components/claims/src/replica/shard_epoch.rs
@@ -155,7 +155,6 @@
     pub(super) fn refusal(
         &self,
         wall: WallTime,
-        map_epoch: Epoch,
         forgotten: WallTime,
         req: &ClaimRequest,
     ) -> Option<Refusal> {
@@ -168,7 +167,6 @@
             Mode::Whole => {}
         }
         match &req.age {
-            KeyAge::Ticket(ticket) if ticket.epoch > map_epoch => Some(Refusal::WrongEpoch),
             KeyAge::Ticket(ticket) if ticket.epoch < self.opened => Some(Refusal::Closed),
             KeyAge::Ticket(ticket) if is_minted_ahead(ticket, wall) => Some(Refusal::MintedAhead),
             age if is_too_old(age, forgotten) => Some(Refusal::Expired),
--- a/components/claims/src/settings.rs
+++ b/components/claims/src/settings.rs
@@ -49,6 +49,8 @@
     pub max_retry: Millis,
     /// How often the replicas are asked in one round.
     pub max_tries: u32,
+    /// How long after its begin a claim may still be granted.
+    pub claim_limit: Millis,
     /// How many rounds are tried when claims of one key compete.
     pub max_rounds: u32,
     /// The longest first pause after a split vote; it doubles with each round.
@@ -86,6 +88,7 @@
             retry: Millis(50),
             max_retry: Millis(2_000),
             max_tries: 6,
+            claim_limit: Millis(5_000),
             max_rounds: 6,
             backoff: Millis(5),
         }
--- a/components/claims/tests/late_messages.rs
+++ b/components/claims/tests/late_messages.rs
@@ -1,4 +1,4 @@
-//! Single messages that come late, each after a change that makes them dangerous.
+//! Single messages that come late or not at all, where that is dangerous.
 
 mod fleet;
 
@@ -132,3 +132,30 @@
     assert_eq!(scene.fleet.decision(rival), Some(&Decision::Granted));
     assert_ne!(scene.fleet.decision(loser), Some(&Decision::Granted));
 }
+
+#[test]
+fn a_hand_over_stands_for_its_replica_only_until_it_returns() {
+    let mut scene = scene();
+    let key = scene.key.clone();
+    let [first, second] = scene.entries;
+    let [a, b, c] = [scene.replicas[0], scene.replicas[1], scene.replicas[2]];
+    scene.fleet.drain(a);
+    scene.fleet.run(RETRY_MILLIS);
+    scene.fleet.restart(a);
+    scene.fleet.run(RETRY_MILLIS);
+
+    // The returned replica and another one grant the key; that other one restarts and hears
+    // only of the third one.
+    let winner = scene.fleet.begin(first, &key, payload(1));
+    scene.fleet.hold_back(first, b);
+    scene.fleet.settle();
+    scene.fleet.restart(c);
+    scene.fleet.hold_back(c, a);
+    scene.fleet.settle();
+    let rival = scene.fleet.begin(second, &key, payload(1));
+    scene.fleet.hold_back(second, a);
+    scene.fleet.settle();
+
+    assert_eq!(scene.fleet.decision(winner), Some(&Decision::Granted));
+    assert_ne!(scene.fleet.decision(rival), Some(&Decision::Granted));
+}
--- a/components/claims/tests/outcomes.rs
+++ b/components/claims/tests/outcomes.rs
@@ -170,6 +170,24 @@
     assert_eq!(fleet.decision(request), Some(&expected));
 }
 
+#[test]
+fn a_process_that_froze_does_not_use_its_grants() {
+    let mut fleet = Fleet::new(5);
+    let key = ClaimKey { digest: KeyDigest::of(b"free"), ticket: None };
+    let (_, other) = fleet.replicas_and_other(&key);
+    let frozen = fleet.begin(other, &key, payload(1));
+    (0..3).for_each(|_| fleet.deliver(0));
+
+    fleet.now = fleet.now + settings().claimant.claim_limit + Millis(1);
+    fleet.settle();
+    let second = fleet.begin(HostId(1), &key, payload(1));
+    fleet.settle();
+
+    let expected = Decision::Unavailable(NotGranted::Unknown);
+    assert_eq!(fleet.decision(frozen), Some(&expected));
+    assert_eq!(fleet.decision(second), Some(&Decision::Granted));
+}
+
 #[test]
 fn too_few_replicas_prove_nothing() {
     let mut fleet = Fleet::new(3);
