--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! What the daisypaddle binaries share.
 
 pub mod cli;
+pub mod commands;
 pub mod dev_fleet;
 pub mod operator;
