Send entries only to members that listen, once at a time

A leader sent all entries that a member lacked with each heartbeat, so that a host that was down or behind a one-way cut cost up to 3.5 MB every 150 ms over paid paths. Entries now go only to members heard within the lease, one batch at a time, and again after RETRY_INTERVAL; others get empty heartbeats, whose answers start the sending.

A voter counts as rolled back only by the answer to a message sent after its acknowledgement had arrived; with the send time of the acknowledged message an answer overtaken on the way would have been taken for a loss.

A copy of a disk under the same identity is beyond what a quorum can bear; the leader notices it at best.

--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -2,7 +2,7 @@
 
 use ids::{ByteSize, HostId, LogIndex, Timestamp};
 use schema::consensus::{
-    Append, AppendReply, AppendResult, ConsensusBody, InstallReply, Member, Members, Payload,
+    Append, AppendReply, AppendResult, ConsensusBody, Entry, InstallReply, Member, Members, Payload,
 };
 use statig::Outcome::{self, Handled, Super, Transition};
 
@@ -13,7 +13,7 @@
     message::Received,
     replica::Replica,
     role::State,
-    settings::{HEARTBEAT_INTERVAL, LEASE, MAX_ENTRY_BYTES},
+    settings::{HEARTBEAT_INTERVAL, MAX_ENTRY_BYTES},
     snapshot,
 };
 
@@ -74,7 +74,7 @@
     }
     let index = replica.append_payload(payload);
     leadership.follow_members(replica, index);
-    send_to_idle(replica, leadership);
+    send_to_due(replica, leadership);
     advance_commit(replica, leadership);
     Ok(index)
 }
@@ -93,12 +93,14 @@
     change_members(replica, leadership, changed)
 }
 
-/// Sends a heartbeat, or the entries it lacks, to each member.
+/// Sends each member the entries it lacks, or a heartbeat.
 pub(crate) fn broadcast(replica: &mut Replica, leadership: &mut Leadership) {
     leadership.next_heartbeat = replica.now + HEARTBEAT_INTERVAL;
-    let hosts: Vec<HostId> = leadership.progress.keys().copied().collect();
-    for host in hosts {
-        send_entries(replica, leadership, host);
+    for progress in leadership.progress.values_mut() {
+        match is_due(replica, progress) {
+            true => send_entries(replica, progress),
+            false => send_append(replica, progress, Vec::new()),
+        }
     }
 }
 
@@ -125,29 +127,38 @@
     !replica.is_voter() && !replica.has_unsettled_members()
 }
 
-fn send_to_idle(replica: &mut Replica, leadership: &mut Leadership) {
-    let idle = leadership.progress.iter().filter(|(_, it)| !it.awaits_answer);
-    let hosts: Vec<HostId> = idle.map(|(host, _)| *host).collect();
-    for host in hosts {
-        send_entries(replica, leadership, host);
+/// Whether a member lacks entries, listens, and has none on their way.
+fn is_due(replica: &Replica, progress: &Progress) -> bool {
+    let lags = progress.next <= replica.log.last_index();
+    lags && progress.is_heard(replica.now) && !progress.is_busy(replica.now)
+}
+
+fn send_to_due(replica: &mut Replica, leadership: &mut Leadership) {
+    for progress in leadership.progress.values_mut() {
+        if is_due(replica, progress) {
+            send_entries(replica, progress);
+        }
     }
 }
 
-fn send_entries(replica: &mut Replica, leadership: &mut Leadership, host: HostId) {
-    let Some(progress) = leadership.progress.get_mut(&host) else {
-        return;
-    };
+/// Sends the next entries, or a part of the snapshot when the log does not reach back to them.
+fn send_entries(replica: &mut Replica, progress: &mut Progress) {
+    progress.in_flight = Some(replica.now);
     if progress.next <= replica.log.snapshot().index {
         snapshot::send_chunk(replica, progress);
         return;
     }
-    let prev_index = LogIndex(progress.next.0 - 1);
-    let prev_term = replica.log.term_at(prev_index).expect("entries after the snapshot are held");
     let entries = replica.log.batch_from(progress.next);
-    progress.awaits_answer = !entries.is_empty();
+    send_append(replica, progress, entries);
+}
+
+fn send_append(replica: &mut Replica, progress: &Progress, entries: Vec<Entry>) {
+    let before_next = LogIndex(progress.next.0 - 1);
+    let prev_index = before_next.max(replica.log.snapshot().index);
+    let prev_term = replica.log.term_at(prev_index).expect("entries after the snapshot are held");
     let append =
         Append { prev_index, prev_term, commit: replica.commit, entries, sent_us: replica.now.0 };
-    replica.send(host, ConsensusBody::Append(append));
+    replica.send(progress.member.host, ConsensusBody::Append(append));
 }
 
 fn handle_append_reply(
@@ -160,20 +171,16 @@
     if !note_answer(replica, leadership, from, sent_at) {
         return;
     }
+    let last = replica.log.last_index();
     let progress = leadership.progress_mut(from).expect("an answer was noted");
     match reply.result {
-        AppendResult::Matched(index) => {
-            progress.matched_sent_at = progress.matched_sent_at.max(sent_at);
-            progress.matched = progress.matched.max(index);
-            progress.next = progress.next.max(progress.matched.next());
-        }
+        AppendResult::Matched(index) => progress.note_matched(index.min(last), replica.now),
         AppendResult::Mismatched(index) if index >= progress.matched => {
-            progress.next = index.next();
+            progress.next = index.min(last).next();
         }
-        AppendResult::Mismatched(_) if sent_at > progress.matched_sent_at => {
-            progress.is_rolled_back = true;
+        AppendResult::Mismatched(_) => {
+            progress.is_rolled_back |= sent_at > progress.matched_known_at;
         }
-        AppendResult::Mismatched(_) => return,
     }
     advance_commit(replica, leadership);
     continue_sending(replica, leadership, from);
@@ -204,7 +211,9 @@
     let Some(progress) = leadership.progress_mut(from) else {
         return false;
     };
-    progress.awaits_answer = false;
+    if progress.in_flight == Some(sent_at) {
+        progress.in_flight = None;
+    }
     progress.heard_at = Some(replica.now);
     progress.acked_sent_at = progress.acked_sent_at.max(Some(sent_at));
     if leadership.holds_lease(replica, replica.now) {
@@ -214,10 +223,10 @@
 }
 
 fn continue_sending(replica: &mut Replica, leadership: &mut Leadership, to: &Member) {
-    let last = replica.log.last_index();
-    let lags = leadership.progress_mut(to).is_some_and(|it| it.next <= last && !it.awaits_answer);
-    if lags {
-        send_entries(replica, leadership, to.host);
+    if let Some(progress) = leadership.progress_mut(to)
+        && is_due(replica, progress)
+    {
+        send_entries(replica, progress);
     }
 }
 
@@ -254,10 +263,10 @@
 fn promote_learner(replica: &mut Replica, leadership: &mut Leadership) {
     let members = replica.log.members();
     let has_caught_up = |learner: &&Member| {
-        leadership.progress.get(&learner.host).is_some_and(|it| {
-            let is_heard = it.heard_at.is_some_and(|at| replica.now < at + LEASE);
-            is_heard && it.matched >= replica.commit
-        })
+        leadership
+            .progress
+            .get(&learner.host)
+            .is_some_and(|it| it.is_heard(replica.now) && it.matched >= replica.commit)
     };
     let Some(learner) = members.learners.iter().find(has_caught_up) else {
         return;
--- a/components/consensus/src/leadership.rs
+++ b/components/consensus/src/leadership.rs
@@ -5,7 +5,12 @@
 use ids::{HostId, LogIndex, Timestamp};
 use schema::consensus::{Member, Members, Payload};
 
-use crate::{leader, members::quorum_value, replica::Replica, settings::LEASE};
+use crate::{
+    leader,
+    members::quorum_value,
+    replica::Replica,
+    settings::{LEASE, RETRY_INTERVAL},
+};
 
 /// How far another member has come.
 pub(crate) struct Progress {
@@ -14,12 +19,12 @@
     pub(crate) matched: LogIndex,
     /// The next entry to send.
     pub(crate) next: LogIndex,
-    /// Whether entries are on their way, so that new ones wait for the answer.
-    pub(crate) awaits_answer: bool,
+    /// When the entries were sent that are on their way; new ones wait for the answer.
+    pub(crate) in_flight: Option<Timestamp>,
     /// When the newest acknowledged message was sent, by this host's clock.
     pub(crate) acked_sent_at: Option<Timestamp>,
-    /// When the message was sent that `matched` is known from.
-    pub(crate) matched_sent_at: Timestamp,
+    /// When this host learnt of `matched`.
+    pub(crate) matched_known_at: Timestamp,
     /// Bytes of the snapshot that have arrived.
     pub(crate) snapshot_offset: u64,
     /// Whether the member lost entries that it had acknowledged.
@@ -33,6 +38,25 @@
     pub(crate) fn counted(&self) -> LogIndex {
         if self.is_rolled_back { LogIndex(0) } else { self.matched }
     }
+
+    /// Notes that the member holds the log up to an entry.
+    pub(crate) fn note_matched(&mut self, index: LogIndex, now: Timestamp) {
+        if index > self.matched {
+            self.matched = index;
+            self.matched_known_at = now;
+        }
+        self.next = self.next.max(self.matched.next());
+    }
+
+    /// Whether the member has answered lately, so that entries are not sent in vain.
+    pub(crate) fn is_heard(&self, now: Timestamp) -> bool {
+        self.heard_at.is_some_and(|at| now < at + LEASE)
+    }
+
+    /// Whether entries are on their way and not overdue.
+    pub(crate) fn is_busy(&self, now: Timestamp) -> bool {
+        self.in_flight.is_some_and(|at| now < at + RETRY_INTERVAL)
+    }
 }
 
 /// What a leader holds besides the log.
@@ -76,9 +100,9 @@
                 member: member.clone(),
                 matched: LogIndex(0),
                 next,
-                awaits_answer: false,
+                in_flight: None,
                 acked_sent_at: None,
-                matched_sent_at: Timestamp::default(),
+                matched_known_at: Timestamp::default(),
                 snapshot_offset: 0,
                 is_rolled_back: false,
                 heard_at: None,
--- a/components/consensus/src/lib.rs
+++ b/components/consensus/src/lib.rs
@@ -23,6 +23,6 @@
     consensus::Consensus,
     settings::{
         ELECTION_TIMEOUT_MIN, HEARTBEAT_INTERVAL, HELLO_INTERVAL, LEASE, MAX_APPEND_BYTES,
-        MAX_ENTRY_BYTES, SNAPSHOT_CHUNK_BYTES, Settings,
+        MAX_ENTRY_BYTES, RETRY_INTERVAL, SNAPSHOT_CHUNK_BYTES, Settings,
     },
 };
--- a/components/consensus/src/settings.rs
+++ b/components/consensus/src/settings.rs
@@ -17,6 +17,9 @@
 /// It is shorter than [`ELECTION_TIMEOUT_MIN`], so that clocks may run apart by a quarter.
 pub const LEASE: Millis = Millis(1100);
 
+/// How long a leader waits for the answer to entries before it sends them again, in milliseconds.
+pub const RETRY_INTERVAL: Millis = Millis(500);
+
 /// How often a host that is no voter announces itself, in milliseconds.
 pub const HELLO_INTERVAL: Millis = Millis(500);
 
--- a/components/consensus/src/snapshot.rs
+++ b/components/consensus/src/snapshot.rs
@@ -30,7 +30,6 @@
         data: data.slice(start..end).into(),
         sent_us: replica.now.0,
     };
-    progress.awaits_answer = true;
     replica.send(progress.member.host, ConsensusBody::InstallSnapshot(install));
 }
 
@@ -42,8 +41,7 @@
         progress.snapshot_offset = 0;
     } else if is_complete {
         progress.snapshot_offset = 0;
-        progress.matched = progress.matched.max(snapshot.index);
-        progress.next = progress.next.max(snapshot.index.next());
+        progress.note_matched(snapshot.index, replica.now);
     } else {
         progress.snapshot_offset = reply.received;
     }
--- a/components/consensus/tests/cluster/mod.rs
+++ b/components/consensus/tests/cluster/mod.rs
@@ -227,9 +227,11 @@
         self.replace_disk(host, disk);
     }
 
-    /// Puts the oldest lost disk of the host in the place of its present one.
+    /// Puts the disk that the host lost first in the place of its present one.
     pub fn find_lost_disk(&mut self, host: HostId) {
-        if let Some(disk) = self.lost_disks.iter().find(|it| it.identity.host == host).cloned() {
+        let is_of_host = |it: &Persisted| it.identity.host == host;
+        if let Some(position) = self.lost_disks.iter().position(is_of_host) {
+            let disk = self.lost_disks.remove(position);
             self.replace_disk(host, disk);
         }
     }
