--- a/components/consensus/src/consensus.rs
+++ b/components/consensus/src/consensus.rs
@@ -41,7 +41,7 @@
         self.replica.now = now;
         let ConsensusMessage { term, disk, body } = message;
         let received = Received { from: Member { host: from, disk }, term, body };
-        if self.must_ignore(&received) {
+        if !received.is_well_formed() || self.must_ignore(&received) {
             return Vec::new();
         }
         if term > self.replica.vote.term && !received.is_pre_vote() {
--- a/components/consensus/src/follower.rs
+++ b/components/consensus/src/follower.rs
@@ -18,7 +18,6 @@
 /// Handles a message from the leader.
 pub(crate) fn handle(replica: &mut Replica, received: &Received) -> Outcome<State> {
     match &received.body {
-        ConsensusBody::Append(append) if !is_well_formed(append) => Handled,
         ConsensusBody::Append(append) => {
             replica.note_leader(received.from.host);
             handle_append(replica, received, append);
@@ -33,15 +32,6 @@
     }
 }
 
-/// Whether the entries follow each other.
-fn is_well_formed(append: &Append) -> bool {
-    let mut expected = append.prev_index;
-    append.entries.iter().all(|it| {
-        expected = expected.next();
-        it.index == expected
-    })
-}
-
 fn handle_append(replica: &mut Replica, received: &Received, append: &Append) {
     let result = match agrees(replica, append) {
         true => AppendResult::Matched(take_entries(replica, append)),
--- a/components/consensus/src/message.rs
+++ b/components/consensus/src/message.rs
@@ -1,7 +1,10 @@
 //! Messages as the roles see them.
 
-use ids::Term;
-use schema::consensus::{ConsensusBody, Member};
+use ids::{LogIndex, Term};
+use schema::consensus::{Append, ConsensusBody, Member};
+
+/// Larger terms and indices come from a faulty sender only.
+const MAX_NUMBER: u64 = u64::MAX / 2;
 
 /// A message together with the disk it was sent from.
 pub(crate) struct Received {
@@ -24,4 +27,24 @@
     pub(crate) fn is_from_leader(&self) -> bool {
         matches!(self.body, ConsensusBody::Append(_) | ConsensusBody::InstallSnapshot(_))
     }
+
+    /// Whether a correct sender could have sent this.
+    pub(crate) fn is_well_formed(&self) -> bool {
+        let is_body_well_formed = match &self.body {
+            ConsensusBody::Append(append) => entries_follow(append),
+            ConsensusBody::InstallSnapshot(install) => install.index <= LogIndex(MAX_NUMBER),
+            _ => true,
+        };
+        self.term <= Term(MAX_NUMBER) && is_body_well_formed
+    }
+}
+
+/// Whether the entries follow each other.
+fn entries_follow(append: &Append) -> bool {
+    let mut expected = append.prev_index;
+    let follow = append.entries.iter().all(|it| {
+        expected = expected.next();
+        it.index == expected
+    });
+    follow && expected <= LogIndex(MAX_NUMBER)
 }
--- a/components/consensus/tests/messages.rs
+++ b/components/consensus/tests/messages.rs
@@ -296,3 +296,29 @@
     assert_eq!(heard, Err(ProposeError::MajorityUnheard));
     assert_eq!(unheard, Ok(LogIndex(3)));
 }
+
+#[test]
+fn a_member_that_is_not_heard_gets_no_entries() {
+    let mut leader = lead(vec![founding()]);
+    let now = after_election_timeout();
+    leader.handle(now, OTHER, matched(2, 2, now));
+    leader.propose(now, Blob::from(vec![1; 1000]));
+
+    let actions = leader.tick(now + Millis(200));
+
+    let entries = |to: HostId| {
+        let sent = |it: &Action| match it {
+            Action::Send { to: host, message } if *host == to => match &message.body {
+                ConsensusBody::Append(append) => append.entries.len(),
+                _ => 0,
+            },
+            _ => 0,
+        };
+        actions.iter().map(sent).sum::<usize>()
+    };
+    assert_eq!(entries(HostId(3)), 0);
+    assert_eq!(entries(OTHER), 0, "they are on their way already");
+    let later = leader.tick(now + Millis(800));
+    assert!(later.iter().any(|it| matches!(it, Action::Send { to: OTHER, message }
+        if matches!(&message.body, ConsensusBody::Append(append) if append.entries.len() == 1))));
+}
