Learn the usual latency slowly from doubtful servers; probe busy ones less

Cause: at night a watcher's probes reach about one server of each service, so a slow server's own probes soon set what counts as usual, and most slow servers were never found. Probes also went on at the fast rate while a whole service was in trouble or refused them as busy, up to 13 a second and server.

Ruled out: a baseline from probes of all services, since services differ.

--- a/components/health/src/baseline.rs
+++ b/components/health/src/baseline.rs
@@ -14,6 +14,9 @@
 /// A request is overdue after this many times the tracked quantile.
 const OVERDUE_FACTOR: f64 = 2.5;
 
+/// Share of a step that answers of a doubtful server count for.
+const DOUBTFUL_SHARE: f64 = 0.1;
+
 /// Observations before the tracker is trusted.
 const WARM_UP_OBSERVATIONS: u32 = 20;
 
@@ -26,13 +29,20 @@
 
 impl Baseline {
     /// Notes an answer and says whether it is slow beside the others.
-    pub(crate) fn note(&mut self, latency: Duration) -> bool {
+    ///
+    /// The usual latency hardly follows the answers of a `doubtful` server, so that one that is
+    /// often asked does not make its own slowness usual.
+    pub(crate) fn note(&mut self, latency: Duration, doubtful: bool) -> bool {
         let log_latency = log_seconds(latency);
         let slow = self.is_warm() && log_latency > self.log_quantile + SLOW_FACTOR.ln();
         if self.observations == 0 {
             self.log_quantile = log_latency;
         }
-        let step = if self.is_warm() { STEP } else { STEP * 3.0 };
+        let step = match (self.is_warm(), doubtful) {
+            (false, _) => STEP * 3.0,
+            (true, false) => STEP,
+            (true, true) => STEP * DOUBTFUL_SHARE,
+        };
         self.log_quantile += if log_latency > self.log_quantile {
             step * QUANTILE
         } else {
--- a/components/health/src/health/inbound.rs
+++ b/components/health/src/health/inbound.rs
@@ -18,6 +18,9 @@
 /// How long a server's own bad report makes its watchers look closer.
 const HINT_TIME: Millis = Millis(2_000);
 
+/// Time without probes after a server refused one because it is busy.
+const BUSY_PAUSE: Millis = Millis(1_000);
+
 /// Share of other servers of a data centre that fail when the path there is bad.
 const BAD_PATH_SHARE: f64 = 0.5;
 
@@ -49,6 +52,9 @@
 
     /// Takes in the outcome of a probe.
     pub fn probe_result(&mut self, now: Timestamp, server: &ServerId, result: ProbeResult) {
+        if result.kind == OutcomeKind::Shed {
+            self.postpone_probe(now, server);
+        }
         self.note(now, server, result.kind, result.latency, Source::Probe);
     }
 
@@ -81,6 +87,14 @@
         std::mem::take(&mut self.outgoing)
     }
 
+    /// Spares a server that is busy.
+    fn postpone_probe(&mut self, now: Timestamp, server: &ServerId) {
+        let watch = self.servers.get_mut(server).and_then(|it| it.watch.as_mut());
+        if let Some(watch) = watch {
+            watch.busy_until = now + BUSY_PAUSE;
+        }
+    }
+
     fn note(
         &mut self,
         now: Timestamp,
@@ -125,7 +139,7 @@
                     Source::Request => &mut service.requests,
                     Source::Probe => &mut service.probes,
                 };
-                let slow = baseline.note(latency);
+                let slow = baseline.note(latency, record.path.is_doubtful());
                 if source == Source::Request {
                     record.path.note_latency(latency);
                 }
--- a/components/health/src/health/outbound.rs
+++ b/components/health/src/health/outbound.rs
@@ -74,7 +74,8 @@
             let before = self.own_stage(&server);
             let was_suspect = self.holds_suspect(&server);
             if let Some(watch) = self.servers.get_mut(&server).and_then(|it| it.watch.as_mut()) {
-                if findings.excuse == Excuse::WholeService {
+                watch.excused = findings.excuse == Excuse::WholeService;
+                if watch.excused {
                     watch.evidence.limit(findings.excused_limit);
                 }
                 watch.judge.handle(&JudgeEvent::Look(findings));
--- a/components/health/src/health/record.rs
+++ b/components/health/src/health/record.rs
@@ -42,6 +42,9 @@
     pub(crate) judge: StateMachine<Judge>,
     pub(crate) next_probe: Timestamp,
     pub(crate) hinted_until: Timestamp,
+    pub(crate) busy_until: Timestamp,
+    /// Whether the service as a whole explains the evidence.
+    pub(crate) excused: bool,
     /// Passive observations a second, a moving average.
     pub(crate) passive_rate: f64,
     pub(crate) rate_updated: Timestamp,
@@ -56,6 +59,8 @@
             judge: Judge::default().state_machine(),
             next_probe: now + delay,
             hinted_until: Timestamp::default(),
+            busy_until: Timestamp::default(),
+            excused: false,
             passive_rate: 0.0,
             rate_updated: now,
         }
--- a/components/health/src/health/refresh.rs
+++ b/components/health/src/health/refresh.rs
@@ -85,7 +85,7 @@
             let interval = watch.probe_interval(now);
             let due = watch.next_probe.min(now + interval);
             watch.next_probe = due;
-            if now < due {
+            if now < due.max(watch.busy_until) {
                 continue;
             }
             watch.next_probe = now + interval;
@@ -114,7 +114,7 @@
     /// Time between probes, from what is known without them.
     fn probe_interval(&self, now: Timestamp) -> Millis {
         let closer = self.evidence.strongest() > CLOSER_LOOK || now < self.hinted_until;
-        if closer {
+        if closer && !self.excused {
             return FAST_PROBE_INTERVAL;
         }
         let quiet_for = now.since(self.rate_updated).0 as f64 / 1000.0;
--- a/components/health/src/path.rs
+++ b/components/health/src/path.rs
@@ -10,6 +10,9 @@
 /// Evidence of this host alone at which it avoids the server, in nats.
 const AVOID_AT: f64 = 8.0;
 
+/// Evidence of this host alone at which it doubts the server, in nats.
+const DOUBT_AT: f64 = 2.0;
+
 /// How long the server is avoided before it is tried again.
 const AVOID_TIME: Millis = Millis(2_000);
 
@@ -84,6 +87,11 @@
         self.avoided_until.is_some()
     }
 
+    /// Whether recent outcomes speak against the server.
+    pub(crate) fn is_doubtful(&self) -> bool {
+        self.sums.iter().any(|it| *it >= DOUBT_AT)
+    }
+
     /// The latest outcome of the last seconds, if any: whether it was bad.
     pub(crate) fn recently_bad(&self, now: Timestamp) -> Option<bool> {
         let recent = |at: Option<Timestamp>| at.filter(|it| now <= *it + RECENT);
