--- a/components/limits/tests/admission.rs
+++ b/components/limits/tests/admission.rs
@@ -323,3 +323,47 @@
         .run();
     }
 }
+
+/// Queues requests of random organisations, then notes the organisations in the order of start.
+fn start_order(u: &mut Unstructured<'_>) -> Result<(BTreeMap<u32, usize>, Vec<u32>)> {
+    let mut admission = admission();
+    let archive = name("archive");
+    admission.capacity(at(0), &archive, 0);
+    let (mut owners, mut queued) = (Vec::new(), BTreeMap::new());
+    for request in 0..u.int_in_range(1..=80)? {
+        let org = if u.ratio(2, 3)? { 0 } else { u.int_in_range(1..=5)? };
+        let decision = admission.offer(at(0), offer(request, "archive", org, 60_000));
+        owners.push(org);
+        if decision == AdmissionDecision::Queued {
+            *queued.entry(org).or_default() += 1;
+        }
+    }
+    let mut order = Vec::new();
+    let mut actions = admission.capacity(at(0), &archive, 1);
+    while let Some(AdmissionAction::Start { request }) = actions.pop() {
+        order.push(owners[request.0 as usize]);
+        actions = admission.finished(at(1), request, Completion::Failed);
+    }
+    Ok((queued, order))
+}
+
+#[test]
+fn organisations_take_turns() {
+    for case in 0..CASES {
+        let seed = ((case + 1) << 32) | CASE_BYTES;
+        arbtest::arbtest(|u| {
+            let (queued, order) = start_order(u)?;
+            assert_eq!(order.len(), queued.values().sum::<usize>());
+            for (org, &count) in &queued {
+                let starts = order.iter().enumerate().filter(|(_, started)| *started == org);
+                let positions: Vec<usize> = starts.map(|(position, _)| position).collect();
+                assert_eq!(positions.len(), count);
+                // The n-th request starts before every organisation had n + 1 turns.
+                assert!(positions.iter().enumerate().all(|(n, &at)| at < (n + 1) * queued.len()));
+            }
+            Ok(())
+        })
+        .seed(seed)
+        .run();
+    }
+}
