--- a/components/claims/tests/at_most_once.rs
+++ b/components/claims/tests/at_most_once.rs
@@ -80,6 +80,7 @@
     fn new(u: &mut Unstructured<'_>) -> Result<Self> {
         let mut cfg = settings();
         cfg.retention = Millis(20_000);
+        cfg.replica.hold_limit = Millis(3_000);
         cfg.replica.max_claims = u.int_in_range(1..=8)?;
         cfg.replica.max_answer_bytes = ByteSize(u.int_in_range(10..=200)?);
         let max_claims = cfg.replica.max_claims;
--- a/components/claims/tests/outcomes.rs
+++ b/components/claims/tests/outcomes.rs
@@ -153,6 +153,25 @@
     assert_eq!(fleet.decision(after), Some(&Decision::Unknown));
 }
 
+#[test]
+fn a_claim_held_for_too_long_is_unknown_until_its_outcome_comes() {
+    let mut fleet = Fleet::new(5);
+    let key = fleet.key(1);
+    let first = fleet.begin(HostId(1), &key, payload(1));
+    fleet.settle();
+    fleet.advance(settings().replica.hold_limit.0 + 1);
+
+    let before = fleet.begin(HostId(2), &key, payload(1));
+    fleet.settle();
+    fleet.finish(HostId(1), first, answer("booked"));
+    fleet.settle();
+    let after = fleet.begin(HostId(2), &key, payload(1));
+    fleet.settle();
+
+    assert_eq!(fleet.decision(before), Some(&Decision::Unknown));
+    assert_eq!(fleet.decision(after), Some(&Decision::Finished(answer("booked"))));
+}
+
 #[test]
 fn a_full_replica_set_proves_that_nothing_ran() {
     let mut settings = settings();
--- a/components/claims/tests/recovery.rs
+++ b/components/claims/tests/recovery.rs
@@ -2,7 +2,7 @@
 
 mod fleet;
 
-use claims::{ClaimKey, ClaimMap, Decision};
+use claims::{ClaimKey, ClaimMap, Decision, MAX_CLOCK_SKEW};
 use fleet::{Fleet, answer, payload};
 use ids::{Epoch, HostId, RequestId};
 use schema::claims::{ClaimsMessage, PreviousReplicas};
@@ -163,6 +163,26 @@
     assert_eq!(resend(&mut fleet, slow.unwrap(), &key), Some(Decision::Expired));
 }
 
+#[test]
+fn a_replica_with_a_wrong_clock_is_not_copied() {
+    let mut fleet = small_fleet(4);
+    let key = finished_key(&mut fleet);
+    let (replicas, other) = fleet.replicas_and_other(&key);
+    let number = fleet.map.shard_of(&key).unwrap();
+
+    fleet.skew.insert(replicas[1], 2 * MAX_CLOCK_SKEW.0);
+    fleet.restart(replicas[0]);
+    fleet.run(QUIET_MILLIS);
+    let wrong = fleet.nodes[&replicas[0]].status().abstaining;
+    fleet.skew.clear();
+    fleet.run(QUIET_MILLIS);
+    let right = fleet.nodes[&replicas[0]].status().abstaining;
+
+    assert!(wrong.contains(&number));
+    assert!(!right.contains(&number));
+    assert_eq!(resend(&mut fleet, other, &key), booked());
+}
+
 #[test]
 fn a_planned_stop_hands_over_so_that_another_restart_does_no_harm() {
     let mut fleet = small_fleet(4);
