--- a/components/claims/src/claims.rs
+++ b/components/claims/src/claims.rs
@@ -148,6 +148,8 @@
     }
 
     /// Whether every shard is handed over and no claim is open, so that the process may stop.
+    ///
+    /// A replica that can't be reached keeps this from coming true, so that the stop needs a limit.
     pub fn is_drained(&self) -> bool {
         self.replica.is_drained() && self.claimant.open() == 0
     }
