--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,1 +1,6 @@
-//! A proxy fleet for backend servers with gray failures.
+//! What the daisypaddle binaries share.
+
+pub mod cli;
+pub mod commands;
+pub mod dev_fleet;
+pub mod operator;
