--- /dev/null
+++ b/tests/requests.rs
@@ -0,0 +1,249 @@
+//! What callers see while hosts and backend servers fail.
+
+mod support;
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use ids::Millis;
+use stand_in::{Behaviour, HttpError};
+use support::{Fleet, get, post, wait_for};
+use tokio::{sync::watch, task::JoinSet};
+
+/// Time within which a server that is leaving receives no new work.
+const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+
+/// How often each key was run, over all servers.
+fn runs_by_key(fleet: &Fleet) -> BTreeMap<String, u64> {
+    let mut runs = BTreeMap::new();
+    for server in &fleet.servers {
+        for (key, count) in server.runs().by_key() {
+            *runs.entry(key).or_default() += count;
+        }
+    }
+    runs
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_runs_at_most_once_while_entry_hosts_are_killed() {
+    let mut fleet = Fleet::start(1, 4, 1).await;
+    fleet.add_servers(3).await;
+    fleet.servers.iter().for_each(|it| it.set_service_time(Millis(30)));
+    let addresses: Vec<_> = fleet.entries.iter().map(|it| it.caller_address).collect();
+
+    let mut callers = JoinSet::new();
+    for number in 0..40usize {
+        let addresses = addresses.clone();
+        callers.spawn(async move {
+            let key = format!("key-{number}");
+            tokio::time::sleep(Duration::from_millis(number as u64 * 10)).await;
+            let mut outcomes = Vec::new();
+            for attempt in 0..6 {
+                let address = addresses[(number + attempt) % addresses.len()];
+                match post(address, "/deposit/1", &key, &key).await {
+                    Ok(answer) => outcomes
+                        .push((answer.header("daisypaddle-outcome").to_owned(), answer.text())),
+                    Err(_) => outcomes.push(("lost".to_owned(), String::new())),
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            (key, outcomes)
+        });
+    }
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    fleet.entries[0].process.kill();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.start_entry(0);
+    let outcomes = callers.join_all().await;
+
+    let runs = runs_by_key(&fleet);
+    for (key, outcomes) in outcomes {
+        let count = runs.get(&key).copied().unwrap_or_default();
+        let answers: std::collections::BTreeSet<_> =
+            outcomes.iter().filter(|it| it.0 == "ran").map(|it| it.1.clone()).collect();
+        assert!(count <= 1, "{key} ran {count} times: {outcomes:?}");
+        assert!(answers.len() <= 1, "{key} has several answers: {outcomes:?}");
+        let is_told_run = outcomes.iter().any(|it| it.0 == "ran");
+        assert!(!is_told_run || count == 1, "{key} is told as run: {outcomes:?}");
+        // Nothing ran before the last send that was told so.
+        let last_not_run = outcomes.iter().rposition(|it| it.0 == "not-run");
+        let ran_before =
+            last_not_run.is_some_and(|it| outcomes[..it].iter().any(|it| it.0 == "ran"));
+        assert!(!ran_before, "{key} is told as not run after it ran: {outcomes:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_are_whole_and_the_callers_own() {
+    let mut fleet = Fleet::start(1, 2, 1).await;
+    fleet.add_servers(4).await;
+    fleet.servers[0].set_behaviour(Behaviour::Truncating);
+    fleet.servers[1].set_behaviour(Behaviour::Wrong);
+    fleet.servers[2].set_behaviour(Behaviour::Resetting);
+
+    let mut callers = JoinSet::new();
+    for number in 0..120usize {
+        let address = fleet.entries[number % 2].caller_address;
+        callers.spawn(async move {
+            let path = format!("/queue/{number}");
+            (path.clone(), get(address, &path, &[]).await)
+        });
+    }
+    let answers = callers.join_all().await;
+
+    let mut whole = 0;
+    for (path, answer) in answers {
+        let answer = answer.unwrap();
+        if answer.status == 200 {
+            let text = answer.text();
+            let own = text.split(' ').nth(2);
+            assert_eq!(own, Some(path.as_str()), "{text}");
+            whole += 1;
+        } else {
+            assert_ne!(answer.header("daisypaddle-outcome"), "ran", "{}", answer.text());
+        }
+    }
+    assert!(whole >= 60, "only {whole} of 120 whole answers with one good server of four");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_told_as_not_run_was_not_run() {
+    let mut fleet = Fleet::start(1, 3, 1).await;
+    fleet.add_servers(2).await;
+    let address = fleet.entries[0].caller_address;
+
+    fleet.servers.iter().for_each(|it| it.set_behaviour(Behaviour::Shedding));
+    let shed = post(address, "/deposit/1", "shed", "a").await.unwrap();
+    fleet.servers.iter().for_each(|it| it.set_behaviour(Behaviour::Resetting));
+    let reset = post(address, "/deposit/1", "reset", "a").await.unwrap();
+    fleet.servers.iter().for_each(|it| it.kill());
+    let dead = post(address, "/deposit/1", "dead", "a").await.unwrap();
+
+    let runs = runs_by_key(&fleet);
+    assert_eq!(shed.header("daisypaddle-outcome"), "not-run");
+    assert_ne!(shed.header("retry-after"), "");
+    assert_eq!(runs.get("shed"), None);
+    assert_eq!(reset.header("daisypaddle-outcome"), "unknown");
+    assert_eq!(runs.get("reset"), Some(&1));
+    assert_eq!(dead.header("daisypaddle-outcome"), "not-run", "{}", dead.text());
+    assert_eq!(runs.get("dead"), None);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_server_receives_no_new_work() {
+    let mut fleet = Fleet::start(1, 4, 1).await;
+    fleet.add_servers(3).await;
+    let addresses: Vec<_> = fleet.entries.iter().map(|it| it.caller_address).collect();
+    for number in 0..60usize {
+        get(addresses[number % 4], "/queue/1", &[]).await.unwrap();
+    }
+    let before = fleet.servers[0].runs().total();
+
+    let announced = tokio::time::Instant::now();
+    assert!(fleet.servers[0].drain().await);
+    let calls_until = announced + DRAIN_LIMIT;
+    while tokio::time::Instant::now() < calls_until {
+        get(addresses[0], "/queue/1", &[]).await.unwrap();
+    }
+    let at_limit = fleet.servers[0].runs().total();
+    for number in 0..200usize {
+        get(addresses[number % 4], "/queue/1", &[]).await.unwrap();
+    }
+
+    assert!(before > 0);
+    assert_eq!(fleet.servers[0].runs().total(), at_limit);
+}
+
+/// A caller that keeps a directory answer for as long as it may, as callers do.
+async fn call_until_stopped(
+    addresses: Vec<std::net::SocketAddr>,
+    name: usize,
+    stop: watch::Receiver<bool>,
+) -> Vec<String> {
+    let mut faults = Vec::new();
+    let mut number = 0;
+    while !*stop.borrow() {
+        number += 1;
+        let key = format!("caller-{name}-{number}");
+        let mut answered = false;
+        for address in &addresses {
+            match post(*address, "/deposit/1", &key, &key).await {
+                Ok(answer) => {
+                    if answer.header("daisypaddle-outcome") != "ran" {
+                        faults.push(format!("{key}: {}", answer.text()));
+                    }
+                    answered = true;
+                    break;
+                }
+                // The host is gone: the next address is as good.
+                Err(HttpError::Connect) => {}
+                Err(e) => {
+                    faults.push(format!("{key}: {e}"));
+                    break;
+                }
+            }
+        }
+        if !answered {
+            faults.push(format!("{key}: no answer"));
+        }
+    }
+    faults
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rolling_restart_cuts_off_no_request() {
+    let mut fleet = Fleet::start(1, 4, 1).await;
+    fleet.add_servers(3).await;
+    fleet.servers.iter().for_each(|it| it.set_service_time(Millis(20)));
+    let addresses: Vec<_> = fleet.entries.iter().map(|it| it.caller_address).collect();
+    let (stop_tx, stop_rx) = watch::channel(false);
+    let mut callers = JoinSet::new();
+    for name in 0..6usize {
+        let mut addresses = addresses.clone();
+        addresses.rotate_left(name % 4);
+        callers.spawn(call_until_stopped(addresses, name, stop_rx.clone()));
+    }
+
+    for index in 0..4 {
+        let code = fleet.entries[index].process.stop().await;
+        assert_eq!(code, Some(0), "{}", fleet.entries[index].process.log());
+        fleet.start_entry(index);
+        fleet.wait_for_entry(index, |it| it.mode == schema::membership::MemberState::Serving).await;
+    }
+    stop_tx.send_replace(true);
+    let faults: Vec<_> = callers.join_all().await.into_iter().flatten().collect();
+
+    let runs = runs_by_key(&fleet);
+    assert!(runs.len() > 50, "only {} keys were run", runs.len());
+    assert!(runs.values().all(|it| *it == 1));
+    assert!(faults.is_empty(), "{} faults: {:?}", faults.len(), &faults[..faults.len().min(5)]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn ejections_leave_the_floor_in_rotation() {
+    let mut fleet = Fleet::start(1, 4, 3).await;
+    fleet.add_servers(4).await;
+    let addresses: Arc<Vec<_>> =
+        Arc::new(fleet.entries.iter().map(|it| it.caller_address).collect());
+
+    fleet.servers[0..4].iter().for_each(|it| it.set_behaviour(Behaviour::Failing));
+    wait_for("an ejection", async || {
+        for number in 0..40usize {
+            let _ = get(addresses[number % 4], "/queue/1", &[]).await;
+        }
+        let status = fleet.entry_status(0).await?;
+        let out = status.servers.iter().filter(|it| it.status == "Ejected" && !it.held_by_floor);
+        (out.count() > 0).then_some(())
+    })
+    .await;
+    for _ in 0..10 {
+        for number in 0..40usize {
+            let _ = get(addresses[number % 4], "/queue/1", &[]).await;
+        }
+        for index in 0..4 {
+            let status = fleet.entry_status(index).await.unwrap();
+            let queue = status.servers.iter().filter(|it| it.service.as_str() == "queue");
+            let out = queue.filter(|it| it.status == "Ejected" && !it.held_by_floor).count();
+            assert!(out <= 1, "{out} of 4 servers are out with a floor of 3: {:?}", status.servers);
+        }
+    }
+}
