Audit the removal of a voter

The removal left no entry in the audit trail although it had an outcome of its own; the command that recorded refused texts now records any request (Command::Audit, AuditCommand; formerly Refusal).

--- a/components/control_core/src/requests.rs
+++ b/components/control_core/src/requests.rs
@@ -5,8 +5,10 @@
 use consensus::{ProposeError, ReadError};
 use ids::{ByteSize, ConfigVersion, HostId, LogIndex, RequestId, Term, Timestamp, WallTime};
 use schema::{
-    control_state::Command,
-    operator::{AuditQuery, LeaderHint, OperatorRequest, OperatorResponse, Origin, Status},
+    control_state::{AuditCommand, Command},
+    operator::{
+        AuditOutcome, AuditQuery, LeaderHint, OperatorRequest, OperatorResponse, Origin, Status,
+    },
 };
 
 use crate::{action::Action, core::ControlCore, state::SubmitOutcome, submission};
@@ -62,7 +64,9 @@
             }
             OperatorRequest::Audit(query) => self.answer_audit(request, &query),
             OperatorRequest::Current => self.answer_current(request),
-            OperatorRequest::RemoveVoter(host) => self.remove_voter(now, request, host),
+            OperatorRequest::RemoveVoter(host) => {
+                self.remove_voter(now, at, request, origin, host);
+            }
         }
     }
 
@@ -130,7 +134,7 @@
             Ok(command) => command,
             Err(refusal) => {
                 self.answer(request, refusal.response);
-                let _ = self.propose(now, &Command::Refusal(refusal.command));
+                let _ = self.propose(now, &Command::Audit(refusal.command));
                 return;
             }
         };
@@ -160,14 +164,29 @@
         self.answer(request, response);
     }
 
-    fn remove_voter(&mut self, now: Timestamp, request: RequestId, host: HostId) {
+    fn remove_voter(
+        &mut self,
+        now: Timestamp,
+        at: WallTime,
+        request: RequestId,
+        origin: Origin,
+        host: HostId,
+    ) {
         let proposed = self.consensus.remove_voter(now, host);
         self.carry_out(proposed.actions);
-        let response = match proposed.outcome {
-            Ok(_) => OperatorResponse::MembershipChangeStarted,
-            Err(e) => refused_proposal(e),
+        if let Err(e) = proposed.outcome {
+            return self.answer(request, refused_proposal(e));
+        }
+        let audit = AuditCommand {
+            origin,
+            at,
+            version: self.state.current().version,
+            digest: self.state.current().digest,
+            outcome: AuditOutcome::MembershipChanged,
+            summary: format!("voter {host} removed"),
         };
-        self.answer(request, response);
+        let _ = self.propose(now, &Command::Audit(audit));
+        self.answer(request, OperatorResponse::MembershipChangeStarted);
     }
 
     fn status(&self, now: Timestamp) -> Status {
--- a/components/control_core/src/state.rs
+++ b/components/control_core/src/state.rs
@@ -5,7 +5,7 @@
 
 use ids::{Blob, ConfigVersion, ContentDigest, Epoch};
 use schema::{
-    control_state::{ClaimMap, Command, ControlState, RefusalCommand, SubmitCommand},
+    control_state::{AuditCommand, ClaimMap, Command, ControlState, SubmitCommand},
     operator::{Acceptance, Accepted, AuditOutcome, Conflict, Current, OutOfOrder},
 };
 
@@ -105,8 +105,8 @@
     pub fn apply(&mut self, command: Command) -> Applied {
         match command {
             Command::Submit(submit) => Applied::Submit(self.submit(submit)),
-            Command::Refusal(refusal) => {
-                self.record_refusal(refusal);
+            Command::Audit(audit) => {
+                self.record(audit);
                 Applied::Nothing
             }
             Command::ClaimMap(map) if map.epoch == self.claim_map.epoch.next() => {
@@ -174,14 +174,14 @@
         }
     }
 
-    fn record_refusal(&mut self, refusal: RefusalCommand) {
+    fn record(&mut self, audit: AuditCommand) {
         self.audit.record(Attempt {
-            at: refusal.at,
-            origin: refusal.origin,
-            version: refusal.version,
-            digest: refusal.digest,
-            outcome: refusal.outcome,
-            summary: refusal.summary,
+            at: audit.at,
+            origin: audit.origin,
+            version: audit.version,
+            digest: audit.digest,
+            outcome: audit.outcome,
+            summary: audit.summary,
         });
     }
 }
--- a/components/control_core/src/submission.rs
+++ b/components/control_core/src/submission.rs
@@ -2,7 +2,7 @@
 
 use ids::{ByteSize, ConfigVersion, ContentDigest, WallTime};
 use schema::{
-    control_state::{RefusalCommand, SubmitCommand},
+    control_state::{AuditCommand, SubmitCommand},
     operator::{AuditOutcome, OperatorResponse, Origin, TextError},
 };
 
@@ -17,7 +17,7 @@
 /// A text that was refused before it came to the log.
 pub(crate) struct Refusal {
     pub(crate) response: OperatorResponse,
-    pub(crate) command: RefusalCommand,
+    pub(crate) command: AuditCommand,
 }
 
 /// Checks a text; a text with any fault is refused whole.
@@ -58,7 +58,7 @@
     summary: String,
 ) -> Box<Refusal> {
     let version = ConfigVersion(0);
-    let command = RefusalCommand { origin, at, version, digest, outcome, summary };
+    let command = AuditCommand { origin, at, version, digest, outcome, summary };
     Box::new(Refusal { response, command })
 }
 
--- a/components/control_core/tests/audit.rs
+++ b/components/control_core/tests/audit.rs
@@ -3,13 +3,13 @@
 use control_core::{MAX_AUDIT_ENTRIES, ReplicatedState, verify_page, verify_trail};
 use ids::{Blob, ConfigVersion, ContentDigest, Epoch, WallTime};
 use schema::{
-    control_state::{ClaimMap, Command, RefusalCommand},
+    control_state::{AuditCommand, ClaimMap, Command},
     operator::{AuditOutcome, AuditPage, Origin},
 };
 
 fn refusal(number: u64) -> Command {
     let (operator, address) = (format!("operator {number}"), "192.0.2.1:1".to_owned());
-    Command::Refusal(RefusalCommand {
+    Command::Audit(AuditCommand {
         origin: Origin { operator, address },
         at: WallTime(number),
         version: ConfigVersion(0),
--- a/components/control_core/tests/submit.rs
+++ b/components/control_core/tests/submit.rs
@@ -150,3 +150,19 @@
         }
     }
 }
+
+#[test]
+fn a_removed_voter_is_audited_and_the_rest_go_on() {
+    let mut fleet = Fleet::with_leader(3);
+    let leader = fleet.leader().unwrap();
+    let removed = fleet.ids().into_iter().find(|it| *it != leader).unwrap();
+    fleet.stop(removed);
+
+    let response = fleet.ask_leader("anna", OperatorRequest::RemoveVoter(removed));
+
+    assert_eq!(response, OperatorResponse::MembershipChangeStarted);
+    accepted(fleet.ask_leader("anna", submit(&text(1, 0))));
+    let outcomes = audit_outcomes(&mut fleet);
+    assert_eq!(outcomes, [AuditOutcome::MembershipChanged, AuditOutcome::Accepted]);
+    assert_eq!(fleet.core(leader).consensus().members().voters.len(), 2);
+}
