--- a/components/control_core/tests/fleet/mod.rs
+++ b/components/control_core/tests/fleet/mod.rs
@@ -8,7 +8,7 @@
 use control_core::{Action, ControlCore, Event};
 use ids::{ConfigVersion, HostId, Incarnation, Millis, RequestId, Timestamp, WallTime};
 use schema::{
-    consensus::ConsensusMessage,
+    consensus::{ConsensusMessage, Member},
     operator::{OperatorRequest, OperatorResponse, Origin, Submit},
 };
 use storage::Storage;
@@ -42,6 +42,7 @@
 struct Process {
     core: ControlCore,
     storage: Storage,
+    disk: Incarnation,
 }
 
 pub struct Fleet {
@@ -90,6 +91,20 @@
         self.ids().into_iter().find(leads)
     }
 
+    /// Whether a majority of all hosts are voters without this one.
+    pub fn can_do_without(&self, host: HostId) -> bool {
+        let Some(leader) = self.leader() else {
+            return false;
+        };
+        let log = self.core(leader).consensus();
+        let is_kept = |it: &&Member| {
+            let process = self.hosts[&it.host].process.as_ref();
+            it.host != host && process.is_some_and(|process| process.disk == it.disk)
+        };
+        let kept = log.members().voters.iter().filter(is_kept).count();
+        log.has_settled_members() && kept > self.hosts.len() / 2
+    }
+
     pub fn in_force(&self, host: HostId) -> ConfigVersion {
         self.hosts[&host].in_force
     }
@@ -101,9 +116,10 @@
         let disk = Incarnation(self.next_disk);
         let opened = Storage::open(it.folder.path(), host, disk, bootstrap).unwrap();
         let settings = Settings { voters, seed: self.next_disk };
+        let disk = opened.persisted.identity.disk;
         let core = ControlCore::restore(settings, opened.persisted, self.now);
         it.in_force = ConfigVersion(0);
-        it.process = Some(Process { core, storage: opened.storage });
+        it.process = Some(Process { core, storage: opened.storage, disk });
     }
 
     pub fn stop(&mut self, host: HostId) {
