--- a/components/control_core/tests/audit.rs
+++ b/components/control_core/tests/audit.rs
@@ -3,7 +3,7 @@
 use control_core::{MAX_AUDIT_ENTRIES, ReplicatedState, verify_page, verify_trail};
 use ids::{Blob, ConfigVersion, ContentDigest, Epoch, WallTime};
 use schema::{
-    control_state::{AuditCommand, ClaimMap, Command},
+    control_state::{AuditCommand, ClaimMap, Command, SubmitCommand},
     operator::{AuditOutcome, AuditPage, Origin},
 };
 
@@ -51,6 +51,17 @@
     }
 }
 
+#[test]
+fn an_entry_of_another_trail_shows() {
+    let mut page = whole_page(&state_with(5));
+    let mut other = ReplicatedState::default();
+    (10..15).for_each(|it| drop(other.apply(refusal(it))));
+
+    page.entries[2] = whole_page(&other).entries[2].clone();
+
+    assert!(verify_trail(&[page]).is_err());
+}
+
 #[test]
 fn pages_follow_each_other() {
     let state = state_with(10);
@@ -81,6 +92,8 @@
 fn a_snapshot_holds_the_whole_state() {
     let mut state = state_with(20);
     state.apply(claim_map(1));
+    state.apply(submission(1));
+    state.apply(submission(2));
 
     let restored = ReplicatedState::restore(&state.save());
 
@@ -98,6 +111,18 @@
     assert_eq!(state.claim_map().epoch, Epoch(2));
 }
 
+fn submission(version: u64) -> Command {
+    let (operator, address) = ("anna".to_owned(), "192.0.2.1:1".to_owned());
+    Command::Submit(SubmitCommand {
+        origin: Origin { operator, address },
+        at: WallTime(version),
+        version: ConfigVersion(version),
+        digest: ContentDigest::of(&[version as u8]),
+        text: format!("text {version}"),
+        summary: String::new(),
+    })
+}
+
 fn claim_map(epoch: u64) -> Command {
     Command::ClaimMap(ClaimMap { epoch: Epoch(epoch), data: Blob::from(vec![epoch as u8]) })
 }
--- a/components/control_core/tests/submit.rs
+++ b/components/control_core/tests/submit.rs
@@ -3,7 +3,7 @@
 mod fleet;
 
 use fleet::{Fleet, submit, text};
-use ids::ConfigVersion;
+use ids::{ConfigVersion, LogIndex};
 use schema::operator::{
     Accepted, AuditOutcome, AuditQuery, LeaderHint, OperatorRequest, OperatorResponse,
 };
@@ -166,3 +166,21 @@
     assert_eq!(outcomes, [AuditOutcome::MembershipChanged, AuditOutcome::Accepted]);
     assert_eq!(fleet.core(leader).consensus().members().voters.len(), 2);
 }
+
+#[test]
+fn a_host_that_missed_the_log_gets_the_text_by_a_snapshot() {
+    let mut fleet = Fleet::with_leader(3);
+    let leader = fleet.leader().unwrap();
+    let late = fleet.ids().into_iter().find(|it| *it != leader).unwrap();
+    fleet.stop(late);
+    accepted(fleet.ask_leader("anna", submit(&text(1, 0))));
+    while fleet.core(leader).consensus().snapshot_index() == LogIndex(0) {
+        fleet.ask(leader, "anna", submit("no text"));
+        fleet.step();
+    }
+
+    fleet.start(late, false);
+
+    fleet.run_until(|it| it.in_force(late) == ConfigVersion(1));
+    assert!(fleet.core(late).consensus().snapshot_index() > LogIndex(0));
+}
