Compare suspects with more of their service before ejecting them

Cause of false ejections left: with a service failing 30% of its requests, the first server to reach the threshold was ejected while fewer than half of the others were suspect and the few compared ones happened to answer well. And a frozen server was only noticed when requests were 2.5 times the 95th percentile late.

Now a partial fault has to stay suspect longer than a server that is down; peers that recently failed count as doubtful; more than 30% of suspects (was 50%) mean trouble of the whole service, which lasts 5 s; and requests are overdue at 1.2 times a tracked 99.5th percentile. Ruled out: a still longer wait for all symptoms, which would miss the aim for killed servers.

--- a/components/health/src/baseline.rs
+++ b/components/health/src/baseline.rs
@@ -11,8 +11,14 @@
 /// An answer is slow when it takes this many times the tracked quantile.
 const SLOW_FACTOR: f64 = 1.25;
 
-/// A request is overdue after this many times the tracked quantile.
-const OVERDUE_FACTOR: f64 = 2.5;
+/// Share of usual answers that are not overdue.
+const OVERDUE_QUANTILE: f64 = 0.995;
+
+/// A request is overdue after this many times the latency that is not overdue usually.
+const OVERDUE_FACTOR: f64 = 1.2;
+
+/// A request is never overdue before this many times the latency that is not slow usually.
+const MIN_OVERDUE_FACTOR: f64 = 1.5;
 
 /// Share of a step that answers of a doubtful server count for.
 const DOUBTFUL_SHARE: f64 = 0.1;
@@ -24,6 +30,7 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Baseline {
     log_quantile: f64,
+    log_overdue: f64,
     observations: u32,
 }
 
@@ -37,24 +44,24 @@
         let slow = self.is_warm() && log_latency > self.log_quantile + SLOW_FACTOR.ln();
         if self.observations == 0 {
             self.log_quantile = log_latency;
+            self.log_overdue = log_latency;
         }
         let step = match (self.is_warm(), doubtful) {
             (false, _) => STEP * 3.0,
             (true, false) => STEP,
             (true, true) => STEP * DOUBTFUL_SHARE,
         };
-        self.log_quantile += if log_latency > self.log_quantile {
-            step * QUANTILE
-        } else {
-            -step * (1.0 - QUANTILE)
-        };
+        self.log_quantile += quantile_step(QUANTILE, log_latency > self.log_quantile) * step;
+        self.log_overdue += quantile_step(OVERDUE_QUANTILE, log_latency > self.log_overdue) * step;
         self.observations = self.observations.saturating_add(1);
         slow
     }
 
     /// The latency that is overdue, once enough answers were seen.
     pub(crate) fn overdue_after(&self) -> Option<Duration> {
-        let seconds = (self.log_quantile + OVERDUE_FACTOR.ln()).exp();
+        let usual = self.log_overdue + OVERDUE_FACTOR.ln();
+        let least = self.log_quantile + MIN_OVERDUE_FACTOR.ln();
+        let seconds = usual.max(least).exp();
         self.is_warm().then(|| Duration::from_secs_f64(seconds.min(60.0)))
     }
 
@@ -63,6 +70,11 @@
     }
 }
 
+/// The direction in which the tracker of a quantile moves.
+fn quantile_step(quantile: f64, above: bool) -> f64 {
+    if above { quantile } else { quantile - 1.0 }
+}
+
 fn log_seconds(latency: Duration) -> f64 {
     latency.as_secs_f64().max(1e-6).ln()
 }
--- a/components/health/src/budget.rs
+++ b/components/health/src/budget.rs
@@ -25,6 +25,8 @@
     pub observer_cap: f64,
     /// How long a server is suspect at least before it is ejected.
     pub settle: Millis,
+    /// The same when nearly every request to the server fails.
+    pub settle_when_down: Millis,
 }
 
 impl Budget {
@@ -35,12 +37,20 @@
     /// false ejections per server and year, the threshold is `ln(r * year * k / b)`.
     pub fn of(favour: Favour) -> Self {
         match favour {
-            Favour::Speed => Self::with_budget(1.0, 0.5, Millis(300)),
-            Favour::Certainty => Self::with_budget(0.01, 0.67, Millis(1000)),
+            Favour::Speed => Self {
+                settle: Millis(1000),
+                settle_when_down: Millis(200),
+                ..Self::with_budget(1.0, 0.5)
+            },
+            Favour::Certainty => Self {
+                settle: Millis(2000),
+                settle_when_down: Millis(1000),
+                ..Self::with_budget(0.01, 0.67)
+            },
         }
     }
 
-    fn with_budget(false_ejections_per_year: f64, corroborated: f64, settle: Millis) -> Self {
+    fn with_budget(false_ejections_per_year: f64, corroborated: f64) -> Self {
         let observations = OBSERVATIONS_PER_SECOND * SECONDS_PER_YEAR;
         let threshold = (observations * TESTS_PER_SERVER / false_ejections_per_year).ln();
         Self {
@@ -48,7 +58,8 @@
             corroboration: threshold * corroborated,
             suspicion: threshold / 3.0,
             observer_cap: threshold * 0.55,
-            settle,
+            settle: Millis(0),
+            settle_when_down: Millis(0),
         }
     }
 }
--- a/components/health/src/health/mod.rs
+++ b/components/health/src/health/mod.rs
@@ -28,6 +28,8 @@
     floor: u32,
     budget: Budget,
     depends_on: Vec<ServiceName>,
+    /// Until when the service counts as in trouble as a whole.
+    trouble_until: Timestamp,
     requests: Baseline,
     probes: Baseline,
     members: BTreeSet<ServerId>,
@@ -179,6 +181,7 @@
             floor: service.floor.max(1),
             budget: Budget::of(service.favour),
             depends_on: service.depends_on.clone(),
+            trouble_until: Timestamp::default(),
             requests,
             probes,
             members: BTreeSet::new(),
--- a/components/health/src/health/outbound.rs
+++ b/components/health/src/health/outbound.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use ids::{HostId, Millis, ServerId, Timestamp};
+use ids::{HostId, Millis, ServerId, ServiceName, Timestamp};
 use schema::health::{
     EvidenceSummary, HealthMessage, OutcomeCounts, OutcomeDigest, Suspicions, Symptom, Verdict,
     VerdictStage, Verdicts,
@@ -26,12 +26,13 @@
 const RENEWAL_INTERVAL: Millis = Millis(VERDICT_LIFETIME.0 / 3);
 
 /// Share of a service's servers that may be suspect before the service as a whole is.
-const WHOLE_SERVICE_SHARE: f64 = 0.5;
+const WHOLE_SERVICE_SHARE: f64 = 0.3;
 
 impl Health {
     /// Does what is due; call it every 50 ms or so.
     pub fn tick(&mut self, now: Timestamp) -> Vec<HealthAction> {
         self.send_digests(now);
+        self.note_troubles(now);
         self.judge_watched(now);
         self.send_suspicions(now);
         self.renew_verdicts(now);
@@ -107,6 +108,7 @@
             conviction: watch.evidence.conviction(now, &service.budget),
             excuse: if suspect { self.excuse(now, server) } else { Excuse::None },
             settle: service.budget.settle,
+            settle_when_down: service.budget.settle_when_down,
             excused_limit: service.budget.suspicion * EXCUSED_EVIDENCE,
         })
     }
@@ -117,7 +119,7 @@
         let Some(service) = self.services.get(&record.known.service) else {
             return Excuse::Unknown;
         };
-        let in_trouble = |it| self.has_whole_trouble(it);
+        let in_trouble = |it| self.has_whole_trouble(now, it);
         if in_trouble(&record.known.service) || service.depends_on.iter().any(in_trouble) {
             return Excuse::WholeService;
         }
@@ -128,10 +130,12 @@
     fn compare_with_peers(&self, now: Timestamp, server: &ServerId) -> Excuse {
         let peers = self.peers(server);
         let needed = peers.len().min(COMPARED_PEERS) / 2 + 1;
-        let outcomes = peers.iter().filter_map(|it| self.servers[it].path.recently_bad(now));
-        let seen: Vec<bool> = outcomes.collect();
-        let bad = seen.iter().filter(|bad| **bad).count();
-        if seen.len() >= needed && bad * 2 >= seen.len() {
+        let paths = peers.iter().map(|it| &self.servers[it].path);
+        let seen: Vec<_> = paths.filter(|it| it.recently_bad(now).is_some()).collect();
+        let bad = seen.iter().filter(|it| it.recently_bad(now) == Some(true)).count();
+        let doubtful = seen.iter().filter(|it| it.is_doubtful()).count();
+        let mostly_bad = seen.len() >= needed && bad * 2 >= seen.len();
+        if mostly_bad || doubtful >= (seen.len() / 3).max(2) {
             return Excuse::WholeService;
         }
         if seen.len() < needed && !peers.is_empty() {
@@ -150,10 +154,25 @@
         service.members.iter().filter(|it| *it != server).filter(is_serving).cloned().collect()
     }
 
-    fn has_whole_trouble(&self, service: &ids::ServiceName) -> bool {
-        let Some(service) = self.services.get(service) else { return false };
-        let suspects = service.members.iter().filter(|it| self.suspicions.contains_key(*it));
-        suspects.count() as f64 > (service.members.len() as f64 * WHOLE_SERVICE_SHARE).max(1.0)
+    fn has_whole_trouble(&self, now: Timestamp, service: &ServiceName) -> bool {
+        self.services.get(service).is_some_and(|it| now < it.trouble_until)
+    }
+
+    /// Notes which services have so many suspects that they are in trouble as a whole.
+    fn note_troubles(&mut self, now: Timestamp) {
+        let mut suspects: BTreeMap<&ServiceName, usize> = BTreeMap::new();
+        for server in self.suspicions.keys() {
+            if let Some(record) = self.servers.get(server) {
+                *suspects.entry(&record.known.service).or_default() += 1;
+            }
+        }
+        for (name, count) in suspects {
+            let Some(service) = self.services.get_mut(name) else { continue };
+            let most = (service.members.len() as f64 * WHOLE_SERVICE_SHARE).max(1.0);
+            if count as f64 > most {
+                service.trouble_until = now + TROUBLE_TIME;
+            }
+        }
     }
 
     /// Tells the watchers of a suspect's service about it.
@@ -268,7 +287,10 @@
 }
 
 /// Other servers of the service that a watcher compares a suspect with.
-pub(super) const COMPARED_PEERS: usize = 3;
+pub(super) const COMPARED_PEERS: usize = 4;
+
+/// How long a service counts as in trouble after most of its servers were suspect.
+const TROUBLE_TIME: Millis = Millis(5_000);
 
 /// Evidence that is kept while a whole service is in trouble, in suspicion thresholds.
 const EXCUSED_EVIDENCE: f64 = 1.2;
--- a/components/health/src/judge.rs
+++ b/components/health/src/judge.rs
@@ -1,7 +1,7 @@
 //! What a watcher holds of one server: in rotation, suspect, ejected or on probation.
 
 use ids::{Millis, Timestamp};
-use schema::health::{EvidenceSummary, VerdictStage};
+use schema::health::{EvidenceSummary, Symptom, VerdictStage};
 use statig::prelude::*;
 
 /// How long a first ejection lasts at least.
@@ -37,6 +37,8 @@
     pub(crate) excused_limit: f64,
     /// How long a suspicion lasts before an ejection.
     pub(crate) settle: Millis,
+    /// How long it lasts when nearly every request fails.
+    pub(crate) settle_when_down: Millis,
 }
 
 /// What else than the server itself explains evidence against it.
@@ -50,6 +52,15 @@
     WholeService,
 }
 
+impl Findings {
+    /// Whether a suspicion is old enough: a partial fault takes longer to tell from a service
+    /// that fails as a whole than a server that is down.
+    fn is_settled(&self, since: Timestamp, symptom: Symptom) -> bool {
+        let settle = if symptom == Symptom::Down { self.settle_when_down } else { self.settle };
+        self.now >= since + settle
+    }
+}
+
 /// What changes the judgement of a server.
 #[derive(Debug)]
 pub(crate) enum JudgeEvent {
@@ -120,9 +131,11 @@
         if !findings.suspect {
             return Transition(State::in_rotation(*since));
         }
-        let settled = findings.now >= *suspect_since + findings.settle;
         match &findings.conviction {
-            Some(evidence) if settled && findings.excuse == Excuse::None => {
+            Some(evidence)
+                if findings.is_settled(*suspect_since, evidence.symptom)
+                    && findings.excuse == Excuse::None =>
+            {
                 self.eject(findings.now, evidence.clone())
             }
             _ => Handled,
