Pass callers of busy data centres on to farther entry hosts

Cause: a directory named the nearest serving hosts. With five of six overloaded hosts left out, the sixth got the callers of all until its load was known, 3 s later, and then the next one.

--- a/components/routing/src/directory.rs
+++ b/components/routing/src/directory.rs
@@ -1,6 +1,6 @@
 //! Tells callers which entry hosts to use, in which order and for how long.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use ids::{DataCentreName, HostId, Millis, RegionName};
 use rand_xoshiro::{
@@ -23,6 +23,10 @@
 /// Least weight of a loaded entry host, in thousandths.
 const MIN_WEIGHT_MILLI: u32 = 50;
 
+/// Mean load of a data centre from which part of its callers are sent to farther ones, in
+/// thousandths.
+pub const SPILL_LOAD_MILLI: u32 = 700;
+
 /// Whether an entry host takes new callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum EntryHostState {
@@ -95,14 +99,39 @@
     rank: Rank,
 }
 
-/// Lower is used first: able hosts, then near ones, then by weighted chance.
+/// Lower is used first: able hosts, then those that aren't passed over for their load, then near
+/// ones, then by weighted chance.
 #[derive(Debug, PartialEq, PartialOrd)]
 struct Rank {
     state: EntryHostState,
+    passed_over: bool,
     distance: u32,
     draw: f64,
 }
 
+/// The hosts of a data centre together.
+#[derive(Debug, Default)]
+struct DataCentreLoad {
+    hosts: u64,
+    serving: u64,
+    load_milli: u64,
+}
+
+impl DataCentreLoad {
+    fn add(&mut self, entry: &EntryHost) {
+        self.hosts += 1;
+        self.serving += u64::from(entry.state == EntryHostState::Serving);
+        self.load_milli += u64::from(entry.load_milli);
+    }
+
+    /// Part of its callers that the data centre keeps, in thousandths: that of its serving hosts,
+    /// so that these don't get the callers of overloaded ones, and less with a high mean load.
+    fn kept_milli(&self) -> u64 {
+        let bearable = u64::from(SPILL_LOAD_MILLI) * self.hosts;
+        1_000 * self.serving * bearable / (self.hosts * self.load_milli.max(bearable))
+    }
+}
+
 impl Directory {
     /// A directory whose random choices follow from `seed`.
     pub fn new(seed: u64) -> Self {
@@ -117,27 +146,45 @@
     /// Chooses addresses for a caller.
     ///
     /// At least three addresses in two data centres when there are as many hosts that serve or
-    /// are overloaded; nearest first, and among equally near ones by load.
+    /// are overloaded; nearest first, and among equally near ones by load. Busy data centres are
+    /// passed over at random, and come after the others.
     pub fn answer(&mut self, caller: &CallerLocation, hosts: &[EntryHost]) -> DirectoryAnswer {
+        let passed_over = self.passed_over(hosts);
         let mut ranked: Vec<Ranked<'_>> = hosts
             .iter()
             .filter(|entry| is_usable(entry.state))
-            .map(|entry| Ranked { entry, rank: self.rank(caller, entry) })
+            .map(|entry| Ranked { entry, rank: self.rank(caller, entry, &passed_over) })
             .collect();
         ranked.sort_by(|a, b| a.rank.partial_cmp(&b.rank).expect("draws are numbers"));
         let addresses = select(&ranked).into_iter().map(address).collect();
         DirectoryAnswer { addresses, keep_for: self.keep_for() }
     }
 
-    fn rank(&mut self, caller: &CallerLocation, entry: &EntryHost) -> Rank {
+    fn rank(
+        &mut self,
+        caller: &CallerLocation,
+        entry: &EntryHost,
+        passed_over: &[&DataCentreName],
+    ) -> Rank {
         let weight = 1_000_u32.saturating_sub(entry.load_milli).max(MIN_WEIGHT_MILLI);
         Rank {
             state: entry.state,
+            passed_over: passed_over.contains(&&entry.data_centre),
             distance: distance(caller, entry),
             draw: self.exponential() / f64::from(weight),
         }
     }
 
+    /// The data centres that this answer passes over.
+    fn passed_over<'a>(&mut self, hosts: &'a [EntryHost]) -> Vec<&'a DataCentreName> {
+        let mut loads: BTreeMap<&DataCentreName, DataCentreLoad> = BTreeMap::new();
+        for entry in hosts.iter().filter(|entry| is_usable(entry.state)) {
+            loads.entry(&entry.data_centre).or_default().add(entry);
+        }
+        loads.retain(|_, load| self.rng.next_u64() % 1_000 >= load.kept_milli());
+        loads.into_keys().collect()
+    }
+
     /// An exponentially distributed number; the smallest of several, each divided by its weight,
     /// is any of them with a chance in proportion to the weight.
     fn exponential(&mut self) -> f64 {
