--- a/components/claims/src/replica/shard_epoch.rs
+++ b/components/claims/src/replica/shard_epoch.rs
@@ -35,7 +35,7 @@
     pub(super) records: Records,
     opened: Epoch,
     unticketed_from: WallTime,
-    /// The newest starts of the other replicas that have recovered in this epoch.
+    /// The newest starts of the replicas that have recovered in this epoch, this one included.
     starts: BTreeMap<HostId, Incarnation>,
     /// The replicas that stopped and whose records are all here.
     handed_over: BTreeSet<HostId>,
@@ -142,20 +142,13 @@
         if !copy.is_complete() {
             return;
         }
-        let starts: Vec<_> = copy.source_starts().collect();
         self.mode = Mode::Whole;
-        for (host, incarnation) in starts {
-            if self.replicas.contains(&host) {
-                self.learn_start(host, incarnation);
-            }
-        }
     }
 
     /// Why the claim can't be judged here, if so.
     pub(super) fn refusal(
         &self,
         wall: WallTime,
-        map_epoch: Epoch,
         forgotten: WallTime,
         req: &ClaimRequest,
     ) -> Option<Refusal> {
@@ -168,7 +161,6 @@
             Mode::Whole => {}
         }
         match &req.age {
-            KeyAge::Ticket(ticket) if ticket.epoch > map_epoch => Some(Refusal::WrongEpoch),
             KeyAge::Ticket(ticket) if ticket.epoch < self.opened => Some(Refusal::Closed),
             KeyAge::Ticket(ticket) if is_minted_ahead(ticket, wall) => Some(Refusal::MintedAhead),
             age if is_too_old(age, forgotten) => Some(Refusal::Expired),
--- a/components/consensus/tests/cluster/mod.rs
+++ b/components/consensus/tests/cluster/mod.rs
@@ -227,16 +227,19 @@
         self.replace_disk(host, disk);
     }
 
-    /// Puts the oldest lost disk of the host in the place of its present one.
+    /// Puts the disk that the host lost first in the place of its present one.
     pub fn find_lost_disk(&mut self, host: HostId) {
-        if let Some(disk) = self.lost_disks.iter().find(|it| it.identity.host == host).cloned() {
+        let is_of_host = |it: &Persisted| it.identity.host == host;
+        if let Some(position) = self.lost_disks.iter().position(is_of_host) {
+            let disk = self.lost_disks.remove(position);
             self.replace_disk(host, disk);
         }
     }
 
-    /// A copy of the disk as it is, to be put back later.
-    pub fn copy_disk(&self, host: HostId) -> Persisted {
-        self.hosts[&host].disk.clone()
+    /// Whether the host's disk holds any entry.
+    pub fn has_log(&self, host: HostId) -> bool {
+        let disk = &self.hosts[&host].disk;
+        !disk.entries.is_empty() || disk.snapshot.index > LogIndex(0)
     }
 
     pub fn replace_disk(&mut self, host: HostId, disk: Persisted) {
@@ -295,7 +298,7 @@
     pub fn step_badly(&mut self) {
         self.now = self.now + TICK;
         for host in self.ids() {
-            if self.random.next_u32() % 8 > 0 {
+            if !self.random.next_u32().is_multiple_of(8) {
                 self.tick(host);
             }
         }
