Bound what a peer's message can make the limits hold

A demand near the largest number overflowed the sum of demands, a lease of any length was given, and servers of one fingerprint were remembered without bound. Each is now cut to a stated bound.

The new test of absurd demands panicked (overflow) before the change.

--- a/components/limits/src/organisations/shares.rs
+++ b/components/limits/src/organisations/shares.rs
@@ -13,6 +13,9 @@
 /// Time for which a reported demand counts.
 const DEMAND_LIFETIME: Millis = Millis(3_000);
 
+/// Largest demand of a host that counts, in thousandths of requests a second; keeps sums in range.
+const MAX_DEMAND_MILLI: u64 = u32::MAX as u64 * 1_000;
+
 /// The demand of all entry hosts by organisation.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Shares {
@@ -34,11 +37,12 @@
         usage: &OrganisationUsage,
         limit: &OrganisationLimit,
     ) -> OrganisationShare {
+        let milli = usage.demand_milli.min(MAX_DEMAND_MILLI);
         let demands = self.demands.entry(usage.organisation.clone()).or_default();
-        demands.insert(to, Demand { milli: usage.demand_milli, reported_at: now });
+        demands.insert(to, Demand { milli, reported_at: now });
         demands.retain(|_, demand| is_current(now, demand));
         let limit_milli = u64::from(limit.requests_per_second.0) * 1_000;
-        let share_ppm = share(usage.demand_milli, demands, limit_milli);
+        let share_ppm = share(milli, demands, limit_milli);
         OrganisationShare { organisation: usage.organisation.clone(), share_ppm }
     }
 
--- a/components/limits/src/quarantine/lease_queries.rs
+++ b/components/limits/src/quarantine/lease_queries.rs
@@ -5,7 +5,8 @@
 
 use super::{
     MAX_LEASE, Quarantine, QuarantineAction, QuarantineDecision, Standing, busy, quarantined,
-    records::QUARANTINE_TIME, refuse,
+    records::{QUARANTINE_SERVERS, QUARANTINE_TIME},
+    refuse,
 };
 use crate::rendezvous;
 
@@ -69,7 +70,7 @@
         }
         let known = self.records.standing(now, &query.fingerprint) != Standing::Clear;
         if !known {
-            for server in &query.suspected_servers {
+            for server in query.suspected_servers.iter().take(QUARANTINE_SERVERS) {
                 self.records.add(now, query.fingerprint, server.clone(), false);
             }
         }
--- a/components/limits/src/quarantine/leases.rs
+++ b/components/limits/src/quarantine/leases.rs
@@ -5,6 +5,8 @@
 use ids::{Fingerprint, HostId, Millis, Timestamp};
 use schema::limits::{RunEnded, RunQuery};
 
+use super::MAX_LEASE;
+
 /// Time beyond the end of a lease in which the holder's strike can still arrive.
 const GRACE: Millis = Millis(2_000);
 
@@ -36,7 +38,7 @@
         {
             return lease.holder == Some(holder);
         }
-        let lease = Lease { holder: Some(holder), until: now + query.lease + GRACE };
+        let lease = Lease { holder: Some(holder), until: now + query.lease.min(MAX_LEASE) + GRACE };
         self.held.insert(query.fingerprint, lease);
         true
     }
--- a/components/limits/src/quarantine/records.rs
+++ b/components/limits/src/quarantine/records.rs
@@ -11,7 +11,10 @@
 pub(super) const QUARANTINE_TIME: Millis = Millis(3_600_000);
 
 /// Servers that a fingerprint crashes before it is put into quarantine.
-const QUARANTINE_SERVERS: usize = 2;
+pub(super) const QUARANTINE_SERVERS: usize = 2;
+
+/// Servers that are remembered of one fingerprint.
+const MAX_SERVERS: usize = 16;
 
 /// Whether requests with a fingerprint may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,7 +91,7 @@
         });
         record.exclusive_crash |= exclusive;
         record.last_strike = now;
-        if !record.servers.contains(&server) {
+        if record.servers.len() < MAX_SERVERS && !record.servers.contains(&server) {
             record.servers.push(server);
         }
     }
--- a/components/limits/tests/shared_limits.rs
+++ b/components/limits/tests/shared_limits.rs
@@ -184,3 +184,20 @@
     assert!(sent <= 4, "{sent}");
     assert_eq!(late, 0);
 }
+
+#[test]
+fn absurd_demands_don_t_take_more_than_the_whole() {
+    let mut coordinator = host(HostId(0));
+
+    for number in 1..HOSTS {
+        for demand in [u64::MAX, 0] {
+            let actions = coordinator.handle(at(0), HostId(number), report(demand));
+            let [LimitsAction::Send { message: LimitsMessage::Shares(shares), .. }] = &actions[..]
+            else {
+                panic!("{actions:?}")
+            };
+            assert!(shares.organisations[0].share_ppm <= 1_000_000);
+        }
+        coordinator.handle(at(0), HostId(number), report(u64::MAX));
+    }
+}
