Admit a request without a walk over all services

Cause: each offer summed the guaranteed places of all services, and each finished request did so for every service, so the time grew with the square of their number.

The free guaranteed places are now one number, and only services with queued requests are asked to start one.

--- a/components/limits/src/admission/mod.rs
+++ b/components/limits/src/admission/mod.rs
@@ -6,15 +6,19 @@
 //! entry host go to services by priority, but each service keeps a guaranteed part.
 
 mod concurrency;
+mod places;
 mod queue;
 mod service;
 
-use std::collections::BTreeMap;
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use ids::{FastMap, Millis, OrganisationName, RequestId, ServiceName, Timestamp};
 use schema::config_text::Service;
 
-use self::service::ServiceAdmission;
+use self::{places::Places, service::ServiceAdmission};
 
 /// Bounds of one entry host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -75,6 +79,15 @@
     },
 }
 
+impl AdmissionAction {
+    /// The request that the action is about.
+    pub fn request(self) -> RequestId {
+        match self {
+            Self::Start { request } | Self::Expire { request, .. } => request,
+        }
+    }
+}
+
 /// What a finished request says about the load of its service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Completion {
@@ -91,11 +104,18 @@
 pub struct Admission {
     settings: AdmissionSettings,
     services: BTreeMap<ServiceName, ServiceAdmission>,
-    /// Names by falling priority.
-    by_priority: Vec<ServiceName>,
+    /// The services with queued requests, by falling priority.
+    waiting: BTreeSet<WaitingService>,
     /// The services of all requests that are queued or in flight.
     requests: FastMap<RequestId, ServiceName>,
-    in_flight: u32,
+    places: Places,
+}
+
+/// A service with queued requests; the first in order is served first.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct WaitingService {
+    priority: Reverse<u32>,
+    name: ServiceName,
 }
 
 impl Admission {
@@ -104,9 +124,9 @@
         Self {
             settings,
             services: BTreeMap::new(),
-            by_priority: Vec::new(),
+            waiting: BTreeSet::new(),
             requests: FastMap::default(),
-            in_flight: 0,
+            places: Places::default(),
         }
     }
 
@@ -118,18 +138,14 @@
             admission.configure(service, self.settings.max_queued);
             self.services.insert(service.name.clone(), admission);
         }
-        let mut by_priority: Vec<&Service> = services.iter().collect();
-        by_priority.sort_by(|a, b| b.priority.cmp(&a.priority).then(a.name.cmp(&b.name)));
-        self.by_priority = by_priority.iter().map(|service| service.name.clone()).collect();
-
-        let mut actions = Vec::new();
-        for mut removed in kept.into_values() {
-            self.in_flight -= removed.in_flight();
-            actions.extend(removed.expire_all());
-        }
-        actions.iter().for_each(|&action| self.note(action));
+        let actions = kept.into_values().flat_map(|mut removed| removed.expire_all()).collect();
         let services = &self.services;
         self.requests.retain(|_, service| services.contains_key(service));
+        let in_flight = services.values().map(ServiceAdmission::in_flight);
+        self.places = Places::new(self.settings.max_in_flight, in_flight);
+        self.waiting.clear();
+        let names: Vec<ServiceName> = self.services.keys().cloned().collect();
+        names.iter().for_each(|name| self.update_waiting(name));
         actions
     }
 
@@ -148,23 +164,19 @@
 
     /// Decides on a request; an unknown service is refused.
     pub fn offer(&mut self, now: Timestamp, offer: Offer) -> AdmissionDecision {
-        let has_place = self.has_place(&offer.service);
         let Some(admission) = self.services.get_mut(&offer.service) else {
             return AdmissionDecision::Refused { retry_after: service::MAX_RETRY_AFTER };
         };
         let request = offer.request;
         let service = offer.service.clone();
-        let decision = admission.offer(now, offer, has_place);
+        let used = admission.in_flight();
+        let decision = admission.offer(now, offer, self.places.has_place(used));
         match decision {
-            AdmissionDecision::Start => {
-                self.in_flight += 1;
-                self.requests.insert(request, service);
-            }
-            AdmissionDecision::Queued => {
-                self.requests.insert(request, service);
-            }
-            AdmissionDecision::Refused { .. } => {}
+            AdmissionDecision::Start => self.places.take(used),
+            AdmissionDecision::Queued => self.update_waiting(&service),
+            AdmissionDecision::Refused { .. } => return decision,
         }
+        self.requests.insert(request, service);
         decision
     }
 
@@ -180,8 +192,8 @@
         if !admission.finished(now, request, completion) {
             return Vec::new();
         }
+        self.places.give_back(admission.in_flight());
         self.requests.remove(&request);
-        self.in_flight -= 1;
         self.start_queued(now)
     }
 
@@ -197,25 +209,30 @@
         let Some(service) = self.requests.remove(&request) else { return Vec::new() };
         let Some(admission) = self.services.get_mut(&service) else { return Vec::new() };
         if admission.cancel(request) {
-            self.in_flight -= 1;
+            self.places.give_back(admission.in_flight());
         }
+        self.update_waiting(&service);
         self.start_queued(now)
     }
 
     /// Expires the requests that can't be answered in time and starts the ones that may start.
     pub fn tick(&mut self, now: Timestamp) -> Vec<AdmissionAction> {
         let mut actions = Vec::new();
-        for admission in self.services.values_mut() {
-            actions.extend(admission.expire(now));
+        for WaitingService { name, .. } in self.waiting.clone() {
+            let Some(admission) = self.services.get_mut(&name) else { continue };
+            for action in admission.expire(now) {
+                self.requests.remove(&action.request());
+                actions.push(action);
+            }
+            self.update_waiting(&name);
         }
-        actions.iter().for_each(|&action| self.note(action));
         actions.extend(self.start_queued(now));
         actions
     }
 
     /// The requests in flight over all services.
     pub fn in_flight(&self) -> u32 {
-        self.in_flight
+        self.places.in_flight()
     }
 
     /// The requests that wait for `service`.
@@ -230,44 +247,44 @@
 
     fn start_queued(&mut self, now: Timestamp) -> Vec<AdmissionAction> {
         let mut actions = Vec::new();
-        for name in self.by_priority.clone() {
-            while self.has_place(&name) {
-                let Some(admission) = self.services.get_mut(&name) else { break };
-                let Some(action) = admission.start_next(now) else { break };
-                self.note(action);
+        if self.waiting.is_empty() {
+            return actions;
+        }
+        for WaitingService { name, .. } in self.waiting.clone() {
+            while let Some(action) = self.start_next(now, &name) {
                 actions.push(action);
             }
+            self.update_waiting(&name);
         }
         actions
     }
 
-    /// Whether the entry host has a place for one more request of the service.
-    fn has_place(&self, service: &ServiceName) -> bool {
-        let Some(admission) = self.services.get(service) else { return false };
-        let guaranteed = self.guaranteed();
-        if admission.in_flight() < guaranteed {
-            return true;
+    /// Starts or expires the next request of a service, if it has a place.
+    fn start_next(&mut self, now: Timestamp, service: &ServiceName) -> Option<AdmissionAction> {
+        let admission = self.services.get_mut(service)?;
+        let used = admission.in_flight();
+        if !self.places.has_place(used) {
+            return None;
         }
-        let owed: u32 = self
-            .services
-            .values()
-            .map(|admission| guaranteed.saturating_sub(admission.in_flight()))
-            .sum();
-        self.in_flight + owed < self.settings.max_in_flight
-    }
-
-    /// The places that each service can always have.
-    fn guaranteed(&self) -> u32 {
-        let services = u32::try_from(self.services.len()).unwrap_or(u32::MAX).max(1);
-        (self.settings.max_in_flight / 2 / services).max(1)
-    }
-
-    fn note(&mut self, action: AdmissionAction) {
+        let action = admission.start_next(now)?;
         match action {
-            AdmissionAction::Start { .. } => self.in_flight += 1,
+            AdmissionAction::Start { .. } => self.places.take(used),
             AdmissionAction::Expire { request, .. } => {
                 self.requests.remove(&request);
             }
         }
+        Some(action)
+    }
+
+    /// Notes whether a service has queued requests.
+    fn update_waiting(&mut self, name: &ServiceName) {
+        let Some(admission) = self.services.get(name) else { return };
+        let waiting =
+            WaitingService { priority: Reverse(admission.priority()), name: name.clone() };
+        if admission.queued() > 0 {
+            self.waiting.insert(waiting);
+        } else {
+            self.waiting.remove(&waiting);
+        }
     }
 }
--- a/components/limits/src/admission/service.rs
+++ b/components/limits/src/admission/service.rs
@@ -31,6 +31,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct ServiceAdmission {
     patience: Patience,
+    priority: u32,
     max_queued: u32,
     limit: ConcurrencyLimit,
     queue: FairQueue,
@@ -42,6 +43,7 @@
     fn default() -> Self {
         Self {
             patience: Patience::Prompt,
+            priority: 0,
             max_queued: 0,
             limit: ConcurrencyLimit::default(),
             queue: FairQueue::default(),
@@ -54,6 +56,7 @@
 impl ServiceAdmission {
     pub(super) fn configure(&mut self, service: &Service, max_queued: u32) {
         self.patience = service.patience;
+        self.priority = service.priority;
         self.max_queued = max_queued;
     }
 
@@ -61,6 +64,10 @@
         self.limit.set_slots(slots);
     }
 
+    pub(super) fn priority(&self) -> u32 {
+        self.priority
+    }
+
     pub(super) fn in_flight(&self) -> u32 {
         u32::try_from(self.started.len()).unwrap_or(u32::MAX)
     }
--- a/components/limits/tests/admission.rs
+++ b/components/limits/tests/admission.rs
@@ -147,6 +147,30 @@
     }
 }
 
+#[test]
+fn a_removed_service_gives_its_places_back_and_its_queue_expires() {
+    let mut admission = admission();
+    let next = fill(&mut admission, "archive", 0);
+    let started = admission.in_flight();
+
+    let actions = admission.configure(&services()[..1]);
+    let late = admission.finished(at(10), RequestId(0), Completion::Answered);
+
+    assert!(started > 0);
+    assert_eq!(admission.in_flight(), 0);
+    assert!(matches!(
+        actions[..],
+        [AdmissionAction::Expire { request: RequestId(expired), .. }] if expired == next - 1
+    ));
+    assert!(late.is_empty());
+    let refused = admission.offer(at(10), offer(next, "archive", 0, 60_000));
+    assert!(matches!(refused, AdmissionDecision::Refused { .. }));
+    for request in 0..u64::from(SETTINGS.max_in_flight) {
+        admission.offer(at(10), offer(100 + request, "dispatch", 0, 60_000));
+    }
+    assert_eq!(admission.in_flight(), admission.limit(&name("dispatch")));
+}
+
 #[test]
 fn sheds_lower_the_limit_and_answers_raise_it() {
     let mut admission = admission();
