--- a/components/dissemination/src/dissemination.rs
+++ b/components/dissemination/src/dissemination.rs
@@ -37,7 +37,7 @@
         version: ConfigVersion,
         /// Digest of the text that was submitted.
         digest: ContentDigest,
-        /// The configuration; its lists are sorted by name.
+        /// The configuration; its lists are in an order of their own, the same on every host.
         config: Arc<ConfigText>,
     },
     /// A backend server is new or announced something else than before.
@@ -454,7 +454,7 @@
 
     fn judge_recovery(&mut self, now: Timestamp) {
         let held = self.config.stamp.version;
-        self.recovery.judge(now, held, &self.view.links, &self.settings);
+        self.recovery.judge(now, held, &self.view, &self.settings);
     }
 
     /// Reports the version in force to the relay.
--- a/components/dissemination/src/fragments.rs
+++ b/components/dissemination/src/fragments.rs
@@ -49,6 +49,9 @@
     }
 
     /// Puts the configuration together; `None` when a fragment is missing or malformed.
+    ///
+    /// The lists are in the order of the fragments: sorting tens of thousands of names
+    /// at each change would hold up the host for longer than a request may take.
     pub(crate) fn join(&self, version: ConfigVersion) -> Option<ConfigText> {
         let mut general = None;
         let mut services = Vec::new();
@@ -63,9 +66,6 @@
             }
         }
         let general: General = general?;
-        services.sort_by(|a, b| a.name.cmp(&b.name));
-        routes.sort_by(|a, b| (&a.host, &a.path).cmp(&(&b.host, &b.path)));
-        organisations.sort_by(|a, b| a.name.cmp(&b.name));
         Some(ConfigText {
             version,
             regions: general.regions,
--- a/components/dissemination/src/recovery.rs
+++ b/components/dissemination/src/recovery.rs
@@ -4,7 +4,7 @@
 
 use ids::{ConfigVersion, HostId, Millis, Timestamp};
 
-use crate::settings::DisseminationSettings;
+use crate::{settings::DisseminationSettings, view::View};
 
 /// What a starting host has heard of the versions that others hold.
 #[derive(Debug)]
@@ -54,17 +54,21 @@
         &mut self,
         now: Timestamp,
         held: ConfigVersion,
-        links: &[HostId],
+        view: &View,
         settings: &DisseminationSettings,
     ) {
+        if self.ready {
+            return;
+        }
         let started = *self.started.get_or_insert(now);
+        self.answers.retain(|host, _| view.is_live(*host));
         let highest = self.answers.values().max().copied().unwrap_or_default();
-        if self.ready || held == ConfigVersion(0) || held < highest {
+        if held == ConfigVersion(0) || held < highest {
             return;
         }
         let waited = now.since(started);
-        let answered = links.iter().filter(|it| self.answers.contains_key(it)).count();
-        let most = answered * 2 > links.len();
+        let answered = view.links.iter().filter(|it| self.answers.contains_key(it)).count();
+        let most = answered * 2 > view.links.len();
         self.ready = self.control_answered
             || (waited >= settings.recovery_wait && most)
             || (waited >= settings.recovery_limit && !self.answers.is_empty());
--- a/components/dissemination/src/view.rs
+++ b/components/dissemination/src/view.rs
@@ -19,6 +19,13 @@
 }
 
 impl View {
+    /// Whether the host is live.
+    pub(crate) fn is_live(&self, host: HostId) -> bool {
+        self.links.contains(&host)
+            || self.control.contains(&host)
+            || self.entry.values().any(|it| it.contains(&host))
+    }
+
     /// The view that a host's membership gives; changes only with its generation.
     pub fn of(membership: &Membership) -> Self {
         let own = membership.own();
--- /dev/null
+++ b/components/dissemination/tests/single_host.rs
@@ -0,0 +1,94 @@
+//! What one host does with messages that others of its fleet would send.
+
+mod fleet;
+
+use dissemination::{Dissemination, DisseminationMessage, DisseminationSettings, View};
+use ids::{ConfigVersion, ContentDigest, Epoch, HostId, Timestamp};
+use schema::{
+    announcement::ServerState,
+    dissemination::{ClaimMapStamp, ConfigStamp, Freshness, ServerRecord, Summary},
+};
+
+use crate::fleet::{announcement, text};
+
+const LINKS: [HostId; 3] = [HostId(1), HostId(2), HostId(3)];
+
+fn now(seconds: u64) -> Timestamp {
+    Timestamp::from_millis(seconds * 1_000)
+}
+
+/// A host with three links that holds version 1.
+fn host_at_version_one() -> Dissemination {
+    let mut host = Dissemination::new(DisseminationSettings::new(HostId(0), 1));
+    let view = View { links: LINKS.to_vec(), ..View::default() };
+    host.set_view(now(1), view);
+    host.publish_config(now(1), ConfigVersion(1), ContentDigest::default(), &text(1, 3, 1));
+    host.tick(now(1));
+    host
+}
+
+fn summary(version: u64) -> DisseminationMessage {
+    let digest = ContentDigest::of(&[version as u8]);
+    DisseminationMessage::Summary(Summary {
+        config: ConfigStamp {
+            version: ConfigVersion(version),
+            text_digest: digest,
+            manifest_digest: digest,
+        },
+        claim_map: ClaimMapStamp { epoch: Epoch(0), digest: ContentDigest::default() },
+        servers_digest: 0,
+        current: false,
+        wants_answer: false,
+    })
+}
+
+#[test]
+fn a_host_is_not_ready_while_a_newer_version_is_known() {
+    let mut host = host_at_version_one();
+    for (link, version) in LINKS.into_iter().zip([1, 1, 2]) {
+        host.handle(now(1), link, summary(version));
+    }
+
+    host.tick(now(20));
+
+    assert!(!host.is_ready());
+}
+
+#[test]
+fn the_word_of_a_lost_host_holds_nobody_back() {
+    let mut host = host_at_version_one();
+    for (link, version) in LINKS.into_iter().zip([1, 1, 2]) {
+        host.handle(now(1), link, summary(version));
+    }
+    let view = View { links: LINKS[..2].to_vec(), ..View::default() };
+    host.set_view(now(2), view);
+
+    host.tick(now(5));
+
+    assert!(host.is_ready());
+}
+
+#[test]
+fn a_host_without_answers_is_not_ready() {
+    let mut host = host_at_version_one();
+
+    host.tick(now(60));
+
+    assert!(!host.is_ready());
+}
+
+#[test]
+fn a_stale_mark_on_an_older_announcement_undoes_nothing() {
+    let mut host = host_at_version_one();
+    host.announce(now(2), announcement("server-1", 5, ServerState::Draining));
+    let record = ServerRecord {
+        announcement: announcement("server-1", 3, ServerState::Serving),
+        freshness: Freshness::Stale,
+        freshness_sequence: 9,
+    };
+
+    host.handle(now(3), LINKS[0], DisseminationMessage::Servers(vec![record]));
+
+    let states = host.servers().map(|it| it.state).collect::<Vec<_>>();
+    assert_eq!(states, [ServerState::Draining]);
+}
--- a/components/membership/src/links.rs
+++ b/components/membership/src/links.rs
@@ -13,6 +13,8 @@
     pub(crate) heard: Option<Timestamp>,
     /// When the host last said that it hears this one.
     pub(crate) hears_us: Option<Timestamp>,
+    /// When the host last asked for heartbeats.
+    pub(crate) wanted: Option<Timestamp>,
     /// When a probe by way of another host was last answered.
     pub(crate) indirect: Option<Timestamp>,
     /// Since when indirect probes are out.
@@ -31,6 +33,7 @@
             since: now,
             heard: None,
             hears_us: None,
+            wanted: None,
             indirect: None,
             probing: None,
             differs: None,
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
-use ids::{DataCentreName, HostId, Incarnation, Timestamp};
+use ids::{DataCentreName, HostId, Incarnation, Millis, Timestamp};
 use rand_xoshiro::{Xoshiro256PlusPlus, rand_core::SeedableRng};
 use schema::membership::{
-    Heartbeat, Join, Member, MemberState, MemberUpdate, MembershipMessage, Probe, Suspicion,
+    Heartbeat, Join, Member, MemberState, MemberUpdate, MembershipMessage, Probe,
 };
 use statig::blocking::{IntoStateMachineExt, StateMachine};
 
@@ -15,13 +15,16 @@
     links::{Link, Links},
     reach::Reach,
     settings::{MembershipSettings, Seed},
-    table::{Applied, Table, version_of},
+    table::{Applied, Table},
     topology::Topology,
 };
 
 /// Seeds that a starting host asks at a time.
 const SEEDS_AT_ONCE: usize = 2;
 
+/// Between two searches for records to forget.
+const FORGET_INTERVAL: Millis = Millis(5_000);
+
 /// What the caller has to do after a decision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MembershipAction {
@@ -72,6 +75,7 @@
     last_join: Option<Timestamp>,
     last_rejoin: Timestamp,
     last_compare: Timestamp,
+    last_forget: Timestamp,
 }
 
 impl Membership {
@@ -100,6 +104,7 @@
             last_join: None,
             last_rejoin: now,
             last_compare: now,
+            last_forget: now,
         };
         membership.lifecycle.init();
         let own = membership.own();
@@ -157,7 +162,7 @@
             self.forgive_silence(now);
         }
         self.last_tick = now;
-        self.table.forget(now, self.settings.timing.forget);
+        self.forget_members(now);
         self.gossip.expire(now, self.settings.timing.repeat);
         self.request_join(now, &mut actions);
         self.rejoin(now, &mut actions);
@@ -284,6 +289,13 @@
         self.spread(now, None, vec![MemberUpdate::Record(own)], actions);
     }
 
+    fn forget_members(&mut self, now: Timestamp) {
+        if now.since(self.last_forget) >= FORGET_INTERVAL {
+            self.last_forget = now;
+            self.table.forget(now, self.settings.timing.forget);
+        }
+    }
+
     fn on_join(
         &mut self,
         now: Timestamp,
@@ -322,8 +334,9 @@
         let same = heartbeat.table_digest == self.table.digest();
         let link = self.links.entry(from).or_insert_with(|| Link::new(now));
         link.heard = Some(now);
-        if heartbeat.hears_you {
-            link.hears_us = Some(now);
+        link.hears_us = heartbeat.hears_you.then_some(now);
+        if heartbeat.wants_answer {
+            link.wanted = Some(now);
         }
         link.differs = if same { None } else { link.differs.or(Some(now)) };
     }
@@ -386,7 +399,7 @@
                 let applied = self.table.mark_dead(now, version);
                 self.report(version.host, applied, actions)
             }
-            MemberUpdate::Suspected(suspicion) => self.note_suspicion(now, suspicion),
+            MemberUpdate::Suspected(suspicion) => self.table.suspect(now, suspicion),
         }
     }
 
@@ -433,21 +446,6 @@
         true
     }
 
-    fn note_suspicion(&mut self, now: Timestamp, suspicion: &Suspicion) -> bool {
-        let Some(entry) = self.table.get_mut(suspicion.suspect.host) else {
-            return false;
-        };
-        if version_of(&entry.member) != suspicion.suspect
-            || !crate::table::is_live_state(entry.member.state)
-        {
-            return false;
-        }
-        if entry.suspected_by.is_empty() {
-            entry.suspected_at = now;
-        }
-        entry.suspected_by.insert(suspicion.by)
-    }
-
     /// Sends changes to all links but the one that they came from.
     pub(crate) fn spread(
         &mut self,
@@ -563,6 +561,7 @@
             let heartbeat = Heartbeat {
                 incarnation: self.incarnation,
                 hears_you,
+                wants_answer: self.topology.links_to(host),
                 table_digest: digest,
                 in_flight: self.in_flight,
                 updates: updates.clone(),
--- a/components/membership/src/probing.rs
+++ b/components/membership/src/probing.rs
@@ -52,14 +52,11 @@
         let own = self.settings.host;
         let timing = &self.settings.timing;
         let mut dead = Vec::new();
-        for member in self.table.live() {
-            let Some(entry) = self.table.get(member.host) else {
-                continue;
-            };
+        for entry in self.table.suspects() {
             let shared = entry.suspected_by.len() >= 2;
             let wait = if shared { timing.shared_suspicion } else { timing.lone_suspicion };
             if entry.suspected_by.contains(&own) && now.since(entry.suspected_at) >= wait {
-                dead.push(MemberUpdate::Dead(version_of(member)));
+                dead.push(MemberUpdate::Dead(version_of(&entry.member)));
             }
         }
         self.take_updates(now, None, dead, actions);
@@ -148,14 +145,12 @@
         }
     }
 
-    /// Ends the exchange with hosts that are no neighbours and have fallen silent.
+    /// Ends the exchange with hosts that neither side counts among its links any more.
     fn drop_unused_links(&mut self, now: Timestamp) {
         let silence = self.settings.timing.silence;
         let topology = &self.topology;
         self.links.retain(|host, link| {
-            topology.neighbours.contains(host)
-                || topology.remote.contains(host)
-                || link.heard.is_some_and(|it| now.since(it) <= silence)
+            topology.links_to(*host) || link.wanted.is_some_and(|it| now.since(it) <= silence)
         });
     }
 
@@ -222,9 +217,7 @@
 
     fn withdraw_suspicion(&mut self, host: HostId) {
         let own = self.settings.host;
-        if let Some(entry) = self.table.get_mut(host) {
-            entry.suspected_by.remove(&own);
-        }
+        self.table.unsuspect(host, own);
     }
 }
 
--- a/components/membership/src/table.rs
+++ b/components/membership/src/table.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use ids::{HostId, Millis, Timestamp};
-use schema::membership::{Member, MemberState, MemberVersion};
+use schema::membership::{Member, MemberState, MemberVersion, Suspicion};
 
 use crate::ring::mix;
 
@@ -39,19 +39,47 @@
 pub(crate) struct Table {
     entries: BTreeMap<HostId, Entry>,
     buckets: Vec<u64>,
+    /// Hosts that were suspected since their record last changed.
+    suspects: BTreeSet<HostId>,
 }
 
 impl Table {
     pub(crate) fn new() -> Self {
-        Self { entries: BTreeMap::new(), buckets: vec![0; BUCKETS] }
+        Self { entries: BTreeMap::new(), buckets: vec![0; BUCKETS], suspects: BTreeSet::new() }
     }
 
     pub(crate) fn get(&self, host: HostId) -> Option<&Entry> {
         self.entries.get(&host)
     }
 
-    pub(crate) fn get_mut(&mut self, host: HostId) -> Option<&mut Entry> {
-        self.entries.get_mut(&host)
+    /// The entries of suspected hosts, in the order of their ids.
+    pub(crate) fn suspects(&self) -> impl Iterator<Item = &Entry> {
+        self.suspects.iter().filter_map(|it| self.entries.get(it))
+    }
+
+    /// Notes a suspicion of the version held; returns whether it is news.
+    pub(crate) fn suspect(&mut self, now: Timestamp, suspicion: &Suspicion) -> bool {
+        let Some(entry) = self.entries.get_mut(&suspicion.suspect.host) else {
+            return false;
+        };
+        let member = &entry.member;
+        if version_of(member) != suspicion.suspect || !is_live_state(member.state) {
+            return false;
+        }
+        if entry.suspected_by.is_empty() {
+            entry.suspected_at = now;
+        }
+        self.suspects.insert(suspicion.suspect.host);
+        entry.suspected_by.insert(suspicion.by)
+    }
+
+    /// Takes back the suspicion that `by` had of `host`.
+    pub(crate) fn unsuspect(&mut self, host: HostId, by: HostId) {
+        if self.suspects.contains(&host)
+            && let Some(entry) = self.entries.get_mut(&host)
+        {
+            entry.suspected_by.remove(&by);
+        }
     }
 
     pub(crate) fn members(&self) -> impl Iterator<Item = &Member> {
@@ -148,6 +176,7 @@
             suspected_at: Timestamp::default(),
             changed_at: now,
         };
+        self.suspects.remove(&entry.member.host);
         self.entries.insert(entry.member.host, entry);
     }
 }
--- a/components/membership/src/topology.rs
+++ b/components/membership/src/topology.rs
@@ -49,6 +49,11 @@
         topology
     }
 
+    /// Whether this host wants heartbeats of `host`.
+    pub(crate) fn links_to(&self, host: HostId) -> bool {
+        self.neighbours.contains(&host) || self.remote.contains(&host)
+    }
+
     /// Whether `host` is the relay of the data centre.
     pub(crate) fn is_relay(&self, data_centre: &DataCentreName, host: HostId) -> bool {
         self.relays.get(data_centre) == Some(&host)
