Let the test of a partial hand-over see what it is about

The outcomes' further tries had reached the replica that was meant to know nothing, so that a hand-over taken for whole after its first page went unnoticed in a trial. They are lost now, and the page is one of the shard's.

--- a/components/claims/tests/pages.rs
+++ b/components/claims/tests/pages.rs
@@ -13,6 +13,12 @@
 /// Longer than a copy or a hand-over takes without faults.
 const QUIET_MILLIS: u64 = 500;
 
+/// Longer than the pause between two tries to store an outcome.
+const RETRY_MILLIS: u64 = 3_000;
+
+/// More than the tries that follow once a majority has stored an outcome.
+const RETRIES: usize = 8;
+
 struct Scene {
     fleet: Fleet,
     replicas: Vec<HostId>,
@@ -43,6 +49,11 @@
         deaf(&mut fleet);
         fleet.settle();
     }
+    // The further tries to store the outcomes are lost.
+    for _ in 0..RETRIES {
+        fleet.advance(RETRY_MILLIS);
+        fleet.in_flight.clear();
+    }
     Scene { fleet, replicas, entry, last }
 }
 
@@ -74,7 +85,8 @@
     // Only the first page reaches the replica that knows nothing.
     scene.fleet.drain(stops);
     scene.fleet.hold_back(stops, restarts);
-    let is_page = |it: &fleet::Envelope| matches!(it.message, ClaimsMessage::HandOver(_));
+    let number = scene.fleet.map.shard_of(&scene.last).unwrap();
+    let is_page = |it: &fleet::Envelope| matches!(&it.message, ClaimsMessage::HandOver(page) if page.shard == number.0 && !page.last);
     let page = scene.fleet.in_flight.iter().position(|it| it.to == unaware && is_page(it));
     scene.fleet.deliver(page.unwrap());
     scene.fleet.in_flight.clear();
