--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -2,12 +2,12 @@
 
 mod support;
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use ids::Millis;
-use schema::caller::DirectoryAnswer;
+use schema::{caller::DirectoryAnswer, entry_status::ServerPage};
 use stand_in::{Behaviour, HttpError};
-use support::{Fleet, get, post, wait_for};
+use support::{Fleet, get, post, text, wait_for};
 use tokio::{sync::watch, task::JoinSet, time::Instant};
 
 /// Time within which a server that is leaving receives no new work.
@@ -255,32 +255,43 @@
     assert!(faults.is_empty(), "{} faults: {:?}", faults.len(), &faults[..faults.len().min(5)]);
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn ejections_leave_the_floor_in_rotation() {
-    let mut fleet = Fleet::start(1, 4, 3).await;
-    fleet.add_servers(4).await;
-    let addresses: Arc<Vec<_>> =
-        Arc::new(fleet.entries.iter().map(|it| it.caller_address).collect());
+/// The sick server as an entry host sees it.
+async fn sick_server(fleet: &Fleet, index: usize) -> Option<ServerPage> {
+    let status = fleet.entry_status(index).await?;
+    status.servers.into_iter().find(|it| it.server.as_str() == "queue-1")
+}
 
-    fleet.servers[0..2].iter().for_each(|it| it.set_behaviour(Behaviour::Failing));
-    wait_for("an ejection", async || {
-        for number in 0..40usize {
-            let _ = get(addresses[number % 4], "/queue/1", &[]).await;
+/// Sends requests until every entry host sees the sick server as wanted; no host may ever have it
+/// out of rotation when `may_be_out` is false.
+async fn wait_for_sick_server(
+    fleet: &Fleet,
+    may_be_out: bool,
+    is_wanted: impl Fn(&ServerPage) -> bool,
+) {
+    wait_for("the sick server's status", async || {
+        let mut wanted = 0;
+        for (index, host) in fleet.entries.iter().enumerate() {
+            for _ in 0..20 {
+                let _ = get(host.caller_address, "/queue/1", &[]).await;
+            }
+            let server = sick_server(fleet, index).await?;
+            let is_out = server.status == "Ejected" && !server.held_by_floor;
+            assert!(may_be_out || !is_out, "out of rotation against the floor: {server:?}");
+            wanted += usize::from(is_wanted(&server));
         }
-        let status = fleet.entry_status(0).await?;
-        let out = status.servers.iter().filter(|it| it.status == "Ejected" && !it.held_by_floor);
-        (out.count() > 0).then_some(())
+        (wanted == fleet.entries.len()).then_some(())
     })
     .await;
-    for _ in 0..10 {
-        for number in 0..40usize {
-            let _ = get(addresses[number % 4], "/queue/1", &[]).await;
-        }
-        for index in 0..4 {
-            let status = fleet.entry_status(index).await.unwrap();
-            let queue = status.servers.iter().filter(|it| it.service.as_str() == "queue");
-            let out = queue.filter(|it| it.status == "Ejected" && !it.held_by_floor).count();
-            assert!(out <= 1, "{out} of 4 servers are out with a floor of 3: {:?}", status.servers);
-        }
-    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn ejections_leave_the_floor_in_rotation() {
+    let mut fleet = Fleet::start(1, 4, 4).await;
+    fleet.add_servers(4).await;
+
+    fleet.servers[0].set_behaviour(Behaviour::Failing);
+
+    wait_for_sick_server(&fleet, false, |it| it.held_by_floor).await;
+    fleet.submit(&text(2, 3)).await;
+    wait_for_sick_server(&fleet, true, |it| it.status == "Ejected" && !it.held_by_floor).await;
 }
