--- a/components/control_core/src/requests.rs
+++ b/components/control_core/src/requests.rs
@@ -11,7 +11,12 @@
     },
 };
 
-use crate::{action::Action, core::ControlCore, state::SubmitOutcome, submission};
+use crate::{
+    action::Action,
+    core::ControlCore,
+    state::SubmitOutcome,
+    submission::{self, ParsedText},
+};
 
 /// Submitted texts that wait for the one before.
 pub const MAX_WAITING_SUBMITS: usize = 64;
@@ -24,6 +29,7 @@
 pub(crate) struct Requests {
     waiting: VecDeque<WaitingSubmit>,
     in_flight: Option<SubmitInFlight>,
+    last_parsed: Option<ParsedText>,
 }
 
 /// A text that waits for the one before, since its changes are told against that one.
@@ -130,7 +136,8 @@
 
     fn propose_submit(&mut self, now: Timestamp, submit: WaitingSubmit) {
         let WaitingSubmit { request, origin, at, text } = submit;
-        let command = match submission::check(&self.state, origin, at, text) {
+        let last = &mut self.requests.last_parsed;
+        let command = match submission::check(&self.state, last, origin, at, text) {
             Ok(command) => command,
             Err(refusal) => {
                 self.answer(request, refusal.response);
--- a/components/control_core/src/submission.rs
+++ b/components/control_core/src/submission.rs
@@ -1,5 +1,6 @@
 //! Checks a submitted text and turns it into a command.
 
+use config::Config;
 use ids::{ByteSize, ConfigVersion, ContentDigest, WallTime};
 use schema::{
     control_state::{AuditCommand, SubmitCommand},
@@ -20,9 +21,16 @@
     pub(crate) command: AuditCommand,
 }
 
+/// The text that was parsed last; usually the one in force when the next is submitted.
+pub(crate) struct ParsedText {
+    digest: ContentDigest,
+    config: Config,
+}
+
 /// Checks a text; a text with any fault is refused whole.
 pub(crate) fn check(
     state: &ReplicatedState,
+    last: &mut Option<ParsedText>,
     origin: Origin,
     at: WallTime,
     text: String,
@@ -36,8 +44,9 @@
     match config::parse(&text) {
         Ok(parsed) => {
             let version = parsed.version();
-            let before = config::parse(&state.current().text).ok();
-            let summary = summarize(before.as_ref().map(|it| it.text()), parsed.text());
+            let before = current_config(state, last.take());
+            let summary = summarize(before.as_ref().map(Config::text), parsed.text());
+            *last = Some(ParsedText { digest, config: parsed });
             Ok(SubmitCommand { origin, at, version, digest, text, summary })
         }
         Err(errors) => {
@@ -49,6 +58,15 @@
     }
 }
 
+/// The text in force, parsed again only when it is not the one parsed last.
+fn current_config(state: &ReplicatedState, last: Option<ParsedText>) -> Option<Config> {
+    let current = state.current();
+    match last {
+        Some(last) if last.digest == current.digest => Some(last.config),
+        _ => config::parse(&current.text).ok(),
+    }
+}
+
 fn refusal(
     response: OperatorResponse,
     origin: Origin,
