--- a/components/health/src/health/mod.rs
+++ b/components/health/src/health/mod.rs
@@ -28,6 +28,8 @@
     floor: u32,
     budget: Budget,
     depends_on: Vec<ServiceName>,
+    /// Until when the service counts as in trouble as a whole.
+    trouble_until: Timestamp,
     requests: Baseline,
     probes: Baseline,
     members: BTreeSet<ServerId>,
@@ -54,6 +56,7 @@
     last_flush: Timestamp,
     last_renewal: Timestamp,
     last_suspicions: Timestamp,
+    new_suspects: bool,
     outgoing: Vec<HealthAction>,
 }
 
@@ -74,6 +77,7 @@
             last_flush: Timestamp::default(),
             last_renewal: Timestamp::default(),
             last_suspicions: Timestamp::default(),
+            new_suspects: false,
             outgoing: Vec::new(),
         }
     }
@@ -177,6 +181,7 @@
             floor: service.floor.max(1),
             budget: Budget::of(service.favour),
             depends_on: service.depends_on.clone(),
+            trouble_until: Timestamp::default(),
             requests,
             probes,
             members: BTreeSet::new(),
--- a/components/health/src/health/outbound.rs
+++ b/components/health/src/health/outbound.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use ids::{HostId, Millis, ServerId, Timestamp};
+use ids::{HostId, Millis, ServerId, ServiceName, Timestamp};
 use schema::health::{
     EvidenceSummary, HealthMessage, OutcomeCounts, OutcomeDigest, Suspicions, Symptom, Verdict,
     VerdictStage, Verdicts,
@@ -11,7 +11,7 @@
 use crate::{
     evidence::Evidence,
     health::Health,
-    judge::{Findings, JudgeEvent},
+    judge::{Excuse, Findings, JudgeEvent},
     types::{HealthAction, KnownState},
     verdicts::VERDICT_LIFETIME,
 };
@@ -26,12 +26,13 @@
 const RENEWAL_INTERVAL: Millis = Millis(VERDICT_LIFETIME.0 / 3);
 
 /// Share of a service's servers that may be suspect before the service as a whole is.
-const WHOLE_SERVICE_SHARE: f64 = 0.5;
+const WHOLE_SERVICE_SHARE: f64 = 0.3;
 
 impl Health {
     /// Does what is due; call it every 50 ms or so.
     pub fn tick(&mut self, now: Timestamp) -> Vec<HealthAction> {
         self.send_digests(now);
+        self.note_troubles(now);
         self.judge_watched(now);
         self.send_suspicions(now);
         self.renew_verdicts(now);
@@ -70,16 +71,15 @@
     fn judge_watched(&mut self, now: Timestamp) {
         let mut changed = Vec::new();
         for server in self.watched.clone() {
-            let excused = self.is_excused(now, &server);
-            let Some(findings) = self.findings(now, &server, excused) else { continue };
+            let Some(findings) = self.findings(now, &server) else { continue };
             let before = self.own_stage(&server);
             let was_suspect = self.holds_suspect(&server);
             if let Some(watch) = self.servers.get_mut(&server).and_then(|it| it.watch.as_mut()) {
-                let explained = findings.excused && findings.conviction.is_some();
-                watch.judge.handle(&JudgeEvent::Look(findings));
-                if explained {
-                    watch.evidence = Evidence::default();
+                watch.excused = findings.excuse == Excuse::WholeService;
+                if watch.excused {
+                    watch.evidence.limit(findings.excused_limit);
                 }
+                watch.judge.handle(&JudgeEvent::Look(findings));
                 if before == Some(VerdictStage::Ejected)
                     && watch.judge.state().stage() == VerdictStage::Probation
                 {
@@ -87,6 +87,7 @@
                 }
             }
             if was_suspect != self.holds_suspect(&server) {
+                self.new_suspects |= !was_suspect;
                 self.timed.insert(server.clone());
             }
             if before != self.own_stage(&server) {
@@ -96,40 +97,51 @@
         self.give_verdicts(now, &changed);
     }
 
-    fn findings(&self, now: Timestamp, server: &ServerId, excused: bool) -> Option<Findings> {
+    fn findings(&self, now: Timestamp, server: &ServerId) -> Option<Findings> {
         let record = self.servers.get(server)?;
         let service = self.services.get(&record.known.service)?;
         let watch = record.watch.as_ref()?;
+        let suspect = watch.evidence.strongest() >= service.budget.suspicion;
         Some(Findings {
             now,
-            suspect: watch.evidence.strongest() >= service.budget.suspicion,
+            suspect,
             conviction: watch.evidence.conviction(now, &service.budget),
-            excused,
+            excuse: if suspect { self.excuse(now, server) } else { Excuse::None },
             settle: service.budget.settle,
+            settle_when_down: service.budget.settle_when_down,
+            excused_limit: service.budget.suspicion * EXCUSED_EVIDENCE,
         })
     }
 
-    /// Whether something larger than the server explains the evidence.
-    fn is_excused(&self, now: Timestamp, server: &ServerId) -> bool {
-        let Some(record) = self.servers.get(server) else { return true };
-        let Some(service) = self.services.get(&record.known.service) else { return true };
-        let in_trouble = |it| self.has_whole_trouble(it);
-        in_trouble(&record.known.service)
-            || service.depends_on.iter().any(in_trouble)
-            || !self.sees_peers_well(now, server)
+    /// What else explains the evidence against a suspect.
+    fn excuse(&self, now: Timestamp, server: &ServerId) -> Excuse {
+        let Some(record) = self.servers.get(server) else { return Excuse::Unknown };
+        let Some(service) = self.services.get(&record.known.service) else {
+            return Excuse::Unknown;
+        };
+        let in_trouble = |it| self.has_whole_trouble(now, it);
+        if in_trouble(&record.known.service) || service.depends_on.iter().any(in_trouble) {
+            return Excuse::WholeService;
+        }
+        self.compare_with_peers(now, server)
     }
 
     /// Whether this host lately saw most of the other servers of the service do well.
-    fn sees_peers_well(&self, now: Timestamp, server: &ServerId) -> bool {
+    fn compare_with_peers(&self, now: Timestamp, server: &ServerId) -> Excuse {
         let peers = self.peers(server);
         let needed = peers.len().min(COMPARED_PEERS) / 2 + 1;
-        if peers.is_empty() {
-            return true;
+        let paths = peers.iter().map(|it| &self.servers[it].path);
+        let seen: Vec<_> = paths.filter(|it| it.recently_bad(now).is_some()).collect();
+        let bad = seen.iter().filter(|it| it.recently_bad(now) == Some(true)).count();
+        let doubtful = seen.iter().filter(|it| it.is_doubtful()).count();
+        let mostly_bad = seen.len() >= needed && bad * 2 >= seen.len();
+        if mostly_bad || doubtful >= (seen.len() / 3).max(2) {
+            return Excuse::WholeService;
+        }
+        if seen.len() < needed && !peers.is_empty() {
+            return Excuse::Unknown;
         }
-        let outcomes = peers.iter().filter_map(|it| self.servers[it].path.recently_bad(now));
-        let seen: Vec<bool> = outcomes.collect();
-        let well = seen.iter().filter(|bad| !**bad).count();
-        well >= needed && well * 2 > seen.len()
+        Excuse::None
     }
 
     /// The other serving servers of a server's service.
@@ -142,17 +154,33 @@
         service.members.iter().filter(|it| *it != server).filter(is_serving).cloned().collect()
     }
 
-    fn has_whole_trouble(&self, service: &ids::ServiceName) -> bool {
-        let Some(service) = self.services.get(service) else { return false };
-        let suspects = service.members.iter().filter(|it| self.suspicions.contains_key(*it));
-        suspects.count() as f64 > (service.members.len() as f64 * WHOLE_SERVICE_SHARE).max(1.0)
+    fn has_whole_trouble(&self, now: Timestamp, service: &ServiceName) -> bool {
+        self.services.get(service).is_some_and(|it| now < it.trouble_until)
+    }
+
+    /// Notes which services have so many suspects that they are in trouble as a whole.
+    fn note_troubles(&mut self, now: Timestamp) {
+        let mut suspects: BTreeMap<&ServiceName, usize> = BTreeMap::new();
+        for server in self.suspicions.keys() {
+            if let Some(record) = self.servers.get(server) {
+                *suspects.entry(&record.known.service).or_default() += 1;
+            }
+        }
+        for (name, count) in suspects {
+            let Some(service) = self.services.get_mut(name) else { continue };
+            let most = (service.members.len() as f64 * WHOLE_SERVICE_SHARE).max(1.0);
+            if count as f64 > most {
+                service.trouble_until = now + TROUBLE_TIME;
+            }
+        }
     }
 
     /// Tells the watchers of a suspect's service about it.
     fn send_suspicions(&mut self, now: Timestamp) {
-        if now < self.last_suspicions + SUSPICION_INTERVAL {
+        if now < self.last_suspicions + SUSPICION_INTERVAL && !self.new_suspects {
             return;
         }
+        self.new_suspects = false;
         let suspects: Vec<ServerId> =
             self.watched.iter().filter(|it| self.holds_suspect(it)).cloned().collect();
         if suspects.is_empty() {
@@ -259,7 +287,13 @@
 }
 
 /// Other servers of the service that a watcher compares a suspect with.
-pub(super) const COMPARED_PEERS: usize = 3;
+pub(super) const COMPARED_PEERS: usize = 4;
+
+/// How long a service counts as in trouble after most of its servers were suspect.
+const TROUBLE_TIME: Millis = Millis(5_000);
+
+/// Evidence that is kept while a whole service is in trouble, in suspicion thresholds.
+const EXCUSED_EVIDENCE: f64 = 1.2;
 
 /// Hosts in each other data centre that pass verdicts on.
 const RELAYS: usize = 2;
