--- a/components/dissemination/src/fragments.rs
+++ b/components/dissemination/src/fragments.rs
@@ -11,11 +11,12 @@
 /// Routes or organisations in a page, on average; a page holds at most about twice as many.
 const PAGE_ITEMS: usize = 32;
 
-/// A fragment with its digest.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// A fragment with its digest and decoded content.
+#[derive(Debug, PartialEq, Eq)]
 pub(crate) struct Held {
     pub(crate) fragment: Fragment,
     pub(crate) digest: ContentDigest,
+    content: FragmentContent,
 }
 
 /// The encoded key, which orders the fragments.
@@ -23,7 +24,7 @@
 
 /// All fragments of one configuration, in the order of their encoded keys.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub(crate) struct Fragments(BTreeMap<OrderedKey, Held>);
+pub(crate) struct Fragments(BTreeMap<OrderedKey, Arc<Held>>);
 
 impl Fragments {
     /// Splits `text`; texts that differ only in the order of their lists give the same fragments.
@@ -33,22 +34,22 @@
             regions: text.regions.clone(),
             default_organisation: text.default_organisation.clone(),
         };
-        fragments.add(FragmentKey::General, &FragmentContent::General(general));
+        fragments.add(FragmentKey::General, FragmentContent::General(general));
         for service in &text.services {
             let key = FragmentKey::Service(service.name.clone());
-            fragments.add(key, &FragmentContent::Service(service.clone()));
+            fragments.add(key, FragmentContent::Service(service.clone()));
         }
         for (page, routes) in route_pages(&text.routes) {
-            fragments.add(FragmentKey::Routes(page), &FragmentContent::Routes(routes));
+            fragments.add(FragmentKey::Routes(page), FragmentContent::Routes(routes));
         }
         for (page, organisations) in organisation_pages(&text.organisations) {
             let content = FragmentContent::Organisations(organisations);
-            fragments.add(FragmentKey::Organisations(page), &content);
+            fragments.add(FragmentKey::Organisations(page), content);
         }
         fragments
     }
 
-    /// Puts the configuration together; `None` when a fragment is missing or malformed.
+    /// Puts the configuration together; `None` when the general fragment is missing.
     ///
     /// The lists are in the order of the fragments: sorting tens of thousands of names
     /// at each change would hold up the host for longer than a request may take.
@@ -58,14 +59,14 @@
         let mut routes = Vec::new();
         let mut organisations = Vec::new();
         for held in self.0.values() {
-            match schema::decode(held.fragment.content.as_slice()).ok()? {
-                FragmentContent::General(it) => general = Some(it),
-                FragmentContent::Service(it) => services.push(it),
-                FragmentContent::Routes(it) => routes.extend(it),
-                FragmentContent::Organisations(it) => organisations.extend(it),
+            match &held.content {
+                FragmentContent::General(it) => general = Some(it.clone()),
+                FragmentContent::Service(it) => services.push(it.clone()),
+                FragmentContent::Routes(it) => routes.extend_from_slice(it),
+                FragmentContent::Organisations(it) => organisations.extend_from_slice(it),
             }
         }
-        let general: General = general?;
+        let general = general?;
         Some(ConfigText {
             version,
             regions: general.regions,
@@ -88,16 +89,22 @@
     }
 
     pub(crate) fn manifest(&self) -> Vec<ManifestEntry> {
-        let entry = |it: &Held| ManifestEntry { key: it.fragment.key.clone(), digest: it.digest };
+        let entry =
+            |it: &Arc<Held>| ManifestEntry { key: it.fragment.key.clone(), digest: it.digest };
         self.0.values().map(entry).collect()
     }
 
+    /// Takes in a fragment that was received; a malformed one is dropped and stays missing.
     pub(crate) fn insert(&mut self, fragment: Fragment) {
+        let Ok(content) = schema::decode(fragment.content.as_slice()) else {
+            self.remove(&fragment.key);
+            return;
+        };
         let digest = ContentDigest::of(fragment.content.as_slice());
-        self.0.insert(ordered(&fragment.key), Held { fragment, digest });
+        self.insert_held(Arc::new(Held { fragment, digest, content }));
     }
 
-    pub(crate) fn insert_held(&mut self, held: Held) {
+    pub(crate) fn insert_held(&mut self, held: Arc<Held>) {
         self.0.insert(ordered(&held.fragment.key), held);
     }
 
@@ -105,7 +112,7 @@
         self.0.remove(&ordered(key));
     }
 
-    pub(crate) fn get(&self, key: &FragmentKey) -> Option<&Held> {
+    pub(crate) fn get(&self, key: &FragmentKey) -> Option<&Arc<Held>> {
         self.0.get(&ordered(key))
     }
 
@@ -127,9 +134,11 @@
         base.keys().filter(|it| self.get(it).is_none()).cloned().collect()
     }
 
-    fn add(&mut self, key: FragmentKey, content: &FragmentContent) {
-        let content = Blob::from(schema::encode(content));
-        self.insert(Fragment { key, content });
+    fn add(&mut self, key: FragmentKey, content: FragmentContent) {
+        let data = schema::encode(&content);
+        let digest = ContentDigest::of(&data);
+        let fragment = Fragment { key, content: Blob::from(data) };
+        self.insert_held(Arc::new(Held { fragment, digest, content }));
     }
 }
 
--- a/components/dissemination/tests/single_host.rs
+++ b/components/dissemination/tests/single_host.rs
@@ -2,11 +2,16 @@
 
 mod fleet;
 
-use dissemination::{Dissemination, DisseminationMessage, DisseminationSettings, View};
-use ids::{ConfigVersion, ContentDigest, Epoch, HostId, Timestamp};
+use dissemination::{
+    Dissemination, DisseminationAction, DisseminationMessage, DisseminationSettings, View,
+};
+use ids::{Blob, ConfigVersion, ContentDigest, Epoch, HostId, Timestamp};
 use schema::{
     announcement::ServerState,
-    dissemination::{ClaimMapStamp, ConfigStamp, Freshness, ServerRecord, Summary},
+    dissemination::{
+        ClaimMapStamp, ConfigDelta, ConfigStamp, Fragment, FragmentContent, FragmentKey, Freshness,
+        ServerRecord, Summary,
+    },
 };
 
 use crate::fleet::{announcement, text};
@@ -77,6 +82,40 @@
     assert!(!host.is_ready());
 }
 
+#[test]
+fn a_delta_that_does_not_give_what_was_offered_is_refused() {
+    let mut host = host_at_version_one();
+    let digest = ContentDigest::of(b"other");
+    let stamp =
+        ConfigStamp { version: ConfigVersion(2), text_digest: digest, manifest_digest: digest };
+    let offer = DisseminationMessage::ConfigOffer(stamp.clone());
+    let actions = host.handle(now(2), LINKS[0], offer);
+    let base = requested_base(&actions);
+    for content in [schema::encode(&FragmentContent::Routes(Vec::new())), vec![255; 9]] {
+        let content = Blob::from(content);
+        let delta = ConfigDelta {
+            stamp: stamp.clone(),
+            base,
+            changed: vec![Fragment { key: FragmentKey::Routes(0), content }],
+            removed: Vec::new(),
+        };
+
+        host.handle(now(2), LINKS[0], DisseminationMessage::ConfigDelta(delta));
+
+        assert_eq!(host.version(), ConfigVersion(1));
+    }
+}
+
+fn requested_base(actions: &[DisseminationAction]) -> ContentDigest {
+    let request = actions.iter().find_map(|it| match it {
+        DisseminationAction::Send { message: DisseminationMessage::ConfigRequest(it), .. } => {
+            Some(it)
+        }
+        _ => None,
+    });
+    request.expect("the host asks for what is offered").held
+}
+
 #[test]
 fn a_stale_mark_on_an_older_announcement_undoes_nothing() {
     let mut host = host_at_version_one();
