Stop requests that crash servers before they reach a third one

Each attempt asks the quarantine first and reports its end to it. Test: 50 sends of one crashing request through 4 entry hosts crash at most 2 of 6 servers, other requests go on, and the caller is told when to come back.

--- a/components/entry_core/src/attempts.rs
+++ b/components/entry_core/src/attempts.rs
@@ -4,7 +4,10 @@
 
 use health::{Observation, OutcomeKind};
 use ids::{AttemptNumber, Millis, RequestId, ServerId, ServiceName, Timestamp, WallTime};
-use limits::retry::{AttemptFailure, FinalOutcome, GiveUpReason, RetryDecision, RetryPolicy};
+use limits::{
+    quarantine::{QuarantineDecision, RunEnd},
+    retry::{AttemptFailure, FinalOutcome, GiveUpReason, RetryDecision, RetryPolicy},
+};
 use routing::{Attempt, AttemptEnd, Candidate, Distance};
 use schema::{announcement::ServerState, answer::Answer};
 
@@ -24,6 +27,22 @@
 impl EntryCore {
     /// Sends the request to a server, or decides what to do without one.
     pub(crate) fn start_attempt(&mut self, now: Timestamp, wall: WallTime, id: RequestId) {
+        match self.check_quarantine(now, wall, id) {
+            QuarantineDecision::Clear => self.send_to_any(now, wall, id),
+            QuarantineDecision::Wait => {
+                if let Some(request) = self.requests.get_mut(id) {
+                    request.phase = Phase::AskingLeave;
+                    self.requests.reschedule(id);
+                }
+            }
+            QuarantineDecision::Refused(refusal) => {
+                self.refuse_quarantined(now, wall, id, refusal);
+            }
+        }
+    }
+
+    /// Sends the request to the best server that is left.
+    pub(crate) fn send_to_any(&mut self, now: Timestamp, wall: WallTime, id: RequestId) {
         match self.choose_server(now, id) {
             Some(server) => self.send_attempt(now, id, server),
             None => self.after_failure(now, wall, id, AttemptFailure::NotSent),
@@ -103,7 +122,8 @@
     pub(crate) fn on_attempt_ended(&mut self, now: Timestamp, wall: WallTime, ended: AttemptEnded) {
         let AttemptEnded { request: id, attempt, outcome, reported_load } = ended;
         let Some(live) = self.take_attempt(id, attempt) else { return };
-        self.note_end(now, &live, &outcome, reported_load);
+        let is_evidence = self.note_run_end(now, wall, id, &live.server, run_end(&outcome));
+        self.note_end(now, &live, &outcome, is_evidence, reported_load);
         match outcome {
             AttemptOutcome::Answered(answer) if answer.status < FIRST_SERVER_ERROR => {
                 self.on_answer(now, wall, id, &live, answer);
@@ -138,6 +158,7 @@
         now: Timestamp,
         live: &LiveAttempt,
         outcome: &AttemptOutcome,
+        is_evidence: bool,
         reported_load: Option<u32>,
     ) {
         let (kind, end) = match outcome {
@@ -153,6 +174,7 @@
         };
         let attempt = Attempt { started: live.started, reported_load, end };
         self.chooser.finished(now, &live.server, attempt);
+        let kind = if is_evidence { kind } else { OutcomeKind::CrashedByRequest };
         self.observe(now, live, kind);
     }
 
@@ -291,7 +313,7 @@
         self.note_overdue(now, id);
         self.end_late_attempts(now, wall, id);
         self.end_wait(now, wall, id);
-        self.hedge(now, id);
+        self.hedge(now, wall, id);
         self.requests.reschedule(id);
     }
 
@@ -303,7 +325,7 @@
             true => Refusal::unknown(reason, Some(NO_SERVER_RETRY_AFTER)),
             false => Refusal::not_run(reason, Some(NO_SERVER_RETRY_AFTER)),
         };
-        for live in self.requests.get(id).map(|it| it.live.clone()).unwrap_or_default() {
+        for live in request.live.clone() {
             self.observe(now, &live, OutcomeKind::TimedOut);
         }
         self.refuse(now, wall, id, refusal);
@@ -334,6 +356,7 @@
             let finished = Attempt { started: live.started, reported_load: None, end };
             self.chooser.finished(now, &live.server, finished);
             self.observe(now, &live, OutcomeKind::TimedOut);
+            self.note_run_end(now, wall, id, &live.server, RunEnd::Other);
             self.after_failure(now, wall, id, AttemptFailure::TimedOut);
         }
     }
@@ -351,7 +374,7 @@
     }
 
     /// Sends a second attempt beside a slow one.
-    fn hedge(&mut self, now: Timestamp, id: RequestId) {
+    fn hedge(&mut self, now: Timestamp, wall: WallTime, id: RequestId) {
         let Some(request) = self.requests.get_mut(id) else { return };
         let is_due = request.hedge_at.is_some_and(|it| now >= it) && request.live.len() == 1;
         if !is_due {
@@ -359,6 +382,9 @@
         }
         request.hedge_at = None;
         let service = request.service.name.clone();
+        if self.check_quarantine(now, wall, id) != QuarantineDecision::Clear {
+            return;
+        }
         let Some(server) = self.choose_server(now, id) else { return };
         let Some(state) = self.services.get_mut(&service) else { return };
         if state.hedge.try_hedge(now, &mut state.budget) {
@@ -367,3 +393,12 @@
         }
     }
 }
+
+/// What the end of an attempt says about a crash of its server.
+fn run_end(outcome: &AttemptOutcome) -> RunEnd {
+    match outcome {
+        AttemptOutcome::Answered(_) | AttemptOutcome::Wrong => RunEnd::Answered,
+        AttemptOutcome::Reset | AttemptOutcome::Truncated => RunEnd::ConnectionLost,
+        AttemptOutcome::Shed { .. } | AttemptOutcome::NotSent => RunEnd::Other,
+    }
+}
--- a/components/entry_core/src/configuration.rs
+++ b/components/entry_core/src/configuration.rs
@@ -50,11 +50,13 @@
         self.on_claims(now, wall, actions);
     }
 
-    pub(crate) fn on_members_changed(&mut self, now: Timestamp) {
+    pub(crate) fn on_members_changed(&mut self, now: Timestamp, wall: WallTime) {
         let live: Vec<_> = self.fleet.membership().members().filter_map(live_host).collect();
         let hosts: Vec<_> = live.iter().map(|it| it.host).collect();
         self.health.set_hosts(now, &live);
         self.organisations.set_hosts(now, &hosts);
+        let actions = self.quarantine.set_hosts(now, &hosts);
+        self.on_quarantine(now, wall, actions);
     }
 
     pub(crate) fn on_server_changed(&mut self, now: Timestamp, announcement: Announcement) {
--- a/components/entry_core/src/core.rs
+++ b/components/entry_core/src/core.rs
@@ -11,6 +11,7 @@
     Dependencies,
     admission::{Admission, AdmissionSettings},
     organisations::OrganisationLimits,
+    quarantine::Quarantine,
     retry::{HedgePolicy, RetryBudget, RetryBudgetSettings},
 };
 use membership::{MemberRole, MemberState, MembershipSettings, Timing};
@@ -41,6 +42,7 @@
     pub(crate) chooser: ServerChooser,
     pub(crate) admission: Admission,
     pub(crate) organisations: OrganisationLimits,
+    pub(crate) quarantine: Quarantine,
     pub(crate) dependencies: Dependencies,
     pub(crate) directory: Directory,
     pub(crate) routes: RouteTable,
@@ -93,6 +95,7 @@
             chooser: ServerChooser::new(seed),
             admission: Admission::new(AdmissionSettings::default()),
             organisations: OrganisationLimits::new(settings.host, NO_LIMIT_YET),
+            quarantine: Quarantine::new(now, settings.host, settings.incarnation),
             dependencies: Dependencies::default(),
             directory: Directory::new(seed),
             routes: RouteTable::build(&[]),
@@ -158,6 +161,8 @@
         self.on_health(actions);
         let actions = self.organisations.tick(now);
         self.on_limits(actions);
+        let actions = self.quarantine.tick(now);
+        self.on_quarantine(now, wall, actions);
         self.chooser.tick(now);
         self.update_capacity(now, wall);
         let actions = self.admission.tick(now);
--- a/components/entry_core/src/lib.rs
+++ b/components/entry_core/src/lib.rs
@@ -13,6 +13,7 @@
 mod gate;
 mod lifecycle;
 mod peers;
+mod quarantine_flow;
 mod request;
 mod respond;
 mod response;
--- a/components/entry_core/src/peers.rs
+++ b/components/entry_core/src/peers.rs
@@ -40,8 +40,10 @@
                 self.on_health(actions);
             }
             PeerMessage::Limits(it) => {
-                let actions = self.organisations.handle(now, from, it);
+                let actions = self.organisations.handle(now, from, it.clone());
                 self.on_limits(actions);
+                let actions = self.quarantine.handle(now, from, it);
+                self.on_quarantine(now, wall, actions);
             }
             // Only control hosts take part in the replicated log and plan the claim map.
             PeerMessage::Consensus(_) | PeerMessage::ClaimReport(_) => {}
@@ -52,7 +54,7 @@
         for action in actions {
             match action {
                 FleetAction::Send(outgoing) => self.actions.push(EntryAction::Send(outgoing)),
-                FleetAction::MembersChanged => self.on_members_changed(now),
+                FleetAction::MembersChanged => self.on_members_changed(now, wall),
                 FleetAction::HostLost(member) => {
                     self.claims.host_lost(member.host, member.incarnation);
                 }
--- a/components/entry_core/src/request/mod.rs
+++ b/components/entry_core/src/request/mod.rs
@@ -19,6 +19,8 @@
     Queued,
     /// The decision about its claim.
     Claiming,
+    /// Leave to run although it may crash its server.
+    AskingLeave,
     /// The end of an attempt.
     Running,
     /// The time of the next attempt.
@@ -90,7 +92,7 @@
     pub(crate) fn wakeup(&self) -> Timestamp {
         let waiting = match self.phase {
             Phase::Waiting(until) => Some(until),
-            Phase::Queued | Phase::Claiming | Phase::Running => None,
+            Phase::Queued | Phase::Claiming | Phase::AskingLeave | Phase::Running => None,
         };
         let attempts = self
             .live
--- a/components/entry_core/src/respond.rs
+++ b/components/entry_core/src/respond.rs
@@ -1,7 +1,7 @@
 //! The end of a request.
 
 use ids::{RequestId, Timestamp, WallTime};
-use limits::admission::Completion;
+use limits::{admission::Completion, quarantine::RunEnd};
 use routing::{Attempt, AttemptEnd};
 
 use crate::{
@@ -49,7 +49,7 @@
     ) {
         let Some(request) = self.requests.remove(id) else { return };
         let response = honest(&request, response);
-        self.cancel_attempts(now, id, &request);
+        self.cancel_attempts(now, wall, id, &request);
         if !request.service.idempotent {
             self.settle_claim(now, wall, id, &request, &response);
         }
@@ -61,12 +61,21 @@
         self.leave_admission(now, wall, id, &request, was_answered(&request));
     }
 
-    fn cancel_attempts(&mut self, now: Timestamp, id: RequestId, request: &Request) {
+    fn cancel_attempts(
+        &mut self,
+        now: Timestamp,
+        wall: WallTime,
+        id: RequestId,
+        request: &Request,
+    ) {
         for live in &request.live {
             self.actions.push(EntryAction::CancelAttempt { request: id, attempt: live.number });
             let end = AttemptEnd::Cancelled;
             let finished = Attempt { started: live.started, reported_load: None, end };
             self.chooser.finished(now, &live.server, finished);
+            let payload = request.head.payload;
+            let finding = self.quarantine.finished(now, id, payload, &live.server, RunEnd::Other);
+            self.on_quarantine(now, wall, finding.actions);
         }
     }
 
--- a/components/entry_core/src/response.rs
+++ b/components/entry_core/src/response.rs
@@ -96,6 +96,8 @@
     NoServer,
     /// this request has crashed backend servers
     Quarantined,
+    /// this request may have crashed a backend server, and another run of it is in flight
+    SuspectRunning,
     /// the deadline has passed
     Deadline,
     /// no backend server gave a whole answer
@@ -122,6 +124,7 @@
             | Self::DependencyUnable(_)
             | Self::NoServer
             | Self::Quarantined
+            | Self::SuspectRunning
             | Self::ServiceRemoved => 503,
             Self::Deadline => 504,
         }
@@ -146,6 +149,7 @@
             Self::DependencyUnable(_) => "dependency-unable",
             Self::NoServer => "no-server",
             Self::Quarantined => "quarantined",
+            Self::SuspectRunning => "suspect-running",
             Self::Deadline => "deadline",
             Self::NoAnswer => "no-answer",
             Self::ServiceRemoved => "service-removed",
--- a/components/stand_in/src/server.rs
+++ b/components/stand_in/src/server.rs
@@ -16,7 +16,11 @@
 use hyper_util::rt::TokioIo;
 use ids::{DataCentreName, Incarnation, Millis, ServerId, ServiceName};
 use schema::announcement::{Announcement, ServerState};
-use tokio::{net::TcpListener, sync::Semaphore, task::JoinHandle};
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, watch},
+    task::JoinHandle,
+};
 
 use crate::{
     announcer::Announcer,
@@ -50,6 +54,8 @@
     pub service_time: Millis,
     /// How long an announcement holds.
     pub lifetime: Millis,
+    /// A path that crashes the server when it is asked for.
+    pub crash_path: Option<String>,
 }
 
 /// A stand-in server that runs in this process.
@@ -67,6 +73,8 @@
     runs: Runs,
     slots: Semaphore,
     waiting: AtomicU32,
+    /// Set once the server has ended; breaks all connections.
+    ended: watch::Sender<bool>,
 }
 
 impl StandIn {
@@ -92,9 +100,14 @@
 
     /// Ends at once, like a killed process; open connections break.
     pub fn kill(&self) {
-        self.state.script.set_behaviour(Behaviour::Resetting);
+        self.state.ended.send_replace(true);
         self.tasks.iter().for_each(JoinHandle::abort);
     }
+
+    /// Whether it has ended, killed or crashed by a request.
+    pub fn has_ended(&self) -> bool {
+        *self.state.ended.borrow()
+    }
 }
 
 /// Starts a server.
@@ -118,6 +131,7 @@
         runs: Runs::default(),
         slots: Semaphore::new(settings.slots as usize),
         waiting: AtomicU32::new(0),
+        ended: watch::Sender::new(false),
         settings,
     });
     let tasks =
@@ -126,15 +140,25 @@
 }
 
 async fn accept_all(listener: TcpListener, state: Arc<State>) {
+    let mut ended = state.ended.subscribe();
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = ended.wait_for(|it| *it) => return,
+        };
+        let Ok((stream, _)) = accepted else { continue };
         // Without it small answers would wait for the client's acknowledgement.
         let _ = stream.set_nodelay(true);
         let state = state.clone();
+        let mut ended = state.ended.subscribe();
         tokio::spawn(async move {
             let handler = service_fn(move |req| answer(state.clone(), req));
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), handler);
             // A broken connection is what some behaviours are for.
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), handler).await;
+            tokio::select! {
+                _ = connection => {}
+                _ = ended.wait_for(|it| *it) => {}
+            }
         });
     }
 }
@@ -143,6 +167,10 @@
     state: Arc<State>,
     req: Request<Incoming>,
 ) -> Result<Response<ScriptedBody>, BrokenOff> {
+    if state.settings.crash_path.as_deref() == Some(req.uri().path()) {
+        state.ended.send_replace(true);
+        return Err(BrokenOff);
+    }
     let behaviour = state.script.behaviour();
     if behaviour == Behaviour::Shedding {
         return Ok(shed());
--- a/src/dev_fleet.rs
+++ b/src/dev_fleet.rs
@@ -261,6 +261,7 @@
                 slots: service.slots_per_server,
                 service_time: SERVICE_TIME,
                 lifetime: ANNOUNCEMENT_LIFETIME,
+                crash_path: None,
             };
             servers.push(stand_in::start(settings).await.map_err(ExitError::failed)?);
         }
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -7,7 +7,7 @@
 use ids::Millis;
 use schema::{caller::DirectoryAnswer, entry_status::ServerPage};
 use stand_in::{Behaviour, HttpError};
-use support::{Fleet, get, post, text, wait_for};
+use support::{CRASH_PATH, Fleet, get, post, text, wait_for};
 use tokio::{sync::watch, task::JoinSet, time::Instant};
 
 /// Time within which a server that is leaving receives no new work.
@@ -295,3 +295,28 @@
     fleet.submit(&text(2, 3)).await;
     wait_for_sick_server(&fleet, true, |it| it.status == "Ejected" && !it.held_by_floor).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_servers_is_stopped() {
+    let mut fleet = Fleet::start(1, 4, 1).await;
+    fleet.add_servers(6).await;
+
+    let mut callers = JoinSet::new();
+    for number in 0..50usize {
+        let address = fleet.entries[number % 4].caller_address;
+        callers.spawn(async move {
+            tokio::time::sleep(Duration::from_millis(number as u64 * 20)).await;
+            get(address, CRASH_PATH, &[]).await
+        });
+    }
+    let answers = callers.join_all().await;
+    let crashed = fleet.servers.iter().filter(|it| it.has_ended()).count();
+    let other = get(fleet.entries[1].caller_address, "/queue/1", &[]).await.unwrap();
+    let last = get(fleet.entries[2].caller_address, CRASH_PATH, &[]).await.unwrap();
+
+    assert!((1..=2).contains(&crashed), "{crashed} servers crashed");
+    assert!(answers.iter().all(|it| it.as_ref().is_ok_and(|it| it.status != 200)));
+    assert_eq!(other.status, 200, "{}", other.text());
+    assert!(last.text().contains("quarantined"), "{}", last.text());
+    assert_ne!(last.header("retry-after"), "");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -35,6 +35,9 @@
 /// The token of the fleet's operator.
 pub const TOKEN: &str = "a-token-for-the-tests";
 
+/// A path that crashes the server that runs it.
+pub const CRASH_PATH: &str = "/queue/crash";
+
 const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 
 /// Region and data centre of each place where hosts run, in turn.
@@ -236,6 +239,7 @@
             slots: 3,
             service_time: Millis(5),
             lifetime: Millis(3_000),
+            crash_path: Some(CRASH_PATH.to_owned()),
         };
         self.servers.push(stand_in::start(settings).await.unwrap());
         self.servers.len() - 1
