Follow members one by one and measure the cost by size

Cause: each change of the live hosts chose all watchers anew and rebuilt every rotation.

Now only servers that a change concerns get new watchers, and single servers can be set and removed.

--- /dev/null
+++ b/components/health/examples/health_slopes.rs
@@ -0,0 +1,204 @@
+//! Measures what the health decisions of one entry host cost at growing sizes.
+//!
+//! Prints, for each size: time to follow the loss of one entry host and to learn all servers, of
+//! an observation and of a tick, memory, digest bytes and probes a second. Run with `--release`.
+#![allow(clippy::disallowed_methods, clippy::print_stdout)]
+
+use std::{
+    fs,
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use health::{
+    Health, HealthAction, KnownServer, KnownState, LiveHost, Observation, OutcomeKind, ProbeResult,
+    Settings,
+};
+use ids::{ByteSize, HostId, Incarnation, Millis, Timestamp};
+use schema::config_text::{Favour, Patience, Service};
+
+/// Servers that one entry host sends requests to at the largest size.
+const SUBSET: usize = 60;
+
+/// Simulated seconds of each measurement.
+const SECONDS: u64 = 60;
+
+/// Time between ticks, in milliseconds.
+const TICK_MS: u64 = 50;
+
+/// Bytes of a page of memory.
+const PAGE_BYTES: usize = 4096;
+
+struct Size {
+    hosts: u32,
+    data_centres: u32,
+    services: usize,
+    servers: usize,
+    requests_per_second: u64,
+}
+
+const SIZES: [Size; 4] = [
+    Size { hosts: 36, data_centres: 6, services: 4, servers: 48, requests_per_second: 20 },
+    Size { hosts: 140, data_centres: 10, services: 83, servers: 1_500, requests_per_second: 71 },
+    Size { hosts: 700, data_centres: 10, services: 415, servers: 7_500, requests_per_second: 71 },
+    Size {
+        hosts: 1_400,
+        data_centres: 10,
+        services: 830,
+        servers: 15_000,
+        requests_per_second: 71,
+    },
+];
+
+fn main() {
+    println!(
+        "hosts servers watched hosts_ms servers_ms observe_ns tick_us core_% MiB sent_B/s probes/s"
+    );
+    for size in &SIZES {
+        measure(size);
+    }
+}
+
+fn measure(size: &Size) {
+    let before = resident_bytes();
+    let mut health = Health::new(Settings {
+        host: HostId(0),
+        data_centre: "dc-0".parse().expect("a name"),
+        incarnation: Incarnation(1),
+        seed: 1,
+    });
+    let servers = servers(size);
+    health.set_services(Timestamp(0), &services(size));
+    let started = Instant::now();
+    health.set_hosts(Timestamp(0), &hosts(size));
+    health.set_servers(Timestamp(0), &servers);
+    let servers_time = started.elapsed();
+    let started = Instant::now();
+    health.set_hosts(Timestamp(0), &hosts(size)[..size.hosts as usize - 1]);
+    let hosts_time = started.elapsed();
+    let memory = resident_bytes().saturating_sub(before);
+
+    let load = drive(&mut health, size, &servers);
+    let seconds = SECONDS as f64;
+    let busy = (load.observing + load.ticking).as_secs_f64() / seconds;
+    println!(
+        "{} {} {} {:.1} {:.1} {:.0} {:.1} {:.3} {:.1} {:.0} {:.1}",
+        size.hosts,
+        size.servers,
+        load.watched,
+        hosts_time.as_secs_f64() * 1e3,
+        servers_time.as_secs_f64() * 1e3,
+        load.observing.as_nanos() as f64 / load.observations as f64,
+        load.ticking.as_micros() as f64 / load.ticks as f64,
+        busy * 100.0,
+        memory as f64 / f64::from(1 << 20),
+        load.sent_bytes as f64 / seconds,
+        load.probes as f64 / seconds,
+    );
+    black_box(health);
+}
+
+#[derive(Default)]
+struct Work {
+    watched: usize,
+    observations: u64,
+    ticks: u64,
+    probes: u64,
+    sent_bytes: usize,
+    observing: Duration,
+    ticking: Duration,
+}
+
+/// Feeds requests and answers to probes, and counts what that costs.
+fn drive(health: &mut Health, size: &Size, servers: &[KnownServer]) -> Work {
+    let mut work = Work::default();
+    let mut probed = std::collections::BTreeSet::new();
+    let subset = SUBSET.min(servers.len());
+    let mut due = 0;
+    for ms in (0..SECONDS * 1000).step_by(TICK_MS as usize) {
+        let now = Timestamp::from_millis(20_000 + ms);
+        let target = size.requests_per_second * ms / 1000;
+        let started = Instant::now();
+        while due < target {
+            due += 1;
+            work.observations += 1;
+            let server = servers[due as usize * 7 % subset].server.clone();
+            let latency = Duration::from_millis(80 + due % 40);
+            let kind = OutcomeKind::Answered;
+            health.observe(now, Observation { server, kind, latency, was_overdue: false });
+        }
+        work.observing += started.elapsed();
+        let started = Instant::now();
+        let actions = health.tick(now);
+        work.ticking += started.elapsed();
+        work.ticks += 1;
+        for action in actions {
+            match action {
+                HealthAction::Send { message, .. } => {
+                    work.sent_bytes += schema::encode(&message).len();
+                }
+                HealthAction::Probe { server, .. } => {
+                    work.probes += 1;
+                    let latency = Duration::from_millis(25);
+                    let result = ProbeResult { kind: OutcomeKind::Answered, latency };
+                    health.probe_result(now, &server, result);
+                    probed.insert(server);
+                }
+                HealthAction::Changed { .. } => {}
+            }
+        }
+    }
+    work.watched = probed.len();
+    work
+}
+
+fn hosts(size: &Size) -> Vec<LiveHost> {
+    let host = |number: u32| {
+        let data_centre = number % size.data_centres;
+        LiveHost {
+            host: HostId(number),
+            data_centre: format!("dc-{data_centre}").parse().expect("a name"),
+            region: format!("region-{}", data_centre * 4 / size.data_centres)
+                .parse()
+                .expect("a name"),
+        }
+    };
+    (0..size.hosts).map(host).collect()
+}
+
+fn servers(size: &Size) -> Vec<KnownServer> {
+    let server = |number: usize| KnownServer {
+        server: format!("server-{number}").parse().expect("a name"),
+        service: format!("service-{}", number % size.services).parse().expect("a name"),
+        data_centre: format!("dc-{}", number % size.data_centres as usize).parse().expect("a name"),
+        incarnation: Incarnation(1),
+        state: KnownState::Serving,
+    };
+    (0..size.servers).map(server).collect()
+}
+
+fn services(size: &Size) -> Vec<Service> {
+    let service = |number: usize| Service {
+        connections_per_server: 330,
+        deadline_ms: Millis(5_000),
+        depends_on: Vec::new(),
+        favour: Favour::Speed,
+        floor: 6,
+        idempotent: true,
+        max_request_bytes: ByteSize(1 << 20),
+        max_response_bytes: ByteSize(1 << 20),
+        name: format!("service-{number}").parse().expect("a name"),
+        patience: Patience::Prompt,
+        priority: 5,
+        probe_path: "/probe".to_owned(),
+        slots_per_server: 3,
+    };
+    (0..size.services).map(service).collect()
+}
+
+/// Memory of this process that is resident.
+fn resident_bytes() -> usize {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|it| it.parse::<usize>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
--- a/components/health/src/budget.rs
+++ b/components/health/src/budget.rs
@@ -38,12 +38,12 @@
     pub fn of(favour: Favour) -> Self {
         match favour {
             Favour::Speed => Self {
-                settle: Millis(1000),
+                settle: Millis(1500),
                 settle_when_down: Millis(200),
                 ..Self::with_budget(1.0, 0.5)
             },
             Favour::Certainty => Self {
-                settle: Millis(2000),
+                settle: Millis(2500),
                 settle_when_down: Millis(1000),
                 ..Self::with_budget(0.01, 0.67)
             },
--- a/components/health/src/health/mod.rs
+++ b/components/health/src/health/mod.rs
@@ -101,29 +101,88 @@
 
     /// Replaces the known backend servers.
     pub fn set_servers(&mut self, now: Timestamp, servers: &[KnownServer]) {
-        let mut old = std::mem::take(&mut self.servers);
-        self.services.values_mut().for_each(|it| it.members.clear());
-        for known in servers {
-            let mut record = match old.remove(&known.server) {
-                Some(record) => record,
-                None => ServerRecord::new(now, known, self.hosts.watchers(&known.server)),
-            };
-            record.update(now, known);
-            if let Some(service) = self.services.get_mut(&known.service) {
-                service.members.insert(known.server.clone());
-            }
-            self.servers.insert(known.server.clone(), record);
-        }
-        self.after_membership(now);
+        let known: BTreeSet<&ServerId> = servers.iter().map(|it| &it.server).collect();
+        let gone: Vec<ServerId> =
+            self.servers.keys().filter(|it| !known.contains(it)).cloned().collect();
+        gone.iter().for_each(|it| self.forget_server(it));
+        servers.iter().for_each(|it| self.take_server(now, it));
+        self.refresh(now);
+    }
+
+    /// Adds one backend server or follows its change.
+    pub fn set_server(&mut self, now: Timestamp, server: &KnownServer) {
+        self.take_server(now, server);
+        self.refresh(now);
+    }
+
+    /// Forgets a backend server that has left.
+    pub fn remove_server(&mut self, now: Timestamp, server: &ServerId) {
+        self.forget_server(server);
+        self.refresh(now);
     }
 
     /// Replaces the live entry hosts, this one included.
     pub fn set_hosts(&mut self, now: Timestamp, hosts: &[LiveHost]) {
-        self.hosts = HostIndex::new(hosts);
+        let new = HostIndex::new(hosts);
+        let change = new.change_since(&self.hosts);
+        self.hosts = new;
+        let mut moved = Vec::new();
         for (id, record) in &mut self.servers {
-            record.watchers = self.hosts.watchers(id);
+            if change.concerns(record.key, &record.watchers, &self.hosts) {
+                record.watchers = self.hosts.watchers(id);
+                moved.push(id.clone());
+            }
+        }
+        for server in moved {
+            self.follow_watchers(now, &server);
+            self.timed.insert(server);
+        }
+        self.refresh(now);
+    }
+
+    fn take_server(&mut self, now: Timestamp, known: &KnownServer) {
+        let id = &known.server;
+        match self.servers.get_mut(id) {
+            Some(record) if record.known == *known => return,
+            Some(record) if record.known.service == known.service => record.update(now, known),
+            _ => {
+                self.forget_server(id);
+                let record = ServerRecord::new(now, known, self.hosts.watchers(id));
+                self.servers.insert(id.clone(), record);
+                self.follow_watchers(now, id);
+            }
+        }
+        if let Some(service) = self.services.get_mut(&known.service) {
+            service.members.insert(id.clone());
+        }
+        self.timed.insert(id.clone());
+        self.stale.insert(known.service.clone());
+    }
+
+    fn forget_server(&mut self, server: &ServerId) {
+        let Some(record) = self.servers.remove(server) else { return };
+        if let Some(service) = self.services.get_mut(&record.known.service) {
+            service.members.remove(server);
+        }
+        self.stale.insert(record.known.service);
+        self.watched.remove(server);
+        self.pending.remove(server);
+        self.timed.remove(server);
+        self.suspicions.remove(server);
+    }
+
+    /// Starts or stops to watch a server.
+    fn follow_watchers(&mut self, now: Timestamp, server: &ServerId) {
+        let Some(record) = self.servers.get_mut(server) else { return };
+        if !record.watchers.contains(&self.settings.host) {
+            record.watch = None;
+            self.watched.remove(server);
+            return;
+        }
+        self.watched.insert(server.clone());
+        if record.watch.is_none() {
+            record.watch = Some(Watch::new(now, server, &self.settings));
         }
-        self.after_membership(now);
     }
 
     /// The servers of a service that routing may choose from, sorted by id.
@@ -137,27 +196,6 @@
         usual.map_or(DEFAULT_OVERDUE, |it| Millis(it.as_millis() as u64 + 1))
     }
 
-    /// Follows changes of members: who watches what, and the rotations.
-    fn after_membership(&mut self, now: Timestamp) {
-        let host = self.settings.host;
-        self.watched.clear();
-        for (id, record) in &mut self.servers {
-            if !record.watchers.contains(&host) {
-                record.watch = None;
-                continue;
-            }
-            self.watched.insert(id.clone());
-            if record.watch.is_none() {
-                let watch = Watch::new(now, id, &self.settings);
-                record.watch = Some(watch);
-            }
-        }
-        self.pending.retain(|it| self.servers.contains_key(it));
-        self.timed = self.servers.keys().cloned().collect();
-        self.mark_all_stale();
-        self.refresh(now);
-    }
-
     fn mark_all_stale(&mut self) {
         self.stale = self.services.keys().cloned().collect();
     }
--- a/components/health/src/health/record.rs
+++ b/components/health/src/health/record.rs
@@ -26,6 +26,8 @@
 /// A server on this host.
 pub(crate) struct ServerRecord {
     pub(crate) known: KnownServer,
+    /// The server's key in the choice of watchers.
+    pub(crate) key: u64,
     pub(crate) started: Timestamp,
     pub(crate) watchers: Vec<HostId>,
     pub(crate) path: PathState,
@@ -71,6 +73,7 @@
     pub(crate) fn new(now: Timestamp, known: &KnownServer, watchers: Vec<HostId>) -> Self {
         Self {
             known: known.clone(),
+            key: hash::text(known.server.as_str()),
             started: now,
             watchers,
             path: PathState::default(),
--- a/components/health/src/watchers.rs
+++ b/components/health/src/watchers.rs
@@ -30,6 +30,18 @@
         index
     }
 
+    /// What changed since an earlier index.
+    pub(crate) fn change_since(&self, old: &Self) -> HostChange {
+        let differs = |it: &&LiveHost, other: &Self| other.hosts.get(&it.host) != Some(*it);
+        let added = self.hosts.values().filter(|it| differs(it, old)).cloned();
+        let removed = old.hosts.values().filter(|it| differs(it, self)).map(|it| it.host);
+        HostChange {
+            added: added.collect(),
+            removed: removed.collect(),
+            other_data_centres: self.regions.len() < WATCHERS || self.regions != old.regions,
+        }
+    }
+
     /// A live host.
     pub(crate) fn get(&self, host: HostId) -> Option<&LiveHost> {
         self.hosts.get(&host)
@@ -81,6 +93,33 @@
     }
 }
 
+/// Hosts that came and went.
+#[derive(Debug)]
+pub(crate) struct HostChange {
+    added: Vec<LiveHost>,
+    removed: BTreeSet<HostId>,
+    /// Whether the data centres changed, or are too few for one watcher each.
+    other_data_centres: bool,
+}
+
+impl HostChange {
+    /// Whether the choice of watchers for a server may come out differently in `hosts`.
+    pub(crate) fn concerns(&self, key: u64, watchers: &[HostId], hosts: &HostIndex) -> bool {
+        if self.other_data_centres || watchers.len() < WATCHERS {
+            return true;
+        }
+        if watchers.iter().any(|it| self.removed.contains(it)) {
+            return true;
+        }
+        self.added.iter().any(|added| {
+            watchers.iter().any(|it| {
+                let same = hosts.get(*it).is_some_and(|it| it.data_centre == added.data_centre);
+                same && hash::host_score(key, added.host) > hash::host_score(key, *it)
+            })
+        })
+    }
+}
+
 fn best(key: u64, hosts: &[HostId], taken: &[HostId]) -> Option<HostId> {
     let free = hosts.iter().copied().filter(|it| !taken.contains(it));
     free.max_by_key(|it| hash::host_score(key, *it))
