Let prompt requests wait for busy servers three times

Cause: four tries find four busy servers by chance, so a request was refused although slots got free all the time.

A request whose servers can't be reached at all is still given up at once.

--- a/components/limits/src/retry/policy.rs
+++ b/components/limits/src/retry/policy.rs
@@ -2,8 +2,8 @@
 //!
 //! Attempts that may have run the request are repeated for idempotent services only, and cost
 //! the retry budget. Attempts that did not run it (refused connections, proven sheds) are
-//! repeated for every service without cost, but few of them a request; patient requests then
-//! wait and go on. A request without a further attempt gets its final answer at once.
+//! repeated for every service without cost, but few of them a request; then prompt requests wait a
+//! few times and patient ones until their deadline. A request without a further attempt gets its final answer at once.
 
 use ids::{Millis, Timestamp};
 use schema::config_text::Patience;
@@ -19,6 +19,12 @@
 /// First wait of a patient request.
 const MIN_BACKOFF: Millis = Millis(100);
 
+/// First wait of a prompt request whose servers are all busy.
+const MIN_PROMPT_BACKOFF: Millis = Millis(50);
+
+/// Waits of a prompt request before it is given up.
+const MAX_PROMPT_WAITS: u32 = 3;
+
 /// Longest wait of a patient request between attempts.
 const MAX_BACKOFF: Millis = Millis(5_000);
 
@@ -254,13 +260,17 @@
         if servers_left && self.unrun < MAX_UNRUN_ATTEMPTS {
             return RetryDecision::RetryNow;
         }
-        if request.patience == Patience::Prompt {
+        let (was_shed, wanted) = match failure {
+            AttemptFailure::Shed { retry_after, .. } => (true, retry_after),
+            _ => (false, None),
+        };
+        let may_wait = match request.patience {
+            Patience::Prompt => was_shed && self.waits < MAX_PROMPT_WAITS,
+            Patience::Patient => true,
+        };
+        if !may_wait {
             return self.give_up(GiveUpReason::Busy);
         }
-        let wanted = match failure {
-            AttemptFailure::Shed { retry_after, .. } => retry_after,
-            _ => None,
-        };
         self.wait(now, request, wanted)
     }
 
@@ -270,8 +280,13 @@
         request: RetryRequest,
         wanted: Option<Millis>,
     ) -> RetryDecision {
-        let doubled = Millis(MIN_BACKOFF.0 << self.waits.min(10));
-        let backoff = doubled.min(MAX_BACKOFF).max(wanted.unwrap_or_default().min(MAX_BACKOFF));
+        let backoff = match request.patience {
+            Patience::Prompt => Millis(MIN_PROMPT_BACKOFF.0 << self.waits.min(10)),
+            Patience::Patient => {
+                Millis(MIN_BACKOFF.0 << self.waits.min(10)).max(wanted.unwrap_or_default())
+            }
+        };
+        let backoff = backoff.min(MAX_BACKOFF);
         let at = now + backoff;
         if at + MIN_ATTEMPT >= request.deadline {
             return self.give_up(GiveUpReason::Deadline);
