--- a/components/dissemination/src/dissemination.rs
+++ b/components/dissemination/src/dissemination.rs
@@ -37,7 +37,7 @@
         version: ConfigVersion,
         /// Digest of the text that was submitted.
         digest: ContentDigest,
-        /// The configuration; its lists are sorted by name.
+        /// The configuration; its lists are in an order of their own, the same on every host.
         config: Arc<ConfigText>,
     },
     /// A backend server is new or announced something else than before.
@@ -119,8 +119,9 @@
     pub fn set_view(&mut self, now: Timestamp, view: View) -> Vec<DisseminationAction> {
         let mut actions = Vec::new();
         let new_relay = view.relay != self.view.relay;
+        let changed = view.changed_data_centres(&self.view);
         self.view = view;
-        self.assign_keepers(now);
+        self.assign_keepers(now, &changed);
         if new_relay {
             self.acknowledge(&mut actions);
         }
@@ -454,7 +455,7 @@
 
     fn judge_recovery(&mut self, now: Timestamp) {
         let held = self.config.stamp.version;
-        self.recovery.judge(now, held, &self.view.links, &self.settings);
+        self.recovery.judge(now, held, &self.view, &self.settings);
     }
 
     /// Reports the version in force to the relay.
