--- a/components/dissemination/src/dissemination.rs
+++ b/components/dissemination/src/dissemination.rs
@@ -3,16 +3,11 @@
 use std::sync::Arc;
 
 use ids::{Blob, ConfigVersion, ContentDigest, Epoch, HostId, ServerId, Timestamp};
-use rand_xoshiro::{
-    Xoshiro256PlusPlus,
-    rand_core::{RngCore, SeedableRng},
-};
+use rand_xoshiro::{Xoshiro256PlusPlus, rand_core::SeedableRng};
 use schema::{
     announcement::Announcement,
     config_text::ConfigText,
-    dissemination::{
-        ClaimMapCopy, ClaimMapStamp, ConfigStamp, DisseminationMessage, ServerBuckets, Summary,
-    },
+    dissemination::{ClaimMapCopy, ConfigStamp, DisseminationMessage},
 };
 
 use crate::{
@@ -75,19 +70,19 @@
     pub(crate) view: View,
     pub(crate) servers: Servers,
     pub(crate) renewals: Renewals,
-    config: ConfigSlot,
-    pull: Option<Pull>,
-    claim_map: ClaimMapSlot,
-    recovery: Recovery,
-    acknowledgements: Acknowledgements,
-    rng: Xoshiro256PlusPlus,
-    current: bool,
-    conflicts: u64,
-    summary_at: Option<Timestamp>,
-    remote_summary_at: Timestamp,
-    buckets_at: Timestamp,
+    pub(crate) config: ConfigSlot,
+    pub(crate) pull: Option<Pull>,
+    pub(crate) claim_map: ClaimMapSlot,
+    pub(crate) recovery: Recovery,
+    pub(crate) acknowledgements: Acknowledgements,
+    pub(crate) rng: Xoshiro256PlusPlus,
+    pub(crate) current: bool,
+    pub(crate) conflicts: u64,
+    pub(crate) summary_at: Option<Timestamp>,
+    pub(crate) remote_summary_at: Timestamp,
+    pub(crate) buckets_at: Timestamp,
     pub(crate) forgot_at: Timestamp,
-    next_link: usize,
+    pub(crate) next_link: usize,
 }
 
 impl Dissemination {
@@ -176,25 +171,9 @@
                 let answer = self.config.answer(request.held);
                 actions.extend(answer.map(|message| send(from, message)));
             }
-            DisseminationMessage::ConfigDelta(delta) => {
-                let Some(pull) = &self.pull else {
-                    return actions;
-                };
-                let stamp = delta.stamp.clone();
-                if let Some(fragments) = pull.apply_delta(delta, &self.config) {
-                    self.install_config(now, stamp, fragments, &mut actions);
-                }
-            }
+            DisseminationMessage::ConfigDelta(delta) => self.on_delta(now, delta, &mut actions),
             DisseminationMessage::ConfigManifest(manifest) => {
-                if manifest.stamp.version > self.config.stamp.version
-                    && let Some(pull) = &mut self.pull
-                    && manifest.stamp.version >= pull.stamp.version
-                {
-                    pull.take_manifest(manifest);
-                    let request = pull.ask_again(now, from, &self.config);
-                    actions.extend(request.map(|it| send(it.to, it.message)));
-                    self.finish_pull(now, &mut actions);
-                }
+                self.on_manifest(now, from, manifest, &mut actions);
             }
             DisseminationMessage::FragmentRequest(keys) => {
                 let messages = self.config.fragment_messages(&keys);
@@ -271,239 +250,6 @@
         self.conflicts
     }
 
-    fn on_offer(
-        &mut self,
-        now: Timestamp,
-        from: HostId,
-        stamp: ConfigStamp,
-        actions: &mut Vec<DisseminationAction>,
-    ) {
-        if self.config.contradicts(&stamp) {
-            self.conflicts += 1;
-        }
-        if stamp.version <= self.config.stamp.version {
-            return;
-        }
-        match &mut self.pull {
-            Some(pull) if pull.stamp == stamp => pull.add_source(from),
-            Some(pull) if pull.stamp.version >= stamp.version => {}
-            _ => {
-                let mut pull = Pull::new(now, stamp, from);
-                let request = pull.ask(now, &self.config);
-                self.pull = Some(pull);
-                actions.push(send(request.to, request.message));
-            }
-        }
-    }
-
-    fn retry_pull(&mut self, now: Timestamp, actions: &mut Vec<DisseminationAction>) {
-        let timeout = self.settings.pull_timeout;
-        if let Some(pull) = &mut self.pull
-            && now.since(pull.asked_at()) >= timeout
-        {
-            let request = pull.ask(now, &self.config);
-            actions.push(send(request.to, request.message));
-        }
-    }
-
-    fn finish_pull(&mut self, now: Timestamp, actions: &mut Vec<DisseminationAction>) {
-        let Some(pull) = &self.pull else {
-            return;
-        };
-        if let Some(fragments) = pull.assemble(&self.config) {
-            let stamp = pull.stamp.clone();
-            self.install_config(now, stamp, fragments, actions);
-        }
-    }
-
-    fn install_config(
-        &mut self,
-        now: Timestamp,
-        stamp: ConfigStamp,
-        fragments: Fragments,
-        actions: &mut Vec<DisseminationAction>,
-    ) {
-        if self.config.contradicts(&stamp) {
-            self.conflicts += 1;
-        }
-        if !self.config.install(stamp, fragments) {
-            return;
-        }
-        let stamp = self.config.stamp.clone();
-        if self.pull.as_ref().is_some_and(|it| it.stamp.version <= stamp.version) {
-            self.pull = None;
-        }
-        if let Some(config) = self.config.text.clone() {
-            let (version, digest) = (stamp.version, stamp.text_digest);
-            actions.push(DisseminationAction::ConfigInForce { version, digest, config });
-        }
-        self.send_to_links(&DisseminationMessage::ConfigOffer(stamp), None, actions);
-        self.acknowledge(actions);
-        self.judge_recovery(now);
-    }
-
-    fn on_claim_map_offer(
-        &self,
-        from: HostId,
-        stamp: &ClaimMapStamp,
-        actions: &mut Vec<DisseminationAction>,
-    ) {
-        if stamp.epoch > self.claim_map.stamp.epoch {
-            actions.push(send(from, DisseminationMessage::ClaimMapRequest(stamp.epoch)));
-        }
-    }
-
-    fn install_claim_map(
-        &mut self,
-        epoch: Epoch,
-        content: Blob,
-        actions: &mut Vec<DisseminationAction>,
-    ) {
-        if !self.claim_map.install(epoch, content.clone()) {
-            return;
-        }
-        actions.push(DisseminationAction::ClaimMapChanged { epoch, content });
-        let offer = DisseminationMessage::ClaimMapOffer(self.claim_map.stamp.clone());
-        self.send_to_links(&offer, None, actions);
-    }
-
-    fn summary(&self, wants_answer: bool) -> DisseminationMessage {
-        DisseminationMessage::Summary(Summary {
-            config: self.config.stamp.clone(),
-            claim_map: self.claim_map.stamp.clone(),
-            servers_digest: self.servers.digest(),
-            current: self.current,
-            wants_answer,
-        })
-    }
-
-    fn on_summary(
-        &mut self,
-        now: Timestamp,
-        from: HostId,
-        summary: Summary,
-        actions: &mut Vec<DisseminationAction>,
-    ) {
-        self.recovery.note(from, summary.config.version, summary.current);
-        if summary.wants_answer {
-            actions.push(send(from, self.summary(false)));
-        }
-        if summary.config.version < self.config.stamp.version {
-            let offer = DisseminationMessage::ConfigOffer(self.config.stamp.clone());
-            actions.push(send(from, offer));
-        }
-        self.on_offer(now, from, summary.config, actions);
-        if summary.claim_map.epoch < self.claim_map.stamp.epoch {
-            let offer = DisseminationMessage::ClaimMapOffer(self.claim_map.stamp.clone());
-            actions.push(send(from, offer));
-        }
-        self.on_claim_map_offer(from, &summary.claim_map, actions);
-        if summary.servers_digest != self.servers.digest() {
-            self.compare_servers(now, from, actions);
-        }
-    }
-
-    /// Compares the servers with another host, unless changes are just on their way.
-    fn compare_servers(
-        &mut self,
-        now: Timestamp,
-        from: HostId,
-        actions: &mut Vec<DisseminationAction>,
-    ) {
-        let interval = self.settings.summary;
-        if now.since(self.buckets_at) < interval {
-            return;
-        }
-        self.buckets_at = now;
-        let digests = self.servers.bucket_digests();
-        let buckets = ServerBuckets { digests, wants_answer: true };
-        actions.push(send(from, DisseminationMessage::ServerBuckets(buckets)));
-    }
-
-    fn send_summaries(&mut self, now: Timestamp, actions: &mut Vec<DisseminationAction>) {
-        let due = self.summary_at.is_none_or(|it| now.since(it) >= self.settings.summary);
-        if due && !self.view.links.is_empty() {
-            self.summary_at = Some(now);
-            self.next_link = (self.next_link + 1) % self.view.links.len();
-            actions.push(send(self.view.links[self.next_link], self.summary(false)));
-        }
-        if now.since(self.remote_summary_at) >= self.settings.remote_summary {
-            self.remote_summary_at = now;
-            let hosts = self.view.entry.values().flatten().chain(&self.view.control).copied();
-            let hosts = hosts.filter(|it| *it != self.settings.host).collect::<Vec<_>>();
-            if !hosts.is_empty() {
-                let host = hosts[self.rng.next_u64() as usize % hosts.len()];
-                actions.push(send(host, self.summary(true)));
-            }
-        }
-    }
-
-    fn recover(&mut self, now: Timestamp, actions: &mut Vec<DisseminationAction>) {
-        self.judge_recovery(now);
-        if !self.recovery.question_due(now, self.settings.recovery_question) {
-            return;
-        }
-        let mut hosts = self.view.links.clone();
-        hosts.extend(&self.view.control);
-        hosts.sort_unstable();
-        hosts.dedup();
-        hosts.retain(|it| *it != self.settings.host);
-        for host in hosts {
-            actions.push(send(host, self.summary(true)));
-        }
-    }
-
-    fn judge_recovery(&mut self, now: Timestamp) {
-        let held = self.config.stamp.version;
-        self.recovery.judge(now, held, &self.view, &self.settings);
-    }
-
-    /// Reports the version in force to the relay.
-    fn acknowledge(&mut self, actions: &mut Vec<DisseminationAction>) {
-        let version = self.config.stamp.version;
-        if version == ConfigVersion(0) {
-            return;
-        }
-        let host = self.settings.host;
-        self.acknowledgements.note(host, version);
-        if let Some(relay) = self.view.relay
-            && relay != host
-        {
-            let group = schema::dissemination::VersionGroup { version, hosts: vec![host] };
-            actions.push(send(relay, DisseminationMessage::InForce(vec![group])));
-        }
-    }
-
-    fn pass_on_acknowledgements(&mut self, now: Timestamp, actions: &mut Vec<DisseminationAction>) {
-        if now.since(self.acknowledgements.repeated_at) >= self.settings.acknowledge_again {
-            self.acknowledgements.repeated_at = now;
-            self.acknowledge(actions);
-            let local = self.local_hosts();
-            self.acknowledgements.repeat(local.into_iter());
-        }
-        let due = now.since(self.acknowledgements.sent_at) >= self.settings.acknowledge;
-        if !due || self.view.relay != Some(self.settings.host) {
-            return;
-        }
-        self.acknowledgements.sent_at = now;
-        let groups = self.acknowledgements.take_unsent();
-        if groups.is_empty() {
-            return;
-        }
-        for host in self.view.control.iter().filter(|it| **it != self.settings.host) {
-            actions.push(send(*host, DisseminationMessage::InForce(groups.clone())));
-        }
-    }
-
-    /// The hosts of this host's own data centre that report to it.
-    fn local_hosts(&self) -> Vec<HostId> {
-        let own = self.settings.host;
-        let local = self.view.entry.values().find(|it| it.contains(&own));
-        let mut hosts = local.cloned().unwrap_or_default();
-        hosts.push(own);
-        hosts
-    }
-
     pub(crate) fn send_to_links(
         &self,
         message: &DisseminationMessage,
--- a/components/dissemination/src/lib.rs
+++ b/components/dissemination/src/lib.rs
@@ -2,15 +2,18 @@
 
 mod acknowledgements;
 mod claim_map;
+mod config_events;
 mod config_slot;
 mod dissemination;
 mod fragments;
 mod pull;
 mod recovery;
 mod renewals;
+mod reports;
 mod server_events;
 mod servers;
 mod settings;
+mod summaries;
 mod view;
 
 pub use schema::dissemination::DisseminationMessage;
--- /dev/null
+++ b/components/dissemination/src/reports.rs
@@ -0,0 +1,58 @@
+//! Reports the version in force towards the control hosts.
+
+use ids::{ConfigVersion, HostId, Timestamp};
+use schema::dissemination::{DisseminationMessage, VersionGroup};
+
+use crate::dissemination::{Dissemination, DisseminationAction, send};
+
+impl Dissemination {
+    /// Reports the version in force to the relay.
+    pub(crate) fn acknowledge(&mut self, actions: &mut Vec<DisseminationAction>) {
+        let version = self.config.stamp.version;
+        if version == ConfigVersion(0) {
+            return;
+        }
+        let host = self.settings.host;
+        self.acknowledgements.note(host, version);
+        if let Some(relay) = self.view.relay
+            && relay != host
+        {
+            let group = VersionGroup { version, hosts: vec![host] };
+            actions.push(send(relay, DisseminationMessage::InForce(vec![group])));
+        }
+    }
+
+    pub(crate) fn pass_on_acknowledgements(
+        &mut self,
+        now: Timestamp,
+        actions: &mut Vec<DisseminationAction>,
+    ) {
+        if now.since(self.acknowledgements.repeated_at) >= self.settings.acknowledge_again {
+            self.acknowledgements.repeated_at = now;
+            self.acknowledge(actions);
+            let local = self.local_hosts();
+            self.acknowledgements.repeat(local.into_iter());
+        }
+        let due = now.since(self.acknowledgements.sent_at) >= self.settings.acknowledge;
+        if !due || self.view.relay != Some(self.settings.host) {
+            return;
+        }
+        self.acknowledgements.sent_at = now;
+        let groups = self.acknowledgements.take_unsent();
+        if groups.is_empty() {
+            return;
+        }
+        for host in self.view.control.iter().filter(|it| **it != self.settings.host) {
+            actions.push(send(*host, DisseminationMessage::InForce(groups.clone())));
+        }
+    }
+
+    /// The hosts of this host's own data centre that report to it.
+    fn local_hosts(&self) -> Vec<HostId> {
+        let own = self.settings.host;
+        let local = self.view.entry.values().find(|it| it.contains(&own));
+        let mut hosts = local.cloned().unwrap_or_default();
+        hosts.push(own);
+        hosts
+    }
+}
--- /dev/null
+++ b/components/dissemination/src/summaries.rs
@@ -0,0 +1,104 @@
+//! Compares what this host holds with other hosts.
+
+use ids::{HostId, Timestamp};
+use rand_xoshiro::rand_core::RngCore;
+use schema::dissemination::{DisseminationMessage, ServerBuckets, Summary};
+
+use crate::dissemination::{Dissemination, DisseminationAction, send};
+
+impl Dissemination {
+    fn summary(&self, wants_answer: bool) -> DisseminationMessage {
+        DisseminationMessage::Summary(Summary {
+            config: self.config.stamp.clone(),
+            claim_map: self.claim_map.stamp.clone(),
+            servers_digest: self.servers.digest(),
+            current: self.current,
+            wants_answer,
+        })
+    }
+
+    pub(crate) fn on_summary(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        summary: Summary,
+        actions: &mut Vec<DisseminationAction>,
+    ) {
+        self.recovery.note(from, summary.config.version, summary.current);
+        if summary.wants_answer {
+            actions.push(send(from, self.summary(false)));
+        }
+        if summary.config.version < self.config.stamp.version {
+            let offer = DisseminationMessage::ConfigOffer(self.config.stamp.clone());
+            actions.push(send(from, offer));
+        }
+        self.on_offer(now, from, summary.config, actions);
+        if summary.claim_map.epoch < self.claim_map.stamp.epoch {
+            let offer = DisseminationMessage::ClaimMapOffer(self.claim_map.stamp.clone());
+            actions.push(send(from, offer));
+        }
+        self.on_claim_map_offer(from, &summary.claim_map, actions);
+        if summary.servers_digest != self.servers.digest() {
+            self.compare_servers(now, from, actions);
+        }
+    }
+
+    /// Compares the servers with another host, unless changes are just on their way.
+    fn compare_servers(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        actions: &mut Vec<DisseminationAction>,
+    ) {
+        let interval = self.settings.summary;
+        if now.since(self.buckets_at) < interval {
+            return;
+        }
+        self.buckets_at = now;
+        let digests = self.servers.bucket_digests();
+        let buckets = ServerBuckets { digests, wants_answer: true };
+        actions.push(send(from, DisseminationMessage::ServerBuckets(buckets)));
+    }
+
+    pub(crate) fn send_summaries(
+        &mut self,
+        now: Timestamp,
+        actions: &mut Vec<DisseminationAction>,
+    ) {
+        let due = self.summary_at.is_none_or(|it| now.since(it) >= self.settings.summary);
+        if due && !self.view.links.is_empty() {
+            self.summary_at = Some(now);
+            self.next_link = (self.next_link + 1) % self.view.links.len();
+            actions.push(send(self.view.links[self.next_link], self.summary(false)));
+        }
+        if now.since(self.remote_summary_at) >= self.settings.remote_summary {
+            self.remote_summary_at = now;
+            let hosts = self.view.entry.values().flatten().chain(&self.view.control).copied();
+            let hosts = hosts.filter(|it| *it != self.settings.host).collect::<Vec<_>>();
+            if !hosts.is_empty() {
+                let host = hosts[self.rng.next_u64() as usize % hosts.len()];
+                actions.push(send(host, self.summary(true)));
+            }
+        }
+    }
+
+    pub(crate) fn recover(&mut self, now: Timestamp, actions: &mut Vec<DisseminationAction>) {
+        self.judge_recovery(now);
+        if !self.recovery.question_due(now, self.settings.recovery_question) {
+            return;
+        }
+        let mut hosts = self.view.links.clone();
+        hosts.extend(&self.view.control);
+        hosts.sort_unstable();
+        hosts.dedup();
+        hosts.retain(|it| *it != self.settings.host);
+        for host in hosts {
+            actions.push(send(host, self.summary(true)));
+        }
+    }
+
+    pub(crate) fn judge_recovery(&mut self, now: Timestamp) {
+        let held = self.config.stamp.version;
+        self.recovery.judge(now, held, &self.view, &self.settings);
+    }
+}
--- a/components/membership/src/lib.rs
+++ b/components/membership/src/lib.rs
@@ -1,6 +1,7 @@
 //! Which hosts of the fleet are alive, decided from heartbeats and indirect probes.
 
 mod gossip;
+mod joining;
 mod lifecycle;
 mod links;
 mod membership;
@@ -10,6 +11,7 @@
 mod settings;
 mod table;
 mod topology;
+mod updates;
 
 pub use schema::membership::{Member, MemberRole, MemberState, MembershipMessage};
 
--- a/components/membership/src/membership.rs
+++ b/components/membership/src/membership.rs
@@ -2,29 +2,21 @@
 
 use std::net::SocketAddr;
 
-use ids::{DataCentreName, HostId, Incarnation, Millis, Timestamp};
+use ids::{DataCentreName, HostId, Incarnation, Timestamp};
 use rand_xoshiro::{Xoshiro256PlusPlus, rand_core::SeedableRng};
-use schema::membership::{
-    Heartbeat, Join, Member, MemberState, MemberUpdate, MembershipMessage, Probe,
-};
+use schema::membership::{Heartbeat, Member, MemberState, MembershipMessage, Probe};
 use statig::blocking::{IntoStateMachineExt, StateMachine};
 
 use crate::{
-    gossip::{self, Gossip},
-    lifecycle::{Lifecycle, LifecycleEvent, State},
+    gossip::Gossip,
+    lifecycle::{Lifecycle, LifecycleEvent},
     links::{Link, Links},
     reach::Reach,
     settings::{MembershipSettings, Seed},
-    table::{Applied, Table},
+    table::Table,
     topology::Topology,
 };
 
-/// Seeds that a starting host asks at a time.
-const SEEDS_AT_ONCE: usize = 2;
-
-/// Between two searches for records to forget.
-const FORGET_INTERVAL: Millis = Millis(5_000);
-
 /// What the caller has to do after a decision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum MembershipAction {
@@ -57,25 +49,25 @@
 /// The fleet's hosts as this one knows them.
 pub struct Membership {
     pub(crate) settings: MembershipSettings,
-    seeds: Vec<Seed>,
+    pub(crate) seeds: Vec<Seed>,
     pub(crate) table: Table,
     pub(crate) links: Links,
     pub(crate) topology: Topology,
     pub(crate) reach: Reach,
     pub(crate) rng: Xoshiro256PlusPlus,
-    lifecycle: StateMachine<Lifecycle>,
-    gossip: Gossip,
-    incarnation: Incarnation,
-    revision: u64,
-    in_flight: u32,
-    generation: u64,
-    topology_is_old: bool,
-    has_list: bool,
+    pub(crate) lifecycle: StateMachine<Lifecycle>,
+    pub(crate) gossip: Gossip,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) revision: u64,
+    pub(crate) in_flight: u32,
+    pub(crate) generation: u64,
+    pub(crate) topology_is_old: bool,
+    pub(crate) has_list: bool,
     pub(crate) last_tick: Timestamp,
-    last_join: Option<Timestamp>,
-    last_rejoin: Timestamp,
-    last_compare: Timestamp,
-    last_forget: Timestamp,
+    pub(crate) last_join: Option<Timestamp>,
+    pub(crate) last_rejoin: Timestamp,
+    pub(crate) last_compare: Timestamp,
+    pub(crate) last_forget: Timestamp,
 }
 
 impl Membership {
@@ -280,41 +272,6 @@
         actions
     }
 
-    /// Spreads this host's record under a higher revision.
-    fn renew_own_record(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
-        self.revision += 1;
-        let own = self.own();
-        self.table.apply(now, own.clone());
-        self.topology_is_old = true;
-        self.spread(now, None, vec![MemberUpdate::Record(own)], actions);
-    }
-
-    fn forget_members(&mut self, now: Timestamp) {
-        if now.since(self.last_forget) >= FORGET_INTERVAL {
-            self.last_forget = now;
-            self.table.forget(now, self.settings.timing.forget);
-        }
-    }
-
-    fn on_join(
-        &mut self,
-        now: Timestamp,
-        from: HostId,
-        join: Join,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        if join.member.host != from {
-            return;
-        }
-        let update = MemberUpdate::Record(join.member);
-        self.take_updates(now, Some(from), vec![update], actions);
-        self.correct_sender(from, actions);
-        if join.wants_list {
-            let records = self.table.live().cloned().collect();
-            self.send_records(from, records, actions);
-        }
-    }
-
     fn on_heartbeat(
         &mut self,
         now: Timestamp,
@@ -341,138 +298,6 @@
         link.differs = if same { None } else { link.differs.or(Some(now)) };
     }
 
-    /// Tells a host that others hold it to be lost, so that it can contradict.
-    fn correct_sender(&self, from: HostId, actions: &mut Vec<MembershipAction>) {
-        if let Some(entry) = self.table.get(from)
-            && entry.member.state == MemberState::Dead
-        {
-            let record = entry.member.clone();
-            self.send_records(from, vec![record], actions);
-        }
-    }
-
-    pub(crate) fn take_updates(
-        &mut self,
-        now: Timestamp,
-        from: Option<HostId>,
-        updates: Vec<MemberUpdate>,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        let mut fresh = Vec::new();
-        for update in updates {
-            if self.take_update(now, &update, actions) {
-                fresh.push(update);
-            }
-        }
-        if !fresh.is_empty() {
-            self.spread(now, from, fresh, actions);
-        }
-    }
-
-    /// Applies one update; returns whether it is news.
-    fn take_update(
-        &mut self,
-        now: Timestamp,
-        update: &MemberUpdate,
-        actions: &mut Vec<MembershipAction>,
-    ) -> bool {
-        match update {
-            MemberUpdate::Record(member) if member.host == self.settings.host => {
-                self.contradict(now, member.incarnation, member.revision, member.state, actions);
-                false
-            }
-            MemberUpdate::Dead(version) if version.host == self.settings.host => {
-                let dead = MemberState::Dead;
-                self.contradict(now, version.incarnation, version.revision, dead, actions);
-                false
-            }
-            MemberUpdate::Suspected(it) if it.suspect.host == self.settings.host => {
-                let (incarnation, revision) = (it.suspect.incarnation, it.suspect.revision);
-                self.contradict(now, incarnation, revision, MemberState::Dead, actions);
-                false
-            }
-            MemberUpdate::Record(member) => {
-                let applied = self.table.apply(now, member.clone());
-                self.report(member.host, applied, actions)
-            }
-            MemberUpdate::Dead(version) => {
-                let applied = self.table.mark_dead(now, version);
-                self.report(version.host, applied, actions)
-            }
-            MemberUpdate::Suspected(suspicion) => self.table.suspect(now, suspicion),
-        }
-    }
-
-    /// Raises this host's revision above one that others hold it dead or changed by.
-    fn contradict(
-        &mut self,
-        now: Timestamp,
-        incarnation: Incarnation,
-        revision: u64,
-        state: MemberState,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        let seen = (incarnation, revision);
-        let own = (self.incarnation, self.revision);
-        let stopped = matches!(self.lifecycle.state(), State::Stopped {});
-        if seen < own || (seen == own && state != MemberState::Dead) || stopped {
-            return;
-        }
-        if incarnation > self.incarnation {
-            self.incarnation = incarnation.next();
-        }
-        self.revision = self.revision.max(revision);
-        self.renew_own_record(now, actions);
-    }
-
-    /// Tells the caller of a change; returns whether it is news.
-    fn report(
-        &mut self,
-        host: HostId,
-        applied: Applied,
-        actions: &mut Vec<MembershipAction>,
-    ) -> bool {
-        let Some(member) = self.member(host).cloned() else {
-            return false;
-        };
-        match applied {
-            Applied::Old => return false,
-            Applied::Noted => return true,
-            Applied::Joined => actions.push(MembershipAction::Joined { member }),
-            Applied::Changed => actions.push(MembershipAction::Changed { member }),
-            Applied::Lost => actions.push(MembershipAction::Lost { member }),
-        }
-        self.topology_is_old = true;
-        true
-    }
-
-    /// Sends changes to all links but the one that they came from.
-    pub(crate) fn spread(
-        &mut self,
-        now: Timestamp,
-        except: Option<HostId>,
-        updates: Vec<MemberUpdate>,
-        actions: &mut Vec<MembershipAction>,
-    ) {
-        for update in &updates {
-            self.gossip.add(now, update);
-        }
-        let targets = self.links.keys().copied().filter(|it| Some(*it) != except);
-        let targets = targets.collect::<Vec<_>>();
-        for page in gossip::pages(updates) {
-            for target in &targets {
-                self.send(*target, MembershipMessage::Updates(page.clone()), actions);
-            }
-        }
-    }
-
-    fn send_records(&self, to: HostId, records: Vec<Member>, actions: &mut Vec<MembershipAction>) {
-        let updates = records.into_iter().map(MemberUpdate::Record).collect();
-        for page in gossip::pages(updates) {
-            self.send(to, MembershipMessage::Updates(page), actions);
-        }
-    }
-
     pub(crate) fn send(
         &self,
         to: HostId,
@@ -484,61 +309,6 @@
         }
     }
 
-    /// Asks the seeds for the list until one has answered.
-    fn request_join(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
-        let due = self.last_join.is_none_or(|it| now.since(it) >= self.settings.timing.join);
-        if self.has_list || !due {
-            return;
-        }
-        self.last_join = Some(now);
-        for _ in 0..SEEDS_AT_ONCE {
-            if let Some(seed) = crate::probing::choose(&mut self.rng, &self.seeds) {
-                actions.push(self.join_to(seed.host, seed.address));
-            }
-        }
-    }
-
-    /// Tries to reach seeds that are not known to be live, and one dead host.
-    fn rejoin(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
-        if now.since(self.last_rejoin) < self.settings.timing.rejoin {
-            return;
-        }
-        self.last_rejoin = now;
-        for seed in self.seeds.iter().filter(|it| !self.is_live(it.host)) {
-            actions.push(self.join_to(seed.host, seed.address));
-        }
-        let dead = self.table.members().filter(|it| it.state == MemberState::Dead);
-        let dead = dead.map(|it| (it.host, it.peer_address)).collect::<Vec<_>>();
-        if let Some((host, address)) = crate::probing::choose(&mut self.rng, &dead) {
-            actions.push(self.join_to(host, address));
-        }
-    }
-
-    fn join_to(&self, to: HostId, address: SocketAddr) -> MembershipAction {
-        let join = Join { member: self.own(), wants_list: true };
-        MembershipAction::Send { to, address, message: MembershipMessage::Join(join) }
-    }
-
-    /// Compares the whole list with one host whose list has differed for a while.
-    fn compare_lists(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
-        let after = self.settings.timing.differ;
-        if now.since(self.last_compare) < after {
-            return;
-        }
-        let differing = self
-            .links
-            .iter()
-            .filter(|(_, it)| it.differs.is_some_and(|since| now.since(since) >= after))
-            .map(|(host, _)| *host)
-            .collect::<Vec<_>>();
-        let Some(host) = crate::probing::choose(&mut self.rng, &differing) else {
-            return;
-        };
-        self.last_compare = now;
-        let buckets = self.table.bucket_digests();
-        self.send(host, MembershipMessage::Buckets(buckets), actions);
-    }
-
     fn send_heartbeats(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
         let timing = &self.settings.timing;
         let digest = self.table.digest();
