Choose test ports while no process is being spawned

Cause: a forked child holds the parent's sockets until it is executed, so that a port chosen by bind and drop could still be taken. Seen once in 7 tests of tests/requests.rs at load 15.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,7 +10,10 @@
     fs,
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
-    sync::atomic::{AtomicU8, Ordering},
+    sync::{
+        PoisonError,
+        atomic::{AtomicU8, Ordering},
+    },
     time::Duration,
 };
 
@@ -27,7 +30,7 @@
 
 pub use callers::{call, get, post};
 pub use links::Links;
-pub use process::Process;
+pub use process::{Process, SPAWNING};
 
 /// Ends a wait that would never end; no test depends on its length.
 pub const HANG_LIMIT: Duration = Duration::from_secs(90);
@@ -109,7 +112,10 @@
         let control_ids = (1..).take(control).map(HostId);
         let entry_ids = (FIRST_ENTRY..).take(entries).map(HostId);
         let ids: Vec<_> = control_ids.chain(entry_ids).collect();
-        let addresses = free_addresses(own_ip(), ids.len() * 3).unwrap();
+        let addresses = {
+            let _spawning = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
+            free_addresses(own_ip(), ids.len() * 3).unwrap()
+        };
         let peers: Vec<_> = ids.iter().copied().zip(addresses.iter().copied()).collect();
         let links = Links::start(&peers).await;
         let mut fleet =
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -4,10 +4,15 @@
     fs::{self, File},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::{Mutex, PoisonError},
 };
 
 use ids::HostId;
 
+/// Held while ports are chosen and while a process is spawned: a process that is not yet executed
+/// holds the parent's sockets, and with them ports that seem free.
+pub static SPAWNING: Mutex<()> = Mutex::new(());
+
 /// A process that is killed when dropped.
 pub struct Process {
     folder: PathBuf,
@@ -29,6 +34,7 @@
         fs::write(&path, settings).unwrap();
         self.starts += 1;
         let log = self.folder.join(format!("host-{}-{}.log", self.host, self.starts));
+        let spawning = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
         let child = Command::new(binary)
             .arg("--settings")
             .arg(&path)
@@ -37,6 +43,7 @@
             .stderr(File::create(log).unwrap())
             .spawn()
             .unwrap();
+        drop(spawning);
         self.child = Some(child);
     }
 
@@ -56,6 +63,7 @@
     /// Sends a signal.
     pub fn signal(&self, name: &str) {
         let id = self.child.as_ref().unwrap().id().to_string();
+        let _spawning = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
         let status = Command::new("kill").arg(format!("-{name}")).arg(id).status().unwrap();
         assert!(status.success());
     }
