Call a server down only when nearly nothing succeeds

Down now means 99% failures (was 95%), so a success takes 4.6 nats off, and a server that seems down stays suspect for 300 ms (was 200) for speed.

Broken on purpose, each made a test fail: eject without regard to the floor, count avoided or draining servers as healthy (floor tests), no corroboration (one region that cannot reach a server), verdicts that never run out (lost watchers), added hosts ignored in the choice of watchers.

--- a/components/health/src/budget.rs
+++ b/components/health/src/budget.rs
@@ -39,7 +39,7 @@
         match favour {
             Favour::Speed => Self {
                 settle: Millis(1500),
-                settle_when_down: Millis(200),
+                settle_when_down: Millis(300),
                 ..Self::with_budget(1.0, 0.5)
             },
             Favour::Certainty => Self {
--- a/components/health/src/evidence.rs
+++ b/components/health/src/evidence.rs
@@ -34,7 +34,7 @@
 
 fn weights(symptom: Symptom) -> Weights {
     match symptom {
-        Symptom::Down => failure_weights(0.005, 0.95),
+        Symptom::Down => failure_weights(0.005, 0.99),
         Symptom::Failing => failure_weights(0.005, 0.30),
         Symptom::Degraded => failure_weights(0.005, 0.05),
         Symptom::Slow => {
