Test that accepted configurations stay, with real processes

An accepted configuration is to be in force everywhere and never go back. So far only single components were tested for it, on simulated links and disks.

tests/configuration.rs: the control hosts. The leader is killed three times in the middle of 40 submits; 301 versions and a restart of all processes; three disks lost one after the other, and a second one right after a repair; a leader that is cut off, that nobody hears, that hears nobody, or that is frozen and wakes with a question waiting; two operators racing for ten versions; a resend after the host that accepted is gone; malformed, contradictory and out-of-order texts and a wrong token. The audit trail is verified and holds each acceptance once.

tests/configuration_spread.rs: the entry hosts. Cut off from all control hosts; isolated with an old version; 20% of datagrams lost and one-way cuts; all control hosts down while an entry host restarts; forged and garbled messages.

Versions in force are sampled at each entry host and may only rise. The tests are two files so that fewer processes run at once.

--- a/tests/support/links.rs
+++ b/tests/support/links.rs
@@ -45,6 +45,18 @@
         }
     }
 
+    /// Sets the fault of all messages that a host sends.
+    pub fn set_sent(&self, host: HostId, fault: Fault) {
+        let sent = self.proxies.iter().filter(|((from, _), _)| *from == host);
+        sent.for_each(|(_, proxy)| proxy.set(fault));
+    }
+
+    /// Sets the fault of all messages that a host is sent.
+    pub fn set_received(&self, host: HostId, fault: Fault) {
+        let received = self.proxies.iter().filter(|((_, to), _)| *to == host);
+        received.for_each(|(_, proxy)| proxy.set(fault));
+    }
+
     /// Sets the fault of all messages.
     pub fn set_all(&self, fault: Fault) {
         self.proxies.values().for_each(|it| it.set(fault));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,7 +4,9 @@
 
 mod callers;
 mod links;
+mod operators;
 mod process;
+mod versions;
 
 use std::{
     fs,
@@ -19,7 +21,7 @@
 use ids::{ConfigVersion, DataCentreName, HostId, Incarnation, Millis, RegionName};
 use schema::{
     entry_status::EntryStatusPage,
-    operator::{OperatorRequest, OperatorResponse, Submit},
+    operator::{OperatorRequest, OperatorResponse, Status},
     settings::{ControlSettings, EntrySettings, Peer},
 };
 use stand_in::{StandIn, StandInSettings};
@@ -27,7 +29,9 @@
 
 pub use callers::{call, get, post};
 pub use links::Links;
+pub use operators::{accepted, audit_trail, submit_through};
 pub use process::Process;
+pub use versions::VersionWatch;
 
 /// Ends a wait that would never end; no test depends on its length.
 pub const HANG_LIMIT: Duration = Duration::from_secs(90);
@@ -262,18 +266,7 @@
 
     /// Submits until a leader accepts or refuses the text.
     pub async fn submit(&self, text: &str) -> OperatorResponse {
-        let client = self.operator();
-        let request = OperatorRequest::Submit(Submit { text: text.to_owned() });
-        wait_for("a decision about the text", async || match client.request(&request).await {
-            Ok(
-                OperatorResponse::NotLeader(_)
-                | OperatorResponse::LeaseExpired(_)
-                | OperatorResponse::OutcomeUnknown,
-            )
-            | Err(_) => None,
-            Ok(decided) => Some(decided),
-        })
-        .await
+        submit_through(&self.operator(), text).await
     }
 
     /// Waits until every running entry host has the version in force.
@@ -334,6 +327,38 @@
         .await
     }
 
+    /// The answer of one control host, if it gives one.
+    pub async fn ask(&self, index: usize, request: &OperatorRequest) -> Option<OperatorResponse> {
+        self.operator().request_at(self.control[index].admin_address, request).await.ok()
+    }
+
+    /// The status of a control host, if it answers.
+    pub async fn control_status(&self, index: usize) -> Option<Status> {
+        match self.ask(index, &OperatorRequest::Status).await? {
+            OperatorResponse::Status(status) => Some(status),
+            _ => None,
+        }
+    }
+
+    /// Waits until the status of a control host is as wanted.
+    pub async fn wait_for_control(
+        &self,
+        index: usize,
+        is_wanted: impl Fn(&Status) -> bool,
+    ) -> Status {
+        wait_for("the status of a control host", async || {
+            self.control_status(index).await.filter(|it| is_wanted(it))
+        })
+        .await
+    }
+
+    /// A client for all control hosts but one.
+    pub fn operator_without(&self, index: usize) -> OperatorClient {
+        let others = self.control.iter().enumerate().filter(|(i, _)| *i != index);
+        let addresses = others.map(|(_, it)| it.admin_address).collect();
+        OperatorClient::new(addresses, TOKEN.to_owned())
+    }
+
     /// Sets the fault of all links from or to a host.
     pub fn isolate(&self, host: HostId, fault: Fault) {
         self.links.isolate(host, fault);
