--- a/components/stand_in/src/server.rs
+++ b/components/stand_in/src/server.rs
@@ -78,6 +78,11 @@
 }
 
 impl StandIn {
+    /// Its id.
+    pub fn name(&self) -> &ServerId {
+        &self.state.settings.server
+    }
+
     /// What it has run.
     pub fn runs(&self) -> &Runs {
         &self.state.runs
--- a/src/bin/daisypaddle-dev.rs
+++ b/src/bin/daisypaddle-dev.rs
@@ -6,15 +6,18 @@
     cli::{self, ExitError},
     dev_fleet::{self, DevFleetSettings},
 };
+use ids::Millis;
 
 const HELP: &str = "\
 Runs a whole daisypaddle fleet and stand-in backend servers in one process, on loopback.
 
-usage: daisypaddle-dev [TEXT] [--entry-hosts N] [--servers N] [--data FOLDER]
+usage: daisypaddle-dev [TEXT] [--entry-hosts N] [--servers N]
+       [--service-ms N] [--data FOLDER]
 
   TEXT             configuration text [examples/strengur.yaml]
   --entry-hosts N  entry hosts, spread over the data centres [6]
   --servers N      backend servers of each service [3]
+  --service-ms N   time that a backend server takes for one request [5]
   --data FOLDER    folder for keys and the replicated log [a new temporary one]
   -h, --help       print this help
   -V, --version    print the version
@@ -26,13 +29,14 @@
     cli::run_main("daisypaddle-dev", HELP, |mut args| {
         let entry_hosts = args.opt_value_from_str("--entry-hosts")?.unwrap_or(6);
         let servers = args.opt_value_from_str("--servers")?.unwrap_or(3);
+        let service_time = args.opt_value_from_str("--service-ms")?.unwrap_or(Millis(5));
         let data: Option<PathBuf> = args.opt_value_from_str("--data")?;
         let text: Option<PathBuf> = args.opt_free_from_str()?;
         cli::finish(args)?;
         let text = text.unwrap_or_else(|| "examples/strengur.yaml".into());
         cli::start_logs();
         let runtime = tokio::runtime::Runtime::new().map_err(ExitError::failed)?;
-        runtime.block_on(run(DevFleetSettings { text, entry_hosts, servers, data }))
+        runtime.block_on(run(DevFleetSettings { text, entry_hosts, servers, service_time, data }))
     })
 }
 
--- a/src/dev_fleet.rs
+++ b/src/dev_fleet.rs
@@ -34,9 +34,6 @@
 /// Between two tries to submit the text.
 const SUBMIT_RETRY: Duration = Duration::from_millis(100);
 
-/// Time that a stand-in server takes for one request.
-const SERVICE_TIME: Millis = Millis(5);
-
 /// How long announcements of the stand-in servers hold.
 const ANNOUNCEMENT_LIFETIME: Millis = Millis(3_000);
 
@@ -52,6 +49,8 @@
     pub entry_hosts: u32,
     /// Backend servers of each service.
     pub servers: u32,
+    /// Time that a stand-in server takes for one request.
+    pub service_time: Millis,
     /// Folder for keys and the replicated log; a temporary one if not given.
     pub data: Option<PathBuf>,
 }
@@ -100,7 +99,8 @@
         let host = entry_settings(peer, &voters, &seeds, &folder);
         entries.push(entry::start(host).await.map_err(ExitError::failed)?);
     }
-    let servers = start_servers(&config, settings.servers, &places, &entries).await?;
+    let servers =
+        start_servers(&config, settings.servers, settings.service_time, &places, &entries).await?;
     submit(&control, &text).await?;
     Ok(DevFleet { control, entries, servers, config, folder, is_temporary })
 }
@@ -119,7 +119,11 @@
         for control in &self.control {
             text += &format!("  http://{}   token {OPERATOR_TOKEN}\n", control.admin_address);
         }
-        text += &format!("Backend servers: {}\n\nTry:\n", self.servers.len());
+        text += "Backend servers:\n";
+        for server in &self.servers {
+            text += &format!("  {} {}\n", server.name(), server.address);
+        }
+        text += "\nTry:\n";
         let Some(entry) = self.entries.first() else { return text };
         text += &format!("  curl -i http://{}/directory\n", entry.caller_address);
         for route in &self.config.text().routes {
@@ -241,6 +245,7 @@
 async fn start_servers(
     config: &Config,
     count: u32,
+    service_time: Millis,
     places: &[Place],
     entries: &[RunningEntry],
 ) -> Result<Vec<StandIn>, ExitError> {
@@ -259,7 +264,7 @@
                 announced_address: None,
                 entry_hosts: entries.iter().map(|it| it.caller_address).collect(),
                 slots: service.slots_per_server,
-                service_time: SERVICE_TIME,
+                service_time,
                 lifetime: ANNOUNCEMENT_LIFETIME,
                 crash_path: None,
             };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod cli;
 pub mod commands;
 pub mod dev_fleet;
+pub mod load;
 pub mod operator;
