--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -32,13 +32,9 @@
 
 pub use callers::{call, get, post};
 pub use links::Links;
-<<<<<<< HEAD
-pub use process::{Process, SPAWNING};
-=======
 pub use operators::{accepted, audit_trail, submit_through};
-pub use process::Process;
+pub use process::{Process, SPAWNING};
 pub use versions::VersionWatch;
->>>>>>> proof
 
 /// Ends a wait that would never end; no test depends on its length.
 pub const HANG_LIMIT: Duration = Duration::from_secs(90);
