--- /dev/null
+++ b/examples/dissemination_time/fleet.rs
@@ -0,0 +1,237 @@
+//! A fleet of real processes.
+
+use std::{
+    env, fs,
+    net::{Ipv4Addr, SocketAddr},
+    path::Path,
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use daisypaddle::{dev_fleet::free_addresses, operator::OperatorClient};
+use ids::{ByteSize, HostId, Millis};
+use schema::{
+    operator::{OperatorRequest, OperatorResponse, Submit},
+    settings::{ControlSettings, EntrySettings, Peer},
+};
+use tempfile::TempDir;
+use tokio::time::sleep;
+
+use crate::links::Links;
+
+const KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+
+const TOKEN: &str = "a-token-for-the-measurement";
+
+/// The id of the first entry host.
+const FIRST_ENTRY: u32 = 101;
+
+/// Between two tries to submit.
+const SUBMIT_RETRY: Duration = Duration::from_millis(20);
+
+/// The text with a blank for its version.
+const TEXT: &str = include_str!("../strengur.yaml");
+
+/// Region and data centre of each place where hosts run, in turn.
+const PLACES: [(&str, &str); 6] = [
+    ("reykjavik", "rvk-1"),
+    ("akureyri", "ak-1"),
+    ("egilsstadir", "eg-1"),
+    ("reykjavik", "rvk-2"),
+    ("akureyri", "ak-2"),
+    ("egilsstadir", "eg-2"),
+];
+
+/// A running host, killed when dropped.
+struct Host {
+    process: Child,
+    id: HostId,
+    admin_address: SocketAddr,
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+/// Where the hosts of a fleet are.
+struct Plan {
+    control: usize,
+    hosts: Vec<(HostId, SocketAddr)>,
+    links: Option<Links>,
+    folder: TempDir,
+}
+
+/// A fleet of real processes.
+pub struct Fleet {
+    hosts: Vec<Host>,
+    plan: Plan,
+    version: u64,
+}
+
+impl Fleet {
+    /// Starts control and entry hosts, with a proxy on each link if wanted.
+    pub async fn start(control: usize, entries: usize, has_proxies: bool) -> Self {
+        let folder = TempDir::new().expect("a folder can be created");
+        fs::write(folder.path().join("fleet.key"), KEY).expect("the folder takes files");
+        let operators = format!("measurement {TOKEN}\n");
+        fs::write(folder.path().join("operators"), operators).expect("the folder takes files");
+        let ids = (1..).take(control).chain((FIRST_ENTRY..).take(entries)).map(HostId);
+        let addresses = free_addresses(Ipv4Addr::LOCALHOST, (control + entries) * 3)
+            .expect("loopback has free ports");
+        let hosts: Vec<_> = ids.zip(addresses.iter().copied()).collect();
+        let links = match has_proxies {
+            true => Some(Links::start(&hosts).await),
+            false => None,
+        };
+        let plan = Plan { control, hosts, links, folder };
+        let rest = &addresses[plan.hosts.len()..];
+        let running = rest.chunks(2).enumerate().map(|(index, it)| plan.run(index, it[0], it[1]));
+        Self { hosts: running.collect(), plan, version: 1 }
+    }
+
+    /// The proxies.
+    pub fn links(&self) -> &Links {
+        self.plan.links.as_ref().expect("this fleet has proxies")
+    }
+
+    /// Number of entry hosts.
+    pub fn entries(&self) -> usize {
+        self.hosts.len() - self.plan.control
+    }
+
+    /// The id of a control host.
+    pub fn control_id(&self, index: usize) -> HostId {
+        self.hosts[index].id
+    }
+
+    /// The id of an entry host.
+    pub fn entry_id(&self, index: usize) -> HostId {
+        self.hosts[self.plan.control + index].id
+    }
+
+    /// Process id and admin address of each host, control hosts first.
+    pub fn processes(&self) -> impl Iterator<Item = (u32, SocketAddr)> {
+        self.hosts.iter().map(|it| (it.process.id(), it.admin_address))
+    }
+
+    /// The admin addresses of the entry hosts.
+    pub fn entry_admin_addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.hosts[self.plan.control..].iter().map(|it| it.admin_address)
+    }
+
+    /// The version after the newest submitted one.
+    pub fn next_version(&mut self) -> u64 {
+        self.version += 1;
+        self.version
+    }
+
+    /// Submits a version until it is accepted.
+    pub async fn submit(&self, version: u64) {
+        let control = &self.hosts[..self.plan.control];
+        let addresses = control.iter().map(|it| it.admin_address).collect();
+        let client = OperatorClient::new(addresses, TOKEN.to_owned());
+        let text = TEXT
+            .replace("version: 1\n", &format!("version: {version}\n"))
+            .replace("priority: 5", &format!("priority: {}", 1 + version % 7));
+        let request = OperatorRequest::Submit(Submit { text });
+        loop {
+            match client.request(&request).await {
+                Ok(OperatorResponse::Accepted(_)) => return,
+                Ok(OperatorResponse::Invalid(e)) => panic!("the text is faulty: {e:?}"),
+                _ => sleep(SUBMIT_RETRY).await,
+            }
+        }
+    }
+}
+
+impl Plan {
+    fn run(&self, index: usize, admin_address: SocketAddr, caller_address: SocketAddr) -> Host {
+        let (id, _) = self.hosts[index];
+        let (binary, settings) = match index < self.control {
+            true => ("daisypaddle-control", self.control_settings(index, admin_address)),
+            false => {
+                ("daisypaddle-entry", self.entry_settings(index, admin_address, caller_address))
+            }
+        };
+        let file = self.folder.path().join(format!("settings-{id}.yaml"));
+        fs::write(&file, settings).expect("the folder takes files");
+        let mut command = Command::new(binary_folder().join(binary));
+        command.arg("--settings").arg(file).stdin(Stdio::null()).stderr(Stdio::null());
+        if index < self.control {
+            command.arg("--bootstrap");
+        }
+        let process = command.spawn().expect("the binaries are built");
+        Host { process, id, admin_address }
+    }
+
+    fn path(&self, name: &str) -> String {
+        self.folder.path().join(name).display().to_string()
+    }
+
+    fn peer(&self, own: usize, index: usize) -> Peer {
+        let (host, address) = self.hosts[index];
+        let (region, data_centre) = PLACES[index % PLACES.len()];
+        let peer_address = match &self.links {
+            Some(links) if own != index => links.address(self.hosts[own].0, host),
+            _ => address,
+        };
+        Peer {
+            host,
+            region: region.parse().expect("the name is well formed"),
+            data_centre: data_centre.parse().expect("the name is well formed"),
+            peer_address,
+        }
+    }
+
+    fn control_settings(&self, index: usize, admin_address: SocketAddr) -> String {
+        let own = self.peer(index, index);
+        let settings = ControlSettings {
+            host: own.host,
+            region: own.region,
+            data_centre: own.data_centre,
+            peer_address: own.peer_address,
+            admin_address,
+            fleet_key_file: self.path("fleet.key"),
+            operator_tokens_file: self.path("operators"),
+            data_folder: self.path(&format!("data-{}", own.host)),
+            voters: (0..self.control).map(|it| self.peer(index, it)).collect(),
+            seeds: (self.control..self.hosts.len()).map(|it| self.peer(index, it)).collect(),
+            seed: 7,
+        };
+        serde_json::to_string(&settings).expect("settings are plain data")
+    }
+
+    fn entry_settings(
+        &self,
+        index: usize,
+        admin_address: SocketAddr,
+        caller_address: SocketAddr,
+    ) -> String {
+        let own = self.peer(index, index);
+        let settings = EntrySettings {
+            host: own.host,
+            region: own.region,
+            data_centre: own.data_centre,
+            caller_address,
+            peer_address: own.peer_address,
+            admin_address,
+            fleet_key_file: self.path("fleet.key"),
+            control_hosts: (0..self.control).map(|it| self.peer(index, it)).collect(),
+            seeds: (self.control..self.hosts.len()).map(|it| self.peer(index, it)).collect(),
+            seed: 7,
+            memory_budget_bytes: ByteSize(64 * 1024 * 1024),
+            drain_ms: Millis(500),
+        };
+        serde_json::to_string(&settings).expect("settings are plain data")
+    }
+}
+
+/// The folder of the binaries, beside that of the examples.
+fn binary_folder() -> std::path::PathBuf {
+    let own = env::current_exe().expect("a process has a binary");
+    own.parent().and_then(Path::parent).expect("examples are in a folder").to_owned()
+}
