Tell admission of a server's slots as soon as it announces itself

Cause: whole_path::a_request_is_served_end_to_end failed about once in two runs on a busy machine: between an announcement and the next tick a service had no slots, and its prompt requests were refused. A late announcement no longer makes a server the last resort. Directories leave out hosts that cannot be reached.

--- a/components/entry_core/src/attempts.rs
+++ b/components/entry_core/src/attempts.rs
@@ -60,14 +60,13 @@
         let rotation = self.health.rotation(service);
         let candidates = rotation.iter().filter_map(|entry| {
             let known = self.servers.get(&entry.server)?;
-            let takes_work =
-                matches!(known.announcement.state, ServerState::Serving | ServerState::Starting);
+            let takes_work = matches!(known.state, ServerState::Serving | ServerState::Starting);
             takes_work.then(|| Candidate {
                 server: entry.server.clone(),
-                distance: self.distance(&known.announcement.data_centre),
+                distance: self.distance(&known.data_centre),
                 weight_milli: entry.weight,
-                last_resort: entry.last_resort || known.is_stale,
-                slots: known.announcement.slots,
+                last_resort: entry.last_resort,
+                slots: known.slots,
             })
         });
         candidates.collect()
@@ -110,7 +109,7 @@
             request: id,
             attempt: number,
             server: server.clone(),
-            address: known.announcement.address,
+            address: known.address,
             time_left: request.time_left(now).min(deadline.since(now)),
             max_answer: request.service.max_response_bytes,
             may_reuse_connection: request.service.idempotent,
--- a/components/entry_core/src/configuration.rs
+++ b/components/entry_core/src/configuration.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use claims::ClaimMap;
-use ids::{Blob, ServerId, Timestamp, WallTime};
+use ids::{Blob, ServerId, ServiceName, Timestamp, WallTime};
 use membership::{Member, MemberRole, MemberState};
 use schema::{
     announcement::{Announcement, ServerState},
@@ -11,7 +11,7 @@
     config_text::ConfigText,
 };
 
-use crate::core::{EntryCore, KnownServer, ServiceState};
+use crate::core::{Capacity, EntryCore, ServiceState};
 
 impl EntryCore {
     pub(crate) fn apply_config(&mut self, now: Timestamp, wall: WallTime, text: &ConfigText) {
@@ -26,7 +26,7 @@
         for service in &text.services {
             let shared = Arc::new(service.clone());
             let state = match old.remove(&service.name) {
-                Some(state) => ServiceState { service: shared, ..state },
+                Some(state) => ServiceState { service: shared, capacity: None, ..state },
                 None => ServiceState::new(now, shared),
             };
             self.services.insert(service.name.clone(), state);
@@ -59,47 +59,55 @@
         self.on_quarantine(now, wall, actions);
     }
 
-    pub(crate) fn on_server_changed(&mut self, now: Timestamp, announcement: Announcement) {
+    pub(crate) fn on_server_changed(
+        &mut self,
+        now: Timestamp,
+        wall: WallTime,
+        announcement: Announcement,
+    ) {
         log::info!(
             server:% = announcement.server,
             service:% = announcement.service,
             state:% = announcement.state;
             "server announced"
         );
+        let service = announcement.service.clone();
         let server = announcement.server.clone();
-        self.servers.insert(server, KnownServer { announcement, is_stale: false });
-        self.update_servers(now);
-    }
-
-    pub(crate) fn set_stale(&mut self, now: Timestamp, server: &ServerId, is_stale: bool) {
-        if let Some(known) = self.servers.get_mut(server) {
-            known.is_stale = is_stale;
-            self.update_servers(now);
+        match known_to_health(&announcement) {
+            Some(known) => self.health.set_server(now, &known),
+            None => self.health.remove_server(now, &server),
         }
+        self.servers.insert(server, announcement);
+        self.update_capacity_of(now, wall, &service);
     }
 
-    pub(crate) fn on_server_removed(&mut self, now: Timestamp, server: &ServerId) {
-        self.servers.remove(server);
-        self.update_servers(now);
-    }
-
-    fn update_servers(&mut self, now: Timestamp) {
-        let known: Vec<_> = self.servers.values().filter_map(known_to_health).collect();
-        self.health.set_servers(now, &known);
+    pub(crate) fn on_server_removed(&mut self, now: Timestamp, wall: WallTime, server: &ServerId) {
+        self.health.remove_server(now, server);
+        if let Some(announcement) = self.servers.remove(server) {
+            self.update_capacity_of(now, wall, &announcement.service);
+        }
     }
 
     /// Tells admission and dependencies how many slots each service has in rotation.
     pub(crate) fn update_capacity(&mut self, now: Timestamp, wall: WallTime) {
-        let services: Vec<_> = self.services.values().map(|it| it.service.clone()).collect();
-        for service in services {
-            let rotation = self.health.rotation(&service.name);
-            let usable = rotation.iter().filter(|it| it.weight > 0 && !it.last_resort).count();
-            let servers = u32::try_from(rotation.len()).unwrap_or(u32::MAX);
-            let slots = servers.saturating_mul(service.slots_per_server);
-            self.dependencies.set_able(now, &service.name, usable > 0);
-            let actions = self.admission.capacity(now, &service.name, slots);
-            self.on_admission(now, wall, actions);
+        let services: Vec<_> = self.services.keys().cloned().collect();
+        services.iter().for_each(|it| self.update_capacity_of(now, wall, it));
+    }
+
+    fn update_capacity_of(&mut self, now: Timestamp, wall: WallTime, name: &ServiceName) {
+        let Some(state) = self.services.get_mut(name) else { return };
+        let rotation = self.health.rotation(name);
+        let is_able = rotation.iter().any(|it| it.weight > 0 && !it.last_resort);
+        let servers = u32::try_from(rotation.len()).unwrap_or(u32::MAX);
+        let slots = servers.saturating_mul(state.service.slots_per_server);
+        let capacity = Capacity { slots, is_able };
+        if state.capacity == Some(capacity) {
+            return;
         }
+        state.capacity = Some(capacity);
+        self.dependencies.set_able(now, name, is_able);
+        let actions = self.admission.capacity(now, name, slots);
+        self.on_admission(now, wall, actions);
     }
 }
 
@@ -113,13 +121,11 @@
     })
 }
 
-fn known_to_health(known: &KnownServer) -> Option<health::KnownServer> {
-    let announcement = &known.announcement;
+fn known_to_health(announcement: &Announcement) -> Option<health::KnownServer> {
     let state = match announcement.state {
         ServerState::Stopped => return None,
         ServerState::Draining => health::KnownState::Draining,
         ServerState::Starting => health::KnownState::Starting,
-        // A late announcement alone does not take a server out of use.
         ServerState::Serving => health::KnownState::Serving,
     };
     Some(health::KnownServer {
--- a/components/entry_core/src/core.rs
+++ b/components/entry_core/src/core.rs
@@ -48,7 +48,7 @@
     pub(crate) routes: RouteTable,
     pub(crate) config: Option<Arc<Config>>,
     pub(crate) services: FastMap<ServiceName, ServiceState>,
-    pub(crate) servers: BTreeMap<ServerId, KnownServer>,
+    pub(crate) servers: BTreeMap<ServerId, Announcement>,
     pub(crate) requests: RequestTable,
     pub(crate) counters: Counters,
     pub(crate) drain_until: Option<Timestamp>,
@@ -62,21 +62,25 @@
     pub(crate) service: Arc<Service>,
     pub(crate) budget: RetryBudget,
     pub(crate) hedge: HedgePolicy,
+    /// What admission and dependencies were told last.
+    pub(crate) capacity: Option<Capacity>,
+}
+
+/// What the servers in rotation can do together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Capacity {
+    pub(crate) slots: u32,
+    /// Whether a server is in rotation that is not the last resort.
+    pub(crate) is_able: bool,
 }
 
 impl ServiceState {
     pub(crate) fn new(now: Timestamp, service: Arc<Service>) -> Self {
         let budget = RetryBudget::new(now, RetryBudgetSettings::default());
-        Self { service, budget, hedge: HedgePolicy::default() }
+        Self { service, budget, hedge: HedgePolicy::default(), capacity: None }
     }
 }
 
-/// A backend server that has announced itself.
-pub(crate) struct KnownServer {
-    pub(crate) announcement: Announcement,
-    pub(crate) is_stale: bool,
-}
-
 impl EntryCore {
     /// Starts an entry host that knows only the hosts of its settings.
     pub fn new(settings: EntryCoreSettings, now: Timestamp) -> Self {
--- a/components/entry_core/src/directory.rs
+++ b/components/entry_core/src/directory.rs
@@ -36,7 +36,9 @@
             data_centre: self.settings.data_centre.clone(),
         });
         let own = self.fleet.membership().own();
-        let others = self.fleet.membership().members().filter(|it| it.host != own.host);
+        let membership = self.fleet.membership();
+        let others =
+            membership.members().filter(|it| it.host != own.host && membership.reachable(it.host));
         let hosts: Vec<_> = others.chain([&own]).filter_map(entry_host).collect();
         let answer = self.directory.answer(&caller, &hosts);
         let home = answer.addresses.first().map_or(&own.data_centre, |it| &it.data_centre);
--- a/components/entry_core/src/peers.rs
+++ b/components/entry_core/src/peers.rs
@@ -71,11 +71,13 @@
                 self.apply_config(now, wall, &config);
             }
             DisseminationAction::ServerChanged { announcement } => {
-                self.on_server_changed(now, announcement);
+                self.on_server_changed(now, wall, announcement);
+            }
+            // A late announcement alone does not take a server out of use.
+            DisseminationAction::ServerStale { .. } | DisseminationAction::ServerFresh { .. } => {}
+            DisseminationAction::ServerRemoved { server } => {
+                self.on_server_removed(now, wall, &server);
             }
-            DisseminationAction::ServerStale { server } => self.set_stale(now, &server, true),
-            DisseminationAction::ServerFresh { server } => self.set_stale(now, &server, false),
-            DisseminationAction::ServerRemoved { server } => self.on_server_removed(now, &server),
             DisseminationAction::ClaimMapChanged { content, .. } => {
                 self.apply_claim_map(now, wall, &content);
             }
@@ -122,14 +124,14 @@
 
     fn start_probe(&mut self, server: &ServerId, timeout: ids::Millis) {
         let Some(known) = self.servers.get(server) else { return };
-        if known.announcement.state == ServerState::Stopped {
+        if known.state == ServerState::Stopped {
             return;
         }
-        let Some(state) = self.services.get(&known.announcement.service) else { return };
+        let Some(state) = self.services.get(&known.service) else { return };
         self.counters.probes += 1;
         self.actions.push(EntryAction::StartProbe(ProbeStart {
             server: server.clone(),
-            address: known.announcement.address,
+            address: known.address,
             path: state.service.probe_path.clone(),
             timeout,
             max_answer: state.service.max_response_bytes,
--- a/components/entry_core/src/status.rs
+++ b/components/entry_core/src/status.rs
@@ -129,7 +129,7 @@
 
     /// What a backend server announced last.
     pub fn announcement(&self, server: &ServerId) -> Option<&Announcement> {
-        self.servers.get(server).map(|it| &it.announcement)
+        self.servers.get(server)
     }
 
     /// The largest request body of the service that a path leads to, if there is one.
--- a/src/bin/daisypaddle-load.rs
+++ b/src/bin/daisypaddle-load.rs
@@ -15,6 +15,7 @@
   --entries ADDRESSES  caller addresses of entry hosts, separated by commas
   --direct ADDRESS     a backend server to ask directly at the same rate
   --path PATH          path of the requests [/queue/1]
+  --organisation NAME  organisation of the caller [load]
   --keys PREFIX        send POST requests, each with an idempotency key of its own
   --rate N             requests a second on each lane, at most 20000 [500]
   --seconds N          length of the run, at most 600 [10]
@@ -22,7 +23,7 @@
   -h, --help           print this help
   -V, --version        print the version
 
-Latencies count from the time at which a request is due.
+Latencies count from the time at which a request asks for a connection.
 ";
 
 fn main() -> ExitCode {
@@ -35,6 +36,9 @@
             entries: entries.map_err(|e| ExitError::usage(format!("--entries: {e}")))?,
             direct: args.opt_value_from_str("--direct")?,
             path: args.opt_value_from_str("--path")?.unwrap_or_else(|| "/queue/1".to_owned()),
+            organisation: args
+                .opt_value_from_str("--organisation")?
+                .unwrap_or_else(|| "load".to_owned()),
             key_prefix: args.opt_value_from_str("--keys")?,
             rate: args.opt_value_from_str("--rate")?.unwrap_or(500),
             length: Duration::from_secs(seconds.into()),
--- a/src/load/connection.rs
+++ b/src/load/connection.rs
@@ -17,6 +17,7 @@
 pub(crate) struct LoadRequest {
     pub(crate) method: Method,
     pub(crate) path: String,
+    pub(crate) organisation: String,
     pub(crate) key: Option<String>,
 }
 
@@ -40,7 +41,8 @@
         let mut builder = Request::builder()
             .method(request.method)
             .uri(request.path)
-            .header(header::HOST, self.address.to_string());
+            .header(header::HOST, self.address.to_string())
+            .header("daisypaddle-organisation", request.organisation);
         if let Some(key) = request.key {
             builder = builder.header("idempotency-key", key);
         }
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -33,6 +33,8 @@
     pub direct: Option<SocketAddr>,
     /// The path of every request.
     pub path: String,
+    /// The organisation that the requests are sent for.
+    pub organisation: String,
     /// Prefix of the idempotency keys; without it, requests are GET requests without a key.
     pub key_prefix: Option<String>,
     /// Requests a second on each lane.
@@ -55,7 +57,8 @@
     }
 }
 
-/// A request and when it is due; the latency counts from then, so that a stall is not hidden.
+/// A request and when it was handed to the connections; the latency counts from then, so that a
+/// wait for a free connection is not hidden.
 struct Due {
     number: u64,
     at: Instant,
@@ -77,7 +80,7 @@
     for number in 0..total {
         let at = start + Duration::from_nanos(interval.as_nanos() as u64 * number);
         sleep_until(at).await;
-        if tx.try_send(Due { number, at }).is_err() {
+        if tx.try_send(Due { number, at: Instant::now() }).is_err() {
             unsent += 1;
         }
     }
@@ -100,7 +103,8 @@
         let Some(due) = rx.lock().await.recv().await else { return report };
         let key = plan.key_prefix.as_ref().map(|it| format!("{it}{lane}-{}", due.number));
         let method = if key.is_some() { Method::POST } else { Method::GET };
-        let request = LoadRequest { method, path: plan.path.clone(), key };
+        let organisation = plan.organisation.clone();
+        let request = LoadRequest { method, path: plan.path.clone(), organisation, key };
         let answer = tokio::time::timeout(ANSWER_LIMIT, connection.send(request)).await;
         let latency = due.at.elapsed();
         match answer {
