Keep latencies above 2 ms apart in the load tool

Cause: the histogram's default bounds end at 2,047 and values above were clamped. Before: p50=2 us for servers that take 1 ms.

--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -7,6 +7,9 @@
 /// Significant digits of the latencies.
 const DIGITS: u8 = 3;
 
+/// The longest latency that is told apart from longer ones, in microseconds.
+const MAX_LATENCY_MICROS: u64 = 60_000_000;
+
 /// Percentiles that are printed.
 const PERCENTILES: [(&str, f64); 4] =
     [("p50", 50.0), ("p90", 90.0), ("p99", 99.0), ("p99.9", 99.9)];
@@ -22,7 +25,8 @@
 impl LaneReport {
     /// An empty report with `unsent` requests that found no place in the queue.
     pub fn new(unsent: u64) -> Self {
-        let latencies = Histogram::new(DIGITS).expect("three digits are allowed");
+        let latencies = Histogram::new_with_bounds(1, MAX_LATENCY_MICROS, DIGITS)
+            .expect("the bounds are in order");
         Self { latencies, outcomes: BTreeMap::new(), unsent }
     }
 
@@ -34,7 +38,7 @@
 
     /// Adds another part of the same lane.
     pub fn add(&mut self, other: &Self) {
-        self.latencies.add(&other.latencies).expect("the histograms grow as needed");
+        self.latencies.add(&other.latencies).expect("the bounds are equal");
         for (outcome, count) in &other.outcomes {
             *self.outcomes.entry(outcome.clone()).or_default() += count;
         }
