Find dependency circles without recursion, and refuse reserved paths

A text may hold tens of thousands of services; the recursive walk went as deep as the longest chain on a thread of 2 MB. Routes to /directory and /announce would never have been reached. Two problems that no check could report are gone.

--- a/components/config/src/checks/dependencies.rs
+++ b/components/config/src/checks/dependencies.rs
@@ -26,42 +26,56 @@
     names.iter().map(|it| it.as_str()).collect::<Vec<_>>().join(", ")
 }
 
-/// Reports the first circle, found by a depth-first walk.
+/// Reports the first circle.
 fn check_cycles(found: &mut Vec<Found>, text: &ConfigText) {
-    let mut walk = Walk {
-        edges: text.services.iter().map(|it| (&it.name, it.depends_on.as_slice())).collect(),
-        done: BTreeSet::new(),
-        chain: Vec::new(),
+    let blocked = blocked_services(text);
+    let Some(first) = text.services.iter().position(|it| blocked.contains_key(&it.name)) else {
+        return;
     };
-    for (i, service) in text.services.iter().enumerate() {
-        if let Some(cycle) = walk.visit(&service.name) {
-            let path = NodePath::of("services").index(i).key("depends_on");
-            found.push(path.found(CheckProblem::DependencyCycle(cycle)));
-            return;
-        }
-    }
+    let cycle = follow_to_cycle(&text.services[first].name, &blocked);
+    let path = NodePath::of("services").index(first).key("depends_on");
+    found.push(path.found(CheckProblem::DependencyCycle(cycle)));
 }
 
-struct Walk<'a> {
-    edges: BTreeMap<&'a ServiceName, &'a [ServiceName]>,
-    done: BTreeSet<&'a ServiceName>,
-    chain: Vec<&'a ServiceName>,
+/// The services that are in a circle or depend on one, each with the first such dependency.
+///
+/// Services are taken away as long as there is one without dependencies left; what remains is
+/// blocked by a circle.
+fn blocked_services(text: &ConfigText) -> BTreeMap<&ServiceName, &ServiceName> {
+    let known: BTreeSet<&ServiceName> = text.services.iter().map(|it| &it.name).collect();
+    let mut dependants: BTreeMap<&ServiceName, Vec<&ServiceName>> = BTreeMap::new();
+    let mut open: BTreeMap<&ServiceName, BTreeSet<&ServiceName>> = BTreeMap::new();
+    for service in &text.services {
+        let needed: BTreeSet<_> =
+            service.depends_on.iter().filter(|it| known.contains(it)).collect();
+        needed.iter().for_each(|it| dependants.entry(it).or_default().push(&service.name));
+        open.insert(&service.name, needed);
+    }
+    let mut free: Vec<_> = open.iter().filter(|it| it.1.is_empty()).map(|it| *it.0).collect();
+    while let Some(service) = free.pop() {
+        open.remove(service);
+        for dependant in dependants.remove(service).unwrap_or_default() {
+            let Some(needed) = open.get_mut(dependant) else { continue };
+            needed.remove(service);
+            if needed.is_empty() {
+                free.push(dependant);
+            }
+        }
+    }
+    open.into_iter().filter_map(|(name, needed)| Some((name, *needed.first()?))).collect()
 }
 
-impl<'a> Walk<'a> {
-    fn visit(&mut self, name: &'a ServiceName) -> Option<String> {
-        if self.done.contains(name) {
-            return None;
-        }
-        if let Some(start) = self.chain.iter().position(|it| *it == name) {
-            let names = self.chain[start..].iter().chain([&name]);
-            return Some(names.map(|it| it.as_str()).collect::<Vec<_>>().join(" -> "));
+/// Follows blocked dependencies until one comes again, and names that circle.
+fn follow_to_cycle(start: &ServiceName, blocked: &BTreeMap<&ServiceName, &ServiceName>) -> String {
+    let mut chain = vec![start];
+    let mut current = start;
+    while let Some(next) = blocked.get(current) {
+        if let Some(first) = chain.iter().position(|it| it == next) {
+            let names = chain[first..].iter().chain([next]);
+            return names.map(|it| it.as_str()).collect::<Vec<_>>().join(" -> ");
         }
-        self.chain.push(name);
-        let edges = self.edges.get(name).copied().unwrap_or_default();
-        let cycle = edges.iter().find_map(|it| self.visit(it));
-        self.chain.pop();
-        self.done.insert(name);
-        cycle
+        chain.push(next);
+        current = next;
     }
+    current.to_string()
 }
--- a/components/config/src/checks/routes.rs
+++ b/components/config/src/checks/routes.rs
@@ -10,6 +10,9 @@
     error::{CheckProblem, Found, NodePath},
 };
 
+/// Paths that entry hosts answer themselves.
+const RESERVED_PATHS: [&str; 2] = ["/directory", "/announce"];
+
 pub(crate) fn check(found: &mut Vec<Found>, text: &ConfigText) {
     let root = NodePath::of("routes");
     let known: BTreeSet<&ServiceName> = text.services.iter().map(|it| &it.name).collect();
@@ -23,6 +26,9 @@
         if !is_path(&route.path) {
             found.push(path.key("path").found(CheckProblem::BadPath(route.path.clone())));
         }
+        if RESERVED_PATHS.contains(&route.path.trim_end_matches('/')) {
+            found.push(path.key("path").found(CheckProblem::ReservedPath(route.path.clone())));
+        }
         if !is_host(&route.host) {
             found.push(path.key("host").found(CheckProblem::BadHost(route.host.clone())));
         }
--- a/components/config/src/error.rs
+++ b/components/config/src/error.rs
@@ -73,13 +73,6 @@
     DependencyCycle(String),
     /// no route leads to service `{0}`
     ServiceWithoutRoute(ServiceName),
-    /// floor {floor} is above the {servers} expected backend servers
-    FloorAboveServers {
-        /// The floor found.
-        floor: u32,
-        /// The number of servers expected.
-        servers: u32,
-    },
     /// {connections} connections a server are fewer than its {slots} slots
     FewerConnectionsThanSlots {
         /// Connections of one server.
@@ -89,12 +82,12 @@
     },
     /// path `{0}` must start with `/` and hold no `//`, `?`, `#`, dot segments or spaces
     BadPath(String),
+    /// path `{0}` is answered by the entry hosts themselves
+    ReservedPath(String),
     /// host `{0}` must be `*` or a host name without port
     BadHost(String),
     /// host id {0} is listed twice
     DuplicateHost(HostId),
-    /// host id {0} of this host must be one of the voters
-    NotAVoter(HostId),
     /// {0} addresses must not be equal
     SameAddress(&'static str),
 }
--- a/components/config/tests/check.rs
+++ b/components/config/tests/check.rs
@@ -58,6 +58,49 @@
     assert_eq!(problems[0].1, CheckProblem::DependencyCycle(cycle));
 }
 
+#[test]
+fn long_chains_of_dependencies_are_no_problem() {
+    const CHAIN: usize = 5_000;
+    let service = STRENGUR.find("  - name: parts-stock").unwrap();
+    let end = STRENGUR.find("routes:").unwrap();
+    let template = &STRENGUR[service..end];
+    let mut services = String::new();
+    let mut routes = String::new();
+    for number in 0..CHAIN {
+        let name = format!("s{number}");
+        let needs = format!("{name}\n    depends_on: [s{}]", number + 1);
+        let needs = if number + 1 < CHAIN { needs } else { name.clone() };
+        services += &template.replace("parts-stock/probe", "probe").replace("parts-stock", &needs);
+        routes += &format!("  - path: /{name}\n    service: {name}\n");
+    }
+    let start = STRENGUR.find("services:").unwrap();
+    let tail = STRENGUR.find("organisations:").unwrap();
+    let text = format!(
+        "{}services:\n{services}routes:\n{routes}{}",
+        &STRENGUR[..start],
+        &STRENGUR[tail..]
+    );
+
+    let whole = parse(&text);
+    let circle = parse(&text.replacen("depends_on: [s1]", "depends_on: [s0]", 1));
+
+    assert!(
+        whole.is_ok(),
+        "{:?}",
+        whole.err().map(|it| it.into_iter().take(2).collect::<Vec<_>>())
+    );
+    let problem = &circle.unwrap_err()[0].problem;
+    assert_eq!(*problem, CheckProblem::DependencyCycle("s0 -> s0".to_owned()));
+}
+
+#[test]
+fn paths_of_the_system_itself_are_refused() {
+    let problems = problems_after("- path: /queue", "- path: /directory");
+
+    let reserved = CheckProblem::ReservedPath("/directory".to_owned());
+    assert!(problems.iter().any(|it| it.1 == reserved));
+}
+
 #[test]
 fn duplicates_are_refused() {
     let service = problems_after("name: parts-stock", "name: queue");
