Build a claim map only when the hosts or the map changed

Cause: the leader built a whole claim map at every tick (20 a second) to see whether it would differ from the one in force. A profile of an idle leader had 38% of its time in the hashes that choose replicas.

The planner now remembers for which map and hosts a build changed nothing. The result of a build depends on nothing else. Weighed: planning less often; it only divides the cost and delays changes.

The measuring program gives hosts an address of their own, since a proxy had taken the port of a host that then did not start.

--- a/components/fleet_core/src/claim_planner.rs
+++ b/components/fleet_core/src/claim_planner.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use claims::{ClaimHost, ClaimMap, ReplicaReport, ShardEpochNumber, ShardNumber};
-use ids::{HostId, Millis, Timestamp, WallTime};
+use ids::{Epoch, HostId, Millis, Timestamp, WallTime};
 use schema::{claim_report::ClaimReport, claims::ClaimMapState};
 
 /// How long the set of entry hosts must stay the same before the map follows it.
@@ -29,6 +29,14 @@
     lost_since: BTreeMap<ShardNumber, Timestamp>,
     changed_at: Timestamp,
     proposed_at: Option<Timestamp>,
+    settled: Option<Settled>,
+}
+
+/// A map and hosts that were found to fit; building a map for them again would change nothing.
+#[derive(Debug)]
+struct Settled {
+    epoch: Epoch,
+    hosts: Vec<ClaimHost>,
 }
 
 /// An entry host that is live or was so lately.
@@ -68,7 +76,7 @@
         Some(next.state().clone())
     }
 
-    fn next_map(&self, now: Timestamp, wall: WallTime, current: &ClaimMap) -> Option<ClaimMap> {
+    fn next_map(&mut self, now: Timestamp, wall: WallTime, current: &ClaimMap) -> Option<ClaimMap> {
         let epoch = current.epoch().next();
         let hosts: Vec<_> = self.hosts.values().map(|it| it.host.clone()).collect();
         let lost: Vec<_> = self
@@ -85,8 +93,16 @@
         if !copied.is_empty() {
             return Some(current.settle(epoch, &copied));
         }
+        let is_settled = |it: &Settled| it.epoch == current.epoch() && it.hosts == hosts;
+        if self.settled.as_ref().is_some_and(is_settled) {
+            return None;
+        }
         let next = ClaimMap::build(epoch, &hosts, Some(current));
-        (next.state().shards != current.state().shards).then_some(next)
+        if next.state().shards != current.state().shards {
+            return Some(next);
+        }
+        self.settled = Some(Settled { epoch: current.epoch(), hosts });
+        None
     }
 
     fn note_hosts(&mut self, now: Timestamp, live: Vec<ClaimHost>) {
--- a/examples/dissemination_time/fleet.rs
+++ b/examples/dissemination_time/fleet.rs
@@ -29,7 +29,10 @@
 /// Between two tries to submit.
 const SUBMIT_RETRY: Duration = Duration::from_millis(20);
 
-/// The text with a blank for its version.
+/// Where the hosts listen; the proxies use other ports of loopback and can't take theirs.
+const HOSTS_IP: Ipv4Addr = Ipv4Addr::new(127, 0, 7, 1);
+
+/// The text whose version and first priority are replaced.
 const TEXT: &str = include_str!("../strengur.yaml");
 
 /// Region and data centre of each place where hosts run, in turn.
@@ -80,8 +83,8 @@
         let operators = format!("measurement {TOKEN}\n");
         fs::write(folder.path().join("operators"), operators).expect("the folder takes files");
         let ids = (1..).take(control).chain((FIRST_ENTRY..).take(entries)).map(HostId);
-        let addresses = free_addresses(Ipv4Addr::LOCALHOST, (control + entries) * 3)
-            .expect("loopback has free ports");
+        let addresses =
+            free_addresses(HOSTS_IP, (control + entries) * 3).expect("loopback has free ports");
         let hosts: Vec<_> = ids.zip(addresses.iter().copied()).collect();
         let links = match has_proxies {
             true => Some(Links::start(&hosts).await),
