Cut answers in the middle of their body, print what callers were told

A truncated answer now ends in its body; the time of the last directory answer is taken after it came, counted from before the signal, which is stricter.

--- a/tests/requests_under_faults.rs
+++ b/tests/requests_under_faults.rs
@@ -39,13 +39,32 @@
     fleet.entries.iter().map(|it| it.caller_address).collect()
 }
 
+/// A body that is longer than what a truncated answer holds.
+fn body_of(key: &str) -> String {
+    format!("{}{key}", "x".repeat(4_000))
+}
+
+/// How often each outcome was told, and how many keys were run.
+fn print_counts(fleet: &Fleet, name: &str, told: &Told) {
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for answer in told.values().flatten() {
+        let outcome = match answer {
+            Ok(answer) => answer.header("daisypaddle-outcome").to_owned(),
+            Err(e) => e.to_string(),
+        };
+        *counts.entry(outcome).or_default() += 1;
+    }
+    let run = told.keys().filter(|it| runs_of(fleet, it) > 0).count();
+    eprintln!("{name}: {run} of {} keys ran, told {counts:?}", told.len());
+}
+
 /// Sends each key at once, to the hosts in turn.
 async fn send_keys(hosts: &[SocketAddr], keys: &[String], told: &mut Told) {
     let mut callers = JoinSet::new();
     for (number, key) in keys.iter().cloned().enumerate() {
         let address = hosts[number % hosts.len()];
         callers.spawn(async move {
-            let answer = post(address, &format!("/deposit/{key}"), &key, &key).await;
+            let answer = post(address, &format!("/deposit/{key}"), &key, &body_of(&key)).await;
             (key, answer)
         });
     }
@@ -67,7 +86,8 @@
         for answer in answers.iter().flatten() {
             if answer.header("daisypaddle-outcome") == "ran" && answer.status == 200 {
                 assert_own(answer, &format!("/deposit/{key}"));
-                assert!(answer.text().ends_with(key), "not whole: {}", answer.text());
+                let rest = format!(" POST /deposit/{key} {}", body_of(key));
+                assert!(answer.text().ends_with(&rest), "not whole: {}", answer.text());
                 bodies.insert(answer.text());
             }
         }
@@ -117,7 +137,8 @@
     let proxies = add_servers_behind_proxies(&mut fleet).await;
     let hosts = addresses(&fleet);
     let faults = [
-        ("truncated", Fault::Truncate(60)),
+        ("cut-in-head", Fault::Truncate(60)),
+        ("cut-in-body", Fault::Truncate(1_000)),
         ("frozen", Fault::Frozen),
         ("late", Fault::Delay(BEYOND_DEADLINE)),
     ];
@@ -136,6 +157,7 @@
         }
         send_keys(&hosts, &keys, &mut told).await;
         assert_last_is_honest(&fleet, &told);
+        print_counts(&fleet, name, &told);
         for (path, answer) in readers.join_all().await {
             let answer = answer.unwrap();
             if answer.status == 200 {
@@ -148,6 +170,7 @@
         send_keys(&hosts, &keys, &mut told).await;
         assert_at_most_once(&fleet, &told);
         assert_last_is_honest(&fleet, &told);
+        print_counts(&fleet, name, &told);
     }
 }
 
@@ -182,6 +205,7 @@
     }
     send_keys(&hosts, &keys, &mut told).await;
 
+    print_counts(&fleet, "at the end", &told);
     assert_at_most_once(&fleet, &told);
     assert_last_is_honest(&fleet, &told);
 }
@@ -214,6 +238,7 @@
     eprintln!("new keys run at every host after {:?}", restarted.elapsed());
     send_keys(&hosts, &keys, &mut told).await;
 
+    print_counts(&fleet, "at the end", &told);
     assert_at_most_once(&fleet, &told);
     assert_last_is_honest(&fleet, &told);
 }
@@ -233,6 +258,7 @@
     }
 
     let runs: u64 = keys.iter().map(|it| runs_of(&fleet, it)).sum();
+    print_counts(&fleet, "one-way cut", &told);
     assert!(runs > 0, "no key was run");
     assert_at_most_once(&fleet, &told);
 }
@@ -253,9 +279,8 @@
 async fn last_named(hosts: &[SocketAddr], address: SocketAddr, since: Instant) -> Duration {
     let mut last = Duration::ZERO;
     while since.elapsed() < DIRECTORY_LIMIT * 2 {
-        let asked = since.elapsed();
         if is_named(hosts, address).await {
-            last = asked;
+            last = since.elapsed();
         }
         sleep(Duration::from_millis(20)).await;
     }
@@ -271,10 +296,12 @@
     })
     .await;
 
+    let asked = Instant::now();
     fleet.entries[1].process.signal("TERM");
-    let draining = last_named(&hosts[2..], hosts[1], Instant::now()).await;
+    let draining = last_named(&hosts[2..], hosts[1], asked).await;
+    let asked = Instant::now();
     fleet.entries[0].process.kill();
-    let killed = last_named(&hosts[2..], hosts[0], Instant::now()).await;
+    let killed = last_named(&hosts[2..], hosts[0], asked).await;
 
     eprintln!("last named: draining {draining:?}, killed {killed:?}");
     assert!(draining < DIRECTORY_LIMIT, "a draining host was named after {draining:?}");
