--- a/tests/requests_under_faults.rs
+++ b/tests/requests_under_faults.rs
@@ -219,9 +219,27 @@
     let mut told = Told::new();
     send_keys(&hosts, &keys, &mut told).await;
 
+    // Further keys are in flight while the hosts are killed, also through these.
+    fleet.servers.iter().for_each(|it| it.set_service_time(Millis(30)));
+    let in_flight = self::keys("in-flight", 24);
+    let first = tokio::spawn({
+        let (hosts, in_flight) = (hosts.clone(), in_flight.clone());
+        async move {
+            let mut told = Told::new();
+            send_keys(&hosts, &in_flight, &mut told).await;
+            told
+        }
+    });
+    wait_for("a key in flight to run", async || {
+        in_flight.iter().any(|it| runs_of(&fleet, it) > 0).then_some(())
+    })
+    .await;
     fleet.entries[0].process.kill();
     fleet.entries[1].process.kill();
+    told.extend(first.await.unwrap());
+    let keys = [keys, in_flight].concat();
     send_keys(&hosts[2..], &keys, &mut told).await;
+    print_counts(&fleet, "after the kill", &told);
     fleet.start_entry(0);
     fleet.start_entry(1);
     send_keys(&hosts, &keys, &mut told).await;
