Open claim shards anew only when their replicas say that they have forgotten

Cause: a shard counted as lost when control had not heard its replicas for 60 s. Regions can be apart for longer than keys without a ticket are then refused (an hour): replicas behind the cut would go on granting such keys while the new ones grant them too, and a request could run twice. Ruled out: a longer refusal, since a cut has no bound. Now a majority has to be blocked by replicas that report a loss themselves. Lost shards are looked for once a second and not at each tick.

--- a/components/fleet_core/src/claim_planner.rs
+++ b/components/fleet_core/src/claim_planner.rs
@@ -4,7 +4,10 @@
 
 use claims::{ClaimHost, ClaimMap, ReplicaReport, ShardEpochNumber, ShardNumber};
 use ids::{Epoch, HostId, Millis, Timestamp, WallTime};
-use schema::{claim_report::ClaimReport, claims::ClaimMapState};
+use schema::{
+    claim_report::ClaimReport,
+    claims::{ClaimMapState, PreviousReplicas},
+};
 
 /// How long the set of entry hosts must stay the same before the map follows it.
 const STABLE: Millis = Millis(3_000);
@@ -15,6 +18,9 @@
 /// How long a shard must look lost before it is opened anew.
 const LOST: Millis = Millis(60_000);
 
+/// Between two looks for lost shards.
+const LOST_INTERVAL: Millis = Millis(1_000);
+
 /// How long a proposed map may take before it is proposed again.
 const RETRY: Millis = Millis(2_000);
 
@@ -27,6 +33,7 @@
     hosts: BTreeMap<HostId, KnownHost>,
     reports: BTreeMap<HostId, ReplicaReport>,
     lost_since: BTreeMap<ShardNumber, Timestamp>,
+    lost_checked_at: Timestamp,
     changed_at: Timestamp,
     proposed_at: Option<Timestamp>,
     settled: Option<Settled>,
@@ -123,10 +130,37 @@
     }
 
     fn note_lost(&mut self, now: Timestamp, current: &ClaimMap) {
-        let lost = current.lost_shards(&self.reports);
+        if now.since(self.lost_checked_at) < LOST_INTERVAL {
+            return;
+        }
+        self.lost_checked_at = now;
+        let mut lost = current.lost_shards(&self.reports);
+        lost.retain(|it| self.has_forgotten(*it, current));
         self.lost_since.retain(|shard, _| lost.contains(shard));
         for shard in lost {
             self.lost_since.entry(shard).or_insert(now);
         }
     }
+
+    /// Whether so many replicas of a lost shard say themselves that they have forgotten it that
+    /// the others cannot be a majority.
+    ///
+    /// Silence proves nothing: replicas behind a cut may go on granting keys, for longer than
+    /// keys without a ticket are refused after a shard is opened anew.
+    fn has_forgotten(&self, number: ShardNumber, current: &ClaimMap) -> bool {
+        let Some(shard) = current.shard(number) else { return false };
+        let replicas = shard.replicas.iter().map(|it| it.host).collect();
+        let previous = match &shard.previous {
+            PreviousReplicas::CopyFrom(it) => it.replicas.clone(),
+            PreviousReplicas::None => Vec::new(),
+        };
+        let reports_at = |host: &HostId| {
+            self.reports.get(host).is_some_and(|it| it.map_epoch >= current.epoch())
+        };
+        let blocks_majority = |hosts: &Vec<HostId>| {
+            let silent = hosts.iter().filter(|it| !reports_at(it)).count();
+            hosts.is_empty() || silent * 2 < hosts.len()
+        };
+        [replicas, previous].iter().all(blocks_majority)
+    }
 }
--- a/components/fleet_core/tests/claim_planner.rs
+++ b/components/fleet_core/tests/claim_planner.rs
@@ -2,7 +2,7 @@
 
 use claims::{ClaimHost, ClaimMap};
 use fleet_core::ClaimPlanner;
-use ids::{HostId, Incarnation, Millis, Timestamp, WallTime};
+use ids::{Epoch, HostId, Incarnation, Millis, Timestamp, WallTime};
 use schema::claim_report::{ClaimReport, WholeShard};
 
 /// Between two ticks of a control host.
@@ -27,11 +27,20 @@
 
     /// Lets time pass with these hosts live; returns how often the map changed.
     fn run(&mut self, hosts: &[ClaimHost]) -> u32 {
+        self.run_with(hosts, &[])
+    }
+
+    /// Lets time pass with these hosts live, some of which have forgotten their shards.
+    fn run_with(&mut self, hosts: &[ClaimHost], forgetful: &[HostId]) -> u32 {
         let before = self.changes;
         for _ in 0..LONG.0 / TICK.0 {
             self.now = self.now + TICK;
             for host in hosts {
-                self.planner.note_report(host.host, self.whole_report());
+                let mut report = self.whole_report();
+                if forgetful.contains(&host.host) {
+                    report.whole.retain(|it| self.is_new(it.shard));
+                }
+                self.planner.note_report(host.host, report);
             }
             let wall = WallTime(self.now.since(Timestamp::default()).0);
             if let Some(next) = self.planner.plan(self.now, wall, hosts.to_vec(), &self.map) {
@@ -50,6 +59,15 @@
         ClaimReport { map_epoch: state.epoch, whole: whole.collect() }
     }
 
+    /// Whether a shard was opened after the first map.
+    fn is_new(&self, shard: u32) -> bool {
+        self.map.state().shards[shard as usize].opened > Epoch(1)
+    }
+
+    fn count_new(&self) -> usize {
+        self.map.state().shards.iter().filter(|it| it.opened > Epoch(1)).count()
+    }
+
     fn names(&self, host: &ClaimHost) -> bool {
         format!("{:?}", self.map.state()).contains(&format!("{:?}", host.host))
     }
@@ -82,3 +100,34 @@
     assert!(has_new);
     assert!(!plan.names(&both[0]), "{:?}", plan.map.state().shards.first());
 }
+
+#[test]
+fn shards_behind_a_cut_are_never_opened_anew() {
+    let mut plan = Plan::new();
+    let near = hosts("north-1", 101);
+    let all = [near.clone(), hosts("south-1", 201)].concat();
+    plan.run(&all);
+
+    (0..5).for_each(|_| {
+        plan.run(&near);
+    });
+
+    assert_eq!(plan.count_new(), 0);
+}
+
+#[test]
+fn shards_that_a_majority_has_forgotten_are_opened_anew() {
+    let mut plan = Plan::new();
+    let all = hosts("north-1", 101);
+    plan.run(&all);
+    let forgetful: Vec<_> = all.iter().map(|it| it.host).collect();
+
+    plan.run_with(&all, &forgetful);
+    let early = plan.count_new();
+    (0..3).for_each(|_| {
+        plan.run_with(&all, &forgetful);
+    });
+
+    assert_eq!(early, 0);
+    assert_eq!(plan.count_new(), plan.map.state().shards.len());
+}
