Say unknown when a service is removed while its request may have run

Cause: after a failed attempt, a request whose service was no longer configured was refused as not-run, and its claim was released, so that a resend of the key could have run a second time. The failed attempt is now noted before the refusal.

--- a/components/entry_core/src/attempts.rs
+++ b/components/entry_core/src/attempts.rs
@@ -236,6 +236,8 @@
             return;
         }
         let Some(state) = self.services.get_mut(&service) else {
+            // The failed attempt may have run.
+            request.tries.note_parallel(failure);
             let refusal = Refusal::not_run(RefusalReason::ServiceRemoved, None);
             return self.refuse(now, wall, id, refusal);
         };
