--- a/components/entry_core/tests/outcomes.rs
+++ b/components/entry_core/tests/outcomes.rs
@@ -32,8 +32,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Run {
     Live,
-    MayHaveRun,
-    NotRun,
+    Possible,
+    Never,
 }
 
 #[derive(Default)]
@@ -151,7 +151,7 @@
                 EntryAction::StartAttempt(it) => self.check_start(it.request, it.attempt),
                 EntryAction::CancelAttempt { request, attempt } => {
                     let tracked = self.requests.get_mut(&request).unwrap();
-                    tracked.runs.insert(attempt, Run::MayHaveRun);
+                    tracked.runs.insert(attempt, Run::Possible);
                 }
                 EntryAction::Respond { request, response } => {
                     self.check_response(request, &response);
@@ -165,7 +165,7 @@
         let tracked = self.requests.get_mut(&request).unwrap();
         assert_eq!(tracked.responses, 0, "an attempt after the answer");
         if !tracked.idempotent {
-            let is_safe = tracked.runs.values().all(|it| *it == Run::NotRun);
+            let is_safe = tracked.runs.values().all(|it| *it == Run::Never);
             assert!(is_safe, "a second run of {request}: {:?}", tracked.runs);
         }
         assert_eq!(tracked.runs.insert(attempt, Run::Live), None);
@@ -180,7 +180,7 @@
                 assert!(!replayed && tracked.answers.contains(answer), "a foreign answer");
             }
             CallerResponse::Refusal(it) if it.outcome == Outcome::NotRun => {
-                let is_true = tracked.runs.values().all(|it| *it == Run::NotRun);
+                let is_true = tracked.runs.values().all(|it| *it == Run::Never);
                 assert!(is_true, "{request} is not-run: {it:?}, {:?}", tracked.runs);
             }
             CallerResponse::Refusal(_) => {}
@@ -265,14 +265,14 @@
     let answer = |status| AttemptOutcome::Answered(Answer { status, headers: Vec::new(), body });
     let shed = |proves_not_run| AttemptOutcome::Shed { proves_not_run, retry_after: None };
     Ok(match u.int_in_range(0..=7)? {
-        0 => (answer(200), Run::MayHaveRun),
-        1 => (answer(500), Run::MayHaveRun),
-        2 => (shed(true), Run::NotRun),
-        3 => (shed(false), Run::MayHaveRun),
-        4 => (AttemptOutcome::NotSent, Run::NotRun),
-        5 => (AttemptOutcome::Reset, Run::MayHaveRun),
-        6 => (AttemptOutcome::Truncated, Run::MayHaveRun),
-        _ => (AttemptOutcome::Wrong, Run::MayHaveRun),
+        0 => (answer(200), Run::Possible),
+        1 => (answer(500), Run::Possible),
+        2 => (shed(true), Run::Never),
+        3 => (shed(false), Run::Possible),
+        4 => (AttemptOutcome::NotSent, Run::Never),
+        5 => (AttemptOutcome::Reset, Run::Possible),
+        6 => (AttemptOutcome::Truncated, Run::Possible),
+        _ => (AttemptOutcome::Wrong, Run::Possible),
     })
 }
 
