Split the attempts of a request by what they are about; check floors against expected servers

A lease that is granted to a request that no longer needs it is given back at once. A text may say how many backend servers a service has; a floor above that is refused.

--- a/components/config/src/checks/services.rs
+++ b/components/config/src/checks/services.rs
@@ -67,4 +67,9 @@
         let problem = CheckProblem::FewerConnectionsThanSlots { connections, slots };
         found.push(path.key("connections_per_server").found(problem));
     }
+    let (floor, servers) = (service.floor, service.servers);
+    if servers > 0 && floor > servers {
+        let problem = CheckProblem::FloorAboveServers { floor, servers };
+        found.push(path.key("floor").found(problem));
+    }
 }
--- a/components/config/src/error.rs
+++ b/components/config/src/error.rs
@@ -73,6 +73,13 @@
     DependencyCycle(String),
     /// no route leads to service `{0}`
     ServiceWithoutRoute(ServiceName),
+    /// floor {floor} is above the {servers} expected backend servers
+    FloorAboveServers {
+        /// The floor found.
+        floor: u32,
+        /// The number of servers expected.
+        servers: u32,
+    },
     /// {connections} connections a server are fewer than its {slots} slots
     FewerConnectionsThanSlots {
         /// Connections of one server.
--- a/components/config/tests/check.rs
+++ b/components/config/tests/check.rs
@@ -118,12 +118,15 @@
 fn zero_and_contradictory_values_are_refused() {
     let version = problems_after("version: 1", "version: 0");
     let floor = problems_after("floor: 6", "floor: 0");
+    let high_floor = problems_after("floor: 6", "floor: 13");
     let connections = problems_after("connections_per_server: 330", "connections_per_server: 2");
     let rate = problems_after("requests_per_second: 400", "requests_per_second: 0");
     let size = problems_after("max_request_bytes: 65536", "max_request_bytes: 0");
 
     assert_eq!(version[0].1, CheckProblem::Zero("version"));
     assert!(matches!(floor[0].1, CheckProblem::OutOfRange { name: "floor", .. }));
+    let above = CheckProblem::FloorAboveServers { floor: 13, servers: 12 };
+    assert_eq!(high_floor[0].1, above);
     assert!(matches!(connections[0].1, CheckProblem::FewerConnectionsThanSlots { .. }));
     assert_eq!(rate[0].1, CheckProblem::Zero("requests_per_second"));
     assert!(matches!(size[0].1, CheckProblem::OutOfRange { name: "max_request_bytes", .. }));
--- a/components/dissemination/tests/fleet/mod.rs
+++ b/components/dissemination/tests/fleet/mod.rs
@@ -243,6 +243,7 @@
         deadline_ms: Millis(1_000),
         floor: 2,
         favour: Favour::Speed,
+        servers: 0,
         slots_per_server: 3,
         connections_per_server: 330,
         max_request_bytes: ids::ByteSize(10_000),
--- a/components/entry_core/examples/entry_slopes.rs
+++ b/components/entry_core/examples/entry_slopes.rs
@@ -356,6 +356,7 @@
 
 fn service(number: usize) -> Service {
     Service {
+        servers: 0,
         name: format!("service-{number}").parse().expect("a name"),
         depends_on: Vec::new(),
         idempotent: true,
--- a/components/entry_core/src/lib.rs
+++ b/components/entry_core/src/lib.rs
@@ -3,6 +3,7 @@
 //! The owner passes events to [`EntryCore`] and carries out the returned actions. The core has no
 //! sockets, clocks or threads, so that any host, real or of a test, can drive it.
 
+mod attempt_ends;
 mod attempts;
 mod claim_flow;
 mod claim_reports;
@@ -15,6 +16,7 @@
 mod peers;
 mod quarantine_flow;
 mod request;
+mod request_timers;
 mod respond;
 mod response;
 mod settings;
--- a/components/entry_core/src/quarantine_flow.rs
+++ b/components/entry_core/src/quarantine_flow.rs
@@ -66,6 +66,11 @@
     fn on_permit(&mut self, now: Timestamp, wall: WallTime, id: RequestId, until: Timestamp) {
         let Some(request) = self.requests.get_mut(id) else { return };
         if request.phase != Phase::AskingLeave {
+            // Another attempt went on without it, so that the lease is given back.
+            let server = request.tried.last().cloned();
+            if let Some(server) = server {
+                self.note_run_end(now, wall, id, &server, RunEnd::Other);
+            }
             return;
         }
         request.deadline = request.deadline.min(until);
--- a/components/entry_core/tests/outcomes.rs
+++ b/components/entry_core/tests/outcomes.rs
@@ -370,6 +370,7 @@
 
 fn service(name: &str) -> Service {
     Service {
+        servers: 0,
         name: name.parse().unwrap(),
         depends_on: Vec::new(),
         idempotent: name == "read",
--- a/components/experiment/src/deployment.rs
+++ b/components/experiment/src/deployment.rs
@@ -86,6 +86,7 @@
             patience: Patience::Prompt,
             priority: 5,
             probe_path: "/probe".to_owned(),
+            servers: 0,
             slots_per_server: 3,
         }
     }
--- a/components/health/examples/health_slopes.rs
+++ b/components/health/examples/health_slopes.rs
@@ -191,6 +191,7 @@
         patience: Patience::Prompt,
         priority: 5,
         probe_path: "/probe".to_owned(),
+        servers: 0,
         slots_per_server: 3,
     };
     (0..size.services).map(service).collect()
--- a/components/health/tests/common/mod.rs
+++ b/components/health/tests/common/mod.rs
@@ -28,6 +28,7 @@
         patience: Patience::Prompt,
         priority: 5,
         probe_path: "/probe".to_owned(),
+        servers: 0,
         slots_per_server: 3,
     }
 }
--- a/components/limits/tests/common/mod.rs
+++ b/components/limits/tests/common/mod.rs
@@ -26,6 +26,7 @@
         deadline_ms: Millis(10_000),
         floor: 1,
         favour: Favour::Speed,
+        servers: 0,
         slots_per_server: 3,
         connections_per_server: 330,
         max_request_bytes: ByteSize(1_000),
