--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -12,5 +12,5 @@
     server::{AdminRequest, AdminResponse, AdminService, MAX_ADMIN_BODY_BYTES, serve},
     settings_file::{SettingsError, read_settings},
     shutdown::stop_signal,
-    transport_metrics::{TransportMetrics, clamp},
+    transport_metrics::{TransportMetrics, clamp, set_counter},
 };
--- a/components/admin/src/transport_metrics.rs
+++ b/components/admin/src/transport_metrics.rs
@@ -1,25 +1,27 @@
 //! Metrics of the messages between hosts.
 
-use prometheus_client::{metrics::gauge::Gauge, registry::Registry};
+use std::sync::atomic::Ordering;
+
+use prometheus_client::{metrics::counter::Counter, registry::Registry};
 use transport::StatsSnapshot;
 
-/// Gauges of a transport's counts, each since the start of the process.
+/// Counters of a transport.
 #[derive(Debug, Clone, Default)]
 pub struct TransportMetrics {
-    sent: Gauge,
-    sent_bytes: Gauge,
-    received: Gauge,
-    received_bytes: Gauge,
-    dropped: Gauge,
-    bad_mac: Gauge,
-    malformed: Gauge,
+    sent: Counter,
+    sent_bytes: Counter,
+    received: Counter,
+    received_bytes: Counter,
+    dropped: Counter,
+    bad_mac: Counter,
+    malformed: Counter,
 }
 
 impl TransportMetrics {
-    /// Registers the gauges.
+    /// Registers the counters.
     pub fn register(registry: &mut Registry) -> Self {
         let metrics = Self::default();
-        let gauges = [
+        let counters = [
             ("peer_sent", "Messages sent to other hosts", &metrics.sent),
             ("peer_sent_bytes", "Bytes sent to other hosts", &metrics.sent_bytes),
             ("peer_received", "Genuine messages from other hosts", &metrics.received),
@@ -28,24 +30,29 @@
             ("peer_bad_mac", "Messages refused for a wrong key", &metrics.bad_mac),
             ("peer_malformed", "Messages that could not be decoded", &metrics.malformed),
         ];
-        for (name, help, gauge) in gauges {
-            registry.register(name, help, gauge.clone());
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
         }
         metrics
     }
 
-    /// Sets the gauges.
+    /// Sets the counters.
     pub fn set(&self, stats: StatsSnapshot) {
-        self.sent.set(clamp(stats.sent));
-        self.sent_bytes.set(clamp(stats.sent_bytes));
-        self.received.set(clamp(stats.received));
-        self.received_bytes.set(clamp(stats.received_bytes));
-        self.dropped.set(clamp(stats.dropped));
-        self.bad_mac.set(clamp(stats.bad_mac));
-        self.malformed.set(clamp(stats.malformed));
+        set_counter(&self.sent, stats.sent);
+        set_counter(&self.sent_bytes, stats.sent_bytes);
+        set_counter(&self.received, stats.received);
+        set_counter(&self.received_bytes, stats.received_bytes);
+        set_counter(&self.dropped, stats.dropped);
+        set_counter(&self.bad_mac, stats.bad_mac);
+        set_counter(&self.malformed, stats.malformed);
     }
 }
 
+/// Sets a counter to a count that is kept elsewhere.
+pub fn set_counter(counter: &Counter, count: u64) {
+    counter.inner().store(count, Ordering::Relaxed);
+}
+
 /// The value as a gauge holds it.
 pub fn clamp(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
--- a/components/entry/src/metrics.rs
+++ b/components/entry/src/metrics.rs
@@ -1,10 +1,10 @@
 //! Metrics of an entry host.
 
-use admin::{TransportMetrics, clamp};
+use admin::{TransportMetrics, clamp, set_counter};
 use entry_core::EntryStatus;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
-    metrics::{family::Family, gauge::Gauge, histogram::Histogram},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
 use transport::StatsSnapshot;
@@ -44,32 +44,37 @@
 pub(crate) struct Metrics {
     registry: Registry,
     transport: TransportMetrics,
-    responses: Family<ResponseLabels, Gauge<i64, std::sync::atomic::AtomicI64>>,
-    gauges: Vec<NamedGauge>,
+    responses: Family<ResponseLabels, Counter>,
+    gauges: Vec<Named<Gauge>>,
+    counters: Vec<Named<Counter>>,
 }
 
-/// A gauge and how its value is read.
-struct NamedGauge {
-    gauge: Gauge,
+/// A metric and how its value is read.
+struct Named<M> {
+    metric: M,
     read: fn(&EntryStatus) -> u64,
 }
 
-/// Name, help text and reader of a plain gauge.
-type GaugeSpec = (&'static str, &'static str, fn(&EntryStatus) -> u64);
+/// Name, help text and reader of a metric.
+type MetricSpec = (&'static str, &'static str, fn(&EntryStatus) -> u64);
 
-const GAUGES: [GaugeSpec; 13] = [
+const GAUGES: [MetricSpec; 6] = [
     ("config_version", "Configuration version in force", |it| it.version.0),
     ("claim_epoch", "Epoch of the claim map in force", |it| it.claim_epoch.0),
     ("claims_held", "Claims held for the fleet", |it| it.claims_held as u64),
     ("requests_in_flight", "Requests in work", |it| it.in_flight as u64),
     ("members", "Hosts of the fleet that are listed", |it| it.members.len() as u64),
     ("servers", "Backend servers that are listed", |it| it.servers.len() as u64),
+];
+
+const COUNTERS: [MetricSpec; 8] = [
     ("requests_received", "Requests received whole", |it| it.counters.received),
     ("attempts", "Attempts sent to backend servers", |it| it.counters.attempts),
     ("retries", "Attempts after the first of a request", |it| it.counters.retries),
     ("hedges", "Attempts beside a slow one", |it| it.counters.hedges),
     ("sheds", "Attempts that a busy server refused", |it| it.counters.sheds),
     ("probes", "Probes sent", |it| it.counters.probes),
+    ("server_changes", "Changes of a backend server's status", |it| it.counters.server_changes),
     ("replays", "Stored answers given to resends", |it| it.counters.replays),
 ];
 
@@ -82,18 +87,26 @@
         let help = "Time that requests spent in this host, in seconds";
         registry.register("added_latency_seconds", help, latency.added.clone());
         let gauges = GAUGES.map(|(name, help, read)| {
-            let gauge: Gauge<i64, std::sync::atomic::AtomicI64> = Gauge::default();
-            registry.register(name, help, gauge.clone());
-            NamedGauge { gauge, read }
+            let metric = Gauge::default();
+            registry.register(name, help, metric.clone());
+            Named { metric, read }
         });
-        Self { registry, transport, responses, gauges: gauges.into() }
+        let counters = COUNTERS.map(|(name, help, read)| {
+            let metric = Counter::default();
+            registry.register(name, help, metric.clone());
+            Named { metric, read }
+        });
+        Self { registry, transport, responses, gauges: gauges.into(), counters: counters.into() }
     }
 
     /// The metrics in the exposition format.
     pub(crate) fn render(&self, status: &EntryStatus, stats: StatsSnapshot) -> String {
         self.transport.set(stats);
         for it in &self.gauges {
-            it.gauge.set(clamp((it.read)(status)));
+            it.metric.set(clamp((it.read)(status)));
+        }
+        for it in &self.counters {
+            set_counter(&it.metric, (it.read)(status));
         }
         for it in status.counters.responses() {
             let labels = ResponseLabels {
@@ -101,7 +114,7 @@
                 outcome: it.outcome.to_string(),
                 reason: it.reason,
             };
-            self.responses.get_or_create(&labels).set(clamp(it.count));
+            set_counter(&self.responses.get_or_create(&labels), it.count);
         }
         let mut text = String::new();
         encode(&mut text, &self.registry).expect("a string takes any text");
--- a/components/fleet_core/src/claim_planner.rs
+++ b/components/fleet_core/src/claim_planner.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use claims::{ClaimHost, ClaimMap, ReplicaReport, ShardEpochNumber, ShardNumber};
+use claims::{ClaimHost, ClaimMap, ClaimsSettings, ReplicaReport, ShardEpochNumber, ShardNumber};
 use ids::{Epoch, HostId, Millis, Timestamp, WallTime};
 use schema::{
     claim_report::ClaimReport,
@@ -24,9 +24,6 @@
 /// How long a proposed map may take before it is proposed again.
 const RETRY: Millis = Millis(2_000);
 
-/// How long replicas remember keys; the default of the claims settings.
-const RETENTION: Millis = Millis(3_600_000);
-
 /// Plans claim maps on the control host that leads.
 #[derive(Debug, Default)]
 pub struct ClaimPlanner {
@@ -93,7 +90,7 @@
             .map(|(shard, _)| *shard)
             .collect();
         if !lost.is_empty() {
-            let unticketed_from = WallTime(wall.0 + RETENTION.0);
+            let unticketed_from = WallTime(wall.0 + ClaimsSettings::default().retention.0);
             return Some(current.reopen(epoch, &hosts, &lost, unticketed_from));
         }
         let copied = current.copied_shards(&self.reports);
--- a/examples/dissemination_time/usage.rs
+++ b/examples/dissemination_time/usage.rs
@@ -35,8 +35,8 @@
             usages.push(Self {
                 ticks: ticks(pid),
                 rss_kb: rss_kb(pid),
-                sent_bytes: metric(address, "peer_sent_bytes").await.unwrap_or(0),
-                sent: metric(address, "peer_sent").await.unwrap_or(0),
+                sent_bytes: metric(address, "peer_sent_bytes_total").await.unwrap_or(0),
+                sent: metric(address, "peer_sent_total").await.unwrap_or(0),
             });
         }
         usages
--- a/tests/configuration_spread.rs
+++ b/tests/configuration_spread.rs
@@ -159,8 +159,8 @@
 
     for host in &hosts {
         wait_for("the count of forged messages", async || {
-            let bad_mac = metric(host.admin_address, "peer_bad_mac").await;
-            let malformed = metric(host.admin_address, "peer_malformed").await;
+            let bad_mac = metric(host.admin_address, "peer_bad_mac_total").await;
+            let malformed = metric(host.admin_address, "peer_malformed_total").await;
             // Datagrams may be lost on a busy machine; connections are not.
             (bad_mac >= FORGED * 2 && malformed > FORGED).then_some(())
         })
