Hold lost connections against the server when its request was answered elsewhere

Cause: each lost connection counted as a strike against its request and never as evidence against the server, so that a server that breaks connections was found by probes only. A request that is answered afterwards crashes nothing: its lost connections now count; so do answers that were cut off, and the fifth different request that loses its connection to one server in 10 s. Ruled out as a mend by itself: the count alone, since routing soon sends the server less than that.

--- a/components/entry_core/src/attempt_ends.rs
+++ b/components/entry_core/src/attempt_ends.rs
@@ -25,7 +25,10 @@
     pub(crate) fn on_attempt_ended(&mut self, now: Timestamp, wall: WallTime, ended: AttemptEnded) {
         let AttemptEnded { request: id, attempt, outcome, reported_load } = ended;
         let Some(live) = self.take_attempt(id, attempt) else { return };
-        let is_evidence = self.note_run_end(now, wall, id, &live.server, run_end(&outcome));
+        let is_evidence = self.is_evidence(now, wall, id, &live, &outcome);
+        if !is_evidence && let Some(request) = self.requests.get_mut(id) {
+            request.excused.push(live.clone());
+        }
         self.note_end(now, &live, &outcome, is_evidence, reported_load);
         match outcome {
             AttemptOutcome::Answered(answer) if answer.status < FIRST_SERVER_ERROR => {
@@ -59,6 +62,24 @@
         Some(live)
     }
 
+    /// Whether the end of an attempt may count against the server's health: a request that crashes
+    /// servers is no evidence against them.
+    fn is_evidence(
+        &mut self,
+        now: Timestamp,
+        wall: WallTime,
+        id: RequestId,
+        live: &LiveAttempt,
+        outcome: &AttemptOutcome,
+    ) -> bool {
+        let is_excused = !self.note_run_end(now, wall, id, &live.server, run_end(outcome));
+        if *outcome == AttemptOutcome::Truncated {
+            return true;
+        }
+        let Some(request) = self.requests.get(id) else { return true };
+        !is_excused || self.lost_connections.note(now, &live.server, request.head.payload)
+    }
+
     /// Tells health and routing how an attempt ended.
     fn note_end(
         &mut self,
@@ -105,6 +126,7 @@
         live: &LiveAttempt,
         answer: Answer,
     ) {
+        self.accuse_servers(now, id);
         if let Some(request) = self.requests.get_mut(id) {
             request.was_answered = true;
             if let Some(state) = self.services.get_mut(&request.service.name) {
@@ -114,6 +136,14 @@
         self.respond(now, wall, id, CallerResponse::Answer { answer, replayed: false });
     }
 
+    /// An answered request crashes no servers: those that lost its connection failed themselves.
+    fn accuse_servers(&mut self, now: Timestamp, id: RequestId) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        for live in std::mem::take(&mut request.excused) {
+            self.observe(now, &live, OutcomeKind::Failed);
+        }
+    }
+
     /// A whole answer that says that the server failed.
     fn on_server_error(&mut self, now: Timestamp, wall: WallTime, id: RequestId, answer: Answer) {
         let Some(request) = self.requests.get_mut(id) else { return };
--- a/components/entry_core/src/core.rs
+++ b/components/entry_core/src/core.rs
@@ -22,7 +22,7 @@
 };
 
 use crate::{
-    EntryCoreSettings,
+    EntryCoreSettings, LostConnections,
     claim_reports::SentReport,
     event::{EntryAction, EntryEvent},
     request::RequestTable,
@@ -43,6 +43,7 @@
     pub(crate) admission: Admission,
     pub(crate) organisations: OrganisationLimits,
     pub(crate) quarantine: Quarantine,
+    pub(crate) lost_connections: LostConnections,
     pub(crate) dependencies: Dependencies,
     pub(crate) directory: Directory,
     pub(crate) routes: RouteTable,
@@ -100,6 +101,7 @@
             admission: Admission::new(AdmissionSettings::default()),
             organisations: OrganisationLimits::new(settings.host, NO_LIMIT_YET),
             quarantine: Quarantine::new(now, settings.host, settings.incarnation),
+            lost_connections: LostConnections::default(),
             dependencies: Dependencies::default(),
             directory: Directory::new(seed),
             routes: RouteTable::build(&[]),
--- a/components/entry_core/src/lib.rs
+++ b/components/entry_core/src/lib.rs
@@ -13,6 +13,7 @@
 mod event;
 mod gate;
 mod lifecycle;
+mod lost_connections;
 mod peers;
 mod quarantine_flow;
 mod request;
@@ -29,6 +30,7 @@
         AttemptEnded, AttemptOutcome, AttemptStart, EntryAction, EntryEvent, KeyHeader, ProbeStart,
         RequestHead,
     },
+    lost_connections::LostConnections,
     response::{CallerResponse, Outcome, Refusal, RefusalReason},
     settings::EntryCoreSettings,
     status::{Counters, EntryStatus, OutcomeCount},
--- a/components/entry_core/src/request/mod.rs
+++ b/components/entry_core/src/request/mod.rs
@@ -52,6 +52,8 @@
     pub(crate) tries: RequestTries,
     pub(crate) tried: Vec<ServerId>,
     pub(crate) live: Vec<LiveAttempt>,
+    /// Attempts that lost their connection, for which the request may be to blame.
+    pub(crate) excused: Vec<LiveAttempt>,
     pub(crate) next_attempt: AttemptNumber,
     pub(crate) hedge_at: Option<Timestamp>,
     pub(crate) last_answer: Option<Answer>,
@@ -73,6 +75,7 @@
             tries: RequestTries::default(),
             tried: Vec::new(),
             live: Vec::new(),
+            excused: Vec::new(),
             next_attempt: AttemptNumber(0),
             hedge_at: None,
             last_answer: None,
--- a/components/stand_in/src/behaviour.rs
+++ b/components/stand_in/src/behaviour.rs
@@ -29,6 +29,8 @@
     Shedding,
     /// Runs the request and breaks the connection.
     Resetting,
+    /// Breaks the connections of requests, and answers probes well.
+    ResettingRequests,
 }
 
 /// What a server has run.
--- a/components/stand_in/src/server.rs
+++ b/components/stand_in/src/server.rs
@@ -227,7 +227,8 @@
         Behaviour::Truncating => Response::new(ScriptedBody::cut_off(whole)),
         Behaviour::Wrong => with_status(StatusCode::OK, "somebody else's answer\n"),
         Behaviour::Shedding => shed(),
-        Behaviour::Resetting => return Err(BrokenOff),
+        Behaviour::ResettingRequests if is_probe => Response::new(ScriptedBody::whole(whole)),
+        Behaviour::Resetting | Behaviour::ResettingRequests => return Err(BrokenOff),
     };
     let headers = response.headers_mut();
     headers.insert("daisypaddle-load", state.waiting.load(Ordering::SeqCst).into());
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -2,7 +2,12 @@
 
 mod support;
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
 
 use ids::Millis;
 use schema::{caller::DirectoryAnswer, entry_status::ServerPage};
@@ -320,3 +325,22 @@
     assert!(last.text().contains("quarantined"), "{}", last.text());
     assert_ne!(last.header("retry-after"), "");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_breaks_requests_but_no_probes_is_ejected() {
+    let mut fleet = Fleet::start(1, 4, 1).await;
+    fleet.add_servers(4).await;
+
+    fleet.servers[0].set_behaviour(Behaviour::ResettingRequests);
+
+    let number = AtomicUsize::new(0);
+    wait_for("the ejection", async || {
+        for _ in 0..40 {
+            let number = number.fetch_add(1, Ordering::Relaxed);
+            let address = fleet.entries[number % 4].caller_address;
+            let _ = get(address, &format!("/queue/{number}"), &[]).await;
+        }
+        sick_server(&fleet, 0).await.filter(|it| it.status == "Ejected")
+    })
+    .await;
+}
