--- a/components/entry_core/src/settings.rs
+++ b/components/entry_core/src/settings.rs
@@ -26,6 +26,6 @@
     pub peers: Vec<Peer>,
     /// Seed of the random choices.
     pub seed: u64,
-    /// Longest time that a planned stop waits for requests in flight.
+    /// How long a planned stop serves callers that still keep the address.
     pub drain: Millis,
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,7 @@
 mod links;
 mod operators;
 mod process;
+mod settings;
 mod versions;
 
 use std::{
@@ -25,7 +26,6 @@
 use schema::{
     entry_status::EntryStatusPage,
     operator::{OperatorRequest, OperatorResponse, Status},
-    settings::{ControlSettings, EntrySettings, Peer},
 };
 use stand_in::{StandIn, StandInSettings};
 use tempfile::TempDir;
@@ -162,66 +162,6 @@
         self.folder.path().join(format!("data-{}", self.control[index].id))
     }
 
-    fn peer(&self, from: HostId, to: &Host) -> Peer {
-        let (region, data_centre) = place(to.id);
-        Peer { host: to.id, region, data_centre, peer_address: self.links.address(from, to.id) }
-    }
-
-    fn peers(&self, own: HostId, hosts: &[Host]) -> Vec<Peer> {
-        let peers = hosts.iter().map(|it| match it.id == own {
-            true => {
-                let (region, data_centre) = place(own);
-                Peer { host: own, region, data_centre, peer_address: it.peer_address }
-            }
-            false => self.peer(own, it),
-        });
-        peers.collect()
-    }
-
-    fn path(&self, name: &str) -> String {
-        self.folder.path().join(name).display().to_string()
-    }
-
-    fn control_settings(&self, index: usize) -> String {
-        let host = &self.control[index];
-        let (region, data_centre) = place(host.id);
-        let settings = ControlSettings {
-            host: host.id,
-            region,
-            data_centre,
-            peer_address: host.peer_address,
-            admin_address: host.admin_address,
-            fleet_key_file: self.path("fleet.key"),
-            operator_tokens_file: self.path("operators"),
-            data_folder: self.data_folder(index).display().to_string(),
-            voters: self.peers(host.id, &self.control),
-            seeds: self.peers(host.id, &self.entries),
-            seed: 7,
-        };
-        serde_json::to_string(&settings).unwrap()
-    }
-
-    fn entry_settings(&self, index: usize) -> String {
-        let host = &self.entries[index];
-        let (region, data_centre) = place(host.id);
-        let settings = EntrySettings {
-            host: host.id,
-            region,
-            data_centre,
-            caller_address: host.caller_address,
-            peer_address: host.peer_address,
-            admin_address: host.admin_address,
-            fleet_key_file: self.path("fleet.key"),
-            control_hosts: self.peers(host.id, &self.control),
-            seeds: self.peers(host.id, &self.entries),
-            seed: 7,
-            memory_budget_bytes: ids::ByteSize(64 * 1024 * 1024),
-            // Longer than callers may keep a directory answer.
-            drain_ms: Millis(13_000),
-        };
-        serde_json::to_string(&settings).unwrap()
-    }
-
     /// Starts a backend server that announces itself to the entry hosts.
     pub async fn add_server(&mut self, service: &str, name: &str) -> usize {
         self.add_server_behind(service, name, None).await
