--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -10,7 +10,10 @@
 pub use crate::{
     error::{CheckError, CheckProblem},
     model::Config,
-    settings::{parse_control_settings, parse_entry_settings},
+    settings::{
+        parse_control_settings, parse_entry_settings, parse_gateway_settings,
+        parse_registry_settings,
+    },
 };
 
 /// The largest configuration text, in bytes.
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeSet;
 
 use ids::HostId;
-use schema::settings::{ControlSettings, EntrySettings, Peer};
+use schema::{
+    gateway_settings::{GatewaySettings, RegistrySettings},
+    settings::{ControlSettings, EntrySettings, Peer},
+};
 
 use crate::{
     error::{CheckError, CheckProblem, Found, NodePath},
@@ -50,6 +53,41 @@
     finish(text, found, settings)
 }
 
+/// Shortest planned stop of a gateway, in milliseconds: time for callers to leave it.
+const MIN_STOP_MILLIS: u64 = 1_000;
+
+/// Longest time for which callers of a gateway keep a directory answer, in milliseconds.
+const MAX_DIRECTORY_KEEP_MILLIS: u64 = 60_000;
+
+/// Parses and checks the settings of a gateway.
+pub fn parse_gateway_settings(text: &str) -> Result<GatewaySettings, Vec<CheckError>> {
+    let settings: GatewaySettings = yaml::read(text).map_err(|e| vec![e])?;
+    let mut found = Vec::new();
+    check_seeds(&mut found, settings.seeds.is_empty());
+    let addresses =
+        [settings.caller_address, settings.readiness_address, settings.directory_address];
+    check_addresses(&mut found, &addresses);
+    let stop = settings.stop_within_s.0.0;
+    check_range(&mut found, "stop_within_s", stop, MIN_STOP_MILLIS, MAX_DRAIN_MILLIS);
+    let keep = settings.directory_keep_s.0.0;
+    check_range(&mut found, "directory_keep_s", keep, 1, MAX_DIRECTORY_KEEP_MILLIS);
+    finish(text, found, settings)
+}
+
+/// Parses and checks the settings of a control host of the registry.
+pub fn parse_registry_settings(text: &str) -> Result<RegistrySettings, Vec<CheckError>> {
+    let settings: RegistrySettings = yaml::read(text).map_err(|e| vec![e])?;
+    let mut found = Vec::new();
+    check_seeds(&mut found, settings.seeds.is_empty());
+    finish(text, found, settings)
+}
+
+fn check_seeds(found: &mut Vec<Found>, are_missing: bool) {
+    if are_missing {
+        found.push(NodePath::of("seeds").found(CheckProblem::EmptyList("seeds")));
+    }
+}
+
 fn finish<T>(text: &str, found: Vec<Found>, settings: T) -> Result<T, Vec<CheckError>> {
     if found.is_empty() {
         return Ok(settings);
--- a/components/consensus/src/consensus.rs
+++ b/components/consensus/src/consensus.rs
@@ -94,6 +94,23 @@
         }
     }
 
+    /// Whether what this host has applied is current, but for what was accepted a moment ago.
+    ///
+    /// On a leader this rests on its lease, which a suspended machine can outlive for a moment; to
+    /// read with certainty, add an entry to the log and wait until it is accepted.
+    pub fn is_current(&self, now: Timestamp) -> bool {
+        match self.role.state() {
+            State::Leader { .. } => self.read_lease(now).is_ok(),
+            State::Follower {} => self.replica.follows_closely(now),
+            State::PreCandidate { .. } | State::Candidate { .. } => false,
+        }
+    }
+
+    /// Names hosts that may know the leader, for a host that has to announce itself.
+    pub fn set_contacts(&mut self, contacts: Vec<HostId>) {
+        self.replica.contacts = contacts;
+    }
+
     /// Puts the state after entry `index` in the place of the log up to there.
     pub fn compact(&mut self, index: LogIndex, data: Blob) -> Vec<Action> {
         if index > self.replica.commit || index <= self.replica.log.snapshot().index {
--- a/components/consensus/src/follower.rs
+++ b/components/consensus/src/follower.rs
@@ -20,6 +20,7 @@
     match &received.body {
         ConsensusBody::Append(append) => {
             replica.note_leader(received.from.host);
+            replica.leader_commit = append.commit;
             handle_append(replica, received, append);
             Handled
         }
--- a/components/consensus/src/founding.rs
+++ b/components/consensus/src/founding.rs
@@ -4,6 +4,8 @@
 //! voter with the lowest id collects their disks and writes the first entry. A voter promises to
 //! follow the newest disk of the founding host only, so that an old message founds nothing.
 
+use std::collections::BTreeSet;
+
 use ids::{HostId, Incarnation, LogIndex, Term, Timestamp};
 use schema::{
     consensus::{ConsensusBody, Entry, Hello, Member, Members, Payload, VotedFor},
@@ -11,8 +13,11 @@
 };
 
 use crate::{
-    action::Action, members::is_voter, message::Received, replica::Replica,
-    settings::HELLO_INTERVAL,
+    action::Action,
+    members::is_voter,
+    message::Received,
+    replica::Replica,
+    settings::{Growth, HELLO_INTERVAL},
 };
 
 /// What a host knows of a cluster to be founded.
@@ -33,20 +38,38 @@
 
 /// Announces a host that is no voter, or has an empty log.
 pub(crate) fn tick(replica: &mut Replica) {
-    let is_whole_voter = replica.is_voter() && !replica.log.is_empty();
-    if is_whole_voter || replica.now < replica.founding.next_hello {
+    if !has_to_announce(replica) || replica.now < replica.founding.next_hello {
         return;
     }
     replica.founding.next_hello = replica.now + HELLO_INTERVAL;
     let hello = Hello { bootstrap: is_bootstrapping(replica), promised: replica.founding.promised };
-    for host in replica.settings.voters.clone() {
-        if host != replica.me.host {
-            replica.send(host, ConsensusBody::Hello(hello.clone()));
-        }
+    for host in hosts_to_ask(replica) {
+        replica.send(host, ConsensusBody::Hello(hello.clone()));
     }
     found_if_ready(replica);
 }
 
+/// Whether this host is no voter, holds no log, or may have been removed while it was cut off.
+fn has_to_announce(replica: &Replica) -> bool {
+    let is_whole_voter = replica.is_voter() && !replica.log.is_empty();
+    let may_be_removed =
+        replica.settings.growth != Growth::Listed && !replica.heard_leader_lately();
+    !is_whole_voter || may_be_removed
+}
+
+/// The hosts that may lead or know the leader.
+fn hosts_to_ask(replica: &Replica) -> BTreeSet<HostId> {
+    let members = replica.log.members();
+    let known = members.voters.iter().chain(&members.learners).map(|it| it.host);
+    let mut hosts: BTreeSet<HostId> = replica.settings.voters.iter().copied().collect();
+    if replica.settings.growth != Growth::Listed {
+        hosts.extend(known);
+        hosts.extend(&replica.contacts);
+    }
+    hosts.remove(&replica.me.host);
+    hosts
+}
+
 /// Handles the messages that found a cluster.
 pub(crate) fn handle(replica: &mut Replica, received: &Received) {
     match &received.body {
@@ -75,7 +98,8 @@
     if founder(replica) == Some(from.host) {
         promise(replica, from.disk);
     }
-    if !is_founder(replica) || hello.promised != replica.disk() {
+    let may_found = replica.settings.voters.contains(&from.host);
+    if !is_founder(replica) || !may_found || hello.promised != replica.disk() {
         return;
     }
     replica.founding.ready.retain(|it| it.host != from.host);
--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -13,7 +13,7 @@
     message::Received,
     replica::Replica,
     role::State,
-    settings::{HEARTBEAT_INTERVAL, MAX_ENTRY_BYTES},
+    settings::{Growth, HEARTBEAT_INTERVAL, MAX_ENTRY_BYTES},
     snapshot,
 };
 
@@ -28,6 +28,7 @@
     }
     replace_rolled_back(replica, leadership);
     promote_learner(replica, leadership);
+    remove_silent_member(replica, leadership);
     Handled
 }
 
@@ -238,7 +239,10 @@
     let members = replica.log.members();
     let known = members.voters.iter().chain(&members.learners).find(|it| it.host == from.host);
     let is_newer = known.is_none_or(|it| from.disk > it.disk);
-    let is_allowed = replica.settings.voters.contains(&from.host);
+    let is_allowed = match replica.settings.growth {
+        Growth::Listed => replica.settings.voters.contains(&from.host),
+        Growth::Open { .. } => true,
+    };
     if !is_newer || !is_allowed {
         return;
     }
@@ -275,6 +279,25 @@
     let _ = change_members(replica, leadership, changed);
 }
 
+/// Removes a member that was silent for long, if enough voters are left.
+///
+/// A member that was only cut off announces itself when it is back.
+fn remove_silent_member(replica: &mut Replica, leadership: &mut Leadership) {
+    let Growth::Open { keep, remove_after } = replica.settings.growth else { return };
+    let members = replica.log.members();
+    let is_silent = |it: &&Progress| {
+        let heard_at = it.heard_at.unwrap_or(leadership.started_at).max(leadership.started_at);
+        replica.now >= heard_at + remove_after
+    };
+    let silent = leadership.progress.values().filter(is_silent);
+    let removable = silent
+        .map(|it| it.member.host)
+        .find(|it| voter(members, *it).is_none() || members.voters.len() > keep);
+    let Some(host) = removable else { return };
+    let changed = without(members, host);
+    let _ = change_members(replica, leadership, changed);
+}
+
 /// Writes new members to the log; one change at a time.
 fn change_members(
     replica: &mut Replica,
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -15,7 +15,7 @@
     founding::Founding,
     log::Log,
     members::is_voter,
-    settings::{ELECTION_TIMEOUT_MIN, Settings},
+    settings::{ELECTION_TIMEOUT_MIN, FOLLOWER_FRESHNESS, Settings},
     snapshot::IncomingSnapshot,
 };
 
@@ -30,6 +30,10 @@
     pub(crate) leader: Option<HostId>,
     /// When this host last heard its leader, or started.
     pub(crate) leader_heard_at: Timestamp,
+    /// The newest entry that the leader called accepted in its last message.
+    pub(crate) leader_commit: LogIndex,
+    /// Hosts besides the founding ones to which this host announces itself.
+    pub(crate) contacts: Vec<HostId>,
     /// When this host asks for votes unless it hears a leader before.
     pub(crate) election_at: Timestamp,
     pub(crate) founding: Founding,
@@ -52,6 +56,8 @@
             commit,
             leader: None,
             leader_heard_at: now,
+            leader_commit: LogIndex(0),
+            contacts: Vec::new(),
             election_at: now,
             founding: Founding::new(identity.bootstrap, persisted.promised),
             incoming: None,
@@ -114,6 +120,13 @@
         self.now < self.leader_heard_at + ELECTION_TIMEOUT_MIN
     }
 
+    /// Whether this host holds all that its leader called accepted a moment ago.
+    pub(crate) fn follows_closely(&self, now: Timestamp) -> bool {
+        self.leader.is_some()
+            && now < self.leader_heard_at + FOLLOWER_FRESHNESS
+            && self.commit >= self.leader_commit
+    }
+
     pub(crate) fn note_leader(&mut self, leader: HostId) {
         self.leader = Some(leader);
         self.leader_heard_at = self.now;
--- a/components/consensus/src/settings.rs
+++ b/components/consensus/src/settings.rs
@@ -32,11 +32,32 @@
 /// Bytes of a snapshot in one message.
 pub const SNAPSHOT_CHUNK_BYTES: usize = 256 * 1024;
 
+/// How long a follower counts as current after it last heard its leader, in milliseconds.
+///
+/// Four heartbeats, so that a single lost packet and its resend pass unnoticed.
+pub const FOLLOWER_FRESHNESS: Millis = Millis(600);
+
+/// Which hosts besides the founding ones may join.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Growth {
+    /// None: operators list the voters and remove lost ones themselves.
+    Listed,
+    /// Any host that announces itself; voters that stay silent are removed.
+    Open {
+        /// Voters that are kept in any case: two for each disk that may be lost at once, and one.
+        keep: usize,
+        /// Silence after which a voter is removed, in milliseconds.
+        remove_after: Millis,
+    },
+}
+
 /// Settings of one host of the replicated log.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// The hosts that may become voters, this one included.
+    /// The hosts that found the log together; with [`Growth::Listed`], all that may become voters.
     pub voters: Vec<HostId>,
     /// Seed of the election timeouts.
     pub seed: u64,
+    /// Which other hosts may join.
+    pub growth: Growth,
 }
--- a/components/consensus/tests/malformed.rs
+++ b/components/consensus/tests/malformed.rs
@@ -1,7 +1,7 @@
 //! Messages without rhyme or reason stop no host, and move no accepted entry.
 
 use arbtest::arbitrary::{Result, Unstructured};
-use consensus::{Action, Consensus, Settings};
+use consensus::{Action, Consensus, Growth, Settings};
 use ids::{Blob, HostId, Incarnation, LogIndex, Millis, Term, Timestamp};
 use schema::{
     consensus::{
@@ -138,7 +138,11 @@
         snapshot: Snapshot { index: LogIndex(0), term: Term(0), members, data },
         entries: if is_empty { Vec::new() } else { vec![first] },
     };
-    Ok(Consensus::restore(Settings { voters, seed: 1 }, persisted, Timestamp(0)))
+    Ok(Consensus::restore(
+        Settings { voters, seed: 1, growth: Growth::Listed },
+        persisted,
+        Timestamp(0),
+    ))
 }
 
 /// Gives a host random messages; the entries that it applies only go forward.
--- a/components/consensus/tests/messages.rs
+++ b/components/consensus/tests/messages.rs
@@ -1,6 +1,6 @@
 //! Single hosts, message by message: what they must refuse.
 
-use consensus::{Action, Consensus, ELECTION_TIMEOUT_MIN, ProposeError, Settings};
+use consensus::{Action, Consensus, ELECTION_TIMEOUT_MIN, Growth, ProposeError, Settings};
 use ids::{Blob, HostId, Incarnation, LogIndex, Millis, Term, Timestamp};
 use schema::{
     consensus::{
@@ -50,7 +50,8 @@
 }
 
 fn start(entries: Vec<Entry>) -> Consensus {
-    let settings = Settings { voters: (1..=3).map(HostId).collect(), seed: 1 };
+    let settings =
+        Settings { voters: (1..=3).map(HostId).collect(), seed: 1, growth: Growth::Listed };
     Consensus::restore(settings, persisted(entries), START)
 }
 
@@ -205,7 +206,8 @@
 
 #[test]
 fn a_voter_adopts_the_founding_of_the_newest_disk_only() {
-    let settings = Settings { voters: (1..=3).map(HostId).collect(), seed: 1 };
+    let settings =
+        Settings { voters: (1..=3).map(HostId).collect(), seed: 1, growth: Growth::Listed };
     let mut disk = persisted(Vec::new());
     disk.identity.host = HostId(3);
     disk.identity.disk = member(3).disk;
--- a/components/control/src/host.rs
+++ b/components/control/src/host.rs
@@ -172,7 +172,11 @@
     };
     let peers = settings.voters.iter().chain(&settings.seeds).cloned().collect();
     ControlHostSettings {
-        consensus: consensus::Settings { voters, seed: settings.seed ^ u64::from(settings.host.0) },
+        consensus: consensus::Settings {
+            voters,
+            seed: settings.seed ^ u64::from(settings.host.0),
+            growth: consensus::Growth::Listed,
+        },
         fleet: FleetSettings { membership, peers },
     }
 }
--- a/components/entry/src/headers.rs
+++ b/components/entry/src/headers.rs
@@ -41,7 +41,7 @@
 ];
 
 /// Removes the headers that concern one connection only.
-pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
     let listed: Vec<_> = headers
         .get_all(header::CONNECTION)
         .iter()
--- a/components/entry_core/src/core.rs
+++ b/components/entry_core/src/core.rs
@@ -46,7 +46,7 @@
     pub(crate) lost_connections: LostConnections,
     pub(crate) dependencies: Dependencies,
     pub(crate) directory: Directory,
-    pub(crate) routes: RouteTable,
+    pub(crate) routes: RouteTable<ServiceName>,
     pub(crate) config: Option<Arc<Config>>,
     pub(crate) services: FastMap<ServiceName, ServiceState>,
     pub(crate) servers: BTreeMap<ServerId, Announcement>,
--- a/components/entry_core/src/peers.rs
+++ b/components/entry_core/src/peers.rs
@@ -47,6 +47,8 @@
             }
             // Only control hosts take part in the replicated log and plan the claim map.
             PeerMessage::Consensus(_) | PeerMessage::ClaimReport(_) => {}
+            // Only gateways follow a registry and share server loads.
+            PeerMessage::Sync(_) | PeerMessage::ServerLoad(_) => {}
         }
     }
 
--- a/components/fleet_core/src/control_host.rs
+++ b/components/fleet_core/src/control_host.rs
@@ -151,7 +151,11 @@
                 self.planner.note_report(from, report);
                 Vec::new()
             }
-            PeerMessage::Claims(_) | PeerMessage::Health(_) | PeerMessage::Limits(_) => Vec::new(),
+            PeerMessage::Claims(_)
+            | PeerMessage::Health(_)
+            | PeerMessage::Limits(_)
+            | PeerMessage::Sync(_)
+            | PeerMessage::ServerLoad(_) => Vec::new(),
         }
     }
 
--- /dev/null
+++ b/components/gateway/src/control/mod.rs
@@ -0,0 +1,138 @@
+//! Runs a control host: its sockets, its disk and its clock.
+
+mod driver;
+mod metrics;
+mod requests;
+
+use std::{path::PathBuf, rc::Rc, sync::Arc, time::Duration};
+
+use admin::Clock;
+use consensus::Growth;
+use ids::Millis;
+use registry::{HostEvent, RegistryHost, RegistryHostSettings};
+use schema::gateway_settings::RegistrySettings;
+use storage::Storage;
+use tokio::{sync::mpsc, time::MissedTickBehavior};
+
+use crate::{
+    http,
+    peers::{self, StartError},
+    seeds::SettingsWatch,
+};
+use driver::{Driver, DriverEvent};
+use metrics::Metrics;
+use requests::Requests;
+
+/// Between two ticks of the decisions.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Events that wait for the decisions.
+const EVENT_QUEUE: usize = 4_096;
+
+/// Silence after which a voter is removed, in milliseconds: longer than the restarts and cuts that
+/// pass by themselves, so that voters are seldom removed only to come back.
+const REMOVE_AFTER: Millis = Millis(8_000);
+
+/// Time that answers and last messages get when the process stops.
+const STOP_PAUSE: Duration = Duration::from_millis(200);
+
+/// Runs a control host until a stop signal, or until its disk fails.
+pub async fn run(settings: RegistrySettings, settings_path: PathBuf) -> Result<(), StartError> {
+    let stop = admin::stop_signal().map_err(StartError::Io)?;
+    let watch = SettingsWatch::start(settings_path).map_err(StartError::Io)?;
+    let clock = Clock::start();
+    let incarnation = clock.incarnation();
+    let own = peers::host_of(settings.ip);
+    let opened = Storage::open(settings.data_folder.as_ref(), own, incarnation, settings.bootstrap)
+        .map_err(StartError::Storage)?;
+    let (transport, mut frames) =
+        peers::bind_transport(settings.ip, settings.peer_port.get(), incarnation).await?;
+    let host_settings = RegistryHostSettings {
+        consensus: consensus_settings(&settings, incarnation.0),
+        incarnation,
+        is_new_fleet: settings.bootstrap,
+    };
+    let host = RegistryHost::restore(host_settings, opened.persisted, clock.now());
+    let metrics = Arc::new(Metrics::new());
+    let driver = Driver::new(
+        host,
+        opened.storage,
+        Arc::new(transport),
+        clock,
+        settings.peer_port.get(),
+        metrics.clone(),
+    );
+    let (tx, rx) = mpsc::channel(EVENT_QUEUE);
+    let mut driver = tokio::task::spawn_blocking(move || driver.run(rx));
+    let metrics_address = (settings.ip, settings.metrics_port.get()).into();
+    let metrics_listener = http::listen(metrics_address)?;
+    let requests = Rc::new(Requests::new(&settings, tx.clone()));
+    let request_listener = http::listen(settings.request_address)?;
+    log::info!(
+        host:% = settings.ip,
+        bootstrap = settings.bootstrap,
+        incarnation = incarnation.0,
+        requests:% = settings.request_address;
+        "control host started"
+    );
+    tokio::select! {
+        () = stop => {}
+        result = &mut driver => {
+            let result = result.expect("the driver does not panic");
+            return result.map_err(StartError::Storage);
+        }
+        () = feed_ticks(tx.clone()) => {}
+        () = feed_seeds(watch, tx.clone()) => {}
+        () = async {
+            while let Some(frame) = frames.recv().await {
+                let event = HostEvent::Peer {
+                    from: frame.from,
+                    incarnation: frame.incarnation,
+                    message: frame.message,
+                };
+                if tx.send(DriverEvent::Host(event)).await.is_err() {
+                    return;
+                }
+            }
+        } => {}
+        () = http::serve(request_listener, move |req| requests.clone().handle(req)) => {}
+        () = http::serve(metrics_listener, move |req| metrics::handle(metrics.clone(), req)) => {}
+    }
+    log::info!(host:% = settings.ip; "control host stops");
+    // The driver may have ended already.
+    let _ = tx.send(DriverEvent::Host(HostEvent::Stop)).await;
+    tokio::time::sleep(STOP_PAUSE).await;
+    Ok(())
+}
+
+fn consensus_settings(settings: &RegistrySettings, seed: u64) -> consensus::Settings {
+    let lost_disks = settings.lost_disks as usize;
+    consensus::Settings {
+        voters: peers::hosts_of(&settings.seeds),
+        seed,
+        growth: Growth::Open { keep: 2 * lost_disks + 1, remove_after: REMOVE_AFTER },
+    }
+}
+
+async fn feed_ticks(tx: mpsc::Sender<DriverEvent>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        interval.tick().await;
+        if tx.send(DriverEvent::Host(HostEvent::Tick)).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn feed_seeds(mut watch: SettingsWatch, tx: mpsc::Sender<DriverEvent>) {
+    loop {
+        watch.changed().await;
+        let seeds = watch.read_seeds(config::parse_registry_settings, |it| it.seeds);
+        let Some(seeds) = seeds else { continue };
+        let event = HostEvent::SeedsChanged(peers::hosts_of(&seeds));
+        if tx.send(DriverEvent::Host(event)).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/control/requests.rs
@@ -0,0 +1,163 @@
+//! Answers operators and backend servers.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use gateway_core::GatewayConfig;
+use http_body_util::{BodyExt, Limited};
+use hyper::{
+    Request as HttpRequest, Response, StatusCode,
+    body::Incoming,
+    header::{self, HeaderValue},
+};
+use ids::{HostId, Millis};
+use platform::{announcements, calls::ControlCall, configuration};
+use registry::{Answer, Request};
+use schema::{gateway_settings::RegistrySettings, registry::ConfigDocument};
+use tokio::sync::{mpsc, oneshot};
+
+use super::driver::DriverEvent;
+use crate::{
+    http::{self, Reply},
+    peers,
+};
+
+/// Largest body of a request, in bytes: a configuration of tens of thousands of routes.
+const MAX_BODY_BYTES: usize = 3 * 1024 * 1024;
+
+/// What answering requests needs.
+pub(crate) struct Requests {
+    tx: mpsc::Sender<DriverEvent>,
+    /// Port of this kind of request on all control hosts.
+    port: u16,
+    lifetime: Millis,
+}
+
+impl Requests {
+    pub(crate) fn new(settings: &RegistrySettings, tx: mpsc::Sender<DriverEvent>) -> Self {
+        let port = settings.request_address.port();
+        Self { tx, port, lifetime: settings.announcement_lifetime_ms }
+    }
+
+    /// Answers one HTTP request.
+    pub(crate) async fn handle(self: Rc<Self>, req: HttpRequest<Incoming>) -> Reply {
+        let (head, body) = req.into_parts();
+        let path = head.uri.path();
+        let Some(call) = ControlCall::of(&head.method, path) else {
+            return http::text(StatusCode::NOT_FOUND, "no such call\n");
+        };
+        let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(e) => {
+                log::warn!(path:% = path, error:% = e; "request body not read");
+                return http::text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
+            }
+        };
+        let request = match self.decode(call, &body) {
+            Ok(request) => request,
+            Err(message) => {
+                log::warn!(path:% = path, error:% = message; "request refused");
+                return http::text(StatusCode::BAD_REQUEST, format!("{message}\n"));
+            }
+        };
+        let version = match &request {
+            Request::PutConfig(it) => Some(it.version),
+            _ => None,
+        };
+        let answer = self.ask(request).await;
+        log_answer(call, path, version, &answer);
+        self.reply(call, path, answer)
+    }
+
+    fn decode(&self, call: ControlCall<'_>, body: &Bytes) -> Result<Request, String> {
+        match call {
+            ControlCall::PutConfig => {
+                let config = decode_config(body)?;
+                let text = body.clone().into();
+                Ok(Request::PutConfig(ConfigDocument { version: config.version, text }))
+            }
+            ControlCall::ReadConfig => Ok(Request::ReadConfig),
+            ControlCall::Announce(id) => {
+                let decoded = announcements::decode_announcement(id, body, self.lifetime);
+                decoded.map(Request::Announce).map_err(|e| e.to_string())
+            }
+            ControlCall::Leave(id) => {
+                let decoded = announcements::decode_departure(id, body);
+                let (server, incarnation) = decoded.map_err(|e| e.to_string())?;
+                Ok(Request::Leave { server, incarnation })
+            }
+        }
+    }
+
+    /// `None` when the process stops.
+    async fn ask(&self, request: Request) -> Option<Answer> {
+        let (tx, rx) = oneshot::channel();
+        self.tx.send(DriverEvent::Request(request, tx)).await.ok()?;
+        rx.await.ok()
+    }
+
+    fn reply(&self, call: ControlCall<'_>, path: &str, answer: Option<Answer>) -> Reply {
+        match answer {
+            Some(Answer::Accepted) => match call {
+                ControlCall::Announce(_) | ControlCall::Leave(_) => {
+                    http::json(StatusCode::OK, announcements::encode_taken())
+                }
+                ControlCall::PutConfig | ControlCall::ReadConfig => {
+                    http::text(StatusCode::OK, Bytes::new())
+                }
+            },
+            Some(Answer::Config { text, .. }) => http::json(StatusCode::OK, text.to_bytes()),
+            Some(Answer::NoConfig) => unavailable("no configuration was put yet"),
+            Some(Answer::AskLeader(leader)) => self.redirect(leader, path),
+            Some(Answer::Unavailable(reason)) => unavailable(&reason.to_string()),
+            None => unavailable("this control host stops"),
+        }
+    }
+
+    fn redirect(&self, leader: HostId, path: &str) -> Reply {
+        let location = format!("http://{}{path}", peers::address_of(leader, self.port));
+        let Ok(value) = HeaderValue::from_str(&location) else {
+            return unavailable("the leader cannot be named");
+        };
+        let mut reply: Reply = Response::new(Bytes::new().into());
+        *reply.status_mut() = StatusCode::TEMPORARY_REDIRECT;
+        reply.headers_mut().insert(header::LOCATION, value);
+        reply
+    }
+}
+
+fn decode_config(text: &[u8]) -> Result<GatewayConfig, String> {
+    let config = configuration::decode(text).map_err(|e| e.to_string())?;
+    config.check().map_err(|e| e.to_string())?;
+    Ok(config)
+}
+
+fn unavailable(message: &str) -> Reply {
+    http::text(StatusCode::SERVICE_UNAVAILABLE, format!("{message}\n"))
+}
+
+/// Logs what operators asked, and what went wrong for backend servers.
+fn log_answer(
+    call: ControlCall<'_>,
+    path: &str,
+    version: Option<ids::ConfigVersion>,
+    answer: &Option<Answer>,
+) {
+    let outcome = match answer {
+        Some(Answer::Accepted) => "accepted".to_owned(),
+        Some(Answer::Config { version, .. }) => format!("version {version}"),
+        Some(Answer::NoConfig) => "no configuration".to_owned(),
+        Some(Answer::AskLeader(leader)) => {
+            format!("redirected to {}", peers::address_of(*leader, 0).ip())
+        }
+        Some(Answer::Unavailable(reason)) => reason.to_string(),
+        None => "stopping".to_owned(),
+    };
+    let is_routine = matches!(call, ControlCall::Announce(_))
+        && matches!(answer, Some(Answer::Accepted | Answer::AskLeader(_)));
+    if is_routine {
+        return;
+    }
+    let version = version.unwrap_or_default();
+    log::info!(path:% = path, version = version.0, outcome:% = outcome; "request answered");
+}
--- /dev/null
+++ b/components/gateway/src/entry/callers.rs
@@ -0,0 +1,123 @@
+//! Reads callers' requests and answers them.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use gateway_core::{KnownRun, Lifecycle, Refusal, RefusalReason, RequestHead};
+use http_body_util::{BodyExt, Limited};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode, Uri,
+    body::Incoming,
+    header::{self, HeaderValue},
+};
+use ids::{Fingerprint, Millis};
+use platform::headers;
+
+use super::{
+    backend::Answer,
+    forward::{self, CallerRequest},
+    shared::Shared,
+};
+use crate::http::{self, Reply};
+
+/// Largest body before there is a configuration that says so, in bytes.
+const FIRST_BODY_LIMIT: u64 = 1024 * 1024;
+
+/// Answers one request of a caller.
+pub(crate) async fn handle(shared: Rc<Shared>, req: Request<Incoming>) -> Reply {
+    let mut reply = answer(&shared, req).await;
+    let life = shared.with_core(|core, _| core.lifecycle());
+    if matches!(life, Lifecycle::Draining { .. }) {
+        reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+async fn answer(shared: &Rc<Shared>, req: Request<Incoming>) -> Reply {
+    let (mut head, body) = req.into_parts();
+    let caller = headers::read_caller(&head.headers);
+    let attempt_id: Rc<str> = caller.attempt_id.as_str().into();
+    let body = match read_body(shared, body).await {
+        Ok(body) => body,
+        Err(status) => {
+            log::warn!(request:% = attempt_id, status = status.as_u16(); "request body not read");
+            return http::text(status, "the request body could not be read\n");
+        }
+    };
+    let request_head = RequestHead {
+        host: host_of(&head.headers, &head.uri),
+        path: head.uri.path().to_owned(),
+        fingerprint: fingerprint_of(head.method.as_str(), &head.uri, &body),
+        patience: caller.patience,
+    };
+    entry::remove_hop_by_hop(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    head.headers.remove(header::EXPECT);
+    let target = head.uri.path_and_query().and_then(|it| it.as_str().parse().ok());
+    let request = CallerRequest {
+        method: head.method,
+        uri: target.unwrap_or_default(),
+        headers: head.headers,
+        body,
+        attempt_id,
+    };
+    match forward::forward(shared, request_head, &request).await {
+        Ok(answer) => whole_answer(answer),
+        Err(refusal) => refused(refusal),
+    }
+}
+
+async fn read_body(shared: &Shared, body: Incoming) -> Result<Bytes, StatusCode> {
+    let limits = shared.with_core(|core, _| core.caller_limits());
+    let limit = limits.map_or(FIRST_BODY_LIMIT, |it| it.max_body.0);
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(_) => Err(StatusCode::BAD_REQUEST),
+    }
+}
+
+fn host_of(headers: &HeaderMap, uri: &Uri) -> String {
+    let named = headers.get(header::HOST).and_then(|it| it.to_str().ok());
+    uri.host().or(named).unwrap_or_default().to_owned()
+}
+
+fn fingerprint_of(method: &str, uri: &Uri, body: &[u8]) -> Fingerprint {
+    let target = uri.path_and_query().map_or("", |it| it.as_str());
+    let parts = [method.as_bytes(), &[0], target.as_bytes(), &[0], body];
+    Fingerprint::of(&parts.concat())
+}
+
+fn whole_answer(answer: Answer) -> Reply {
+    let Answer { status, mut headers, body } = answer;
+    entry::remove_hop_by_hop(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    let mut reply = Response::new(body.into());
+    *reply.status_mut() = status;
+    *reply.headers_mut() = headers;
+    reply
+}
+
+/// The response to a refused request.
+///
+/// 503 promises that the request has not run and never will; 502 and 504 promise nothing.
+fn refused(refusal: Refusal) -> Reply {
+    let status = match (refusal.reason, refusal.run) {
+        (RefusalReason::UnknownRoute, _) => StatusCode::NOT_FOUND,
+        (_, KnownRun::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
+        (RefusalReason::TimeLimit, KnownRun::MayHaveRun) => StatusCode::GATEWAY_TIMEOUT,
+        (_, KnownRun::MayHaveRun) => StatusCode::BAD_GATEWAY,
+    };
+    let mut reply = http::text(status, format!("{}\n", refusal.reason));
+    if let Some(value) = refusal.retry_after.and_then(retry_after) {
+        reply.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    reply
+}
+
+/// Seconds with fractions.
+fn retry_after(wait: Millis) -> Option<HeaderValue> {
+    let text = format!("{:.3}", wait.0 as f64 / 1_000.0);
+    HeaderValue::from_str(&text).ok()
+}
--- /dev/null
+++ b/components/gateway/src/entry/forward.rs
@@ -0,0 +1,208 @@
+//! Carries one request through its attempts, as the decisions say.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use gateway_core::{
+    AttemptStart, Finish, KnownRun, Refusal, RefusalReason, RequestHead, RequestSummary, Step,
+};
+use http_body_util::Full;
+use hyper::{HeaderMap, Method, Request, Uri};
+use ids::{AttemptNumber, RequestId};
+use platform::headers;
+use tokio::{sync::Notify, task::JoinSet, time::sleep};
+
+use super::{
+    backend::{self, Answer, Call, CallEnd},
+    shared::Shared,
+};
+
+/// A caller's request as it is sent to backend servers.
+pub(crate) struct CallerRequest {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// The id that the caller gave this attempt.
+    pub(crate) attempt_id: Rc<str>,
+}
+
+/// Sends a request to backend servers until it has an answer or is given up.
+///
+/// Dropping the future ends its attempts and closes their connections: the caller is gone.
+pub(crate) async fn forward(
+    shared: &Rc<Shared>,
+    head: RequestHead,
+    request: &CallerRequest,
+) -> Result<Answer, Refusal> {
+    let begun = shared.with_core(|core, now| core.begin(now, head));
+    let id = match begun {
+        Ok(id) => id,
+        Err(refusal) => {
+            shared.metrics.count_refused(refusal.reason.code());
+            log_refused_at_once(request, &refusal);
+            return Err(refusal);
+        }
+    };
+    let mut guard = RequestGuard { shared: shared.clone(), id, request, is_finished: false };
+    let waker = shared.waker(id);
+    let mut attempts: JoinSet<(AttemptNumber, CallEnd)> = JoinSet::new();
+    let mut answers: Vec<(AttemptNumber, Answer)> = Vec::new();
+    loop {
+        let step = shared.with_core(|core, now| core.step(now, id));
+        match step {
+            Step::Send(start) => start_attempt(shared, &mut attempts, request, &start),
+            Step::Wait(until) => {
+                let wait = until.micros_since(shared.clock.now());
+                let wait = Duration::from_micros(wait.max(500));
+                let ended = next_event(&mut attempts, &waker, wait).await;
+                if let Some((attempt, CallEnd { end, answer })) = ended {
+                    answers.extend(answer.map(|it| (attempt, it)));
+                    shared.with_core(|core, now| core.attempt_ended(now, id, attempt, end));
+                }
+            }
+            Step::Finish(finish) => {
+                guard.finish(finish);
+                return finished(finish, answers);
+            }
+        }
+    }
+}
+
+fn start_attempt(
+    shared: &Shared,
+    attempts: &mut JoinSet<(AttemptNumber, CallEnd)>,
+    request: &CallerRequest,
+    start: &AttemptStart,
+) {
+    let mut req = Request::new(Full::new(request.body.clone()));
+    *req.method_mut() = request.method.clone();
+    *req.uri_mut() = request.uri.clone();
+    *req.headers_mut() = request.headers.clone();
+    headers::write_attempt(req.headers_mut(), &start.server, start.time_left);
+    let call = Call {
+        address: start.address,
+        request: req,
+        attempt_id: request.attempt_id.clone(),
+        may_reuse_connection: start.may_reuse_connection,
+    };
+    let (pool, clock, attempt) = (shared.pool.clone(), shared.clock, start.attempt);
+    attempts.spawn_local(async move { (attempt, backend::call(pool, clock, call).await) });
+}
+
+/// Waits for the end of an attempt; `None` when the request has to be looked at for another
+/// reason.
+async fn next_event(
+    attempts: &mut JoinSet<(AttemptNumber, CallEnd)>,
+    waker: &Notify,
+    wait: Duration,
+) -> Option<(AttemptNumber, CallEnd)> {
+    tokio::select! {
+        biased;
+        Some(ended) = attempts.join_next() => Some(ended.expect("attempts do not panic")),
+        () = waker.notified() => None,
+        () = sleep(wait) => None,
+    }
+}
+
+fn finished(finish: Finish, answers: Vec<(AttemptNumber, Answer)>) -> Result<Answer, Refusal> {
+    match finish {
+        Finish::Refuse(refusal) => Err(refusal),
+        Finish::Answer(attempt) => {
+            let found = answers.into_iter().find(|(it, _)| *it == attempt);
+            let answer = found.map(|(_, answer)| answer);
+            answer.ok_or(Refusal {
+                reason: RefusalReason::NoAnswer,
+                run: KnownRun::MayHaveRun,
+                retry_after: None,
+            })
+        }
+    }
+}
+
+/// Forgets a request when it ends, however it ends, and logs what became of it.
+struct RequestGuard<'a> {
+    shared: Rc<Shared>,
+    id: RequestId,
+    request: &'a CallerRequest,
+    is_finished: bool,
+}
+
+impl RequestGuard<'_> {
+    fn finish(&mut self, finish: Finish) {
+        self.is_finished = true;
+        let outcome = match finish {
+            Finish::Answer(_) => "answered",
+            Finish::Refuse(refusal) => refusal.reason.code(),
+        };
+        self.end(outcome, finish);
+    }
+
+    fn end(&self, outcome: &'static str, finish: Finish) {
+        self.shared.forget_waker(self.id);
+        let summary = self.shared.with_core(|core, now| core.forget(now, self.id));
+        let Some(summary) = summary else { return };
+        self.shared.metrics.count_request(&summary, outcome);
+        log_request(self.request, &summary, outcome, finish);
+    }
+}
+
+impl Drop for RequestGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            let gone = Refusal {
+                reason: RefusalReason::NoAnswer,
+                run: KnownRun::MayHaveRun,
+                retry_after: None,
+            };
+            self.end("caller-gone", Finish::Refuse(gone));
+        }
+    }
+}
+
+fn log_refused_at_once(request: &CallerRequest, refusal: &Refusal) {
+    log::warn!(
+        request:% = request.attempt_id,
+        path:% = request.uri.path(),
+        reason:% = refusal.reason.code(),
+        retry_after_ms = refusal.retry_after.unwrap_or_default().0;
+        "request refused at once"
+    );
+}
+
+fn log_request(
+    request: &CallerRequest,
+    summary: &RequestSummary,
+    outcome: &'static str,
+    finish: Finish,
+) {
+    let attempts: Vec<String> =
+        summary.attempts.iter().map(|(server, end)| format!("{server}:{end}")).collect();
+    let attempts = attempts.join(" ");
+    match finish {
+        Finish::Answer(_) => log::info!(
+            request:% = request.attempt_id,
+            route:% = summary.route,
+            service:% = summary.service,
+            attempts:% = attempts,
+            waited_ms = summary.waited.0,
+            took_ms = summary.took.0,
+            version = summary.version.0;
+            "request answered"
+        ),
+        Finish::Refuse(refusal) => log::warn!(
+            request:% = request.attempt_id,
+            route:% = summary.route,
+            service:% = summary.service,
+            outcome:% = outcome,
+            run:% = refusal.run,
+            attempts:% = attempts,
+            waited_ms = summary.waited.0,
+            took_ms = summary.took.0,
+            limit_ms = summary.time_limit.0,
+            retry_after_ms = refusal.retry_after.unwrap_or_default().0,
+            version = summary.version.0;
+            "request failed"
+        ),
+    }
+}
--- /dev/null
+++ b/components/gateway/src/entry/mod.rs
@@ -0,0 +1,201 @@
+//! Runs a gateway: its sockets, its clock, and the connections to callers and backend servers.
+
+mod backend;
+mod callers;
+mod forward;
+mod metrics;
+mod notes;
+mod pages;
+mod pool;
+mod shared;
+
+use std::{path::PathBuf, rc::Rc, time::Duration};
+
+use admin::Clock;
+use gateway_core::{BudgetSettings, Gateway, GatewaySettings as CoreSettings, Lifecycle};
+use ids::Millis;
+use schema::{
+    gateway_settings::GatewaySettings,
+    peer::{PeerFrame, PeerMessage},
+    sync::SyncMessage,
+};
+use tokio::{net::TcpListener, sync::mpsc, time::sleep};
+
+use crate::{
+    http,
+    peers::{self, StartError},
+    seeds::SettingsWatch,
+};
+use metrics::Metrics;
+use shared::Shared;
+
+/// Time before the end of a planned stop at which the process ends at the latest, in
+/// milliseconds.
+const STOP_RESERVE: Millis = Millis(400);
+
+/// Directory answers that callers keep in a row at most, before they see that a host has left.
+const KEPT_ANSWERS: u64 = 3;
+
+/// Time that the news of a planned stop takes to all directories, in milliseconds.
+const SPREAD_TIME: Millis = Millis(500);
+
+/// Between two looks whether the last requests of a planned stop have ended.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// Longest wait for the next poll, which an update may bring forward.
+const MAX_POLL_WAIT: Duration = Duration::from_secs(1);
+
+/// Runs a gateway until it has stopped as planned.
+pub async fn run(settings: GatewaySettings, settings_path: PathBuf) -> Result<(), StartError> {
+    let stop = admin::stop_signal().map_err(StartError::Io)?;
+    let watch = SettingsWatch::start(settings_path).map_err(StartError::Io)?;
+    let clock = Clock::start();
+    let incarnation = clock.incarnation();
+    let (transport, frames) =
+        peers::bind_transport(settings.ip, settings.peer_port.get(), incarnation).await?;
+    let core = Gateway::new(core_settings(&settings, incarnation));
+    let shared =
+        Rc::new(Shared::new(core, clock, transport, settings.peer_port.get(), Metrics::new()));
+    spawn_listeners(&settings, &shared)?;
+    tokio::task::spawn_local(feed_frames(shared.clone(), frames));
+    tokio::task::spawn_local(follow(shared.clone()));
+    tokio::task::spawn_local(feed_seeds(shared.clone(), watch));
+    tokio::task::spawn_local(serve_when_ready(settings.clone(), shared.clone()));
+    log::info!(
+        host:% = settings.ip,
+        data_centre:% = settings.data_centre,
+        incarnation = incarnation.0,
+        callers:% = settings.caller_address;
+        "gateway started"
+    );
+    stop.await;
+    drain(&settings, &shared).await;
+    Ok(())
+}
+
+fn core_settings(settings: &GatewaySettings, incarnation: ids::Incarnation) -> CoreSettings {
+    let budget = &settings.retry_budget;
+    let regions = settings.data_centres.iter().map(|it| (it.name.clone(), it.region.clone()));
+    CoreSettings {
+        host: peers::host_of(settings.ip),
+        region: settings.region.clone(),
+        data_centre: settings.data_centre.clone(),
+        regions: regions.collect(),
+        incarnation,
+        caller_address: settings.caller_address,
+        seeds: peers::hosts_of(&settings.seeds),
+        budget: BudgetSettings {
+            share_milli: budget.share.milli.into(),
+            slack: budget.slack,
+            window: budget.window_s.0,
+        },
+        directory_keep: settings.directory_keep_s.0,
+        seed: incarnation.0,
+    }
+}
+
+/// Serves what must be reachable from the start.
+fn spawn_listeners(settings: &GatewaySettings, shared: &Rc<Shared>) -> Result<(), StartError> {
+    let readiness = http::listen(settings.readiness_address)?;
+    let directory = http::listen(settings.directory_address)?;
+    let metrics = http::listen((settings.ip, settings.metrics_port.get()).into())?;
+    let cx = shared.clone();
+    let serve = http::serve(readiness, move |req| pages::readiness(cx.clone(), req));
+    tokio::task::spawn_local(serve);
+    let cx = shared.clone();
+    let serve = http::serve(directory, move |req| pages::directory(cx.clone(), req));
+    tokio::task::spawn_local(serve);
+    let cx = shared.clone();
+    let serve = http::serve(metrics, move |req| pages::metrics(cx.clone(), req));
+    tokio::task::spawn_local(serve);
+    Ok(())
+}
+
+/// Listens to callers once the gateway may serve; until then they go on to another address.
+async fn serve_when_ready(settings: GatewaySettings, shared: Rc<Shared>) {
+    while shared.with_core(|core, _| core.lifecycle()) == Lifecycle::Joining {
+        shared.config_changed.notified().await;
+    }
+    let listener: TcpListener = match http::listen(settings.caller_address) {
+        Ok(it) => it,
+        Err(e) => {
+            log::error!(error:% = e; "cannot serve callers");
+            shared.is_broken.set(true);
+            return;
+        }
+    };
+    log::info!(callers:% = settings.caller_address; "gateway serves callers");
+    shared.is_listening.set(true);
+    http::serve(listener, move |req| callers::handle(shared.clone(), req)).await;
+}
+
+async fn feed_frames(shared: Rc<Shared>, mut frames: mpsc::Receiver<PeerFrame>) {
+    while let Some(frame) = frames.recv().await {
+        match frame.message {
+            PeerMessage::ServerLoad(report) => {
+                shared.with_core(|core, now| core.on_report(now, frame.from, &report));
+            }
+            PeerMessage::Sync(SyncMessage::Update(update)) => {
+                let config = shared.with_core(|core, now| core.on_update(now, frame.from, update));
+                if let Some(document) = config {
+                    shared.put_in_force(&document);
+                }
+                shared.poll_due.notify_one();
+            }
+            // Other messages are for control hosts or for other parts of the product.
+            _ => {}
+        }
+    }
+}
+
+/// Keeps one poll on its way to a control host.
+async fn follow(shared: Rc<Shared>) {
+    loop {
+        let (poll, next) = shared.with_core(|core, now| {
+            let poll = core.poll(now);
+            (poll, core.next_poll().micros_since(now))
+        });
+        if let Some(poll) = poll {
+            shared.send(poll.to, PeerMessage::Sync(SyncMessage::Poll(poll.poll)));
+        }
+        let wait = Duration::from_micros(next.max(1_000)).min(MAX_POLL_WAIT);
+        tokio::select! {
+            () = sleep(wait) => {}
+            () = shared.poll_due.notified() => {}
+        }
+    }
+}
+
+async fn feed_seeds(shared: Rc<Shared>, mut watch: SettingsWatch) {
+    loop {
+        watch.changed().await;
+        let seeds = watch.read_seeds(config::parse_gateway_settings, |it| it.seeds);
+        if let Some(seeds) = seeds {
+            shared.with_core(|core, _| core.add_seeds(&peers::hosts_of(&seeds)));
+        }
+    }
+}
+
+/// Leaves the directories, serves callers that still have the address, and finishes what is in
+/// flight.
+async fn drain(settings: &GatewaySettings, shared: &Rc<Shared>) {
+    let limit = Millis(settings.stop_within_s.0.0.saturating_sub(STOP_RESERVE.0));
+    let keep = settings.directory_keep_s.0.0 * KEPT_ANSWERS + SPREAD_TIME.0;
+    let (until, may_end_at) = shared.with_core(|core, now| {
+        core.drain(now + limit);
+        (now + limit, now + Millis(keep.min(limit.0)))
+    });
+    shared.poll_due.notify_one();
+    log::info!(in_flight = shared.in_flight(), limit_ms = limit.0; "planned stop begins");
+    loop {
+        let now = shared.clock.now();
+        let is_done = now >= may_end_at && shared.in_flight() == 0;
+        if is_done || now >= until {
+            break;
+        }
+        sleep(STOP_LOOK).await;
+    }
+    // The last answers are on their way out of this process.
+    sleep(STOP_LOOK).await;
+    log::info!(in_flight = shared.in_flight(); "planned stop is complete");
+}
--- /dev/null
+++ b/components/gateway/src/entry/notes.rs
@@ -0,0 +1,36 @@
+//! Writes decisions and changes of belief to the log.
+
+use gateway_core::Note;
+
+use crate::peers;
+
+/// Logs a note; each kind has its own fixed message.
+pub(crate) fn log_note(note: &Note) {
+    match note {
+        Note::ConfigInForce { version, before, routes } => {
+            log::info!(version = version.0, before = before.0, routes = *routes; "configuration in force");
+        }
+        Note::ServerAnnounced { server, service, state } => {
+            log::info!(server:% = server, service:% = service, state:% = state; "server announced");
+        }
+        Note::ServerAvoided { server, cause, seen_by, avoided_for, relapses } => {
+            log::info!(
+                server:% = server,
+                cause:% = cause,
+                seen_by:% = peers::address_of(*seen_by, 0).ip(),
+                avoided_ms = avoided_for.0,
+                relapses = *relapses;
+                "server avoided"
+            );
+        }
+        Note::ControlHostLost { host, cause } => {
+            log::warn!(host:% = peers::address_of(*host, 0).ip(), cause:% = cause; "control host lost");
+        }
+        Note::ControlHostFound { host } => {
+            log::info!(host:% = peers::address_of(*host, 0).ip(); "control host found");
+        }
+        Note::RequestQuarantined { request, servers } => {
+            log::warn!(request = request.0, servers = *servers; "request quarantined");
+        }
+    }
+}
--- /dev/null
+++ b/components/gateway/src/entry/pages.rs
@@ -0,0 +1,44 @@
+//! What the platform, callers and monitoring ask of a gateway itself.
+
+use std::rc::Rc;
+
+use gateway_core::Lifecycle;
+use hyper::{Request, StatusCode, body::Incoming};
+use platform::{calls, directory};
+
+use super::shared::Shared;
+use crate::http::{self, Reply};
+
+/// Says whether the gateway takes callers.
+pub(crate) async fn readiness(shared: Rc<Shared>, req: Request<Incoming>) -> Reply {
+    if !calls::is_readiness_call(req.method(), req.uri().path()) {
+        return http::text(StatusCode::NOT_FOUND, "no such page\n");
+    }
+    let life = shared.with_core(|core, _| core.lifecycle());
+    let is_ready = life == Lifecycle::Serving && shared.is_listening.get();
+    match is_ready && !shared.is_broken.get() {
+        true => http::text(StatusCode::OK, "ready\n"),
+        false => http::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+    }
+}
+
+/// Tells a caller which addresses to use.
+pub(crate) async fn directory(shared: Rc<Shared>, req: Request<Incoming>) -> Reply {
+    if !calls::is_directory_call(req.method(), req.uri().path()) {
+        return http::text(StatusCode::NOT_FOUND, "no such page\n");
+    }
+    let place = directory::read_place(req.uri().query());
+    let answer = shared
+        .with_core(|core, _| core.directory(place.region.as_ref(), place.data_centre.as_ref()));
+    if answer.addresses.is_empty() {
+        return http::text(StatusCode::SERVICE_UNAVAILABLE, "no addresses are known yet\n");
+    }
+    http::json(StatusCode::OK, directory::encode_answer(&answer))
+}
+
+/// Shows the metrics.
+pub(crate) async fn metrics(shared: Rc<Shared>, _req: Request<Incoming>) -> Reply {
+    let stats = shared.transport_stats();
+    let text = shared.with_core(|core, _| shared.metrics.render(core, stats));
+    http::text(StatusCode::OK, text)
+}
--- /dev/null
+++ b/components/gateway/src/peers.rs
@@ -0,0 +1,64 @@
+//! How hosts of a gateway fleet address each other.
+//!
+//! A host's id is its IPv4 address, and all hosts use the same port, so that an id is all that has
+//! to be known of a host.
+
+use std::{
+    io,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+};
+
+use ids::{HostId, Incarnation};
+use schema::peer::PeerFrame;
+use storage::StorageError;
+use tokio::sync::mpsc;
+use transport::{FleetKeys, Transport, TransportSettings};
+
+/// A process could not start or had to stop.
+#[derive(Debug, displaydoc::Display)]
+pub enum StartError {
+    /// cannot listen on {0}: {1}
+    Listen(SocketAddr, io::Error),
+    /// {0}
+    Storage(StorageError),
+    /// {0}
+    Io(io::Error),
+}
+
+impl std::error::Error for StartError {}
+
+/// The id of the host with this address.
+pub(crate) fn host_of(ip: Ipv4Addr) -> HostId {
+    HostId(ip.to_bits())
+}
+
+/// The ids of the hosts with these addresses; the fleet uses IPv4 only.
+pub(crate) fn hosts_of(addresses: &[SocketAddr]) -> Vec<HostId> {
+    let ips = addresses.iter().filter_map(|it| match it.ip() {
+        IpAddr::V4(ip) => Some(ip),
+        IpAddr::V6(_) => None,
+    });
+    ips.map(host_of).collect()
+}
+
+/// Where a host is reached at a port that is the same on all hosts.
+pub(crate) fn address_of(host: HostId, port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::from_bits(host.0), port))
+}
+
+/// Binds the transport of a host.
+pub(crate) async fn bind_transport(
+    ip: Ipv4Addr,
+    peer_port: u16,
+    incarnation: Incarnation,
+) -> Result<(Transport, mpsc::Receiver<PeerFrame>), StartError> {
+    let address = SocketAddr::from((ip, peer_port));
+    let settings = TransportSettings {
+        host: host_of(ip),
+        incarnation,
+        address,
+        // Nothing hands a secret to the hosts of such a fleet; its network is trusted.
+        keys: FleetKeys::public(),
+    };
+    Transport::bind(settings).await.map_err(|e| StartError::Listen(address, e))
+}
--- /dev/null
+++ b/components/gateway_core/src/entry_hosts.rs
@@ -0,0 +1,113 @@
+//! The entry hosts of the fleet, and which of them a caller is told to use.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use ids::{DataCentreName, HostId, Incarnation, Millis, RegionName};
+use schema::sync::{EntryHostRecord, EntryHostState, HostsRevision, HostsUpdate};
+
+/// Addresses in an answer at most.
+const MAX_ADDRESSES: usize = 64;
+
+/// Hosts near the caller below which farther ones are named too: a caller passes over two that
+/// have just failed.
+const MIN_NEAR_HOSTS: usize = 3;
+
+/// What a caller is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DirectoryAnswer {
+    /// The addresses, in no order.
+    pub addresses: Vec<SocketAddr>,
+    /// How long the caller may keep them.
+    pub keep: Millis,
+}
+
+/// The entry hosts as the control hosts list them.
+#[derive(Debug)]
+pub(crate) struct EntryHosts {
+    hosts: BTreeMap<HostId, EntryHostRecord>,
+    revision: HostsRevision,
+}
+
+impl EntryHosts {
+    pub(crate) fn new() -> Self {
+        let revision =
+            HostsRevision { control_host: HostId(0), incarnation: Incarnation(0), number: 0 };
+        Self { hosts: BTreeMap::new(), revision }
+    }
+
+    pub(crate) fn revision(&self) -> &HostsRevision {
+        &self.revision
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    pub(crate) fn contains(&self, host: HostId) -> bool {
+        self.hosts.contains_key(&host)
+    }
+
+    pub(crate) fn remove(&mut self, host: HostId) {
+        self.hosts.remove(&host);
+    }
+
+    pub(crate) fn apply(&mut self, update: HostsUpdate) {
+        let HostsUpdate::Changed(changes) = update else { return };
+        if changes.whole {
+            self.hosts.clear();
+        }
+        for host in changes.gone {
+            self.hosts.remove(&host);
+        }
+        self.hosts.extend(changes.hosts.into_iter().map(|it| (it.host, it)));
+        self.revision = changes.revision;
+    }
+
+    /// The hosts of a data centre.
+    pub(crate) fn in_data_centre<'a>(
+        &'a self,
+        data_centre: &'a DataCentreName,
+    ) -> impl Iterator<Item = HostId> + 'a {
+        self.hosts.values().filter(|it| it.data_centre == *data_centre).map(|it| it.host)
+    }
+
+    /// The hosts of a region outside one of its data centres.
+    pub(crate) fn elsewhere_in_region<'a>(
+        &'a self,
+        region: &'a RegionName,
+        data_centre: &'a DataCentreName,
+    ) -> impl Iterator<Item = HostId> + 'a {
+        let is_meant =
+            move |it: &&EntryHostRecord| it.region == *region && it.data_centre != *data_centre;
+        self.hosts.values().filter(is_meant).map(|it| it.host)
+    }
+
+    /// Addresses of serving hosts for a caller: those of its data centre, and farther ones as
+    /// long as there are few.
+    pub(crate) fn addresses_for(
+        &self,
+        region: Option<&RegionName>,
+        data_centre: Option<&DataCentreName>,
+    ) -> Vec<SocketAddr> {
+        let is_serving = |it: &&EntryHostRecord| it.state == EntryHostState::Serving;
+        let distance = |it: &EntryHostRecord| match () {
+            () if Some(&it.data_centre) == data_centre => 0,
+            () if Some(&it.region) == region => 1,
+            () => 2,
+        };
+        let mut ranked: Vec<_> =
+            self.hosts.values().filter(is_serving).map(|it| (distance(it), it)).collect();
+        ranked.sort_by_key(|(distance, it)| (*distance, it.host));
+        let mut chosen: Vec<SocketAddr> = Vec::new();
+        let mut last_distance = 0;
+        for (distance, host) in ranked {
+            let is_farther = distance > last_distance;
+            if chosen.len() == MAX_ADDRESSES || (is_farther && chosen.len() >= MIN_NEAR_HOSTS) {
+                break;
+            }
+            last_distance = distance;
+            chosen.push(host.caller_address);
+        }
+        chosen
+    }
+}
--- /dev/null
+++ b/components/gateway_core/src/gateway/following.rs
@@ -0,0 +1,106 @@
+//! Keeps up with the registry, and answers callers that ask for addresses.
+
+use ids::{DataCentreName, HostId, RegionName, Timestamp};
+use schema::{
+    registry::ConfigDocument,
+    sync::{EntryHostRecord, EntryHostState, Presence, RegistryUpdate, Update},
+};
+
+use super::Gateway;
+use crate::{entry_hosts::DirectoryAnswer, follower::PollOut, notes::Note, settings::Lifecycle};
+
+impl Gateway {
+    /// The poll to be sent now, if any.
+    pub fn poll(&mut self, now: Timestamp) -> Option<PollOut> {
+        let presence = Presence::Entry(self.own_record());
+        self.follower.poll(now, presence, self.hosts.revision(), &mut self.notes)
+    }
+
+    /// When [`Self::poll`] has to be asked again without an update.
+    pub fn next_poll(&self) -> Timestamp {
+        self.follower.next_wakeup()
+    }
+
+    /// Takes in an update; returns the configuration to be decoded and put in force, if it
+    /// brings one.
+    pub fn on_update(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        update: Update,
+    ) -> Option<ConfigDocument> {
+        if !self.follower.accept(from, update.sequence) {
+            return None;
+        }
+        if update.current {
+            self.follower.learn(&update.control_hosts);
+            self.apply_hosts(update.hosts);
+        }
+        let config = match update.registry {
+            RegistryUpdate::Changed(changes) if update.current => self.apply_registry(changes),
+            RegistryUpdate::Changed(_) | RegistryUpdate::Unchanged => None,
+        };
+        self.follower.note_answer(now, update.current, &mut self.notes);
+        config
+    }
+
+    /// The settings name other control hosts.
+    pub fn add_seeds(&mut self, seeds: &[HostId]) {
+        self.follower.add_seeds(seeds);
+    }
+
+    /// The addresses for a caller.
+    pub fn directory(
+        &self,
+        region: Option<&RegionName>,
+        data_centre: Option<&DataCentreName>,
+    ) -> DirectoryAnswer {
+        let mut addresses = self.hosts.addresses_for(region, data_centre);
+        if addresses.is_empty() && self.life == Lifecycle::Serving {
+            addresses.push(self.settings.caller_address);
+        }
+        DirectoryAnswer { addresses, keep: self.settings.directory_keep }
+    }
+
+    fn own_record(&self) -> EntryHostRecord {
+        let settings = &self.settings;
+        EntryHostRecord {
+            host: settings.host,
+            incarnation: settings.incarnation,
+            region: settings.region.clone(),
+            data_centre: settings.data_centre.clone(),
+            caller_address: settings.caller_address,
+            state: match self.life {
+                Lifecycle::Joining => EntryHostState::Joining,
+                Lifecycle::Serving => EntryHostState::Serving,
+                Lifecycle::Draining { .. } => EntryHostState::Draining,
+            },
+        }
+    }
+
+    fn apply_hosts(&mut self, update: schema::sync::HostsUpdate) {
+        let before: Vec<_> = self.hosts.in_data_centre(&self.settings.data_centre).collect();
+        self.hosts.apply(update);
+        // A host that stops leaves its own directory at once, whatever the list still says.
+        if self.life != Lifecycle::Serving {
+            self.hosts.remove(self.settings.host);
+        }
+        for host in before {
+            if !self.hosts.contains(host) {
+                self.servers.forget_other(host);
+            }
+        }
+    }
+
+    fn apply_registry(&mut self, changes: schema::sync::RegistryChanges) -> Option<ConfigDocument> {
+        for announcement in self.servers.apply(&changes) {
+            self.notes.push(Note::ServerAnnounced {
+                server: announcement.server,
+                service: announcement.service,
+                state: announcement.state,
+            });
+        }
+        self.follower.holds = self.follower.holds.max(changes.up_to);
+        changes.config.into_iter().next()
+    }
+}
--- /dev/null
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -0,0 +1,294 @@
+//! Composes the decisions of a gateway.
+
+mod attempts;
+mod following;
+mod reports;
+
+use std::sync::Arc;
+
+use ids::{ConfigVersion, FastMap, HostId, Millis, RequestId, ServerId, ServiceName, Timestamp};
+use limits::retry::{RetryBudget, RetryBudgetSettings};
+use rand_xoshiro::{
+    Xoshiro256PlusPlus,
+    rand_core::{RngCore, SeedableRng},
+};
+use routing::RouteTable;
+use schema::server_load::LoadReport;
+
+use crate::{
+    configuration::{CallerLimits, GatewayConfig, Route},
+    entry_hosts::EntryHosts,
+    follower::Follower,
+    notes::{Note, RequestSummary},
+    quarantine::Quarantine,
+    requests::{Refusal, RefusalReason, Request, RequestHead, WaitingKey, waiting::WaitingLines},
+    servers::{Server, ServerTable},
+    settings::{GatewaySettings, Lifecycle},
+};
+
+/// When callers come back to a gateway without a configuration, in milliseconds.
+const NO_CONFIG_RETRY_AFTER: Millis = Millis(500);
+
+/// When callers of a stopping gateway go to another one, in milliseconds.
+const STOPPING_RETRY_AFTER: Millis = Millis(50);
+
+/// When callers come back with a request that crashes servers, in milliseconds.
+const QUARANTINE_RETRY_AFTER: Millis = Millis(30_000);
+
+/// Time that a stopping gateway needs to hand over an answer, in milliseconds.
+const STOP_MARGIN: Millis = Millis(100);
+
+/// Usual latencies that a stopping gateway must have left to take a request.
+const STOP_LATENCIES: f64 = 3.0;
+
+/// Entry hosts that are assumed as long as fewer are known, so that the budget is never exceeded.
+const MIN_ASSUMED_HOSTS: u64 = 24;
+
+/// Part of the shared budget that gateways use, in thousandths; the rest is for hosts that have
+/// just restarted and for windows that slide.
+const BUDGET_USE_MILLI: u64 = 850;
+
+/// A message to other gateways.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReportOut {
+    /// The gateways.
+    pub to: Vec<HostId>,
+    /// What they are told.
+    pub report: LoadReport,
+}
+
+/// All decisions of a gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    settings: GatewaySettings,
+    life: Lifecycle,
+    config: Option<Arc<GatewayConfig>>,
+    routes: RouteTable<Arc<Route>>,
+    servers: ServerTable,
+    hosts: EntryHosts,
+    follower: Follower,
+    requests: FastMap<RequestId, Request>,
+    waiting: WaitingLines,
+    budgets: FastMap<ServiceName, RetryBudget>,
+    quarantine: Quarantine,
+    rng: Xoshiro256PlusPlus,
+    next_request: RequestId,
+    reports: Vec<ReportOut>,
+    notes: Vec<Note>,
+    wakeups: Vec<RequestId>,
+}
+
+impl Gateway {
+    /// A gateway that knows only its settings.
+    pub fn new(settings: GatewaySettings) -> Self {
+        let seed = settings.seed ^ (u64::from(settings.host.0) << 32) ^ settings.incarnation.0;
+        let servers = ServerTable::new(
+            settings.region.clone(),
+            settings.data_centre.clone(),
+            settings.regions.clone(),
+        );
+        Self {
+            life: Lifecycle::Joining,
+            config: None,
+            routes: RouteTable::default(),
+            servers,
+            hosts: EntryHosts::new(),
+            follower: Follower::new(&settings.seeds, seed),
+            requests: FastMap::default(),
+            waiting: WaitingLines::default(),
+            budgets: FastMap::default(),
+            quarantine: Quarantine::default(),
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            next_request: RequestId(1),
+            reports: Vec::new(),
+            notes: Vec::new(),
+            wakeups: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    pub fn set_config(&mut self, config: GatewayConfig) {
+        let before = self.version();
+        if config.version <= before {
+            return;
+        }
+        let mut routes = RouteTable::default();
+        for route in &config.routes {
+            routes.insert(&route.host, &route.path_prefix, Arc::new(route.clone()));
+        }
+        self.notes.push(Note::ConfigInForce {
+            version: config.version,
+            before,
+            routes: config.routes.len(),
+        });
+        self.routes = routes;
+        self.config = Some(Arc::new(config));
+        if self.life == Lifecycle::Joining {
+            self.life = Lifecycle::Serving;
+            self.follower.poll_now();
+        }
+    }
+
+    /// The configuration version in force; 0 when there is none.
+    pub fn version(&self) -> ConfigVersion {
+        self.config.as_ref().map_or(ConfigVersion(0), |it| it.version)
+    }
+
+    /// What callers may send, once there is a configuration.
+    pub fn caller_limits(&self) -> Option<CallerLimits> {
+        self.config.as_ref().map(|it| it.caller_limits)
+    }
+
+    /// Where the gateway is in its life.
+    pub fn lifecycle(&self) -> Lifecycle {
+        self.life
+    }
+
+    /// Begins a planned stop: the process ends at `until`.
+    pub fn drain(&mut self, until: Timestamp) {
+        self.life = Lifecycle::Draining { until };
+        self.follower.poll_now();
+    }
+
+    /// The requests in work.
+    pub fn in_flight(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// What is known of a backend server.
+    pub fn server(&self, server: &ServerId) -> Option<&Server> {
+        self.servers.get(server)
+    }
+
+    /// All backend servers.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.all()
+    }
+
+    /// The entry hosts that are listed.
+    pub fn known_hosts(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Takes a request in; [`Self::step`] says what it needs.
+    pub fn begin(&mut self, now: Timestamp, head: RequestHead) -> Result<RequestId, Refusal> {
+        let route = self.route_of(&head)?;
+        if self.quarantine.holds(now, head.fingerprint) {
+            let retry_after = Some(QUARANTINE_RETRY_AFTER);
+            return Err(Refusal::not_run(RefusalReason::Quarantined, retry_after));
+        }
+        let service = self.choose_service(&route);
+        let until = self.time_limit(now, &route, &service, head.patience)?;
+        let id = self.next_request;
+        self.next_request = id.next();
+        self.requests.insert(id, Request::new(now, head, route, service, until));
+        Ok(id)
+    }
+
+    /// Forgets a request whose caller has gone away, or that was answered.
+    pub fn forget(&mut self, now: Timestamp, id: RequestId) -> Option<RequestSummary> {
+        let request = self.requests.remove(&id)?;
+        self.waiting.remove(&request.service, waiting_key(&request, id));
+        self.end_live_attempts(now, &request);
+        Some(RequestSummary {
+            route: request.route.name.clone(),
+            service: request.service.clone(),
+            waited: request.sent_at.unwrap_or(now).since(request.received),
+            took: now.since(request.received),
+            time_limit: request.until.since(request.received),
+            attempts: request.log,
+            version: self.version(),
+        })
+    }
+
+    /// The requests to be asked again since one of their servers has room.
+    pub fn take_wakeups(&mut self) -> Vec<RequestId> {
+        std::mem::take(&mut self.wakeups)
+    }
+
+    /// What other gateways have to be told.
+    pub fn take_reports(&mut self) -> Vec<ReportOut> {
+        std::mem::take(&mut self.reports)
+    }
+
+    /// What was decided, for logs.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    fn route_of(&self, head: &RequestHead) -> Result<Arc<Route>, Refusal> {
+        if self.config.is_none() {
+            let retry_after = Some(NO_CONFIG_RETRY_AFTER);
+            return Err(Refusal::not_run(RefusalReason::NoConfiguration, retry_after));
+        }
+        // Prefixes end with a slash, so that what follows the last slash selects nothing.
+        let folder = head.path.rfind('/').map_or("", |it| &head.path[..=it]);
+        let route = self.routes.lookup(&head.host, folder);
+        route.cloned().ok_or(Refusal::not_run(RefusalReason::UnknownRoute, None))
+    }
+
+    /// Draws one of the route's services by weight.
+    fn choose_service(&mut self, route: &Route) -> ServiceName {
+        let total: u64 = route.targets.iter().map(|it| u64::from(it.weight)).sum();
+        let mut drawn = self.rng.next_u64() % total.max(1);
+        for target in &route.targets {
+            let weight = u64::from(target.weight);
+            if drawn < weight {
+                return target.service.clone();
+            }
+            drawn -= weight;
+        }
+        route.targets[0].service.clone()
+    }
+
+    /// When a request must be answered; a stopping gateway takes only what it can finish.
+    fn time_limit(
+        &self,
+        now: Timestamp,
+        route: &Route,
+        service: &ServiceName,
+        patience: Option<Millis>,
+    ) -> Result<Timestamp, Refusal> {
+        let limit = patience.map_or(route.time_limit, |it| it.min(route.time_limit));
+        let until = now + limit;
+        let Lifecycle::Draining { until: stop } = self.life else { return Ok(until) };
+        let usual = self.servers.usual_latency(service) * STOP_LATENCIES;
+        if (stop.since(now).0 as f64) < usual {
+            let retry_after = Some(STOPPING_RETRY_AFTER);
+            return Err(Refusal::not_run(RefusalReason::Stopping, retry_after));
+        }
+        Ok(until.min(stop - STOP_MARGIN))
+    }
+
+    fn random_unit(rng: &mut Xoshiro256PlusPlus) -> f64 {
+        (rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
+    fn budget(&mut self, now: Timestamp, service: &ServiceName) -> &mut RetryBudget {
+        if !self.budgets.contains_key(service) {
+            let hosts = (self.hosts.len() as u64).max(MIN_ASSUMED_HOSTS);
+            let settings = budget_settings(&self.settings, hosts);
+            self.budgets.insert(service.clone(), RetryBudget::new(now, settings));
+        }
+        self.budgets.get_mut(service).expect("was just inserted")
+    }
+}
+
+/// This gateway's part of the budget that all gateways share.
+fn budget_settings(settings: &GatewaySettings, hosts: u64) -> RetryBudgetSettings {
+    let budget = settings.budget;
+    let slack_milli = u64::from(budget.slack) * BUDGET_USE_MILLI / hosts;
+    let window_s = (budget.window.0 / 1_000).max(1);
+    // Some of the slack is there at once, the rest comes over the window.
+    let reserve_milli = slack_milli.min(1_000);
+    RetryBudgetSettings {
+        share_milli: budget.share_milli * BUDGET_USE_MILLI / 1_000,
+        reserve_milli,
+        trickle_milli: (slack_milli - reserve_milli) / window_s,
+    }
+}
+
+fn waiting_key(request: &Request, id: RequestId) -> WaitingKey {
+    (request.route.priority, id)
+}
--- /dev/null
+++ b/components/gateway_core/src/lib.rs
@@ -0,0 +1,34 @@
+//! All decisions of a gateway: an entry host that serves routes with policies of their own and
+//! knows each request by the id that its caller gave it.
+//!
+//! [`Gateway`] is a plain value. Its owner tells it what happens, asks [`Gateway::step`] what a
+//! request needs next, and carries that out. It has no sockets, clocks or threads.
+
+mod configuration;
+mod entry_hosts;
+mod follower;
+mod gateway;
+mod notes;
+mod quarantine;
+mod requests;
+mod servers;
+mod settings;
+
+pub use crate::{
+    configuration::{
+        CallerLimits, ConfigProblem, GatewayConfig, Repeats, Route, RouteTarget, ServicePolicy,
+    },
+    entry_hosts::DirectoryAnswer,
+    follower::{ANSWER_TIMEOUT, PollOut},
+    gateway::{Gateway, ReportOut},
+    notes::{Note, RequestSummary},
+    requests::{
+        AttemptEnd, AttemptStart, Finish, KnownRun, Refusal, RefusalReason, RequestHead, Step,
+    },
+    servers::{
+        Distance, Server, ServerTable, ServiceLoad,
+        placement::{Placement, PlacementRequest},
+        standing::Standing,
+    },
+    settings::{BudgetSettings, GatewaySettings, Lifecycle},
+};
--- /dev/null
+++ b/components/gateway_core/src/servers/placement.rs
@@ -0,0 +1,171 @@
+//! Chooses the backend server of an attempt.
+//!
+//! Each server is weighed by the time until its answer, by what it costs to leave the data centre,
+//! and by the chance that it loses the request. The load patterns that this answers:
+//!
+//! - *Calm times.* The nearest servers have free slots; traffic stays in the data centre.
+//! - *Slow servers.* A slow server's queue makes its answers late, so that work leaves it in
+//!   proportion, also before its first late answer.
+//! - *A service that is short of servers in one place.* Work goes to other places once waiting
+//!   there would take longer than going is worth.
+//! - *Outbreaks of broken connections.* See [`super::standing`]; requests that must not repeat
+//!   weigh the risk higher.
+
+use ids::{Millis, ServerId, ServiceName, Timestamp};
+use schema::announcement::ServerState;
+
+use super::{Distance, Server, ServerTable};
+use crate::configuration::Repeats;
+
+/// Attempts beyond its slots that a server gets, so that it finds its next work at once.
+const QUEUED_AT_SERVER: u32 = 2;
+
+/// Slots that a server has at least, when it announced none.
+const MIN_SLOTS: u32 = 1;
+
+/// Time that leaving the data centre is worth, in milliseconds: traffic between data centres is
+/// paid by volume, and an answer that comes as much later still meets its latency aim.
+const OTHER_DATA_CENTRE_COST: f64 = 200.0;
+
+/// Time that leaving the region is worth, in milliseconds.
+const OTHER_REGION_COST: f64 = 450.0;
+
+/// Time to another data centre of the region and back, in milliseconds.
+const REGION_ROUND_TRIP: f64 = 3.0;
+
+/// Time to another region and back, in milliseconds.
+const FAR_ROUND_TRIP: f64 = 45.0;
+
+/// Time that a lost request is worth, in milliseconds, when it can be sent again.
+const REPEATABLE_LOSS_COST: f64 = 1_500.0;
+
+/// Time that a lost request is worth, in milliseconds, when it cannot be sent again.
+const FINAL_LOSS_COST: f64 = 6_000.0;
+
+/// Time that an attempt to connect in vain takes, in milliseconds.
+const UNREACHABLE_COST: f64 = 2_000.0;
+
+/// Factor on the latency of a server that has just started.
+const COLD_FACTOR: f64 = 2.0;
+
+/// Spread of the random part that keeps gateways from choosing alike, as a share of the cost.
+const JITTER: f64 = 0.05;
+
+/// What is asked of the placement.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementRequest<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Whether the request may be sent again.
+    pub repeats: Repeats,
+    /// Servers that had it already.
+    pub tried: &'a [ServerId],
+    /// Time until its answer has to be there.
+    pub time_left: Millis,
+}
+
+/// Where an attempt goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Placement {
+    /// To this server.
+    Server(ServerId),
+    /// All servers that could answer in time are full; one should have room after this time.
+    Full(Millis),
+    /// No server could answer in time.
+    TooLate(Millis),
+    /// No server takes work.
+    NoServer,
+}
+
+/// Chooses a server; `random` gives numbers from 0 to 1.
+pub fn place(
+    now: Timestamp,
+    table: &ServerTable,
+    request: &PlacementRequest<'_>,
+    mut random: impl FnMut() -> f64,
+) -> Placement {
+    let usual = table.usual_latency(request.service);
+    let time_left = request.time_left.0 as f64;
+    let mut best: Option<(f64, &Server)> = None;
+    let mut soonest_free = f64::INFINITY;
+    let mut soonest_answer = f64::INFINITY;
+    for server in table.of_service(request.service) {
+        if request.tried.contains(&server.announcement.server) {
+            continue;
+        }
+        let outlook = Outlook::of(now, server, usual);
+        soonest_answer = soonest_answer.min(outlook.answer_in);
+        if outlook.answer_in > time_left {
+            continue;
+        }
+        if outlook.is_full {
+            soonest_free = soonest_free.min(outlook.free_in);
+            continue;
+        }
+        let cost = outlook.cost(request.repeats) * (1.0 + JITTER * random());
+        if best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, server));
+        }
+    }
+    match best {
+        Some((_, server)) => Placement::Server(server.announcement.server.clone()),
+        None if soonest_free.is_finite() => Placement::Full(millis(soonest_free)),
+        None if soonest_answer.is_finite() => {
+            Placement::TooLate(millis((soonest_answer - time_left).max(1.0)))
+        }
+        None => Placement::NoServer,
+    }
+}
+
+/// What sending a request to a server would bring.
+struct Outlook {
+    /// Milliseconds until the answer.
+    answer_in: f64,
+    /// Milliseconds until a slot should be free.
+    free_in: f64,
+    is_full: bool,
+    /// What the distance costs besides time, in milliseconds.
+    distance_cost: f64,
+    unreachable_cost: f64,
+    risk: f64,
+}
+
+impl Outlook {
+    fn of(now: Timestamp, server: &Server, usual: f64) -> Self {
+        let slots = server.announcement.slots.max(MIN_SLOTS);
+        let in_flight = server.in_flight(now);
+        let cold = match server.announcement.state {
+            ServerState::Starting => COLD_FACTOR,
+            ServerState::Serving | ServerState::Draining | ServerState::Stopped => 1.0,
+        };
+        let work = usual * server.slowness(now, usual) * cold;
+        let queued = f64::from((in_flight + 1).saturating_sub(slots));
+        let (round_trip, distance_cost) = match server.distance {
+            Distance::SameDataCentre => (0.0, 0.0),
+            Distance::SameRegion => (REGION_ROUND_TRIP, OTHER_DATA_CENTRE_COST),
+            Distance::OtherRegion => (FAR_ROUND_TRIP, OTHER_REGION_COST),
+        };
+        let unreachable_cost =
+            if server.standing.is_unreachable(now) { UNREACHABLE_COST } else { 0.0 };
+        Self {
+            answer_in: round_trip + work * (1.0 + queued / f64::from(slots)),
+            free_in: work / f64::from(slots),
+            is_full: in_flight >= slots + QUEUED_AT_SERVER || server.standing.is_full(now),
+            distance_cost,
+            unreachable_cost,
+            risk: server.standing.risk(now),
+        }
+    }
+
+    fn cost(&self, repeats: Repeats) -> f64 {
+        let loss_cost = match repeats {
+            Repeats::Allowed => REPEATABLE_LOSS_COST,
+            Repeats::Forbidden => FINAL_LOSS_COST,
+        };
+        self.answer_in + self.distance_cost + self.unreachable_cost + self.risk * loss_cost
+    }
+}
+
+fn millis(value: f64) -> Millis {
+    Millis(value.clamp(1.0, 60_000.0) as u64)
+}
--- /dev/null
+++ b/components/ids/src/fractions.rs
@@ -0,0 +1,64 @@
+//! Numbers that settings write as fractions and that are kept as whole numbers.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+
+use crate::{Millis, ParseIdError};
+
+/// A share of something, from 0 up, kept in thousandths.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Share {
+    /// The share in thousandths.
+    pub milli: u32,
+}
+
+/// A duration that is written in seconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Seconds(pub Millis);
+
+macro_rules! fraction_text {
+    ($name:ident, $what:literal, $to_milli:expr, $from_milli:expr) => {
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                let milli: u64 = $to_milli(*self);
+                (milli as f64 / 1_000.0).fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, ParseIdError> {
+                let value: f64 = text.parse().map_err(|_| ParseIdError::BadNumber($what))?;
+                milli(value).map($from_milli).ok_or(ParseIdError::BadNumber($what))
+            }
+        }
+
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                let milli: u64 = $to_milli(*self);
+                serializer.serialize_f64(milli as f64 / 1_000.0)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                let value = f64::deserialize(deserializer)?;
+                let parsed = milli(value).map($from_milli);
+                parsed.ok_or_else(|| de::Error::custom(ParseIdError::BadNumber($what)))
+            }
+        }
+    };
+}
+
+fraction_text!(Share, "share", |it: Share| u64::from(it.milli), |milli: u32| Share { milli });
+fraction_text!(Seconds, "number of seconds", |it: Seconds| it.0.0, |milli: u32| Seconds(Millis(
+    milli.into()
+)));
+
+/// A number in thousandths, if it fits.
+fn milli(value: f64) -> Option<u32> {
+    let milli = (value * 1_000.0).round();
+    (milli >= 0.0 && milli <= f64::from(u32::MAX)).then_some(milli as u32)
+}
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod blob;
 mod digest;
+mod fractions;
 mod names;
 mod numbers;
 mod time;
@@ -11,6 +12,7 @@
 pub use crate::{
     blob::Blob,
     digest::{ContentDigest, Fingerprint, KeyDigest},
+    fractions::{Seconds, Share},
     names::{DataCentreName, IdempotencyKey, OrganisationName, RegionName, ServerId, ServiceName},
     numbers::{
         AttemptNumber, ByteSize, ConfigVersion, Epoch, HostId, Incarnation, LogIndex, RequestId,
--- /dev/null
+++ b/components/registry/src/lib.rs
@@ -0,0 +1,19 @@
+//! The registry of a gateway fleet: the newest configuration and the backend servers that have
+//! announced themselves, replicated by the control hosts.
+//!
+//! [`RegistryHost`] holds all decisions of a control host. Its owner carries out the returned
+//! actions in order and makes each storage action durable before the action that follows it.
+
+mod action;
+mod followers;
+mod host;
+mod log_requests;
+mod presence;
+mod state;
+
+pub use crate::{
+    action::{Answer, HostAction, HostEvent, Request, UnavailableReason},
+    followers::{HOST_LIST_INTERVAL, POLL_HOLD},
+    host::{RegistryHost, RegistryHostSettings, RegistryStatus},
+    state::{Judgement, Registry},
+};
--- /dev/null
+++ b/components/registry/src/presence.rs
@@ -0,0 +1,171 @@
+//! The entry hosts of the fleet, as the control hosts see them together.
+//!
+//! Each control host lists the entry hosts that poll it and sends that list to the others. The
+//! union is kept with revisions, so that followers get only what changed.
+
+use std::collections::BTreeMap;
+
+use ids::{FastMap, HostId, Incarnation, Millis, Timestamp};
+use schema::sync::{EntryHostRecord, HostsChanges, HostsRevision, HostsUpdate};
+
+/// Silence after which a host that polled counts as gone, in milliseconds.
+///
+/// A live host polls again right after each answer, and answers are held for a second at most.
+const POLLER_TIMEOUT: Millis = Millis(2_500);
+
+/// Between two lists that say the same, in milliseconds.
+const REPEAT_INTERVAL: Millis = Millis(4_000);
+
+/// Age at which another control host's list no longer counts, in milliseconds: two repeats lost.
+const LIST_TIMEOUT: Millis = Millis(10_000);
+
+/// Time after a start in which lists of other control hosts may be missing, in milliseconds.
+const WARM_UP: Millis = Millis(5_000);
+
+/// The list of another control host.
+#[derive(Debug)]
+struct OtherList {
+    hosts: Vec<EntryHostRecord>,
+    received_at: Timestamp,
+}
+
+/// A host that polls this control host.
+#[derive(Debug)]
+struct Poller {
+    record: EntryHostRecord,
+    seen_at: Timestamp,
+}
+
+/// An entry host in the union of all lists; `record` is empty once it is gone.
+#[derive(Debug)]
+struct Listed {
+    record: Option<EntryHostRecord>,
+    revision: u64,
+}
+
+/// The entry hosts of the fleet.
+#[derive(Debug)]
+pub(crate) struct EntryHosts {
+    own: HostId,
+    incarnation: Incarnation,
+    complete_at: Timestamp,
+    pollers: BTreeMap<HostId, Poller>,
+    others: FastMap<HostId, OtherList>,
+    union: BTreeMap<HostId, Listed>,
+    revision: u64,
+    sent: Vec<EntryHostRecord>,
+    sent_at: Timestamp,
+}
+
+impl EntryHosts {
+    /// An empty list; with `is_new_fleet` there is nothing to wait for.
+    pub(crate) fn new(
+        own: HostId,
+        incarnation: Incarnation,
+        now: Timestamp,
+        is_new_fleet: bool,
+    ) -> Self {
+        let complete_at = if is_new_fleet { now } else { now + WARM_UP };
+        Self {
+            own,
+            incarnation,
+            complete_at,
+            pollers: BTreeMap::new(),
+            others: FastMap::default(),
+            union: BTreeMap::new(),
+            revision: 0,
+            sent: Vec::new(),
+            sent_at: now,
+        }
+    }
+
+    /// Notes that an entry host has polled.
+    pub(crate) fn note_poll(&mut self, now: Timestamp, record: EntryHostRecord) {
+        self.pollers.insert(record.host, Poller { record, seen_at: now });
+    }
+
+    /// Takes the list of another control host.
+    pub(crate) fn note_list(&mut self, now: Timestamp, from: HostId, hosts: Vec<EntryHostRecord>) {
+        self.others.insert(from, OtherList { hosts, received_at: now });
+    }
+
+    /// Brings the union up to date; returns the own list when the others should get it.
+    pub(crate) fn tick(&mut self, now: Timestamp) -> Option<Vec<EntryHostRecord>> {
+        self.pollers.retain(|_, it| now < it.seen_at + POLLER_TIMEOUT);
+        self.others.retain(|_, it| now < it.received_at + LIST_TIMEOUT);
+        self.update_union();
+        let list: Vec<_> = self.pollers.values().map(|it| it.record.clone()).collect();
+        if list == self.sent && now < self.sent_at + REPEAT_INTERVAL {
+            return None;
+        }
+        self.sent = list.clone();
+        self.sent_at = now;
+        Some(list)
+    }
+
+    /// Whether a follower lacks something of the list.
+    pub(crate) fn has_news_for(&self, now: Timestamp, held: &HostsRevision) -> bool {
+        now >= self.complete_at && *held != self.current_revision()
+    }
+
+    /// What a follower lacks.
+    pub(crate) fn update_for(&self, now: Timestamp, held: &HostsRevision) -> HostsUpdate {
+        if !self.has_news_for(now, held) {
+            return HostsUpdate::Unchanged;
+        }
+        let revision = self.current_revision();
+        let is_same_list =
+            held.control_host == revision.control_host && held.incarnation == revision.incarnation;
+        let since = if is_same_list { held.number } else { 0 };
+        let changed = self.union.iter().filter(|(_, it)| it.revision > since);
+        let gone = changed.clone().filter(|(_, it)| it.record.is_none()).map(|(host, _)| *host);
+        HostsUpdate::Changed(HostsChanges {
+            revision,
+            whole: !is_same_list,
+            hosts: changed.clone().filter_map(|(_, it)| it.record.clone()).collect(),
+            gone: gone.collect(),
+        })
+    }
+
+    /// Entry hosts in the union.
+    pub(crate) fn len(&self) -> usize {
+        self.union.values().filter(|it| it.record.is_some()).count()
+    }
+
+    fn current_revision(&self) -> HostsRevision {
+        HostsRevision {
+            control_host: self.own,
+            incarnation: self.incarnation,
+            number: self.revision,
+        }
+    }
+
+    fn update_union(&mut self) {
+        let mut union: BTreeMap<HostId, EntryHostRecord> = BTreeMap::new();
+        let own = self.pollers.values().map(|it| &it.record);
+        for record in own.chain(self.others.values().flat_map(|it| &it.hosts)) {
+            let newest = union.get(&record.host).is_none_or(|it| is_newer(record, it));
+            if newest {
+                union.insert(record.host, record.clone());
+            }
+        }
+        let mut revision = self.revision;
+        for (host, listed) in &mut self.union {
+            let record = union.remove(host);
+            if record != listed.record {
+                revision += 1;
+                *listed = Listed { record, revision };
+            }
+        }
+        for (host, record) in union {
+            revision += 1;
+            self.union.insert(host, Listed { record: Some(record), revision });
+        }
+        self.revision = revision;
+    }
+}
+
+/// Whether `record` says something newer of the same host.
+fn is_newer(record: &EntryHostRecord, than: &EntryHostRecord) -> bool {
+    (record.incarnation, record.state) > (than.incarnation, than.state)
+}
--- a/components/routing/src/route_table.rs
+++ b/components/routing/src/route_table.rs
@@ -11,40 +11,53 @@
 /// The host of a route that matches every host.
 const ANY_HOST: &str = "*";
 
-/// Routes by host and path prefix.
-#[derive(Debug, Clone, Default)]
-pub struct RouteTable {
-    hosts: FastMap<Box<str>, PathTree>,
-    any_host: PathTree,
+/// Targets by host and path prefix.
+#[derive(Debug, Clone)]
+pub struct RouteTable<T> {
+    hosts: FastMap<Box<str>, PathTree<T>>,
+    any_host: PathTree<T>,
 }
 
 /// The routes of one host as a tree of path segments.
 #[derive(Debug, Clone)]
-struct PathTree {
-    nodes: Vec<Node>,
+struct PathTree<T> {
+    nodes: Vec<Node<T>>,
 }
 
-#[derive(Debug, Clone, Default)]
-struct Node {
-    service: Option<ServiceName>,
+#[derive(Debug, Clone)]
+struct Node<T> {
+    target: Option<T>,
     children: FastMap<Box<str>, usize>,
 }
 
-impl RouteTable {
-    /// Builds the table; of two routes with the same host and path, the first is kept.
+impl RouteTable<ServiceName> {
+    /// Builds the table of a configuration text.
     pub fn build(routes: &[Route]) -> Self {
         let mut table = Self::default();
         for route in routes {
-            table.tree_mut(&route.host).insert(&route.path, &route.service);
+            table.insert(&route.host, &route.path, route.service.clone());
         }
         table
     }
+}
+
+impl<T> Default for RouteTable<T> {
+    fn default() -> Self {
+        Self { hosts: FastMap::default(), any_host: PathTree::default() }
+    }
+}
+
+impl<T> RouteTable<T> {
+    /// Adds a route; of two routes with the same host and path, the first is kept.
+    pub fn insert(&mut self, host: &str, path: &str, target: T) {
+        self.tree_mut(host).insert(path, target);
+    }
 
-    /// The service of the longest route that covers `path`.
+    /// The target of the longest route that covers `path`.
     ///
     /// Routes that name the host come before routes for any host. The query is ignored. Paths
     /// that don't begin with `/`, or hold a dot segment, match no route.
-    pub fn lookup(&self, host: &str, path: &str) -> Option<&ServiceName> {
+    pub fn lookup(&self, host: &str, path: &str) -> Option<&T> {
         let path = without_query(path);
         if !is_routable(path) {
             return None;
@@ -54,7 +67,7 @@
         exact.or_else(|| self.any_host.longest_prefix(path))
     }
 
-    fn tree_mut(&mut self, host: &str) -> &mut PathTree {
+    fn tree_mut(&mut self, host: &str) -> &mut PathTree<T> {
         if host == ANY_HOST {
             return &mut self.any_host;
         }
@@ -62,19 +75,25 @@
     }
 }
 
-impl Default for PathTree {
+impl<T> Default for PathTree<T> {
     fn default() -> Self {
-        Self { nodes: vec![Node::default()] }
+        Self { nodes: vec![Node::new()] }
+    }
+}
+
+impl<T> Node<T> {
+    fn new() -> Self {
+        Self { target: None, children: FastMap::default() }
     }
 }
 
-impl PathTree {
-    fn insert(&mut self, path: &str, service: &ServiceName) {
+impl<T> PathTree<T> {
+    fn insert(&mut self, path: &str, target: T) {
         let mut index = 0;
         for segment in segments(path.trim_end_matches('/')) {
             index = self.child(index, segment);
         }
-        self.nodes[index].service.get_or_insert_with(|| service.clone());
+        self.nodes[index].target.get_or_insert(target);
     }
 
     fn child(&mut self, index: usize, segment: &str) -> usize {
@@ -82,18 +101,18 @@
             return child;
         }
         let child = self.nodes.len();
-        self.nodes.push(Node::default());
+        self.nodes.push(Node::new());
         self.nodes[index].children.insert(segment.into(), child);
         child
     }
 
-    fn longest_prefix(&self, path: &str) -> Option<&ServiceName> {
+    fn longest_prefix(&self, path: &str) -> Option<&T> {
         let mut node = &self.nodes[0];
-        let mut found = node.service.as_ref();
+        let mut found = node.target.as_ref();
         for segment in segments(path) {
             let Some(&child) = node.children.get(segment) else { break };
             node = &self.nodes[child];
-            found = node.service.as_ref().or(found);
+            found = node.target.as_ref().or(found);
         }
         found
     }
--- a/components/routing/tests/route_table.rs
+++ b/components/routing/tests/route_table.rs
@@ -18,7 +18,7 @@
     Route { host: host.to_string(), path: path.to_string(), service: service(name) }
 }
 
-fn table() -> RouteTable {
+fn table() -> RouteTable<ServiceName> {
     RouteTable::build(&[
         route("*", "/", "fallback"),
         route("*", "/queue", "queue"),
--- a/components/schema_gen/src/lib.rs
+++ b/components/schema_gen/src/lib.rs
@@ -127,6 +127,7 @@
     for (definition, file) in external {
         let (krate, path) = match (file.as_str(), definition.as_str()) {
             (IDS_FILE, "SocketAddr") => ("std", "std::net::SocketAddr".to_owned()),
+            (IDS_FILE, "Ipv4Addr") => ("std", "std::net::Ipv4Addr".to_owned()),
             (IDS_FILE, _) => ("ids", format!("ids::{definition}")),
             _ => ("schema", format!("schema::{file}::{definition}")),
         };
--- a/components/transport/src/keys.rs
+++ b/components/transport/src/keys.rs
@@ -42,6 +42,13 @@
         Ok(Self { keys })
     }
 
+    /// Keys that everybody knows, for fleets whose hosts are handed no secret.
+    ///
+    /// They still tell damaged messages from whole ones, but keep no stranger out.
+    pub fn public() -> Self {
+        Self { keys: vec![[0; KEY_BYTES]] }
+    }
+
     /// The key that signs.
     pub(crate) fn signing(&self) -> &[u8; KEY_BYTES] {
         &self.keys[0]
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -107,7 +107,7 @@
 
     /// Queues a message for a peer; it may be lost, like any message between hosts.
     pub fn send(&self, to: HostId, address: SocketAddr, message: PeerMessage) {
-        let lossy = matches!(message, PeerMessage::Membership(_));
+        let lossy = matches!(message, PeerMessage::Membership(_) | PeerMessage::ServerLoad(_));
         let frame = PeerFrame { from: self.host, to, incarnation: self.incarnation, message };
         let sealed = seal(&self.keys, &frame);
         if lossy && sealed.len() <= MAX_DATAGRAM_BYTES {
--- a/components/transport/src/stream.rs
+++ b/components/transport/src/stream.rs
@@ -3,6 +3,7 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use schema::MAX_FRAME_BYTES;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -12,8 +13,12 @@
 
 use crate::{Inbox, Stats, seal::MAC_BYTES};
 
-/// Longest wait for a connection to a peer.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for a connection to a peer: a lost opening packet is not waited for, since what is
+/// sent is repeated anyway.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Time after which a connection whose peer acknowledges nothing counts as broken.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Longest wait until a peer takes a message.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -45,6 +50,8 @@
 ) -> Result<(), usize> {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let Ok(Ok(mut stream)) = connected else { return Err(0) };
+    // Where the option is missing, a silent connection is noticed only once its buffer is full.
+    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE_TIMEOUT));
     // Without it small messages would wait for each other.
     stream.set_nodelay(true).map_err(|_| 0usize)?;
     while let Some(data) = rx.recv().await {
--- /dev/null
+++ b/src/bin/daisypaddle-gateway.rs
@@ -0,0 +1,77 @@
+//! A gateway fleet: entry hosts with a policy for each route, and their control hosts.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use daisypaddle::cli::{self, ExitError};
+
+const HELP: &str = "\
+Runs one process of a daisypaddle gateway fleet.
+
+usage: daisypaddle-gateway ROLE --settings FILE [--check]
+
+  entry            serves callers, and answers which addresses they should use
+  control          keeps the configuration and the backend servers on its disk
+
+  --settings FILE  settings of this process, in YAML
+  --check          check the settings and exit
+  -h, --help       print this help
+  -V, --version    print the version
+
+Stops at SIGTERM or SIGINT, after the requests in flight; SIGHUP reads the seeds of the settings
+anew. Logs are JSON lines on standard output. Exit codes: 0 stopped as planned, 1 failed, 2 wrong
+command line, 3 settings with errors.
+";
+
+/// What the process does in the fleet.
+enum Role {
+    Entry,
+    Control,
+}
+
+fn main() -> ExitCode {
+    cli::run_main("daisypaddle-gateway", HELP, |mut args| {
+        let role = match args.subcommand()?.as_deref() {
+            Some("entry") => Role::Entry,
+            Some("control") => Role::Control,
+            _ => return Err(ExitError::usage("the role must be entry or control")),
+        };
+        let path: PathBuf = args.value_from_str("--settings")?;
+        let only_check = args.contains("--check");
+        cli::finish(args)?;
+        match role {
+            Role::Entry => {
+                let settings = admin::read_settings(&path, config::parse_gateway_settings)
+                    .map_err(ExitError::invalid)?;
+                run(only_check, || gateway::entry::run(settings, path))
+            }
+            Role::Control => {
+                let settings = admin::read_settings(&path, config::parse_registry_settings)
+                    .map_err(ExitError::invalid)?;
+                run(only_check, || gateway::control::run(settings, path))
+            }
+        }
+    })
+}
+
+/// Runs a role on one thread: its hosts have a part of one core.
+fn run<F>(only_check: bool, start: impl FnOnce() -> F) -> Result<(), ExitError>
+where
+    F: Future<Output = Result<(), gateway::StartError>>,
+{
+    if only_check {
+        return Ok(());
+    }
+    json_log::start(std::io::stdout()).map_err(ExitError::failed)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(ExitError::failed)?;
+    let tasks = tokio::task::LocalSet::new();
+    let result = tasks.block_on(&runtime, start());
+    if let Err(e) = &result {
+        log::error!(error:% = e; "process ends");
+    }
+    // Blocked disk writes must not hold up the end of the process.
+    runtime.shutdown_background();
+    result.map_err(ExitError::failed)
+}
