Weigh servers by lost requests, follow near control hosts, elect sooner

Cause: requests of a few milliseconds made the usual latency of a service useless, fixed avoidance of 4 to 32 s emptied whole data centres, and polls and heartbeats crossed regions. A follower called itself current by the commit index of a leader that had just started and knew nothing accepted yet.

Now: usual latency by route; the chance that a server is broken by Bayes' rule; costs in lost requests; control hosts by distance; heartbeats every 250 ms, elections from 900 ms; a follower is current only once an entry of its leader's term is accepted (test first red, then green).

--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -121,10 +121,13 @@
     }
 
     /// Whether this host holds all that its leader called accepted a moment ago.
+    ///
+    /// A new leader knows what its predecessors accepted only once an entry of its own term is.
     pub(crate) fn follows_closely(&self, now: Timestamp) -> bool {
         self.leader.is_some()
             && now < self.leader_heard_at + FOLLOWER_FRESHNESS
             && self.commit >= self.leader_commit
+            && self.log.term_at(self.commit) == Some(self.vote.term)
     }
 
     pub(crate) fn note_leader(&mut self, leader: HostId) {
--- a/components/consensus/src/settings.rs
+++ b/components/consensus/src/settings.rs
@@ -3,19 +3,19 @@
 use ids::{HostId, Millis};
 
 /// How often a leader sends to each member, in milliseconds.
-pub const HEARTBEAT_INTERVAL: Millis = Millis(150);
+pub const HEARTBEAT_INTERVAL: Millis = Millis(250);
 
 /// How long a follower waits for its leader before it asks for votes, in milliseconds.
 ///
 /// The wait is drawn between this and twice this. A host that heard its leader within this time
 /// grants no vote.
-pub const ELECTION_TIMEOUT_MIN: Millis = Millis(1500);
+pub const ELECTION_TIMEOUT_MIN: Millis = Millis(900);
 
 /// How long a leader answers as current after a majority's last answer was asked for, in
 /// milliseconds.
 ///
 /// It is shorter than [`ELECTION_TIMEOUT_MIN`], so that clocks may run apart by a quarter.
-pub const LEASE: Millis = Millis(1100);
+pub const LEASE: Millis = Millis(700);
 
 /// How long a leader waits for the answer to entries before it sends them again, in milliseconds.
 pub const RETRY_INTERVAL: Millis = Millis(500);
@@ -34,8 +34,8 @@
 
 /// How long a follower counts as current after it last heard its leader, in milliseconds.
 ///
-/// Four heartbeats, so that a single lost packet and its resend pass unnoticed.
-pub const FOLLOWER_FRESHNESS: Millis = Millis(600);
+/// Three heartbeats, so that a single lost packet and its resend pass unnoticed.
+pub const FOLLOWER_FRESHNESS: Millis = Millis(800);
 
 /// Which hosts besides the founding ones may join.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/components/consensus/tests/replication.rs
+++ b/components/consensus/tests/replication.rs
@@ -77,3 +77,31 @@
 
     cluster.run_until(|it| it.ids().iter().all(|host| it.state(*host) == [1]));
 }
+
+#[test]
+fn a_follower_is_current_only_with_all_that_was_accepted_before_a_restart() {
+    let mut cluster = Cluster::with_leader(5);
+    let leader = cluster.leader().unwrap();
+    for value in 0..20 {
+        assert!(cluster.propose(leader, value));
+        cluster.step();
+    }
+    cluster.run_until(|it| it.accepted().len() == 20);
+
+    for host in cluster.ids() {
+        cluster.crash(host);
+        cluster.start(host);
+    }
+
+    cluster.run_until(|it| {
+        let current = it.ids().into_iter().filter(|host| {
+            let process = it.process(*host).unwrap();
+            process.is_current(it.clock(*host))
+        });
+        let current: Vec<HostId> = current.collect();
+        for host in &current {
+            assert_eq!(it.state(*host).len(), 20, "host {host} is current and lags");
+        }
+        current.len() == 5
+    });
+}
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -10,7 +10,7 @@
 use consensus::Growth;
 use ids::Millis;
 use registry::{HostEvent, RegistryHost, RegistryHostSettings};
-use schema::gateway_settings::RegistrySettings;
+use schema::{gateway_settings::RegistrySettings, sync::Place};
 use storage::Storage;
 use tokio::{sync::mpsc, time::MissedTickBehavior};
 
@@ -49,6 +49,7 @@
         peers::bind_transport(settings.ip, settings.peer_port.get(), incarnation).await?;
     let host_settings = RegistryHostSettings {
         consensus: consensus_settings(&settings, incarnation.0),
+        place: Place { region: settings.region.clone(), data_centre: settings.data_centre.clone() },
         incarnation,
         is_new_fleet: settings.bootstrap,
     };
--- a/components/gateway/src/entry/forward.rs
+++ b/components/gateway/src/entry/forward.rs
@@ -8,7 +8,7 @@
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Uri};
-use ids::{AttemptNumber, RequestId};
+use ids::{AttemptNumber, ByteSize, RequestId};
 use platform::headers;
 use tokio::{sync::Notify, task::JoinSet, time::sleep};
 
@@ -57,8 +57,10 @@
                 let wait = Duration::from_micros(wait.max(500));
                 let ended = next_event(&mut attempts, &waker, wait).await;
                 if let Some((attempt, CallEnd { end, answer })) = ended {
+                    let answer_size = answer.as_ref().map_or(0, |it| it.body.len());
+                    let size = ByteSize((request.body.len() + answer_size) as u64);
                     answers.extend(answer.map(|it| (attempt, it)));
-                    shared.with_core(|core, now| core.attempt_ended(now, id, attempt, end));
+                    shared.with_core(|core, now| core.attempt_ended(now, id, attempt, end, size));
                 }
             }
             Step::Finish(finish) => {
--- a/components/gateway/src/entry/notes.rs
+++ b/components/gateway/src/entry/notes.rs
@@ -10,16 +10,14 @@
         Note::ConfigInForce { version, before, routes } => {
             log::info!(version = version.0, before = before.0, routes = *routes; "configuration in force");
         }
-        Note::ServerAnnounced { server, service, state } => {
-            log::info!(server:% = server, service:% = service, state:% = state; "server announced");
+        Note::ServerAnnounced { server, service, data_centre, state } => {
+            log::info!(server:% = server, service:% = service, data_centre:% = data_centre, state:% = state; "server announced");
         }
-        Note::ServerAvoided { server, cause, seen_by, avoided_for, relapses } => {
+        Note::ServerAvoided { server, cause, seen_by } => {
             log::info!(
                 server:% = server,
                 cause:% = cause,
-                seen_by:% = peers::address_of(*seen_by, 0).ip(),
-                avoided_ms = avoided_for.0,
-                relapses = *relapses;
+                seen_by:% = peers::address_of(*seen_by, 0).ip();
                 "server avoided"
             );
         }
--- a/components/gateway_core/src/configuration.rs
+++ b/components/gateway_core/src/configuration.rs
@@ -1,6 +1,9 @@
 //! A gateway's configuration: routes with their policies, and the services they lead to.
 
+use std::hash::Hasher;
+
 use ids::{ByteSize, ConfigVersion, Millis, ServiceName};
+use rustc_hash::FxHasher;
 
 /// Whether a request may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,6 +46,19 @@
     pub max_attempts: u32,
 }
 
+/// Tells routes apart in messages between gateways.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct RouteKey(pub u32);
+
+impl Route {
+    /// The same on all gateways, whatever the version of their configuration.
+    pub fn key(&self) -> RouteKey {
+        let mut hasher = FxHasher::default();
+        hasher.write(self.name.as_bytes());
+        RouteKey(hasher.finish() as u32)
+    }
+}
+
 /// A service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServicePolicy {
--- a/components/gateway_core/src/follower.rs
+++ b/components/gateway_core/src/follower.rs
@@ -1,10 +1,11 @@
 //! Follows the registry through one control host at a time.
 //!
-//! A gateway always has one poll on its way. A control host that does not answer in time, or that
-//! says that it is not current, is left for the next one.
+//! A gateway always has one poll on its way, to a control host near it: updates to many gateways
+//! would otherwise cross regions many times. A control host that does not answer in time, or that
+//! says that it is not current, is left for another one.
 
 use ids::{HostId, LogIndex, Millis, Timestamp};
-use schema::sync::{HostsRevision, Poll, Presence};
+use schema::sync::{ControlHostRecord, HostsRevision, KnownPlace, Place, Poll, Presence};
 
 use crate::notes::Note;
 
@@ -18,6 +19,9 @@
 /// Pause before the next control host is asked after one that is not current, in milliseconds.
 const NOT_CURRENT_PAUSE: Millis = Millis(100);
 
+/// Time after which a control host that was left is tried again, in milliseconds.
+const TRY_AGAIN_AFTER: Millis = Millis(10_000);
+
 /// A poll to be sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PollOut {
@@ -27,11 +31,22 @@
     pub poll: Poll,
 }
 
+/// A control host that may be asked.
+#[derive(Debug, Clone)]
+struct Candidate {
+    host: HostId,
+    /// 0 in the same data centre, 1 in the same region, 2 elsewhere or unknown.
+    distance: u8,
+    left_at: Option<Timestamp>,
+}
+
 /// What is known of the control hosts.
 #[derive(Debug)]
 pub(crate) struct Follower {
-    control_hosts: Vec<HostId>,
-    next: usize,
+    own: Place,
+    candidates: Vec<Candidate>,
+    /// Spreads gateways over control hosts that are equally near.
+    seed: u64,
     target: Option<HostId>,
     sequence: u64,
     waits_until: Timestamp,
@@ -43,14 +58,11 @@
 }
 
 impl Follower {
-    pub(crate) fn new(seeds: &[HostId], seed: u64) -> Self {
-        let mut control_hosts = seeds.to_vec();
-        control_hosts.sort_unstable();
-        control_hosts.dedup();
-        let next = usize::try_from(seed).unwrap_or(0) % control_hosts.len().max(1);
-        Self {
-            control_hosts,
-            next,
+    pub(crate) fn new(own: Place, seeds: &[HostId], seed: u64) -> Self {
+        let mut follower = Self {
+            own,
+            candidates: Vec::new(),
+            seed,
             target: None,
             sequence: 0,
             waits_until: Timestamp::default(),
@@ -58,7 +70,9 @@
             is_fed: false,
             holds: LogIndex(0),
             last_current_at: None,
-        }
+        };
+        follower.add_seeds(seeds);
+        follower
     }
 
     /// When [`Self::poll`] has to be asked again without an update.
@@ -78,9 +92,9 @@
             return None;
         }
         if self.is_waiting {
-            self.leave_target("no answer in time", notes);
+            self.leave_target(now, "no answer in time", notes);
         }
-        let to = self.choose_target()?;
+        let to = self.choose_target(now)?;
         self.sequence += 1;
         self.is_waiting = true;
         self.waits_until = now + ANSWER_TIMEOUT;
@@ -113,7 +127,7 @@
             }
             return;
         }
-        self.leave_target("not current", notes);
+        self.leave_target(now, "not current", notes);
         self.waits_until = now + NOT_CURRENT_PAUSE;
     }
 
@@ -124,36 +138,69 @@
     }
 
     /// Learns the control hosts; what was learned goes before settings.
-    pub(crate) fn learn(&mut self, control_hosts: &[HostId]) {
+    pub(crate) fn learn(&mut self, control_hosts: &[ControlHostRecord]) {
         if control_hosts.is_empty() {
             return;
         }
-        self.control_hosts = control_hosts.to_vec();
-        self.control_hosts.sort_unstable();
+        let learned = control_hosts.iter().map(|it| Candidate {
+            host: it.host,
+            distance: self.distance(&it.place),
+            left_at: self.candidate(it.host).and_then(|it| it.left_at),
+        });
+        self.candidates = learned.collect();
     }
 
     /// Adds the seeds of new settings.
     pub(crate) fn add_seeds(&mut self, seeds: &[HostId]) {
-        self.control_hosts.extend(seeds);
-        self.control_hosts.sort_unstable();
-        self.control_hosts.dedup();
+        for &host in seeds {
+            if self.candidate(host).is_none() {
+                self.candidates.push(Candidate { host, distance: 2, left_at: None });
+            }
+        }
+    }
+
+    fn candidate(&self, host: HostId) -> Option<&Candidate> {
+        self.candidates.iter().find(|it| it.host == host)
+    }
+
+    fn distance(&self, place: &KnownPlace) -> u8 {
+        match place {
+            KnownPlace::Known(it) if it.data_centre == self.own.data_centre => 0,
+            KnownPlace::Known(it) if it.region == self.own.region => 1,
+            KnownPlace::Known(_) | KnownPlace::Unknown => 2,
+        }
     }
 
-    fn leave_target(&mut self, cause: &'static str, notes: &mut Vec<Note>) {
-        if let Some(host) = self.target.take()
-            && self.is_fed
-        {
-            notes.push(Note::ControlHostLost { host, cause });
+    fn leave_target(&mut self, now: Timestamp, cause: &'static str, notes: &mut Vec<Note>) {
+        if let Some(host) = self.target.take() {
+            if let Some(it) = self.candidates.iter_mut().find(|it| it.host == host) {
+                it.left_at = Some(now);
+            }
+            if self.is_fed {
+                notes.push(Note::ControlHostLost { host, cause });
+            }
         }
         self.is_fed = false;
         self.is_waiting = false;
     }
 
-    fn choose_target(&mut self) -> Option<HostId> {
-        if self.target.is_none() {
-            self.next = (self.next + 1) % self.control_hosts.len().max(1);
-            self.target = self.control_hosts.get(self.next).copied();
+    /// Keeps the target unless a nearer one may be tried; takes the one that was left longest ago
+    /// when all were left lately.
+    fn choose_target(&mut self, now: Timestamp) -> Option<HostId> {
+        let rank = |it: &Candidate| {
+            let left_at = it.left_at.filter(|at| now.since(*at) < TRY_AGAIN_AFTER);
+            let is_target = self.target == Some(it.host);
+            let spread = (u64::from(it.host.0) ^ self.seed).wrapping_mul(SPREAD_FACTOR);
+            (left_at, it.distance, !is_target, spread)
+        };
+        let best = self.candidates.iter().min_by_key(|it| rank(it))?.host;
+        if self.target != Some(best) {
+            self.target = Some(best);
+            self.is_fed = false;
         }
         self.target
     }
 }
+
+/// Mixes host ids and seeds; an odd number without short patterns (the golden ratio in 64 bits).
+const SPREAD_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -1,7 +1,7 @@
 //! What a request needs next: a server, a wait, a further attempt or its end.
 
-use ids::{AttemptNumber, Millis, RequestId, ServerId, Timestamp};
-use schema::server_load::LoadEvent;
+use ids::{AttemptNumber, ByteSize, Millis, RequestId, ServerId, Timestamp};
+use schema::server_load::{Answered, LoadEvent};
 
 use super::{Gateway, QUARANTINE_RETRY_AFTER, waiting_key};
 use crate::{
@@ -62,13 +62,14 @@
         self.send_or_wait(now, id)
     }
 
-    /// Notes how an attempt ended.
+    /// Notes how an attempt ended, and how large request and answer were together.
     pub fn attempt_ended(
         &mut self,
         now: Timestamp,
         id: RequestId,
         attempt: AttemptNumber,
         end: AttemptEnd,
+        size: ByteSize,
     ) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(position) = request.live.iter().position(|it| it.number == attempt) else {
@@ -84,10 +85,14 @@
             _ => {}
         }
         let fingerprint = request.head.fingerprint;
+        let route = request.route.key();
         let event = match end {
             AttemptEnd::Answered => {
                 let millis = now.since(live.started).0;
-                LoadEvent::Answered(u32::try_from(millis).unwrap_or(u32::MAX))
+                LoadEvent::Answered(Answered {
+                    latency_ms: u32::try_from(millis).unwrap_or(u32::MAX),
+                    route: route.0,
+                })
             }
             AttemptEnd::ServerError => LoadEvent::ServerError,
             AttemptEnd::Shed => LoadEvent::Shed,
@@ -100,6 +105,7 @@
         }
         if end == AttemptEnd::Answered {
             self.quarantine.note_answered(fingerprint);
+            self.servers.note_size(route, size);
         }
         if end == AttemptEnd::Lost {
             self.note_lost(now, Some(id), fingerprint, live.key);
@@ -109,7 +115,7 @@
 
     /// Ends the attempts of a request that is answered or whose caller is gone.
     pub(super) fn end_live_attempts(&mut self, now: Timestamp, request: &Request) {
-        let usual = self.servers.usual_latency(&request.service);
+        let usual = self.servers.usual_latency(&request.route);
         for live in &request.live {
             let age = now.since(live.started).0 as f64;
             let is_overdue = age >= usual * OVERDUE_LATENCIES / 2.0;
@@ -137,7 +143,7 @@
     /// Looks after attempts in flight: reports late ones, and sends a second one beside them.
     fn watch(&mut self, now: Timestamp, id: RequestId) -> Step {
         let request = &self.requests[&id];
-        let usual = self.servers.usual_latency(&request.service);
+        let usual = self.servers.usual_latency(&request.route);
         let overdue_after = Millis((usual * OVERDUE_LATENCIES) as u64);
         let aim = request.route.latency_aim.0 as f64;
         let hedge_after = Millis((usual * HEDGE_LATENCIES).max(aim * HEDGE_AIM_SHARE) as u64);
@@ -237,7 +243,7 @@
             self.hosts.in_data_centre(&self.settings.data_centre).count().max(1) as u64;
         let servers = self.servers.of_service(&request.service).count().max(1) as u64;
         let expected = Millis(free_in.0 * (1 + ahead * neighbours) / servers);
-        let usual = Millis(self.servers.usual_latency(&request.service) as u64);
+        let usual = Millis(self.servers.usual_latency(&request.route) as u64);
         if expected.0 + usual.0 > request.time_left(now).0 {
             return self.give_up(id, RefusalReason::Busy, Some(expected));
         }
@@ -250,7 +256,7 @@
         let request = &self.requests[&id];
         let asked = PlacementRequest {
             service: &request.service,
-            repeats: request.route.repeats,
+            route: &request.route,
             tried: &request.tried,
             time_left: request.time_left(now),
         };
--- a/components/gateway_core/src/gateway/following.rs
+++ b/components/gateway_core/src/gateway/following.rs
@@ -97,6 +97,7 @@
             self.notes.push(Note::ServerAnnounced {
                 server: announcement.server,
                 service: announcement.service,
+                data_centre: announcement.data_centre,
                 state: announcement.state,
             });
         }
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -13,7 +13,7 @@
     rand_core::{RngCore, SeedableRng},
 };
 use routing::RouteTable;
-use schema::server_load::LoadReport;
+use schema::{server_load::LoadReport, sync::Place};
 
 use crate::{
     configuration::{CallerLimits, GatewayConfig, Route},
@@ -87,13 +87,15 @@
             settings.data_centre.clone(),
             settings.regions.clone(),
         );
+        let place =
+            Place { region: settings.region.clone(), data_centre: settings.data_centre.clone() };
         Self {
             life: Lifecycle::Joining,
             config: None,
             routes: RouteTable::default(),
             servers,
             hosts: EntryHosts::new(),
-            follower: Follower::new(&settings.seeds, seed),
+            follower: Follower::new(place, &settings.seeds, seed),
             requests: FastMap::default(),
             waiting: WaitingLines::default(),
             budgets: FastMap::default(),
@@ -179,7 +181,7 @@
             return Err(Refusal::not_run(RefusalReason::Quarantined, retry_after));
         }
         let service = self.choose_service(&route);
-        let until = self.time_limit(now, &route, &service, head.patience)?;
+        let until = self.time_limit(now, &route, head.patience)?;
         let id = self.next_request;
         self.next_request = id.next();
         self.requests.insert(id, Request::new(now, head, route, service, until));
@@ -247,13 +249,12 @@
         &self,
         now: Timestamp,
         route: &Route,
-        service: &ServiceName,
         patience: Option<Millis>,
     ) -> Result<Timestamp, Refusal> {
         let limit = patience.map_or(route.time_limit, |it| it.min(route.time_limit));
         let until = now + limit;
         let Lifecycle::Draining { until: stop } = self.life else { return Ok(until) };
-        let usual = self.servers.usual_latency(service) * STOP_LATENCIES;
+        let usual = self.servers.usual_latency(route) * STOP_LATENCIES;
         if (stop.since(now).0 as f64) < usual {
             let retry_after = Some(STOPPING_RETRY_AFTER);
             return Err(Refusal::not_run(RefusalReason::Stopping, retry_after));
--- a/components/gateway_core/src/gateway/reports.rs
+++ b/components/gateway_core/src/gateway/reports.rs
@@ -39,16 +39,14 @@
     }
 
     fn note_event(&mut self, now: Timestamp, seen_by: HostId, key: ServerKey, event: &LoadEvent) {
-        let Some((avoided_for, relapses)) = self.servers.note_event(now, key, event) else {
+        if !self.servers.note_event(now, key, event) {
             return;
-        };
+        }
         let Some(server) = self.servers.by_key_mut(key) else { return };
         self.notes.push(Note::ServerAvoided {
             server: server.announcement.server.clone(),
             cause: event_name(event),
             seen_by,
-            avoided_for,
-            relapses,
         });
     }
 
--- a/components/gateway_core/src/lib.rs
+++ b/components/gateway_core/src/lib.rs
@@ -16,7 +16,8 @@
 
 pub use crate::{
     configuration::{
-        CallerLimits, ConfigProblem, GatewayConfig, Repeats, Route, RouteTarget, ServicePolicy,
+        CallerLimits, ConfigProblem, GatewayConfig, Repeats, Route, RouteKey, RouteTarget,
+        ServicePolicy,
     },
     entry_hosts::DirectoryAnswer,
     follower::{ANSWER_TIMEOUT, PollOut},
@@ -26,9 +27,9 @@
         AttemptEnd, AttemptStart, Finish, KnownRun, Refusal, RefusalReason, RequestHead, Step,
     },
     servers::{
-        Distance, Server, ServerTable, ServiceLoad,
+        Distance, Server, ServerTable,
         placement::{Placement, PlacementRequest},
-        standing::Standing,
+        standing::{BrokenShare, Standing},
     },
     settings::{BudgetSettings, GatewaySettings, Lifecycle},
 };
--- a/components/gateway_core/src/notes.rs
+++ b/components/gateway_core/src/notes.rs
@@ -1,6 +1,6 @@
 //! What a gateway decided or came to believe, for logs.
 
-use ids::{ConfigVersion, HostId, Millis, RequestId, ServerId, ServiceName};
+use ids::{ConfigVersion, DataCentreName, HostId, Millis, RequestId, ServerId, ServiceName};
 
 /// A decision or a change of belief.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,6 +20,8 @@
         server: ServerId,
         /// Its service.
         service: ServiceName,
+        /// Where it is.
+        data_centre: DataCentreName,
         /// What it says of itself.
         state: schema::announcement::ServerState,
     },
@@ -31,10 +33,6 @@
         cause: &'static str,
         /// The host that saw it.
         seen_by: HostId,
-        /// For how long it is avoided.
-        avoided_for: Millis,
-        /// How often it has relapsed lately.
-        relapses: u32,
     },
     /// A control host no longer answers or is not current.
     ControlHostLost {
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -10,8 +10,8 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use ids::{
-    DataCentreName, FastMap, HostId, Incarnation, Millis, RegionName, ServerId, ServiceName,
-    Timestamp,
+    ByteSize, DataCentreName, FastMap, HostId, Incarnation, Millis, RegionName, ServerId,
+    ServiceName, Timestamp,
 };
 use schema::{
     announcement::{Announcement, ServerState},
@@ -19,7 +19,9 @@
     sync::RegistryChanges,
 };
 
-use standing::Standing;
+use standing::{BrokenShare, Standing};
+
+use crate::configuration::{Route, RouteKey};
 
 /// Age at which another gateway's count no longer holds, in milliseconds: longer than any attempt
 /// lasts on the services of today, so that only counts of lost gateways run out.
@@ -28,11 +30,23 @@
 /// Share of a new latency in a moving average.
 const LATENCY_GAIN: f64 = 0.1;
 
+/// Share of a new size in a moving average.
+const SIZE_GAIN: f64 = 0.2;
+
+/// Size of request and answer that is assumed before there was one, in kilobytes.
+const FIRST_KILOBYTES: f64 = 2.0;
+
+/// How far a single latency counts above the usual one.
+const MAX_LATENCY_RATIO: f64 = 4.0;
+
 /// Share of a new latency in a server's slowness; servers differ, and few observations come.
 const SLOWNESS_GAIN: f64 = 0.3;
 
-/// Latency that is assumed before a service has answered, in milliseconds.
-const FIRST_LATENCY: f64 = 250.0;
+/// Part of a route's latency aim that its answers are assumed to take before there are any.
+const FIRST_LATENCY_AIM_SHARE: f64 = 1.0 / 3.0;
+
+/// Least usual latency, in milliseconds, so that the ratio to it means something.
+const MIN_USUAL_LATENCY: f64 = 1.0;
 
 /// Time in which a server's slowness halves towards 1 without news, in milliseconds.
 const SLOWNESS_HALF_LIFE: f64 = 8_000.0;
@@ -133,19 +147,6 @@
 /// Usual latencies without any answer from a busy server after which it counts as slow.
 const STALL_LATENCIES: f64 = 2.0;
 
-/// What all servers of a service have in common.
-#[derive(Debug, Clone)]
-pub struct ServiceLoad {
-    /// The usual latency, in milliseconds.
-    pub usual_latency: f64,
-}
-
-impl Default for ServiceLoad {
-    fn default() -> Self {
-        Self { usual_latency: FIRST_LATENCY }
-    }
-}
-
 /// All backend servers.
 #[derive(Debug)]
 pub struct ServerTable {
@@ -156,7 +157,12 @@
     servers: BTreeMap<ServerId, Server>,
     by_address: FastMap<SocketAddr, ServerId>,
     by_service: FastMap<ServiceName, Vec<ServerId>>,
-    services: FastMap<ServiceName, ServiceLoad>,
+    /// How common broken servers are, by service.
+    broken_shares: FastMap<ServiceName, BrokenShare>,
+    /// Usual latencies by route, in milliseconds.
+    latencies: FastMap<RouteKey, f64>,
+    /// Usual sizes of request and answer by route, in kilobytes.
+    sizes: FastMap<RouteKey, f64>,
 }
 
 impl ServerTable {
@@ -173,7 +179,9 @@
             servers: BTreeMap::new(),
             by_address: FastMap::default(),
             by_service: FastMap::default(),
-            services: FastMap::default(),
+            broken_shares: FastMap::default(),
+            latencies: FastMap::default(),
+            sizes: FastMap::default(),
         }
     }
 
@@ -216,9 +224,36 @@
         self.servers.values()
     }
 
-    /// The usual latency of a service, in milliseconds.
-    pub fn usual_latency(&self, service: &ServiceName) -> f64 {
-        self.services.get(service).map_or(FIRST_LATENCY, |it| it.usual_latency)
+    /// How common broken servers are in a service.
+    pub fn broken_share(&self, service: &ServiceName) -> BrokenShare {
+        self.broken_shares.get(service).copied().unwrap_or_default()
+    }
+
+    /// The usual latency of a route, in milliseconds.
+    pub fn usual_latency(&self, route: &Route) -> f64 {
+        let known = self.latencies.get(&route.key()).copied();
+        known.unwrap_or(route.latency_aim.0 as f64 * FIRST_LATENCY_AIM_SHARE).max(MIN_USUAL_LATENCY)
+    }
+
+    /// The usual size of a route's request and answer together, in kilobytes.
+    pub fn usual_kilobytes(&self, route: &Route) -> f64 {
+        self.sizes.get(&route.key()).copied().unwrap_or(FIRST_KILOBYTES)
+    }
+
+    /// Learns the size of a route's request and answer.
+    pub(crate) fn note_size(&mut self, route: RouteKey, size: ByteSize) {
+        let kilobytes = size.0 as f64 / 1_000.0;
+        let usual = self.sizes.entry(route).or_insert(kilobytes);
+        *usual += (kilobytes - *usual) * SIZE_GAIN;
+    }
+
+    /// Learns the latency of a route from an answer.
+    pub(crate) fn note_latency(&mut self, route: RouteKey, millis: f64) {
+        let millis = millis.max(MIN_USUAL_LATENCY);
+        let usual = self.latencies.entry(route).or_insert(millis);
+        // Slow servers are the exception that the usual latency is for.
+        let bounded = millis.min(*usual * MAX_LATENCY_RATIO);
+        *usual += (bounded - *usual) * LATENCY_GAIN;
     }
 
     /// Notes an attempt of this gateway; returns what it now has in flight there.
@@ -268,40 +303,42 @@
         }
     }
 
-    /// Notes what happened to an attempt; returns for how long the server is now avoided if an
-    /// outbreak begins.
-    pub(crate) fn note_event(
-        &mut self,
-        now: Timestamp,
-        key: ServerKey,
-        event: &LoadEvent,
-    ) -> Option<(Millis, u32)> {
-        let id = self.by_address.get(&key.address)?;
-        let server = self.servers.get_mut(id)?;
+    /// Notes what happened to an attempt; says whether the server is avoided only now.
+    pub(crate) fn note_event(&mut self, now: Timestamp, key: ServerKey, event: &LoadEvent) -> bool {
+        let Some(id) = self.by_address.get(&key.address) else { return false };
+        let Some(server) = self.servers.get_mut(id) else { return false };
         if server.announcement.incarnation != key.incarnation {
-            return None;
+            return false;
         }
+        let service = &server.announcement.service;
+        if !self.broken_shares.contains_key(service) {
+            self.broken_shares.insert(service.clone(), BrokenShare::default());
+        }
+        let share = self.broken_shares.get_mut(service).expect("was just inserted");
         match event {
             LoadEvent::Started | LoadEvent::Repeated | LoadEvent::Cancelled => {}
-            LoadEvent::Answered(millis) => {
-                server.standing.note_answered(now);
+            LoadEvent::Answered(answered) => {
+                server.standing.note_answered(now, share);
                 server.progress_at = now;
-                let service = self.services.entry(server.announcement.service.clone()).or_default();
-                let latency = f64::from(*millis).max(1.0);
-                server.note_latency(now, latency, service.usual_latency);
-                // Slow servers are the exception that the usual latency is for.
-                let bounded = latency.min(service.usual_latency * 4.0);
-                service.usual_latency += (bounded - service.usual_latency) * LATENCY_GAIN;
+                let route = RouteKey(answered.route);
+                let usual = self.latencies.get(&route).copied();
+                let millis = f64::from(answered.latency_ms).max(1.0);
+                if let Some(usual) = usual {
+                    server.note_latency(now, millis, usual);
+                }
+                self.note_latency(route, millis);
             }
             LoadEvent::ServerError => {
                 server.standing.note_server_error(now);
                 server.progress_at = now;
             }
             LoadEvent::Shed => server.standing.note_shed(now),
-            LoadEvent::Lost(_) | LoadEvent::Overdue => return server.standing.note_lost(now),
+            LoadEvent::Lost(_) | LoadEvent::Overdue => {
+                return server.standing.note_lost(now, share);
+            }
             LoadEvent::Unreachable => server.standing.note_unreachable(now),
         }
-        None
+        false
     }
 
     /// Notes that another server has this one's address.
--- a/components/gateway_core/src/servers/placement.rs
+++ b/components/gateway_core/src/servers/placement.rs
@@ -1,7 +1,7 @@
 //! Chooses the backend server of an attempt.
 //!
 //! Each server is weighed by the time until its answer, by what it costs to leave the data centre,
-//! and by the chance that it loses the request. The load patterns that this answers:
+//! and by the chance that it loses the request. All costs are in lost requests. The load patterns that this answers:
 //!
 //! - *Calm times.* The nearest servers have free slots; traffic stays in the data centre.
 //! - *Slow servers.* A slow server's queue makes its answers late, so that work leaves it in
@@ -14,8 +14,8 @@
 use ids::{Millis, ServerId, ServiceName, Timestamp};
 use schema::announcement::ServerState;
 
-use super::{Distance, Server, ServerTable};
-use crate::configuration::Repeats;
+use super::{Distance, Server, ServerTable, standing::BrokenShare};
+use crate::configuration::{Repeats, Route};
 
 /// Attempts beyond its slots that a server gets, so that it finds its next work at once.
 const QUEUED_AT_SERVER: u32 = 2;
@@ -23,12 +23,21 @@
 /// Slots that a server has at least, when it announced none.
 const MIN_SLOTS: u32 = 1;
 
-/// Time that leaving the data centre is worth, in milliseconds: traffic between data centres is
-/// paid by volume, and an answer that comes as much later still meets its latency aim.
-const OTHER_DATA_CENTRE_COST: f64 = 200.0;
+/// Cost of a kilobyte to another data centre, in lost requests: what traffic costs there in
+/// relation to a request that fails.
+const OTHER_DATA_CENTRE_COST: f64 = 0.024;
 
-/// Time that leaving the region is worth, in milliseconds.
-const OTHER_REGION_COST: f64 = 450.0;
+/// Cost of a kilobyte to another region, in lost requests.
+const OTHER_REGION_COST: f64 = 0.044;
+
+/// Cost of an answer at its latency aim, in lost requests, when it is in time.
+const TIME_COST: f64 = 0.05;
+
+/// Cost of an answer that comes after its latency aim, in lost requests.
+const LATE_COST: f64 = 0.3;
+
+/// Parts of the latency aim between which an expected answer turns from in time to late.
+const LATE_BETWEEN: (f64, f64) = (0.7, 1.3);
 
 /// Time to another data centre of the region and back, in milliseconds.
 const REGION_ROUND_TRIP: f64 = 3.0;
@@ -36,28 +45,25 @@
 /// Time to another region and back, in milliseconds.
 const FAR_ROUND_TRIP: f64 = 45.0;
 
-/// Time that a lost request is worth, in milliseconds, when it can be sent again.
-const REPEATABLE_LOSS_COST: f64 = 1_500.0;
-
-/// Time that a lost request is worth, in milliseconds, when it cannot be sent again.
-const FINAL_LOSS_COST: f64 = 6_000.0;
+/// Cost of a loss in lost requests, when the request can be sent again if the budget allows it.
+const REPEATABLE_LOSS_COST: f64 = 0.5;
 
-/// Time that an attempt to connect in vain takes, in milliseconds.
-const UNREACHABLE_COST: f64 = 2_000.0;
+/// Cost of trying a server that could not be connected to, in lost requests.
+const UNREACHABLE_COST: f64 = 0.3;
 
 /// Factor on the latency of a server that has just started.
 const COLD_FACTOR: f64 = 2.0;
 
-/// Spread of the random part that keeps gateways from choosing alike, as a share of the cost.
-const JITTER: f64 = 0.05;
+/// Random part of the cost that keeps gateways from choosing alike, in lost requests.
+const JITTER: f64 = 0.003;
 
 /// What is asked of the placement.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementRequest<'a> {
     /// The service.
     pub service: &'a ServiceName,
-    /// Whether the request may be sent again.
-    pub repeats: Repeats,
+    /// The route that led there.
+    pub route: &'a Route,
     /// Servers that had it already.
     pub tried: &'a [ServerId],
     /// Time until its answer has to be there.
@@ -84,7 +90,10 @@
     request: &PlacementRequest<'_>,
     mut random: impl FnMut() -> f64,
 ) -> Placement {
-    let usual = table.usual_latency(request.service);
+    let usual = table.usual_latency(request.route);
+    let share = table.broken_share(request.service);
+    let kilobytes = table.usual_kilobytes(request.route);
+    let aim = request.route.latency_aim.0.max(1) as f64;
     let time_left = request.time_left.0 as f64;
     let mut best: Option<(f64, &Server)> = None;
     let mut soonest_free = f64::INFINITY;
@@ -93,7 +102,7 @@
         if request.tried.contains(&server.announcement.server) {
             continue;
         }
-        let outlook = Outlook::of(now, server, usual);
+        let outlook = Outlook::of(now, server, usual, share);
         soonest_answer = soonest_answer.min(outlook.answer_in);
         if outlook.answer_in > time_left {
             continue;
@@ -102,7 +111,7 @@
             soonest_free = soonest_free.min(outlook.free_in);
             continue;
         }
-        let cost = outlook.cost(request.repeats) * (1.0 + JITTER * random());
+        let cost = outlook.cost(request.route.repeats, aim, kilobytes) + JITTER * random();
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, server));
         }
@@ -124,14 +133,14 @@
     /// Milliseconds until a slot should be free.
     free_in: f64,
     is_full: bool,
-    /// What the distance costs besides time, in milliseconds.
-    distance_cost: f64,
-    unreachable_cost: f64,
+    /// What a kilobyte costs on the way, in lost requests.
+    kilobyte_cost: f64,
+    is_unreachable: bool,
     risk: f64,
 }
 
 impl Outlook {
-    fn of(now: Timestamp, server: &Server, usual: f64) -> Self {
+    fn of(now: Timestamp, server: &Server, usual: f64, share: BrokenShare) -> Self {
         let slots = server.announcement.slots.max(MIN_SLOTS);
         let in_flight = server.in_flight(now);
         let cold = match server.announcement.state {
@@ -140,29 +149,36 @@
         };
         let work = usual * server.slowness(now, usual) * cold;
         let queued = f64::from((in_flight + 1).saturating_sub(slots));
-        let (round_trip, distance_cost) = match server.distance {
+        let (round_trip, kilobyte_cost) = match server.distance {
             Distance::SameDataCentre => (0.0, 0.0),
             Distance::SameRegion => (REGION_ROUND_TRIP, OTHER_DATA_CENTRE_COST),
             Distance::OtherRegion => (FAR_ROUND_TRIP, OTHER_REGION_COST),
         };
-        let unreachable_cost =
-            if server.standing.is_unreachable(now) { UNREACHABLE_COST } else { 0.0 };
         Self {
             answer_in: round_trip + work * (1.0 + queued / f64::from(slots)),
             free_in: work / f64::from(slots),
             is_full: in_flight >= slots + QUEUED_AT_SERVER || server.standing.is_full(now),
-            distance_cost,
-            unreachable_cost,
-            risk: server.standing.risk(now),
+            kilobyte_cost,
+            is_unreachable: server.standing.is_unreachable(now),
+            risk: server.standing.risk(now, share),
         }
     }
 
-    fn cost(&self, repeats: Repeats) -> f64 {
+    /// The expected cost in lost requests.
+    fn cost(&self, repeats: Repeats, aim: f64, kilobytes: f64) -> f64 {
         let loss_cost = match repeats {
             Repeats::Allowed => REPEATABLE_LOSS_COST,
-            Repeats::Forbidden => FINAL_LOSS_COST,
+            Repeats::Forbidden => 1.0,
         };
-        self.answer_in + self.distance_cost + self.unreachable_cost + self.risk * loss_cost
+        let unreachable_cost = if self.is_unreachable { UNREACHABLE_COST } else { 0.0 };
+        let part_of_aim = self.answer_in / aim;
+        let (in_time, late) = LATE_BETWEEN;
+        let lateness = ((part_of_aim - in_time) / (late - in_time)).clamp(0.0, 1.0);
+        part_of_aim * TIME_COST
+            + lateness * LATE_COST
+            + kilobytes * self.kilobyte_cost
+            + unreachable_cost
+            + self.risk * loss_cost
     }
 }
 
--- a/components/registry/src/followers.rs
+++ b/components/registry/src/followers.rs
@@ -63,7 +63,9 @@
                 || waited >= POLL_HOLD
                 || (waited >= HOST_LIST_INTERVAL && lacks_hosts(&poll.holds_hosts))
         };
-        let due = self.waiting.extract_if(.., |_, poll| is_due(poll));
-        due.collect()
+        let (due, waiting): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            std::mem::take(&mut self.waiting).into_iter().partition(|(_, poll)| is_due(poll));
+        self.waiting = waiting;
+        due.into_iter().collect()
     }
 }
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -4,7 +4,8 @@
 
 use consensus::{Consensus, ProposeError, Settings};
 use ids::{
-    Blob, ConfigVersion, HostId, Incarnation, LogIndex, RequestId, ServerId, Term, Timestamp,
+    Blob, ConfigVersion, FastMap, HostId, Incarnation, LogIndex, RequestId, ServerId, Term,
+    Timestamp,
 };
 use schema::{
     announcement::Announcement,
@@ -13,7 +14,10 @@
     peer::PeerMessage,
     registry::{ConfigDocument, Leave, RegistryCommand},
     storage::Persisted,
-    sync::{EntryHostList, HostsUpdate, Poll, Presence, RegistryUpdate, SyncMessage, Update},
+    sync::{
+        ControlHostRecord, EntryHostList, HostsUpdate, KnownPlace, Place, Poll, Presence,
+        RegistryUpdate, SyncMessage, Update,
+    },
 };
 
 use crate::{
@@ -38,6 +42,8 @@
 pub struct RegistryHostSettings {
     /// Settings of the replicated log.
     pub consensus: Settings,
+    /// Where this host is.
+    pub place: Place,
     /// The start of this process.
     pub incarnation: Incarnation,
     /// Whether the whole fleet starts for the first time.
@@ -80,6 +86,9 @@
     seeds: Vec<HostId>,
     /// Control hosts that others have named.
     named: BTreeSet<HostId>,
+    place: Place,
+    /// Where the other control hosts are, as they said.
+    places: FastMap<HostId, Place>,
     next_search: Timestamp,
     is_stopping: bool,
     applied: LogIndex,
@@ -90,7 +99,7 @@
 impl RegistryHost {
     /// Resumes from what the disk holds.
     pub fn restore(settings: RegistryHostSettings, persisted: Persisted, now: Timestamp) -> Self {
-        let RegistryHostSettings { consensus, incarnation, is_new_fleet } = settings;
+        let RegistryHostSettings { consensus, place, incarnation, is_new_fleet } = settings;
         let own = persisted.identity.host;
         let seeds = consensus.voters.clone();
         let registry = Registry::restore(&persisted.snapshot.data);
@@ -104,6 +113,8 @@
             entry_hosts: EntryHosts::new(own, incarnation, now, is_new_fleet),
             seeds,
             named: BTreeSet::new(),
+            place,
+            places: FastMap::default(),
             next_search: now,
             is_stopping: false,
             applied,
@@ -159,7 +170,7 @@
             self.answer(waiting.id, Answer::Unavailable(UnavailableReason::TimedOut));
         }
         if let Some(hosts) = self.entry_hosts.tick(now) {
-            let list = SyncMessage::EntryHosts(EntryHostList { hosts });
+            let list = SyncMessage::EntryHosts(EntryHostList { place: self.place.clone(), hosts });
             for to in self.other_members() {
                 self.send(to, PeerMessage::Sync(list.clone()));
             }
@@ -173,6 +184,7 @@
             PeerMessage::Sync(SyncMessage::Poll(it)) => self.on_poll(now, from, &it),
             PeerMessage::Sync(SyncMessage::Update(it)) => self.on_update(it),
             PeerMessage::Sync(SyncMessage::EntryHosts(it)) => {
+                self.places.insert(from, it.place);
                 self.entry_hosts.note_list(now, from, it.hosts);
             }
             // Other components of the product do not run on this host.
@@ -200,7 +212,7 @@
 
     /// An answer to this host's own search for the others.
     fn on_update(&mut self, update: Update) {
-        self.named.extend(update.control_hosts);
+        self.named.extend(update.control_hosts.iter().map(|it| it.host));
         self.named.remove(&self.own);
         self.update_contacts();
     }
@@ -370,7 +382,8 @@
             false => HostsUpdate::Unchanged,
         };
         let members = self.consensus.members();
-        let control_hosts = members.voters.iter().chain(&members.learners).map(|it| it.host);
+        let ids = members.voters.iter().chain(&members.learners).map(|it| it.host);
+        let control_hosts = ids.map(|host| ControlHostRecord { host, place: self.place_of(host) });
         Update {
             sequence: poll.sequence,
             current: news.is_current,
@@ -380,6 +393,11 @@
         }
     }
 
+    fn place_of(&self, host: HostId) -> KnownPlace {
+        let place = if host == self.own { Some(&self.place) } else { self.places.get(&host) };
+        place.map_or(KnownPlace::Unknown, |it| KnownPlace::Known(it.clone()))
+    }
+
     fn other_members(&self) -> Vec<HostId> {
         let members = self.consensus.members();
         let all = members.voters.iter().chain(&members.learners).map(|it| it.host);
