Send a message over a new connection when the idle one has broken

Cause: after a cut of 14 s entry hosts took until 2 to 3.7 s after its end to follow the registry again. Each control host's first update went into a connection that had died during the cut, was dropped, and the entry host waited 1.6 s for it before it turned to the next control host.

Ruled out: slow elections (the leader stayed), control hosts that were not current.

Test first red: a_message_after_a_connection_was_reset_arrives_over_a_new_one.

--- a/components/transport/src/stream.rs
+++ b/components/transport/src/stream.rs
@@ -29,41 +29,93 @@
 /// Length of the length in front of each message, in bytes.
 const LENGTH_BYTES: usize = 4;
 
-/// Connects and sends until the channel is closed or the connection fails.
+/// Connects and sends until the channel is closed or no connection can be made.
 pub(crate) async fn send_all(
     address: SocketAddr,
     mut rx: mpsc::Receiver<Vec<u8>>,
     stats: Arc<Stats>,
 ) {
-    if let Err(unsent) = connect_and_send(address, &mut rx, &stats).await {
-        rx.close();
-        let queued = std::iter::from_fn(|| rx.try_recv().ok()).count();
-        (0..queued + unsent).for_each(|_| stats.count_dropped());
+    let mut unsent = None;
+    loop {
+        match connect_and_send(address, &mut rx, &mut unsent, &stats).await {
+            ConnectionEnd::ChannelClosed => return,
+            // What was not taken is sent over a new connection.
+            ConnectionEnd::Lost => {}
+            ConnectionEnd::Unreachable => break,
+        }
     }
+    rx.close();
+    let queued = std::iter::from_fn(|| rx.try_recv().ok()).count();
+    (0..queued + usize::from(unsent.is_some())).for_each(|_| stats.count_dropped());
+}
+
+/// Why a connection to a peer has ended.
+enum ConnectionEnd {
+    /// Nothing is to be sent any more.
+    ChannelClosed,
+    /// The connection broke.
+    Lost,
+    /// There was none, or it broke twice with the same message.
+    Unreachable,
 }
 
-/// Returns the number of messages lost with the connection, if it fails.
+/// Sends over one connection; a message that was not taken is left in `unsent`.
 async fn connect_and_send(
     address: SocketAddr,
     rx: &mut mpsc::Receiver<Vec<u8>>,
+    unsent: &mut Option<Vec<u8>>,
     stats: &Stats,
-) -> Result<(), usize> {
+) -> ConnectionEnd {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let Ok(Ok(mut stream)) = connected else { return Err(0) };
+    let Ok(Ok(mut stream)) = connected else { return ConnectionEnd::Unreachable };
+    // Without it small messages would wait for each other.
+    let _ = stream.set_nodelay(true);
     // Where the option is missing, a silent connection is noticed only once its buffer is full.
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE_TIMEOUT));
-    // Without it small messages would wait for each other.
-    stream.set_nodelay(true).map_err(|_| 0usize)?;
-    while let Some(data) = rx.recv().await {
+    loop {
+        let is_resend = unsent.is_some();
+        let data = match unsent.take() {
+            Some(data) => data,
+            None => match next_message(&mut stream, rx).await {
+                NextMessage::Send(data) => data,
+                NextMessage::NeedsConnection(data) => {
+                    *unsent = Some(data);
+                    return ConnectionEnd::Lost;
+                }
+                NextMessage::None => return ConnectionEnd::ChannelClosed,
+            },
+        };
         let mut buf = Vec::with_capacity(LENGTH_BYTES + data.len());
         buf.extend_from_slice(&(data.len() as u32).to_le_bytes());
         buf.extend_from_slice(&data);
         match timeout(WRITE_TIMEOUT, stream.write_all(&buf)).await {
             Ok(Ok(())) => stats.count_sent(data.len()),
-            Ok(Err(_)) | Err(_) => return Err(1),
+            Ok(Err(_)) | Err(_) => {
+                *unsent = Some(data);
+                return if is_resend { ConnectionEnd::Unreachable } else { ConnectionEnd::Lost };
+            }
         }
     }
-    Ok(())
+}
+
+/// What is to be sent next.
+enum NextMessage {
+    Send(Vec<u8>),
+    /// The same, but the connection has ended meanwhile.
+    NeedsConnection(Vec<u8>),
+    /// Nothing more.
+    None,
+}
+
+/// Waits for the next message, and notices when the connection ends meanwhile.
+async fn next_message(stream: &mut TcpStream, rx: &mut mpsc::Receiver<Vec<u8>>) -> NextMessage {
+    tokio::select! {
+        biased;
+        // A peer sends nothing on this connection, so that it is readable only at its end.
+        _ = stream.read_u8() => {}
+        message = rx.recv() => return message.map_or(NextMessage::None, NextMessage::Send),
+    }
+    rx.recv().await.map_or(NextMessage::None, NextMessage::NeedsConnection)
 }
 
 /// Accepts connections until the inbox is closed.
--- a/components/transport/tests/transport.rs
+++ b/components/transport/tests/transport.rs
@@ -1,14 +1,17 @@
 //! Messages arrive whole and genuine, or not at all.
 
+use std::time::Duration;
+
 use ids::{Epoch, HostId, Incarnation};
 use schema::{
     dissemination::DisseminationMessage,
     peer::{PeerFrame, PeerMessage},
 };
 use tokio::{
-    io::AsyncWriteExt,
-    net::{TcpStream, UdpSocket},
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream, UdpSocket},
     sync::mpsc,
+    time::timeout,
 };
 use transport::{FleetKeys, KeyError, OpenError, Transport, TransportSettings, open, seal};
 
@@ -154,3 +157,21 @@
     };
     assert_eq!(frame.from, HostId(1));
 }
+
+#[tokio::test]
+async fn a_message_after_a_connection_was_reset_arrives_over_a_new_one() {
+    let (sender, _keep) = host(1, keys(&["ab"])).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    sender.send(HostId(2), address, stream_message());
+    let (mut stream, _) = listener.accept().await.unwrap();
+    stream.read_u32_le().await.unwrap();
+    // Closing with bytes unread resets the connection.
+    drop(stream);
+
+    sender.send(HostId(2), address, stream_message());
+
+    let accepted = timeout(Duration::from_secs(20), listener.accept()).await;
+    let (mut stream, _) = accepted.expect("the message is not lost").unwrap();
+    assert!(stream.read_u32_le().await.unwrap() > 0);
+}
