--- a/components/gateway_core/src/entry_hosts.rs
+++ b/components/gateway_core/src/entry_hosts.rs
@@ -71,15 +71,18 @@
         self.hosts.values().filter(|it| it.data_centre == *data_centre).map(|it| it.host)
     }
 
-    /// The hosts of a region outside one of its data centres.
-    pub(crate) fn elsewhere_in_region<'a>(
-        &'a self,
-        region: &'a RegionName,
-        data_centre: &'a DataCentreName,
-    ) -> impl Iterator<Item = HostId> + 'a {
-        let is_meant =
-            move |it: &&EntryHostRecord| it.region == *region && it.data_centre != *data_centre;
-        self.hosts.values().filter(is_meant).map(|it| it.host)
+    /// One host of each data centre but this one, by a random number.
+    pub(crate) fn one_of_each_other(
+        &self,
+        data_centre: &DataCentreName,
+        random: u64,
+    ) -> Vec<HostId> {
+        let mut others: BTreeMap<&DataCentreName, Vec<HostId>> = BTreeMap::new();
+        for record in self.hosts.values().filter(|it| it.data_centre != *data_centre) {
+            others.entry(&record.data_centre).or_default().push(record.host);
+        }
+        let pick = |hosts: Vec<HostId>| hosts[(random % hosts.len() as u64) as usize];
+        others.into_values().map(pick).collect()
     }
 
     /// Addresses of serving hosts for a caller: those of its data centre, and farther ones as
--- a/components/gateway_core/src/gateway/reports.rs
+++ b/components/gateway_core/src/gateway/reports.rs
@@ -1,7 +1,8 @@
 //! Tells nearby gateways of attempts, and hears of theirs.
 
 use ids::{HostId, Timestamp};
-use schema::server_load::{LoadEvent, LoadReport};
+use rand_xoshiro::rand_core::RngCore;
+use schema::server_load::{LoadEvent, LoadReport, ReportScope};
 
 use super::{Gateway, ReportOut};
 use crate::{notes::Note, servers::ServerKey};
@@ -10,7 +11,11 @@
     /// Takes in what another gateway reports.
     pub fn on_report(&mut self, now: Timestamp, from: HostId, report: &LoadReport) {
         let key = ServerKey { address: report.address, incarnation: report.incarnation };
-        self.servers.note_other(now, from, key, report.in_flight);
+        match report.scope {
+            ReportScope::Near => self.servers.note_other(now, from, key, report.in_flight),
+            ReportScope::ToPassOn => self.pass_on(report),
+            ReportScope::PassedOn => {}
+        }
         if let LoadEvent::Lost(fingerprint) = report.event {
             self.note_lost(now, None, fingerprint, key);
         }
@@ -58,24 +63,46 @@
     }
 
     fn report(&mut self, key: ServerKey, in_flight: u32, event: LoadEvent) {
-        let settings = &self.settings;
-        let mut to: Vec<HostId> = self.hosts.in_data_centre(&settings.data_centre).collect();
-        if concerns_region(&event) {
-            to.extend(self.hosts.elsewhere_in_region(&settings.region, &settings.data_centre));
+        let ServerKey { address, incarnation } = key;
+        let scope = ReportScope::Near;
+        let report = LoadReport { address, incarnation, scope, in_flight, event };
+        if concerns_all(&report.event) {
+            let to = self.one_host_elsewhere();
+            let scope = ReportScope::ToPassOn;
+            self.send_report(to, LoadReport { scope, ..report.clone() });
         }
-        to.retain(|it| *it != settings.host);
-        if to.is_empty() {
-            return;
+        self.send_report(self.neighbours(), report);
+    }
+
+    /// Tells the other gateways of this data centre what one elsewhere has reported.
+    fn pass_on(&mut self, report: &LoadReport) {
+        let report = LoadReport { scope: ReportScope::PassedOn, ..report.clone() };
+        self.send_report(self.neighbours(), report);
+    }
+
+    fn send_report(&mut self, to: Vec<HostId>, report: LoadReport) {
+        if !to.is_empty() {
+            self.reports.push(ReportOut { to, report });
         }
-        let ServerKey { address, incarnation } = key;
-        let report = LoadReport { address, incarnation, in_flight, event };
-        self.reports.push(ReportOut { to, report });
+    }
+
+    /// The other gateways of this data centre.
+    fn neighbours(&self) -> Vec<HostId> {
+        let hosts = self.hosts.in_data_centre(&self.settings.data_centre);
+        hosts.filter(|it| *it != self.settings.host).collect()
+    }
+
+    /// One gateway of each other data centre.
+    fn one_host_elsewhere(&mut self) -> Vec<HostId> {
+        let drawn = self.rng.next_u64();
+        self.hosts.one_of_each_other(&self.settings.data_centre, drawn)
     }
 }
 
-/// Whether gateways of the region's other data centres should hear of it too.
-fn concerns_region(event: &LoadEvent) -> bool {
-    matches!(event, LoadEvent::Lost(_) | LoadEvent::Overdue | LoadEvent::Unreachable)
+/// Whether gateways of all data centres should hear of it: any of them may use the server, and a
+/// lost request costs more than telling them.
+fn concerns_all(event: &LoadEvent) -> bool {
+    matches!(event, LoadEvent::Lost(_) | LoadEvent::Overdue)
 }
 
 fn event_name(event: &LoadEvent) -> &'static str {
