Share the budget of further attempts in a data centre, and try idle servers

Cause: a gateway sends one or two requests a second, so that its own part of the budget was one further attempt in ten seconds; safe requests failed with the budget nearly untouched. Ruled out: more tokens for each gateway, since all of them could be spent at once.

--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -190,7 +190,7 @@
             return None;
         }
         let Placement::Server(server) = self.place(now, id) else { return None };
-        self.take_token(now, id).then(|| self.start(now, id, server)).flatten()
+        self.may_send_further(now, id).then(|| self.start(now, id, server)).flatten()
     }
 
     fn send_or_wait(&mut self, now: Timestamp, id: RequestId) -> Step {
@@ -219,7 +219,7 @@
     }
 
     fn send(&mut self, now: Timestamp, id: RequestId, server: ServerId) -> Step {
-        if self.requests[&id].arrivals > 0 && !self.take_token(now, id) {
+        if self.requests[&id].arrivals > 0 && !self.may_send_further(now, id) {
             return self.give_up(id, RefusalReason::NoAnswer, Some(NO_SERVER_RETRY_AFTER));
         }
         let request = &self.requests[&id];
@@ -264,9 +264,11 @@
         placement::place(now, &self.servers, &asked, || Self::random_unit(rng))
     }
 
-    fn take_token(&mut self, now: Timestamp, id: RequestId) -> bool {
-        let service = self.requests[&id].service.clone();
-        self.budget(now, &service).try_take(now)
+    /// Whether the budget has room for a further attempt.
+    fn may_send_further(&self, now: Timestamp, id: RequestId) -> bool {
+        let service = &self.requests[&id].service;
+        let neighbours = self.hosts.in_data_centre(&self.settings.data_centre).count().max(1);
+        self.budget.allows(now, service, self.hosts.len(), neighbours)
     }
 
     fn start(&mut self, now: Timestamp, id: RequestId, server: ServerId) -> Option<AttemptStart> {
@@ -292,9 +294,7 @@
             may_reuse_connection: request.route.repeats == Repeats::Allowed,
         };
         let service = request.service.clone();
-        if is_first {
-            self.budget(now, &service).first_try(now);
-        }
+        self.budget.note_attempt(now, &service, is_first);
         self.report_start(now, key, is_first);
         Some(start)
     }
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 
 use ids::{ConfigVersion, FastMap, HostId, Millis, RequestId, ServerId, ServiceName, Timestamp};
-use limits::retry::{RetryBudget, RetryBudgetSettings};
 use rand_xoshiro::{
     Xoshiro256PlusPlus,
     rand_core::{RngCore, SeedableRng},
@@ -24,6 +23,7 @@
     requests::{Refusal, RefusalReason, Request, RequestHead, WaitingKey, waiting::WaitingLines},
     servers::{Server, ServerTable},
     settings::{GatewaySettings, Lifecycle},
+    shared_budget::SharedBudget,
 };
 
 /// When callers come back to a gateway without a configuration, in milliseconds.
@@ -41,13 +41,6 @@
 /// Usual latencies that a stopping gateway must have left to take a request.
 const STOP_LATENCIES: f64 = 3.0;
 
-/// Entry hosts that are assumed as long as fewer are known, so that the budget is never exceeded.
-const MIN_ASSUMED_HOSTS: u64 = 24;
-
-/// Part of the shared budget that gateways use, in thousandths; the rest is for hosts that have
-/// just restarted and for windows that slide.
-const BUDGET_USE_MILLI: u64 = 850;
-
 /// A message to other gateways.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReportOut {
@@ -69,7 +62,7 @@
     follower: Follower,
     requests: FastMap<RequestId, Request>,
     waiting: WaitingLines,
-    budgets: FastMap<ServiceName, RetryBudget>,
+    budget: SharedBudget,
     quarantine: Quarantine,
     rng: Xoshiro256PlusPlus,
     next_request: RequestId,
@@ -98,7 +91,7 @@
             follower: Follower::new(place, &settings.seeds, seed),
             requests: FastMap::default(),
             waiting: WaitingLines::default(),
-            budgets: FastMap::default(),
+            budget: SharedBudget::new(settings.budget),
             quarantine: Quarantine::default(),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             next_request: RequestId(1),
@@ -265,29 +258,6 @@
     fn random_unit(rng: &mut Xoshiro256PlusPlus) -> f64 {
         (rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
     }
-
-    fn budget(&mut self, now: Timestamp, service: &ServiceName) -> &mut RetryBudget {
-        if !self.budgets.contains_key(service) {
-            let hosts = (self.hosts.len() as u64).max(MIN_ASSUMED_HOSTS);
-            let settings = budget_settings(&self.settings, hosts);
-            self.budgets.insert(service.clone(), RetryBudget::new(now, settings));
-        }
-        self.budgets.get_mut(service).expect("was just inserted")
-    }
-}
-
-/// This gateway's part of the budget that all gateways share.
-fn budget_settings(settings: &GatewaySettings, hosts: u64) -> RetryBudgetSettings {
-    let budget = settings.budget;
-    let slack_milli = u64::from(budget.slack) * BUDGET_USE_MILLI / hosts;
-    let window_s = (budget.window.0 / 1_000).max(1);
-    // Some of the slack is there at once, the rest comes over the window.
-    let reserve_milli = slack_milli.min(1_000);
-    RetryBudgetSettings {
-        share_milli: budget.share_milli * BUDGET_USE_MILLI / 1_000,
-        reserve_milli,
-        trickle_milli: (slack_milli - reserve_milli) / window_s,
-    }
 }
 
 fn waiting_key(request: &Request, id: RequestId) -> WaitingKey {
--- a/components/gateway_core/src/gateway/reports.rs
+++ b/components/gateway_core/src/gateway/reports.rs
@@ -12,7 +12,10 @@
     pub fn on_report(&mut self, now: Timestamp, from: HostId, report: &LoadReport) {
         let key = ServerKey { address: report.address, incarnation: report.incarnation };
         match report.scope {
-            ReportScope::Near => self.servers.note_other(now, from, key, report.in_flight),
+            ReportScope::Near => {
+                self.servers.note_other(now, from, key, report.in_flight);
+                self.note_attempt(now, key, &report.event);
+            }
             ReportScope::ToPassOn => self.pass_on(report),
             ReportScope::PassedOn => {}
         }
@@ -23,6 +26,17 @@
         self.wake_next(key);
     }
 
+    /// Counts another gateway's attempt against the shared budget.
+    fn note_attempt(&mut self, now: Timestamp, key: ServerKey, event: &LoadEvent) {
+        let is_first = match event {
+            LoadEvent::Started => true,
+            LoadEvent::Repeated => false,
+            _ => return,
+        };
+        let Some(server) = self.servers.by_key_mut(key) else { return };
+        self.budget.note_attempt(now, &server.announcement.service, is_first);
+    }
+
     pub(super) fn report_start(&mut self, now: Timestamp, key: ServerKey, is_first: bool) {
         let in_flight = self.servers.note_own_start(now, key);
         let event = if is_first { LoadEvent::Started } else { LoadEvent::Repeated };
--- a/components/gateway_core/src/lib.rs
+++ b/components/gateway_core/src/lib.rs
@@ -13,6 +13,7 @@
 mod requests;
 mod servers;
 mod settings;
+mod shared_budget;
 
 pub use crate::{
     configuration::{
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -92,6 +92,8 @@
     slowness_at: Timestamp,
     /// When the server last answered, or got work after having none.
     progress_at: Timestamp,
+    /// When a gateway of this data centre last sent it a request.
+    used_at: Option<Timestamp>,
     /// Whether it said that another server has its address.
     is_misplaced: bool,
 }
@@ -107,6 +109,7 @@
             slowness: 1.0,
             slowness_at: Timestamp::default(),
             progress_at: Timestamp::default(),
+            used_at: None,
             is_misplaced: false,
         }
     }
@@ -117,6 +120,11 @@
         self.own_in_flight + fresh.map(|(count, _)| count).sum::<u32>()
     }
 
+    /// Time since a gateway of this data centre last sent it a request.
+    pub fn idle(&self, now: Timestamp) -> Option<Millis> {
+        self.used_at.map(|at| now.since(at))
+    }
+
     /// Whether new requests may be sent to it.
     pub fn takes_work(&self) -> bool {
         let is_open =
@@ -263,6 +271,7 @@
             server.progress_at = now;
         }
         server.own_in_flight += 1;
+        server.used_at = Some(now);
         server.own_in_flight
     }
 
@@ -290,6 +299,9 @@
         if server.in_flight(now) == 0 {
             server.progress_at = now;
         }
+        if in_flight > 0 {
+            server.used_at = Some(now);
+        }
         match in_flight {
             0 => server.others.remove(&from),
             _ => server.others.insert(from, (in_flight, now)),
--- a/components/gateway_core/src/servers/placement.rs
+++ b/components/gateway_core/src/servers/placement.rs
@@ -8,6 +8,9 @@
 //!   proportion, also before its first late answer.
 //! - *A service that is short of servers in one place.* Work goes to other places once waiting
 //!   there would take longer than going is worth.
+//! - *New servers, and servers that were left alone.* A server of this data centre that was idle
+//!   for a second is tried, so that all of them keep part in the work and what is known of them
+//!   stays fresh; requests that may repeat go first.
 //! - *Outbreaks of broken connections.* See [`super::standing`]; requests that must not repeat
 //!   weigh the risk higher.
 
@@ -39,6 +42,23 @@
 /// Parts of the latency aim between which an expected answer turns from in time to late.
 const LATE_BETWEEN: (f64, f64) = (0.7, 1.3);
 
+/// Cost that is taken off a server of this data centre that has been idle, in lost requests, when
+/// the request may be sent again; about the risk of a server of which nothing was heard lately.
+const IDLE_GAIN_REPEATABLE: f64 = 0.2;
+
+/// The same for a request that must not be sent again.
+const IDLE_GAIN_FINAL: f64 = 0.12;
+
+/// Idle times between which that gain grows from nothing to all of it, in milliseconds, for
+/// requests that may be sent again: they go first as the test of a server.
+const IDLE_BETWEEN_REPEATABLE: (f64, f64) = (400.0, 900.0);
+
+/// The same for requests that must not be sent again.
+const IDLE_BETWEEN_FINAL: (f64, f64) = (900.0, 1_400.0);
+
+/// Chance of being broken up to which an idle server is tried for the sake of it.
+const IDLE_MAX_BROKEN: f64 = 0.45;
+
 /// Time to another data centre of the region and back, in milliseconds.
 const REGION_ROUND_TRIP: f64 = 3.0;
 
@@ -137,6 +157,9 @@
     kilobyte_cost: f64,
     is_unreachable: bool,
     risk: f64,
+    /// Time for which this data centre has left the server idle, in milliseconds, if it should be
+    /// tried.
+    idle: f64,
 }
 
 impl Outlook {
@@ -161,6 +184,7 @@
             kilobyte_cost,
             is_unreachable: server.standing.is_unreachable(now),
             risk: server.standing.risk(now, share),
+            idle: idle(now, server, share),
         }
     }
 
@@ -179,7 +203,27 @@
             + kilobytes * self.kilobyte_cost
             + unreachable_cost
             + self.risk * loss_cost
+            - self.idle_gain(repeats)
+    }
+
+    fn idle_gain(&self, repeats: Repeats) -> f64 {
+        let ((from, to), gain) = match repeats {
+            Repeats::Allowed => (IDLE_BETWEEN_REPEATABLE, IDLE_GAIN_REPEATABLE),
+            Repeats::Forbidden => (IDLE_BETWEEN_FINAL, IDLE_GAIN_FINAL),
+        };
+        gain * ((self.idle - from) / (to - from)).clamp(0.0, 1.0)
+    }
+}
+
+/// How long a server of this data centre was left idle; 0 when there is a reason for it.
+fn idle(now: Timestamp, server: &Server, share: BrokenShare) -> f64 {
+    let is_near = server.distance == Distance::SameDataCentre;
+    let is_suspect =
+        server.standing.broken(now, share) > IDLE_MAX_BROKEN || server.standing.is_unreachable(now);
+    if !is_near || is_suspect {
+        return 0.0;
     }
+    server.idle(now).map_or(f64::INFINITY, |it| it.0 as f64)
 }
 
 fn millis(value: f64) -> Millis {
--- /dev/null
+++ b/components/gateway_core/src/shared_budget.rs
@@ -0,0 +1,91 @@
+//! Bounds the further attempts of all gateways together.
+//!
+//! Load pattern: a server breaks, and the gateways of its data centre need several further attempts
+//! within a second, while each of them has sent only a few requests. A budget for each gateway
+//! would be too small for any of them; so the gateways of a data centre share one, which each
+//! counts from the reports of the others.
+
+use std::collections::VecDeque;
+
+use ids::{FastMap, ServiceName, Timestamp};
+
+use crate::settings::BudgetSettings;
+
+/// Entry hosts that are assumed as long as fewer are known, so that the budget is never exceeded.
+const MIN_ASSUMED_HOSTS: u64 = 24;
+
+/// Part of the budget that is used, in thousandths: reports may be lost or cross each other, and
+/// hosts that have just started know of no earlier ones.
+const USED_PART_MILLI: u64 = 800;
+
+/// Slices of the window; the oldest is dropped as a whole.
+const SLICES: u64 = 20;
+
+/// Attempts in a slice of the window.
+#[derive(Debug, Clone, Copy)]
+struct Slice {
+    number: u64,
+    first: u64,
+    further: u64,
+}
+
+/// The attempts of this data centre's gateways in the last window, by service.
+#[derive(Debug)]
+pub(crate) struct SharedBudget {
+    settings: BudgetSettings,
+    by_service: FastMap<ServiceName, VecDeque<Slice>>,
+}
+
+impl SharedBudget {
+    pub(crate) fn new(settings: BudgetSettings) -> Self {
+        Self { settings, by_service: FastMap::default() }
+    }
+
+    /// Notes an attempt of any gateway of this data centre.
+    pub(crate) fn note_attempt(&mut self, now: Timestamp, service: &ServiceName, is_first: bool) {
+        let number = self.slice_number(now);
+        if !self.by_service.contains_key(service) {
+            self.by_service.insert(service.clone(), VecDeque::new());
+        }
+        let slices = self.by_service.get_mut(service).expect("was just inserted");
+        if slices.back().is_none_or(|it| it.number != number) {
+            slices.push_back(Slice { number, first: 0, further: 0 });
+        }
+        let slice = slices.back_mut().expect("was just pushed");
+        match is_first {
+            true => slice.first += 1,
+            false => slice.further += 1,
+        }
+        while slices.front().is_some_and(|it| it.number + SLICES < number) {
+            slices.pop_front();
+        }
+    }
+
+    /// Whether a further attempt may be sent.
+    ///
+    /// `hosts` are all entry hosts of the fleet, `neighbours` those of this data centre.
+    pub(crate) fn allows(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        hosts: usize,
+        neighbours: usize,
+    ) -> bool {
+        let number = self.slice_number(now);
+        let slices = self.by_service.get(service).into_iter().flatten();
+        let recent = slices.filter(|it| it.number + SLICES >= number);
+        let (mut first, mut further) = (0, 0);
+        for slice in recent {
+            first += slice.first;
+            further += slice.further;
+        }
+        let hosts = (hosts as u64).max(MIN_ASSUMED_HOSTS);
+        let slack_milli = u64::from(self.settings.slack) * 1_000 * neighbours as u64 / hosts;
+        let allowed = (first * self.settings.share_milli + slack_milli) * USED_PART_MILLI;
+        (further + 1) * 1_000 * 1_000 <= allowed
+    }
+
+    fn slice_number(&self, now: Timestamp) -> u64 {
+        now.0 / (self.settings.window.0 * 1_000 / SLICES).max(1)
+    }
+}
