Elect a leader right after a restart where leases are hints only

Ruled out: reads by lease in the registry; they go through the log, so that the wait protects nothing there. The product's control hosts keep it.

--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -218,7 +218,7 @@
     progress.heard_at = Some(replica.now);
     progress.acked_sent_at = progress.acked_sent_at.max(Some(sent_at));
     if leadership.holds_lease(replica, replica.now) {
-        replica.leader_heard_at = replica.now;
+        replica.leader_heard_at = Some(replica.now);
     }
     true
 }
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -15,7 +15,9 @@
     founding::Founding,
     log::Log,
     members::is_voter,
-    settings::{ELECTION_TIMEOUT_MIN, FOLLOWER_FRESHNESS, Settings},
+    settings::{
+        ELECTION_TIMEOUT_MIN, FOLLOWER_FRESHNESS, LeaseUse, RESTART_ELECTION_SPREAD, Settings,
+    },
     snapshot::IncomingSnapshot,
 };
 
@@ -28,8 +30,8 @@
     /// The newest entry known to be accepted; all up to it are applied.
     pub(crate) commit: LogIndex,
     pub(crate) leader: Option<HostId>,
-    /// When this host last heard its leader, or started.
-    pub(crate) leader_heard_at: Timestamp,
+    /// When this host last heard its leader, or started if an answer from before may count.
+    pub(crate) leader_heard_at: Option<Timestamp>,
     /// The newest entry that the leader called accepted in its last message.
     pub(crate) leader_commit: LogIndex,
     /// Hosts besides the founding ones to which this host announces itself.
@@ -55,7 +57,7 @@
             log: Log::new(persisted.snapshot, persisted.entries),
             commit,
             leader: None,
-            leader_heard_at: now,
+            leader_heard_at: Some(now),
             leader_commit: LogIndex(0),
             contacts: Vec::new(),
             election_at: now,
@@ -65,7 +67,10 @@
             actions: Vec::new(),
             random,
         };
-        replica.postpone_election();
+        match replica.settings.lease_use {
+            LeaseUse::Reads => replica.postpone_election(),
+            LeaseUse::Hints => replica.hasten_election(),
+        }
         replica
     }
 
@@ -115,9 +120,16 @@
         self.election_at = self.now + Millis(ELECTION_TIMEOUT_MIN.0 + spread);
     }
 
+    /// Asks for votes soon after a restart, and lets others do so.
+    fn hasten_election(&mut self) {
+        self.leader_heard_at = None;
+        let spread = self.random.next_u64() % (RESTART_ELECTION_SPREAD.0 + 1);
+        self.election_at = self.now + RESTART_ELECTION_SPREAD + Millis(spread);
+    }
+
     /// Whether another leader may still hold its lease by this host's answer.
     pub(crate) fn heard_leader_lately(&self) -> bool {
-        self.now < self.leader_heard_at + ELECTION_TIMEOUT_MIN
+        self.leader_heard_at.is_some_and(|at| self.now < at + ELECTION_TIMEOUT_MIN)
     }
 
     /// Whether this host holds all that its leader called accepted a moment ago.
@@ -125,14 +137,14 @@
     /// A new leader knows what its predecessors accepted only once an entry of its own term is.
     pub(crate) fn follows_closely(&self, now: Timestamp) -> bool {
         self.leader.is_some()
-            && now < self.leader_heard_at + FOLLOWER_FRESHNESS
+            && self.leader_heard_at.is_some_and(|at| now < at + FOLLOWER_FRESHNESS)
             && self.commit >= self.leader_commit
             && self.log.term_at(self.commit) == Some(self.vote.term)
     }
 
     pub(crate) fn note_leader(&mut self, leader: HostId) {
         self.leader = Some(leader);
-        self.leader_heard_at = self.now;
+        self.leader_heard_at = Some(self.now);
         self.postpone_election();
         if self.vote.voted_for == VotedFor::Nobody {
             self.save_vote(self.vote.term, VotedFor::Host(leader));
--- a/components/consensus/src/settings.rs
+++ b/components/consensus/src/settings.rs
@@ -51,6 +51,21 @@
     },
 }
 
+/// What a lease of the leader is used for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaseUse {
+    /// Reads: a host that has restarted grants no vote as long as a leader may hold a lease by an
+    /// answer of this host from before.
+    Reads,
+    /// Hints only; reads go through the log. A host that has restarted votes at once.
+    Hints,
+}
+
+/// Time within which a host that has restarted asks for votes, where leases are hints, in
+/// milliseconds: a few round trips between regions, so that hosts that restart together seldom
+/// ask at once.
+pub(crate) const RESTART_ELECTION_SPREAD: Millis = Millis(400);
+
 /// Settings of one host of the replicated log.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -60,4 +75,6 @@
     pub seed: u64,
     /// Which other hosts may join.
     pub growth: Growth,
+    /// What leases are used for.
+    pub lease_use: LeaseUse,
 }
--- a/components/consensus/tests/cluster/mod.rs
+++ b/components/consensus/tests/cluster/mod.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use consensus::{Action, Consensus, Growth, Settings};
+use consensus::{Action, Consensus, Growth, LeaseUse, Settings};
 use ids::{Blob, HostId, Incarnation, LogIndex, Millis, Term, Timestamp};
 use rand_xoshiro::{
     Xoshiro256PlusPlus,
@@ -205,7 +205,12 @@
     pub fn start(&mut self, host: HostId) {
         let now = self.clock(host);
         let seed = u64::from(host.0) + self.next_disk * 100;
-        let settings = Settings { voters: self.ids(), seed, growth: Growth::Listed };
+        let settings = Settings {
+            voters: self.ids(),
+            seed,
+            growth: Growth::Listed,
+            lease_use: LeaseUse::Reads,
+        };
         let it = self.hosts.get_mut(&host).unwrap();
         it.state = decode_state(&it.disk.snapshot.data);
         it.applied = it.disk.snapshot.index;
--- a/components/consensus/tests/messages.rs
+++ b/components/consensus/tests/messages.rs
@@ -1,7 +1,7 @@
 //! Single hosts, message by message: what they must refuse.
 
 use consensus::{
-    Action, Consensus, ELECTION_TIMEOUT_MIN, Growth, HEARTBEAT_INTERVAL, ProposeError,
+    Action, Consensus, ELECTION_TIMEOUT_MIN, Growth, HEARTBEAT_INTERVAL, LeaseUse, ProposeError,
     RETRY_INTERVAL, Settings,
 };
 use ids::{Blob, HostId, Incarnation, LogIndex, Millis, Term, Timestamp};
@@ -53,8 +53,12 @@
 }
 
 fn start(entries: Vec<Entry>) -> Consensus {
-    let settings =
-        Settings { voters: (1..=3).map(HostId).collect(), seed: 1, growth: Growth::Listed };
+    let settings = Settings {
+        voters: (1..=3).map(HostId).collect(),
+        seed: 1,
+        growth: Growth::Listed,
+        lease_use: LeaseUse::Reads,
+    };
     Consensus::restore(settings, persisted(entries), START)
 }
 
@@ -209,8 +213,12 @@
 
 #[test]
 fn a_voter_adopts_the_founding_of_the_newest_disk_only() {
-    let settings =
-        Settings { voters: (1..=3).map(HostId).collect(), seed: 1, growth: Growth::Listed };
+    let settings = Settings {
+        voters: (1..=3).map(HostId).collect(),
+        seed: 1,
+        growth: Growth::Listed,
+        lease_use: LeaseUse::Reads,
+    };
     let mut disk = persisted(Vec::new());
     disk.identity.host = HostId(3);
     disk.identity.disk = member(3).disk;
--- a/components/control/src/host.rs
+++ b/components/control/src/host.rs
@@ -176,6 +176,7 @@
             voters,
             seed: settings.seed ^ u64::from(settings.host.0),
             growth: consensus::Growth::Listed,
+            lease_use: consensus::LeaseUse::Reads,
         },
         fleet: FleetSettings { membership, peers },
     }
--- a/components/control_core/examples/control_cost.rs
+++ b/components/control_core/examples/control_cost.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use consensus::{Growth, Settings};
+use consensus::{Growth, LeaseUse, Settings};
 use control_core::{Action, ControlCore, Event};
 use ids::{HostId, Incarnation, Millis, RequestId, Timestamp, WallTime};
 use schema::{
@@ -52,7 +52,12 @@
             let folder = tempfile::tempdir().expect("a temporary folder");
             let disk = Incarnation(u64::from(host.0));
             let opened = Storage::open(folder.path(), *host, disk, true).expect("a new folder");
-            let settings = Settings { voters: voters.clone(), seed: 1, growth: Growth::Listed };
+            let settings = Settings {
+                voters: voters.clone(),
+                seed: 1,
+                growth: Growth::Listed,
+                lease_use: LeaseUse::Reads,
+            };
             let core = ControlCore::restore(settings, opened.persisted, Timestamp(0));
             (*host, Host { _folder: folder, core, storage: opened.storage })
         };
--- a/components/control_core/tests/fleet/mod.rs
+++ b/components/control_core/tests/fleet/mod.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use consensus::{Growth, Settings};
+use consensus::{Growth, LeaseUse, Settings};
 use control_core::{Action, ControlCore, Event};
 use ids::{ConfigVersion, HostId, Incarnation, Millis, RequestId, Timestamp, WallTime};
 use schema::{
@@ -115,7 +115,12 @@
         let it = self.hosts.get_mut(&host).unwrap();
         let disk = Incarnation(self.next_disk);
         let opened = Storage::open(it.folder.path(), host, disk, bootstrap).unwrap();
-        let settings = Settings { voters, seed: self.next_disk, growth: Growth::Listed };
+        let settings = Settings {
+            voters,
+            seed: self.next_disk,
+            growth: Growth::Listed,
+            lease_use: LeaseUse::Reads,
+        };
         let disk = opened.persisted.identity.disk;
         let core = ControlCore::restore(settings, opened.persisted, self.now);
         it.in_force = ConfigVersion(0);
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -7,7 +7,7 @@
 use std::{path::PathBuf, rc::Rc, sync::Arc, time::Duration};
 
 use admin::Clock;
-use consensus::Growth;
+use consensus::{Growth, LeaseUse};
 use ids::Millis;
 use registry::{HostEvent, RegistryHost, RegistryHostSettings};
 use schema::{gateway_settings::RegistrySettings, sync::Place};
@@ -112,6 +112,7 @@
         voters: peers::hosts_of(&settings.seeds),
         seed,
         growth: Growth::Open { keep: 2 * lost_disks + 1, remove_after: REMOVE_AFTER },
+        lease_use: LeaseUse::Hints,
     }
 }
 
