Let requests wait for the first configuration of a host that has just started

Ruled out: accepting and refusing at once: the configuration comes within a second, and these callers do not come back.

--- a/components/gateway/src/entry/callers.rs
+++ b/components/gateway/src/entry/callers.rs
@@ -1,6 +1,6 @@
 //! Reads callers' requests and answers them.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use gateway_core::{KnownRun, Lifecycle, Refusal, RefusalReason, RequestHead};
@@ -10,8 +10,9 @@
     body::Incoming,
     header::{self, HeaderValue},
 };
-use ids::{Fingerprint, Millis};
+use ids::{Fingerprint, Millis, Timestamp};
 use platform::headers;
+use tokio::time::timeout;
 
 use super::{
     backend::Answer,
@@ -23,6 +24,15 @@
 /// Largest body before there is a configuration that says so, in bytes.
 const FIRST_BODY_LIMIT: u64 = 1024 * 1024;
 
+/// Time after the start of the process in which a configuration is waited for.
+///
+/// Load pattern: all hosts restart together, and callers come back before the first configuration;
+/// it arrives within a second, so that they are better served late than sent away.
+const JOINING_TIME: Millis = Millis(3_000);
+
+/// Longest wait of a request for the first configuration.
+const JOINING_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Answers one request of a caller.
 pub(crate) async fn handle(shared: Rc<Shared>, req: Request<Incoming>) -> Reply {
     let mut reply = answer(&shared, req).await;
@@ -34,6 +44,7 @@
 }
 
 async fn answer(shared: &Rc<Shared>, req: Request<Incoming>) -> Reply {
+    wait_for_config(shared).await;
     let (mut head, body) = req.into_parts();
     let caller = headers::read_caller(&head.headers);
     let attempt_id: Rc<str> = caller.attempt_id.as_str().into();
@@ -67,6 +78,16 @@
     }
 }
 
+/// Lets a request wait for the first configuration when one may arrive soon.
+async fn wait_for_config(shared: &Shared) {
+    let changed = shared.config_changed.notified();
+    let is_joining = shared.with_core(|core, _| core.lifecycle()) == Lifecycle::Joining;
+    if is_joining && shared.clock.now() < Timestamp::default() + JOINING_TIME {
+        // Without a configuration the request is refused.
+        let _ = timeout(JOINING_WAIT, changed).await;
+    }
+}
+
 async fn read_body(shared: &Shared, body: Incoming) -> Result<Bytes, StatusCode> {
     let limits = shared.with_core(|core, _| core.caller_limits());
     let limit = limits.map_or(FIRST_BODY_LIMIT, |it| it.max_body.0);
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -12,14 +12,14 @@
 use std::{path::PathBuf, rc::Rc, time::Duration};
 
 use admin::Clock;
-use gateway_core::{BudgetSettings, Gateway, GatewaySettings as CoreSettings, Lifecycle};
+use gateway_core::{BudgetSettings, Gateway, GatewaySettings as CoreSettings};
 use ids::Millis;
 use schema::{
     gateway_settings::GatewaySettings,
     peer::{PeerFrame, PeerMessage},
     sync::SyncMessage,
 };
-use tokio::{net::TcpListener, sync::mpsc, time::sleep};
+use tokio::{sync::mpsc, time::sleep};
 
 use crate::{
     http,
@@ -60,7 +60,6 @@
     tokio::task::spawn_local(feed_frames(shared.clone(), frames));
     tokio::task::spawn_local(follow(shared.clone()));
     tokio::task::spawn_local(feed_seeds(shared.clone(), watch));
-    tokio::task::spawn_local(serve_when_ready(settings.clone(), shared.clone()));
     log::info!(
         host:% = settings.ip,
         data_centre:% = settings.data_centre,
@@ -94,8 +93,12 @@
     }
 }
 
-/// Serves what must be reachable from the start.
+/// Serves what must be reachable from the start; callers wait there for a configuration.
 fn spawn_listeners(settings: &GatewaySettings, shared: &Rc<Shared>) -> Result<(), StartError> {
+    let callers = http::listen(settings.caller_address)?;
+    let cx = shared.clone();
+    let serve = http::serve(callers, move |req| callers::handle(cx.clone(), req));
+    tokio::task::spawn_local(serve);
     let readiness = http::listen(settings.readiness_address)?;
     let directory = http::listen(settings.directory_address)?;
     let metrics = http::listen((settings.ip, settings.metrics_port.get()).into())?;
@@ -111,24 +114,6 @@
     Ok(())
 }
 
-/// Listens to callers once the gateway may serve; until then they go on to another address.
-async fn serve_when_ready(settings: GatewaySettings, shared: Rc<Shared>) {
-    while shared.with_core(|core, _| core.lifecycle()) == Lifecycle::Joining {
-        shared.config_changed.notified().await;
-    }
-    let listener: TcpListener = match http::listen(settings.caller_address) {
-        Ok(it) => it,
-        Err(e) => {
-            log::error!(error:% = e; "cannot serve callers");
-            shared.is_broken.set(true);
-            return;
-        }
-    };
-    log::info!(callers:% = settings.caller_address; "gateway serves callers");
-    shared.is_listening.set(true);
-    http::serve(listener, move |req| callers::handle(shared.clone(), req)).await;
-}
-
 async fn feed_frames(shared: Rc<Shared>, mut frames: mpsc::Receiver<PeerFrame>) {
     while let Some(frame) = frames.recv().await {
         match frame.message {
--- a/components/gateway/src/entry/pages.rs
+++ b/components/gateway/src/entry/pages.rs
@@ -15,8 +15,7 @@
         return http::text(StatusCode::NOT_FOUND, "no such page\n");
     }
     let life = shared.with_core(|core, _| core.lifecycle());
-    let is_ready = life == Lifecycle::Serving && shared.is_listening.get();
-    match is_ready && !shared.is_broken.get() {
+    match life == Lifecycle::Serving {
         true => http::text(StatusCode::OK, "ready\n"),
         false => http::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
     }
--- a/components/gateway/src/entry/shared.rs
+++ b/components/gateway/src/entry/shared.rs
@@ -1,9 +1,6 @@
 //! The decisions of this gateway, and what its tasks share.
 
-use std::{
-    cell::{Cell, RefCell},
-    rc::Rc,
-};
+use std::{cell::RefCell, rc::Rc};
 
 use admin::Clock;
 use gateway_core::Gateway;
@@ -30,9 +27,6 @@
     pub(crate) poll_due: Notify,
     /// Told when a configuration is in force.
     pub(crate) config_changed: Notify,
-    pub(crate) is_listening: Cell<bool>,
-    /// Whether the gateway cannot serve although it should.
-    pub(crate) is_broken: Cell<bool>,
 }
 
 impl Shared {
@@ -53,8 +47,6 @@
             wakers: RefCell::default(),
             poll_due: Notify::new(),
             config_changed: Notify::new(),
-            is_listening: Cell::new(false),
-            is_broken: Cell::new(false),
         }
     }
 
@@ -97,7 +89,7 @@
                 log::error!(version = document.version.0, error:% = e; "configuration not used");
             }
         }
-        self.config_changed.notify_one();
+        self.config_changed.notify_waiters();
         self.poll_due.notify_one();
     }
 
