--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -365,20 +365,20 @@
             is_current: self.consensus.is_current(now) && !self.is_stopping,
         };
         let hosts = &self.entry_hosts;
-        let due = self.followers.take_due(now, news, |held| hosts.has_news_for(now, held));
+        let due = self.followers.take_due(now, news, |held| hosts.has_news_for(held));
         for (to, poll) in due {
-            let update = self.update_for(now, &poll, news);
+            let update = self.update_for(&poll, news);
             self.send(to, PeerMessage::Sync(SyncMessage::Update(update)));
         }
     }
 
-    fn update_for(&self, now: Timestamp, poll: &WaitingPoll, news: News) -> Update {
+    fn update_for(&self, poll: &WaitingPoll, news: News) -> Update {
         let registry = match news.is_current && news.last_changed > poll.holds {
             true => RegistryUpdate::Changed(self.registry.changes_since(poll.holds)),
             false => RegistryUpdate::Unchanged,
         };
         let hosts = match news.is_current {
-            true => self.entry_hosts.update_for(now, &poll.holds_hosts),
+            true => self.entry_hosts.update_for(&poll.holds_hosts),
             false => HostsUpdate::Unchanged,
         };
         let members = self.consensus.members();
--- a/components/registry/src/presence.rs
+++ b/components/registry/src/presence.rs
@@ -49,6 +49,8 @@
     own: HostId,
     incarnation: Incarnation,
     complete_at: Timestamp,
+    /// The revision from which the union was complete; followers with an older one get all of it.
+    complete_from: Option<u64>,
     pollers: BTreeMap<HostId, Poller>,
     others: FastMap<HostId, OtherList>,
     union: BTreeMap<HostId, Listed>,
@@ -70,6 +72,7 @@
             own,
             incarnation,
             complete_at,
+            complete_from: is_new_fleet.then_some(0),
             pollers: BTreeMap::new(),
             others: FastMap::default(),
             union: BTreeMap::new(),
@@ -94,6 +97,10 @@
         self.pollers.retain(|_, it| now < it.seen_at + POLLER_TIMEOUT);
         self.others.retain(|_, it| now < it.received_at + LIST_TIMEOUT);
         self.update_union();
+        if self.complete_from.is_none() && now >= self.complete_at {
+            self.revision += 1;
+            self.complete_from = Some(self.revision);
+        }
         let list: Vec<_> = self.pollers.values().map(|it| it.record.clone()).collect();
         if list == self.sent && now < self.sent_at + REPEAT_INTERVAL {
             return None;
@@ -104,24 +111,28 @@
     }
 
     /// Whether a follower lacks something of the list.
-    pub(crate) fn has_news_for(&self, now: Timestamp, held: &HostsRevision) -> bool {
-        now >= self.complete_at && *held != self.current_revision()
+    pub(crate) fn has_news_for(&self, held: &HostsRevision) -> bool {
+        *held != self.current_revision()
     }
 
     /// What a follower lacks.
-    pub(crate) fn update_for(&self, now: Timestamp, held: &HostsRevision) -> HostsUpdate {
-        if !self.has_news_for(now, held) {
+    ///
+    /// As long as lists of other control hosts may be missing, hosts are only added to what a
+    /// follower holds.
+    pub(crate) fn update_for(&self, held: &HostsRevision) -> HostsUpdate {
+        if !self.has_news_for(held) {
             return HostsUpdate::Unchanged;
         }
         let revision = self.current_revision();
         let is_same_list =
             held.control_host == revision.control_host && held.incarnation == revision.incarnation;
-        let since = if is_same_list { held.number } else { 0 };
+        let whole = self.complete_from.is_some_and(|it| !is_same_list || held.number < it);
+        let since = if is_same_list && !whole { held.number } else { 0 };
         let changed = self.union.iter().filter(|(_, it)| it.revision > since);
         let gone = changed.clone().filter(|(_, it)| it.record.is_none()).map(|(host, _)| *host);
         HostsUpdate::Changed(HostsChanges {
             revision,
-            whole: !is_same_list,
+            whole,
             hosts: changed.clone().filter_map(|(_, it)| it.record.clone()).collect(),
             gone: gone.collect(),
         })
