--- a/components/health/src/health/inbound.rs
+++ b/components/health/src/health/inbound.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ids::{HostId, Millis, ServerId, Timestamp};
-use schema::health::{HealthMessage, OutcomeCounts, OutcomeSource, Verdicts};
+use schema::health::{HealthMessage, OutcomeCounts, Verdicts};
 
 use crate::{
     evidence::Observer,
@@ -33,6 +33,13 @@
 /// Other servers seen lately that are needed to call the links bad.
 const BAD_LINKS_SERVERS: usize = 4;
 
+/// Where an outcome comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    Request,
+    Probe,
+}
+
 impl Health {
     /// Takes in the outcome of a real request.
     pub fn observe(&mut self, now: Timestamp, observation: Observation) {
@@ -40,7 +47,7 @@
             return;
         }
         let Observation { server, kind, latency, .. } = observation;
-        self.note(now, &server, kind, latency, OutcomeSource::Request);
+        self.note(now, &server, kind, latency, Source::Request);
     }
 
     /// Takes in the outcome of a probe.
@@ -48,7 +55,7 @@
         if result.kind == OutcomeKind::Shed {
             self.postpone_probe(now, server);
         }
-        self.note(now, server, result.kind, result.latency, OutcomeSource::Probe);
+        self.note(now, server, result.kind, result.latency, Source::Probe);
     }
 
     /// Takes in what a server says of itself: it only makes its watchers look closer.
@@ -68,7 +75,7 @@
     ) -> Vec<HealthAction> {
         match message {
             HealthMessage::Digest(digest) => {
-                digest.entries.iter().for_each(|it| self.add_evidence(now, from, it));
+                digest.entries.iter().for_each(|it| self.add_evidence(now, from, it, true));
             }
             HealthMessage::Suspicions(suspicions) => {
                 for server in suspicions.servers {
@@ -94,7 +101,7 @@
         server: &ServerId,
         kind: OutcomeKind,
         latency: Duration,
-        source: OutcomeSource,
+        source: Source,
     ) {
         let Some(mut counts) = self.count(now, server, kind, latency, source) else { return };
         let bad = counts.failed + counts.slow > 0;
@@ -108,7 +115,8 @@
             counts.failed = 0;
             counts.slow = 0;
         }
-        self.add_evidence(now, self.settings.host, &counts);
+        let passive = source == Source::Request;
+        self.add_evidence(now, self.settings.host, &counts, passive);
         self.pend(server, &counts);
     }
 
@@ -119,20 +127,20 @@
         server: &ServerId,
         kind: OutcomeKind,
         latency: Duration,
-        source: OutcomeSource,
+        source: Source,
     ) -> Option<OutcomeCounts> {
         let record = self.servers.get_mut(server)?;
         let service = self.services.get_mut(&record.known.service)?;
         let cold = record.is_cold(now);
-        let mut counts = no_outcomes(&record.known, source);
+        let mut counts = no_outcomes(&record.known);
         match kind {
             OutcomeKind::Answered => {
                 let baseline = match source {
-                    OutcomeSource::Request => &mut service.requests,
-                    OutcomeSource::Probe => &mut service.probes,
+                    Source::Request => &mut service.requests,
+                    Source::Probe => &mut service.probes,
                 };
                 let slow = baseline.note(latency, record.path.is_doubtful());
-                if source == OutcomeSource::Request {
+                if source == Source::Request {
                     record.path.note_latency(latency);
                 }
                 counts.slow = u32::from(slow && !cold);
@@ -166,10 +174,7 @@
     /// Keeps outcomes for the next digest to the watchers.
     fn pend(&mut self, server: &ServerId, counts: &OutcomeCounts) {
         let Some(record) = self.servers.get_mut(server) else { return };
-        let pending = match counts.source {
-            OutcomeSource::Request => &mut record.pending_requests,
-            OutcomeSource::Probe => &mut record.pending_probes,
-        };
+        let pending = &mut record.pending;
         pending.good += counts.good;
         pending.slow += counts.slow;
         pending.failed += counts.failed;
@@ -178,7 +183,13 @@
     }
 
     /// Adds an observer's outcomes to the evidence on a server that this host watches.
-    fn add_evidence(&mut self, now: Timestamp, from: HostId, counts: &OutcomeCounts) {
+    fn add_evidence(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        counts: &OutcomeCounts,
+        passive: bool,
+    ) {
         let Some(host) = self.hosts.get(from) else { return };
         let Some(record) = self.servers.get_mut(&counts.server) else { return };
         let Some(service) = self.services.get(&record.known.service) else { return };
@@ -195,7 +206,7 @@
         let bad = counts.failed + counts.wrong + counts.slow > 0;
         let event = if bad { JudgeEvent::Bad } else { JudgeEvent::Good };
         watch.judge.handle(&event);
-        if counts.source == OutcomeSource::Request {
+        if passive {
             let all = counts.good + counts.slow + counts.failed + counts.wrong;
             watch.note_passive(now, all);
         }
--- a/components/health/src/health/outbound.rs
+++ b/components/health/src/health/outbound.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    evidence::SplitEvidence,
+    evidence::Evidence,
     health::Health,
     judge::{Excuse, Findings, JudgeEvent},
     types::{HealthAction, KnownState},
@@ -51,13 +51,14 @@
         let mut digests: BTreeMap<HostId, Vec<OutcomeCounts>> = BTreeMap::new();
         for server in std::mem::take(&mut self.pending) {
             let Some(record) = self.servers.get_mut(&server) else { continue };
-            if !flush && !record.has_bad_pending() {
+            let counts = &record.pending;
+            if !flush && counts.failed + counts.wrong + counts.slow == 0 {
                 self.pending.insert(server);
                 continue;
             }
             let counts = record.take_pending();
             for watcher in self.other_watchers(&server) {
-                digests.entry(watcher).or_default().extend(counts.iter().cloned());
+                digests.entry(watcher).or_default().push(counts.clone());
             }
         }
         for (to, entries) in digests {
@@ -82,7 +83,7 @@
                 if before == Some(VerdictStage::Ejected)
                     && watch.judge.state().stage() == VerdictStage::Probation
                 {
-                    watch.evidence = SplitEvidence::default();
+                    watch.evidence = Evidence::default();
                 }
             }
             if was_suspect != self.holds_suspect(&server) {
