Let hosts join the log long after its leader began, and removed ones announce themselves

Cause: a new member counted as silent since the leader's start, so that it was removed again after 8 s of leadership; a host that was removed while it was cut off asked for votes forever and never announced itself. Also: a server with work in flight is not idle (placement test, red before).

--- a/components/consensus/src/election.rs
+++ b/components/consensus/src/election.rs
@@ -5,11 +5,14 @@
 use statig::Outcome::{self, Handled, Super, Transition};
 
 use crate::{
-    leadership::Leadership, members::has_quorum, message::Received, replica::Replica, role::State,
+    founding, leadership::Leadership, members::has_quorum, message::Received, replica::Replica,
+    role::State,
 };
 
 /// Asks for a new election when the last one came to nothing.
 pub(crate) fn tick(replica: &mut Replica) -> Outcome<State> {
+    // The host may have been removed meanwhile, so that nobody votes for it.
+    founding::tick(replica);
     if replica.now < replica.election_at {
         return Handled;
     }
--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -285,10 +285,8 @@
 fn remove_silent_member(replica: &mut Replica, leadership: &mut Leadership) {
     let Growth::Open { keep, remove_after } = replica.settings.growth else { return };
     let members = replica.log.members();
-    let is_silent = |it: &&Progress| {
-        let heard_at = it.heard_at.unwrap_or(leadership.started_at).max(leadership.started_at);
-        replica.now >= heard_at + remove_after
-    };
+    let is_silent =
+        |it: &&Progress| replica.now >= it.heard_at.unwrap_or(it.tracked_since) + remove_after;
     let silent = leadership.progress.values().filter(is_silent);
     let removable = silent
         .map(|it| it.member.host)
--- a/components/consensus/src/leadership.rs
+++ b/components/consensus/src/leadership.rs
@@ -31,6 +31,8 @@
     pub(crate) is_rolled_back: bool,
     /// When the member last answered.
     pub(crate) heard_at: Option<Timestamp>,
+    /// Since when this leader sends to the member.
+    pub(crate) tracked_since: Timestamp,
 }
 
 impl Progress {
@@ -106,6 +108,7 @@
                 snapshot_offset: 0,
                 is_rolled_back: false,
                 heard_at: None,
+                tracked_since: replica.now,
             };
             self.progress.entry(member.host).or_insert_with(fresh);
         }
--- a/components/gateway_core/src/servers/placement.rs
+++ b/components/gateway_core/src/servers/placement.rs
@@ -220,7 +220,8 @@
     let is_near = server.distance == Distance::SameDataCentre;
     let is_suspect =
         server.standing.broken(now, share) > IDLE_MAX_BROKEN || server.standing.is_unreachable(now);
-    if !is_near || is_suspect {
+    let has_work = server.in_flight(now) > 0;
+    if !is_near || is_suspect || has_work {
         return 0.0;
     }
     server.idle(now).map_or(f64::INFINITY, |it| it.0 as f64)
--- /dev/null
+++ b/components/gateway_core/tests/common/mod.rs
@@ -0,0 +1,204 @@
+//! A gateway with a few backend servers, fed by the test.
+
+#![allow(dead_code)]
+
+use gateway_core::{
+    AttemptEnd, AttemptStart, BudgetSettings, CallerLimits, Gateway, GatewayConfig,
+    GatewaySettings, Repeats, RequestHead, Route, RouteTarget, ServicePolicy, Step,
+};
+use ids::{
+    ByteSize, ConfigVersion, DataCentreName, Fingerprint, HostId, Incarnation, LogIndex, Millis,
+    RegionName, RequestId, ServerId, ServiceName, Timestamp,
+};
+use schema::{
+    announcement::{Announcement, ServerState},
+    sync::{
+        ControlHostRecord, EntryHostRecord, EntryHostState, HostsChanges, HostsRevision,
+        HostsUpdate, KnownPlace, RegistryChanges, RegistryUpdate, Update,
+    },
+};
+
+pub const OWN: HostId = HostId(1);
+pub const CONTROL: HostId = HostId(100);
+
+pub fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+pub fn service() -> ServiceName {
+    "deposits".parse().unwrap()
+}
+
+pub fn data_centre(name: &str) -> DataCentreName {
+    name.parse().unwrap()
+}
+
+/// The region of a data centre that is named like `north-a`.
+pub fn region(data_centre: &str) -> RegionName {
+    data_centre.split('-').next().unwrap().parse().unwrap()
+}
+
+pub fn route(name: &str, repeats: Repeats) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "bank.example".to_owned(),
+        path_prefix: format!("/{name}/"),
+        repeats,
+        targets: vec![RouteTarget { service: service(), weight: 1 }],
+        time_limit: Millis(2_000),
+        latency_aim: Millis(900),
+        priority: 1,
+        max_attempts: 2,
+    }
+}
+
+pub fn config(version: u64, routes: Vec<Route>) -> GatewayConfig {
+    let probe_path = "/health".to_owned();
+    GatewayConfig {
+        version: ConfigVersion(version),
+        services: vec![ServicePolicy { name: service(), max_connections: 300, probe_path }],
+        routes,
+        caller_limits: CallerLimits {
+            max_head: ByteSize(16_384),
+            max_body: ByteSize(1_000_000),
+            head_timeout: Millis(3_000),
+            idle_timeout: Millis(15_000),
+        },
+    }
+}
+
+pub fn server(number: u64, data_centre_name: &str) -> Announcement {
+    Announcement {
+        server: server_id(number),
+        service: service(),
+        data_centre: data_centre(data_centre_name),
+        address: format!("10.0.0.{number}:80").parse().unwrap(),
+        incarnation: Incarnation(number),
+        lifetime_ms: Millis(1_500),
+        sequence: 1,
+        slots: 3,
+        state: ServerState::Serving,
+    }
+}
+
+pub fn server_id(number: u64) -> ServerId {
+    format!("s{number}").parse().unwrap()
+}
+
+pub fn entry_host(host: u32, data_centre_name: &str) -> EntryHostRecord {
+    EntryHostRecord {
+        host: HostId(host),
+        incarnation: Incarnation(1),
+        region: region(data_centre_name),
+        data_centre: data_centre(data_centre_name),
+        caller_address: format!("10.1.0.{host}:80").parse().unwrap(),
+        state: EntryHostState::Serving,
+    }
+}
+
+/// A gateway in data centre `north-a`.
+pub struct Bed {
+    pub gateway: Gateway,
+    next_index: u64,
+}
+
+impl Bed {
+    /// A gateway that serves these routes with these servers and hosts.
+    pub fn new(
+        routes: Vec<Route>,
+        servers: Vec<Announcement>,
+        hosts: Vec<EntryHostRecord>,
+    ) -> Self {
+        let places = ["north-a", "north-b", "south-a", "south-b"];
+        let settings = GatewaySettings {
+            host: OWN,
+            region: region("north-a"),
+            data_centre: data_centre("north-a"),
+            regions: places.iter().map(|it| (data_centre(it), region(it))).collect(),
+            incarnation: Incarnation(1),
+            caller_address: "10.1.0.1:80".parse().unwrap(),
+            seeds: vec![CONTROL],
+            budget: BudgetSettings { share_milli: 200, slack: 48, window: Millis(10_000) },
+            directory_keep: Millis(1_000),
+            seed: 7,
+        };
+        let mut bed = Self { gateway: Gateway::new(settings), next_index: 1 };
+        bed.gateway.set_config(config(1, routes));
+        bed.update(at(0), servers, hosts);
+        bed
+    }
+
+    /// Brings servers and hosts that have changed.
+    pub fn update(
+        &mut self,
+        now: Timestamp,
+        servers: Vec<Announcement>,
+        hosts: Vec<EntryHostRecord>,
+    ) {
+        let poll = self.gateway.poll(now).expect("a poll is due");
+        self.next_index += 1;
+        let update = Update {
+            sequence: poll.poll.sequence,
+            current: true,
+            control_hosts: vec![ControlHostRecord { host: CONTROL, place: KnownPlace::Unknown }],
+            registry: RegistryUpdate::Changed(RegistryChanges {
+                up_to: LogIndex(self.next_index),
+                whole: false,
+                config: Vec::new(),
+                servers,
+            }),
+            hosts: HostsUpdate::Changed(HostsChanges {
+                revision: HostsRevision {
+                    control_host: CONTROL,
+                    incarnation: Incarnation(1),
+                    number: self.next_index,
+                },
+                whole: false,
+                hosts,
+                gone: Vec::new(),
+            }),
+        };
+        self.gateway.on_update(now, poll.to, update);
+    }
+
+    pub fn begin(&mut self, now: Timestamp, path: &str) -> RequestId {
+        self.gateway.begin(now, head(path)).expect("the request is taken")
+    }
+
+    /// Sends a new request and says where it went.
+    pub fn send(&mut self, now: Timestamp, path: &str) -> (RequestId, AttemptStart) {
+        let id = self.begin(now, path);
+        match self.gateway.step(now, id) {
+            Step::Send(start) => (id, start),
+            step => panic!("the request is not sent: {step:?}"),
+        }
+    }
+
+    pub fn end(&mut self, now: Timestamp, id: RequestId, start: &AttemptStart, end: AttemptEnd) {
+        self.gateway.attempt_ended(now, id, start.attempt, end, ByteSize(2_000));
+    }
+
+    /// Sends a request, ends its attempt, and forgets it.
+    pub fn run(
+        &mut self,
+        sent: Timestamp,
+        ended: Timestamp,
+        path: &str,
+        end: AttemptEnd,
+    ) -> ServerId {
+        let (id, start) = self.send(sent, path);
+        self.end(ended, id, &start, end);
+        self.gateway.step(ended, id);
+        self.gateway.forget(ended, id);
+        start.server
+    }
+}
+
+pub fn head(path: &str) -> RequestHead {
+    RequestHead {
+        host: "bank.example".to_owned(),
+        path: path.to_owned(),
+        fingerprint: Fingerprint::of(path.as_bytes()),
+        patience: Some(Millis(4_000)),
+    }
+}
--- /dev/null
+++ b/components/gateway_core/tests/placement.rs
@@ -0,0 +1,242 @@
+//! Where attempts go, for each load pattern that the placement answers.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{Bed, at, entry_host, route, server, server_id};
+use gateway_core::{AttemptEnd, RefusalReason, Repeats, Step};
+use ids::{HostId, ServerId};
+use schema::{
+    announcement::ServerState,
+    server_load::{LoadEvent, LoadReport, ReportScope},
+};
+
+fn safe() -> Vec<gateway_core::Route> {
+    vec![route("look", Repeats::Allowed)]
+}
+
+fn unsafe_and_safe() -> Vec<gateway_core::Route> {
+    vec![route("pay", Repeats::Forbidden), route("look", Repeats::Allowed)]
+}
+
+fn report(number: u64, in_flight: u32, event: LoadEvent) -> LoadReport {
+    let announcement = server(number, "north-a");
+    LoadReport {
+        address: announcement.address,
+        incarnation: announcement.incarnation,
+        scope: ReportScope::Near,
+        in_flight,
+        event,
+    }
+}
+
+#[test]
+fn calm_traffic_stays_in_the_data_centre() {
+    let servers = vec![server(1, "north-a"), server(2, "north-a"), server(3, "north-b")];
+    let mut bed = Bed::new(unsafe_and_safe(), servers, vec![entry_host(1, "north-a")]);
+
+    let mut used: BTreeMap<ServerId, u32> = BTreeMap::new();
+    for i in 0..100 {
+        let sent = at(i * 300);
+        let path = if i % 2 == 0 { "/pay/1" } else { "/look/1" };
+        *used.entry(bed.run(sent, at(i * 300 + 200), path, AttemptEnd::Answered)).or_default() += 1;
+    }
+
+    assert_eq!(used.get(&server_id(3)), None);
+    assert!(used[&server_id(1)] > 20 && used[&server_id(2)] > 20, "{used:?}");
+}
+
+#[test]
+fn a_request_that_must_not_repeat_leaves_a_server_at_its_first_broken_connection() {
+    let servers = vec![server(1, "north-a"), server(2, "north-a"), server(3, "north-b")];
+    let mut bed = Bed::new(unsafe_and_safe(), servers, vec![entry_host(1, "north-a")]);
+    for i in 0..10 {
+        bed.run(at(i * 300), at(i * 300 + 200), "/pay/1", AttemptEnd::Answered);
+    }
+
+    let broken = bed.run(at(3_000), at(3_001), "/pay/2", AttemptEnd::Lost);
+
+    for i in 0..12 {
+        let now = at(3_010 + i * 200);
+        let used = bed.run(now, now, &format!("/pay/{i}"), AttemptEnd::Answered);
+        assert_ne!(used, broken, "after {} ms", 10 + i * 200);
+    }
+}
+
+#[test]
+fn a_broken_connection_seen_by_a_neighbour_is_enough() {
+    let servers = vec![server(1, "north-a"), server(2, "north-a")];
+    let hosts = vec![entry_host(1, "north-a"), entry_host(2, "north-a")];
+    let mut bed = Bed::new(unsafe_and_safe(), servers, hosts);
+    let lost = LoadEvent::Lost(ids::Fingerprint::of(b"other"));
+
+    bed.gateway.on_report(at(100), HostId(2), &report(1, 0, lost));
+
+    for i in 0..10 {
+        let now = at(110 + i * 150);
+        let used = bed.run(now, now, "/pay/1", AttemptEnd::Answered);
+        assert_eq!(used, server_id(2));
+    }
+}
+
+#[test]
+fn a_server_that_was_broken_comes_back_and_safe_requests_try_it_first() {
+    let servers = vec![server(1, "north-a"), server(2, "north-a")];
+    let mut bed = Bed::new(unsafe_and_safe(), servers, vec![entry_host(1, "north-a")]);
+    let broken = bed.run(at(0), at(1), "/pay/1", AttemptEnd::Lost);
+
+    let mut came_back = None;
+    for i in 1..200 {
+        let now = at(i * 100);
+        let path = if i % 2 == 0 { "/pay/2" } else { "/look/2" };
+        if bed.run(now, now, path, AttemptEnd::Answered) == broken {
+            came_back = Some((i * 100, path));
+            break;
+        }
+    }
+
+    let (after, path) = came_back.expect("the server gets work again");
+    assert_eq!(path, "/look/2");
+    assert!((2_000..15_000).contains(&after), "after {after} ms");
+}
+
+#[test]
+fn what_neighbours_have_in_flight_sends_work_elsewhere() {
+    let servers = vec![server(1, "north-a"), server(2, "north-a")];
+    let hosts = vec![entry_host(1, "north-a"), entry_host(2, "north-a")];
+    let mut bed = Bed::new(safe(), servers, hosts);
+
+    for in_flight in 1..=5 {
+        bed.gateway.on_report(at(10), HostId(2), &report(1, in_flight, LoadEvent::Started));
+    }
+
+    for i in 0..3 {
+        let (_, start) = bed.send(at(20 + i), "/look/1");
+        assert_eq!(start.server, server_id(2));
+    }
+}
+
+#[test]
+fn a_burst_goes_to_the_next_data_centre_and_then_waits() {
+    let servers = vec![server(1, "north-a"), server(2, "north-b")];
+    let mut bed = Bed::new(safe(), servers, vec![entry_host(1, "north-a")]);
+
+    let mut used: BTreeMap<ServerId, u32> = BTreeMap::new();
+    let mut waits = 0;
+    for i in 0..12 {
+        let id = bed.begin(at(i), &format!("/look/{i}"));
+        match bed.gateway.step(at(i), id) {
+            Step::Send(start) => *used.entry(start.server).or_default() += 1,
+            Step::Wait(_) => waits += 1,
+            step => panic!("{step:?}"),
+        }
+    }
+
+    assert_eq!(used[&server_id(1)], 5, "three slots and two in the server's queue");
+    assert_eq!(used[&server_id(2)], 5);
+    assert_eq!(waits, 2);
+}
+
+#[test]
+fn a_waiting_request_is_woken_when_a_server_has_room_the_urgent_one_first() {
+    let mut urgent = route("urgent", Repeats::Allowed);
+    urgent.priority = 0;
+    let routes = vec![route("look", Repeats::Allowed), urgent];
+    let mut bed = Bed::new(routes, vec![server(1, "north-a")], vec![entry_host(1, "north-a")]);
+    let running: Vec<_> = (0..5).map(|i| bed.send(at(i), &format!("/look/{i}"))).collect();
+    let patient = bed.begin(at(10), "/look/9");
+    let urgent = bed.begin(at(11), "/urgent/1");
+    assert!(matches!(bed.gateway.step(at(10), patient), Step::Wait(_)));
+    assert!(matches!(bed.gateway.step(at(11), urgent), Step::Wait(_)));
+
+    bed.end(at(200), running[0].0, &running[0].1, AttemptEnd::Answered);
+
+    assert_eq!(bed.gateway.take_wakeups(), vec![urgent]);
+    assert!(matches!(bed.gateway.step(at(200), urgent), Step::Send(_)));
+    assert!(matches!(bed.gateway.step(at(200), patient), Step::Wait(_)));
+}
+
+#[test]
+fn what_cannot_be_answered_in_time_is_refused_at_once() {
+    let mut slow = route("look", Repeats::Allowed);
+    slow.latency_aim = ids::Millis(9_000);
+    slow.time_limit = ids::Millis(1_000);
+    let mut bed = Bed::new(vec![slow], vec![server(1, "north-a")], vec![entry_host(1, "north-a")]);
+
+    let id = bed.begin(at(0), "/look/1");
+
+    let Step::Finish(gateway_core::Finish::Refuse(refusal)) = bed.gateway.step(at(0), id) else {
+        panic!("the request is not refused");
+    };
+    assert_eq!(refusal.reason, RefusalReason::Busy);
+    assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn a_server_with_work_and_no_answers_is_left_before_its_first_late_answer() {
+    let servers = vec![server(1, "north-a"), server(2, "north-a")];
+    let mut bed = Bed::new(safe(), servers, vec![entry_host(1, "north-a")]);
+    for i in 0..20 {
+        bed.run(at(i * 100), at(i * 100 + 90), "/look/1", AttemptEnd::Answered);
+    }
+    let (_, stuck) = bed.send(at(3_000), "/look/stuck");
+
+    for i in 0..10 {
+        let sent = at(3_900 + i * 20);
+        let used = bed.run(sent, sent + ids::Millis(15), "/look/2", AttemptEnd::Answered);
+        assert_ne!(used, stuck.server);
+    }
+}
+
+#[test]
+fn a_new_server_gets_work_within_two_seconds() {
+    let hosts = vec![entry_host(1, "north-a")];
+    let mut bed = Bed::new(unsafe_and_safe(), vec![server(1, "north-a")], hosts);
+    for i in 0..20 {
+        bed.run(at(i * 200), at(i * 200 + 100), "/pay/1", AttemptEnd::Answered);
+    }
+    let mut new = server(2, "north-a");
+    new.state = ServerState::Starting;
+    bed.update(at(5_000), vec![new], Vec::new());
+
+    let used: Vec<_> = (0..10)
+        .map(|i| bed.run(at(5_010 + i * 200), at(5_100 + i * 200), "/pay/1", AttemptEnd::Answered))
+        .collect();
+
+    assert!(used.contains(&server_id(2)));
+}
+
+#[test]
+fn a_draining_server_gets_nothing_more() {
+    let servers = vec![server(1, "north-a"), server(2, "north-a")];
+    let mut bed = Bed::new(safe(), servers, vec![entry_host(1, "north-a")]);
+    let mut leaving = server(1, "north-a");
+    leaving.state = ServerState::Draining;
+    leaving.sequence = 2;
+
+    bed.update(at(100), vec![leaving], Vec::new());
+
+    for i in 0..20 {
+        let sent = at(110 + i * 50);
+        assert_eq!(bed.run(sent, sent, "/look/1", AttemptEnd::Answered), server_id(2));
+    }
+}
+
+#[test]
+fn a_server_whose_address_another_one_has_gets_nothing_more() {
+    let servers = vec![server(1, "north-a"), server(2, "north-a")];
+    let mut bed = Bed::new(unsafe_and_safe(), servers, vec![entry_host(1, "north-a")]);
+
+    let (id, first) = bed.send(at(0), "/pay/1");
+    bed.end(at(1), id, &first, AttemptEnd::Misplaced);
+    let Step::Send(second) = bed.gateway.step(at(1), id) else {
+        panic!("the request did not run and goes on");
+    };
+
+    assert_ne!(second.server, first.server);
+    for i in 0..10 {
+        let sent = at(10 + i * 100);
+        assert_eq!(bed.run(sent, sent, "/pay/2", AttemptEnd::Answered), second.server);
+    }
+}
