--- a/components/gateway_core/src/servers/placement.rs
+++ b/components/gateway_core/src/servers/placement.rs
@@ -43,10 +43,12 @@
 const LATE_BETWEEN: (f64, f64) = (0.7, 1.3);
 
 /// Cost that is taken off a server of this data centre that has been idle, in lost requests, when
-/// the request may be sent again; about the risk of a server of which nothing was heard lately.
-const IDLE_GAIN_REPEATABLE: f64 = 0.2;
+/// the request may be sent again; more than the risk of a server that was just broken, so that
+/// each server that takes work gets some within two seconds.
+const IDLE_GAIN_REPEATABLE: f64 = 0.45;
 
-/// The same for a request that must not be sent again.
+/// The same for a request that must not be sent again; about the risk of a server of which nothing
+/// was heard lately.
 const IDLE_GAIN_FINAL: f64 = 0.12;
 
 /// Idle times between which that gain grows from nothing to all of it, in milliseconds, for
@@ -56,8 +58,11 @@
 /// The same for requests that must not be sent again.
 const IDLE_BETWEEN_FINAL: (f64, f64) = (900.0, 1_400.0);
 
-/// Chance of being broken up to which an idle server is tried for the sake of it.
-const IDLE_MAX_BROKEN: f64 = 0.45;
+/// Chance of being broken up to which an idle server is tried by requests that may be sent again.
+const IDLE_MAX_BROKEN_REPEATABLE: f64 = 0.85;
+
+/// The same for requests that must not be sent again.
+const IDLE_MAX_BROKEN_FINAL: f64 = 0.45;
 
 /// Time to another data centre of the region and back, in milliseconds.
 const REGION_ROUND_TRIP: f64 = 3.0;
@@ -157,9 +162,10 @@
     kilobyte_cost: f64,
     is_unreachable: bool,
     risk: f64,
-    /// Time for which this data centre has left the server idle, in milliseconds, if it should be
-    /// tried.
+    /// Time for which this data centre has left the server idle, in milliseconds.
     idle: f64,
+    /// The chance that the server is broken.
+    broken: f64,
 }
 
 impl Outlook {
@@ -184,7 +190,8 @@
             kilobyte_cost,
             is_unreachable: server.standing.is_unreachable(now),
             risk: server.standing.risk(now, share),
-            idle: idle(now, server, share),
+            idle: idle(now, server),
+            broken: server.standing.broken(now, share),
         }
     }
 
@@ -207,21 +214,24 @@
     }
 
     fn idle_gain(&self, repeats: Repeats) -> f64 {
-        let ((from, to), gain) = match repeats {
-            Repeats::Allowed => (IDLE_BETWEEN_REPEATABLE, IDLE_GAIN_REPEATABLE),
-            Repeats::Forbidden => (IDLE_BETWEEN_FINAL, IDLE_GAIN_FINAL),
+        let ((from, to), gain, max_broken) = match repeats {
+            Repeats::Allowed => {
+                (IDLE_BETWEEN_REPEATABLE, IDLE_GAIN_REPEATABLE, IDLE_MAX_BROKEN_REPEATABLE)
+            }
+            Repeats::Forbidden => (IDLE_BETWEEN_FINAL, IDLE_GAIN_FINAL, IDLE_MAX_BROKEN_FINAL),
         };
+        if self.broken > max_broken {
+            return 0.0;
+        }
         gain * ((self.idle - from) / (to - from)).clamp(0.0, 1.0)
     }
 }
 
 /// How long a server of this data centre was left idle; 0 when there is a reason for it.
-fn idle(now: Timestamp, server: &Server, share: BrokenShare) -> f64 {
+fn idle(now: Timestamp, server: &Server) -> f64 {
     let is_near = server.distance == Distance::SameDataCentre;
-    let is_suspect =
-        server.standing.broken(now, share) > IDLE_MAX_BROKEN || server.standing.is_unreachable(now);
     let has_work = server.in_flight(now) > 0;
-    if !is_near || is_suspect || has_work {
+    if !is_near || has_work || server.standing.is_unreachable(now) {
         return 0.0;
     }
     server.idle(now).map_or(f64::INFINITY, |it| it.0 as f64)
--- a/components/gateway_core/tests/placement.rs
+++ b/components/gateway_core/tests/placement.rs
@@ -98,7 +98,7 @@
 
     let (after, path) = came_back.expect("the server gets work again");
     assert_eq!(path, "/look/2");
-    assert!((2_000..15_000).contains(&after), "after {after} ms");
+    assert!((500..2_000).contains(&after), "after {after} ms");
 }
 
 #[test]
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -25,7 +25,7 @@
     followers::{Followers, News, WaitingPoll},
     log_requests::{LogRequests, Waiting},
     presence::EntryHosts,
-    state::{Judgement, Registry},
+    state::{ANY_INCARNATION, Judgement, Registry},
 };
 
 /// Entries after which the log is replaced by a snapshot.
@@ -275,15 +275,12 @@
         server: ServerId,
         incarnation: Option<Incarnation>,
     ) {
-        let known = self.registry.incarnation_of(&server);
-        let Some(incarnation) = incarnation.or(known) else {
-            return self.answer(id, Answer::Accepted);
-        };
-        let leave = Leave { server, incarnation };
-        if !self.registry.knows_leaving(&leave) && self.consensus.is_current(now) {
-            return self.answer(id, Answer::Accepted);
+        let leave = Leave { server, incarnation: incarnation.unwrap_or(ANY_INCARNATION) };
+        // A server that is unknown here may be known to the leader.
+        match self.registry.has_left(&leave) {
+            true => self.answer(id, Answer::Accepted),
+            false => self.propose(now, id, &RegistryCommand::Leave(leave)),
         }
-        self.propose(now, id, &RegistryCommand::Leave(leave));
     }
 
     fn propose(&mut self, now: Timestamp, id: RequestId, command: &RegistryCommand) {
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -14,6 +14,9 @@
 /// A deployment that replaces all of 430 servers every few minutes stays below this for an hour.
 const MAX_LEFT_SERVERS: usize = 8192;
 
+/// Stands for whichever start of a server is known, where one leaves without naming its own.
+pub(crate) const ANY_INCARNATION: Incarnation = Incarnation(0);
+
 /// What an announcement means to the registry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Judgement {
@@ -109,17 +112,17 @@
         judge_same_server(&record.announcement, announcement)
     }
 
-    /// The newest start of a server that is known.
-    pub fn incarnation_of(&self, server: &ServerId) -> Option<Incarnation> {
-        self.servers.get(server).map(|it| it.announcement.incarnation)
+    /// Whether a server that says that it is gone is known to have left.
+    pub fn has_left(&self, leave: &Leave) -> bool {
+        self.leaving(leave).is_some_and(|it| it.announcement.state == ServerState::Stopped)
     }
 
-    /// Whether a server that leaves is known and has not left yet.
-    pub fn knows_leaving(&self, leave: &Leave) -> bool {
-        self.servers.get(&leave.server).is_some_and(|it| {
-            it.announcement.incarnation == leave.incarnation
-                && it.announcement.state != ServerState::Stopped
-        })
+    /// The record of the start that leaves.
+    fn leaving(&self, leave: &Leave) -> Option<&ServerRecord> {
+        let record = self.servers.get(&leave.server)?;
+        let is_meant = leave.incarnation == ANY_INCARNATION
+            || leave.incarnation == record.announcement.incarnation;
+        is_meant.then_some(record)
     }
 
     /// What changed after entry `held`, for a follower that holds the registry up to there.
@@ -162,7 +165,7 @@
     }
 
     fn leave(&mut self, index: LogIndex, leave: &Leave) {
-        if self.knows_leaving(leave) {
+        if self.leaving(leave).is_some() && !self.has_left(leave) {
             self.mark_left(index, &leave.server);
         }
     }
--- a/components/registry/tests/control_hosts.rs
+++ b/components/registry/tests/control_hosts.rs
@@ -216,6 +216,20 @@
     assert_eq!(fleet.process(leader).unwrap().registry().servers().count(), 1);
 }
 
+#[test]
+fn a_host_that_has_just_restarted_does_not_call_an_unknown_server_gone() {
+    let mut fleet = Fleet::new(3);
+    fleet.ask(&Request::Announce(announcement(1, ServerState::Serving)));
+    let follower = fleet.ids().into_iter().find(|it| Some(*it) != fleet.leader()).unwrap();
+    fleet.stop(follower);
+    fleet.start(follower);
+
+    let leave = Request::Leave { server: "s1".parse().unwrap(), incarnation: Some(Incarnation(7)) };
+    let id = fleet.request(follower, leave);
+
+    assert_ne!(fleet.answers.get(&id), Some(&Answer::Accepted));
+}
+
 #[test]
 fn a_follower_hears_of_a_change_at_once_and_of_nothing_after_a_second() {
     let mut fleet = Fleet::new(3);
