--- a/components/gateway_core/src/follower.rs
+++ b/components/gateway_core/src/follower.rs
@@ -13,6 +13,10 @@
 /// time for a lost packet to be sent again.
 pub const ANSWER_TIMEOUT: Millis = Millis(1_600);
 
+/// Longest wait for the answer to a poll of a gateway that holds nothing yet, in milliseconds: such
+/// a poll is not held, and control hosts that restart together may not listen yet.
+const FIRST_ANSWER_TIMEOUT: Millis = Millis(400);
+
 /// Least time between two polls, in milliseconds.
 const MIN_POLL_INTERVAL: Millis = Millis(20);
 
@@ -97,7 +101,7 @@
         let to = self.choose_target(now)?;
         self.sequence += 1;
         self.is_waiting = true;
-        self.waits_until = now + ANSWER_TIMEOUT;
+        self.waits_until = now + self.answer_timeout();
         let poll = Poll {
             sequence: self.sequence,
             presence,
@@ -159,6 +163,13 @@
         }
     }
 
+    fn answer_timeout(&self) -> Millis {
+        match self.holds {
+            LogIndex(0) => FIRST_ANSWER_TIMEOUT,
+            _ => ANSWER_TIMEOUT,
+        }
+    }
+
     fn candidate(&self, host: HostId) -> Option<&Candidate> {
         self.candidates.iter().find(|it| it.host == host)
     }
--- /dev/null
+++ b/components/gateway_core/tests/following.rs
@@ -0,0 +1,115 @@
+//! How a gateway keeps up with control hosts.
+
+mod common;
+
+use common::{Bed, CONTROL, at, data_centre, entry_host, region, route, server};
+use gateway_core::{ANSWER_TIMEOUT, Note, Repeats};
+use ids::{HostId, LogIndex, Timestamp};
+use schema::sync::{ControlHostRecord, HostsUpdate, KnownPlace, Place, RegistryUpdate, Update};
+
+fn bed() -> Bed {
+    let routes = vec![route("look", Repeats::Allowed)];
+    Bed::new(routes, vec![server(1, "north-a")], vec![entry_host(1, "north-a")])
+}
+
+fn control_host(host: u32, place: &str) -> ControlHostRecord {
+    let place = Place { region: region(place), data_centre: data_centre(place) };
+    ControlHostRecord { host: HostId(host), place: KnownPlace::Known(place) }
+}
+
+fn answer(bed: &mut Bed, now: Timestamp, current: bool, hosts: Vec<ControlHostRecord>) -> HostId {
+    let poll = bed.gateway.poll(now).expect("a poll is due");
+    let update = Update {
+        sequence: poll.poll.sequence,
+        current,
+        control_hosts: hosts,
+        registry: RegistryUpdate::Unchanged,
+        hosts: HostsUpdate::Unchanged,
+    };
+    bed.gateway.on_update(now, poll.to, update);
+    poll.to
+}
+
+#[test]
+fn the_nearest_control_host_is_followed() {
+    let mut bed = bed();
+    let hosts = vec![
+        control_host(100, "south-a"),
+        control_host(101, "north-b"),
+        control_host(102, "north-a"),
+    ];
+
+    assert_eq!(answer(&mut bed, at(100), true, hosts.clone()), CONTROL);
+
+    assert_eq!(answer(&mut bed, at(200), true, hosts), HostId(102));
+}
+
+#[test]
+fn a_control_host_that_is_silent_or_not_current_is_left_for_another_one_and_tried_later() {
+    let mut bed = bed();
+    let hosts = vec![control_host(101, "north-b"), control_host(102, "north-a")];
+    answer(&mut bed, at(100), true, hosts.clone());
+    let silent = bed.gateway.poll(at(200)).unwrap();
+    assert_eq!(silent.to, HostId(102));
+
+    let late = at(200) + ANSWER_TIMEOUT;
+    let next = bed.gateway.poll(late).unwrap();
+    assert_eq!(next.to, HostId(101));
+    assert_eq!(next.poll.holds, LogIndex(2));
+
+    let much_later = at(30_000);
+    assert_eq!(answer(&mut bed, much_later, false, hosts), HostId(102));
+}
+
+#[test]
+fn an_answer_to_an_older_poll_changes_nothing() {
+    let mut bed = bed();
+    let poll = bed.gateway.poll(at(100)).unwrap();
+    let update = Update {
+        sequence: poll.poll.sequence - 1,
+        current: true,
+        control_hosts: vec![control_host(109, "north-a")],
+        registry: RegistryUpdate::Unchanged,
+        hosts: HostsUpdate::Unchanged,
+    };
+
+    bed.gateway.on_update(at(110), poll.to, update);
+
+    assert!(bed.gateway.poll(at(200)).is_none(), "the poll is still waited for");
+}
+
+#[test]
+fn lost_and_found_control_hosts_are_noted() {
+    let mut bed = bed();
+    bed.gateway.take_notes();
+    bed.gateway.poll(at(100)).unwrap();
+    bed.gateway.poll(at(100) + ANSWER_TIMEOUT);
+
+    let notes = bed.gateway.take_notes();
+
+    assert!(
+        notes.iter().any(|it| matches!(it, Note::ControlHostLost { host, .. } if *host == CONTROL))
+    );
+}
+
+#[test]
+fn callers_are_told_serving_hosts_near_them_and_farther_ones_only_when_there_are_few() {
+    let mut bed = bed();
+    let mut hosts =
+        vec![entry_host(2, "north-a"), entry_host(3, "north-a"), entry_host(4, "south-a")];
+    bed.update(at(100), Vec::new(), hosts.clone());
+    let north = |bed: &Bed| {
+        bed.gateway
+            .directory(Some(&region("north-a")), Some(&data_centre("north-a")))
+            .addresses
+            .len()
+    };
+    assert_eq!(north(&bed), 3);
+
+    hosts[0].state = schema::sync::EntryHostState::Draining;
+    bed.update(at(300), Vec::new(), hosts);
+
+    assert_eq!(north(&bed), 3, "two near ones and one elsewhere");
+    let south = bed.gateway.directory(Some(&region("south-a")), Some(&data_centre("south-a")));
+    assert_eq!(south.addresses.len(), 3);
+}
