Spread the first elections after a restart

Cause: hosts that restart together waited 400 to 800 ms, two stood at once with round trips of 40 ms between regions, and the next try came only after 0.9 to 1.8 s. Now 200 to 800 ms until a leader was heard for the first time.

--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -16,7 +16,8 @@
     log::Log,
     members::is_voter,
     settings::{
-        ELECTION_TIMEOUT_MIN, FOLLOWER_FRESHNESS, LeaseUse, RESTART_ELECTION_SPREAD, Settings,
+        ELECTION_TIMEOUT_MIN, FOLLOWER_FRESHNESS, LeaseUse, RESTART_ELECTION_MIN,
+        RESTART_ELECTION_SPREAD, Settings,
     },
     snapshot::IncomingSnapshot,
 };
@@ -67,10 +68,10 @@
             actions: Vec::new(),
             random,
         };
-        match replica.settings.lease_use {
-            LeaseUse::Reads => replica.postpone_election(),
-            LeaseUse::Hints => replica.hasten_election(),
+        if replica.settings.lease_use == LeaseUse::Hints {
+            replica.leader_heard_at = None;
         }
+        replica.postpone_election();
         replica
     }
 
@@ -114,17 +115,15 @@
         self.act(Action::Send { to, message });
     }
 
-    /// Draws the time of the next election.
+    /// Draws the time of the next election; a host that has heard no leader since its start waits
+    /// less.
     pub(crate) fn postpone_election(&mut self) {
-        let spread = self.random.next_u64() % (ELECTION_TIMEOUT_MIN.0 + 1);
-        self.election_at = self.now + Millis(ELECTION_TIMEOUT_MIN.0 + spread);
-    }
-
-    /// Asks for votes soon after a restart, and lets others do so.
-    fn hasten_election(&mut self) {
-        self.leader_heard_at = None;
-        let spread = self.random.next_u64() % (RESTART_ELECTION_SPREAD.0 + 1);
-        self.election_at = self.now + RESTART_ELECTION_SPREAD + Millis(spread);
+        let (least, spread) = match self.leader_heard_at {
+            Some(_) => (ELECTION_TIMEOUT_MIN, ELECTION_TIMEOUT_MIN),
+            None => (RESTART_ELECTION_MIN, RESTART_ELECTION_SPREAD),
+        };
+        let extra = self.random.next_u64() % (spread.0 + 1);
+        self.election_at = self.now + Millis(least.0 + extra);
     }
 
     /// Whether another leader may still hold its lease by this host's answer.
--- a/components/consensus/src/settings.rs
+++ b/components/consensus/src/settings.rs
@@ -61,10 +61,12 @@
     Hints,
 }
 
-/// Time within which a host that has restarted asks for votes, where leases are hints, in
-/// milliseconds: a few round trips between regions, so that hosts that restart together seldom
-/// ask at once.
-pub(crate) const RESTART_ELECTION_SPREAD: Millis = Millis(400);
+/// Shortest wait of a host that has heard no leader since its start before it asks for votes,
+/// where leases are hints, in milliseconds: a few round trips between regions.
+pub(crate) const RESTART_ELECTION_MIN: Millis = Millis(200);
+
+/// Spread of that wait, in milliseconds: hosts that restart together should seldom ask at once.
+pub(crate) const RESTART_ELECTION_SPREAD: Millis = Millis(600);
 
 /// Settings of one host of the replicated log.
 #[derive(Debug, Clone)]
