--- a/components/gateway/src/entry/callers.rs
+++ b/components/gateway/src/entry/callers.rs
@@ -12,7 +12,7 @@
 };
 use ids::{Fingerprint, Millis, Timestamp};
 use platform::headers;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::{
     backend::Answer,
@@ -33,6 +33,10 @@
 /// Longest wait of a request for the first configuration.
 const JOINING_WAIT: Duration = Duration::from_millis(1_000);
 
+/// Time over which requests that waited are released: the first of them show which servers are
+/// broken.
+const JOINING_SPREAD: Millis = Millis(200);
+
 /// Answers one request of a caller.
 pub(crate) async fn handle(shared: Rc<Shared>, req: Request<Incoming>) -> Reply {
     let mut reply = answer(&shared, req).await;
@@ -44,10 +48,10 @@
 }
 
 async fn answer(shared: &Rc<Shared>, req: Request<Incoming>) -> Reply {
-    wait_for_config(shared).await;
     let (mut head, body) = req.into_parts();
     let caller = headers::read_caller(&head.headers);
     let attempt_id: Rc<str> = caller.attempt_id.as_str().into();
+    wait_for_config(shared, &attempt_id).await;
     let body = match read_body(shared, body).await {
         Ok(body) => body,
         Err(status) => {
@@ -79,12 +83,16 @@
 }
 
 /// Lets a request wait for the first configuration when one may arrive soon.
-async fn wait_for_config(shared: &Shared) {
+async fn wait_for_config(shared: &Shared, attempt_id: &str) {
     let changed = shared.config_changed.notified();
     let is_joining = shared.with_core(|core, _| core.lifecycle()) == Lifecycle::Joining;
     if is_joining && shared.clock.now() < Timestamp::default() + JOINING_TIME {
         // Without a configuration the request is refused.
-        let _ = timeout(JOINING_WAIT, changed).await;
+        if timeout(JOINING_WAIT, changed).await.is_ok() {
+            let spread = Fingerprint::of(attempt_id.as_bytes()).0[0];
+            let share = f64::from(spread) / f64::from(u8::MAX);
+            sleep(Duration::from(JOINING_SPREAD).mul_f64(share)).await;
+        }
     }
 }
 
--- a/components/json_log/src/buffer.rs
+++ b/components/json_log/src/buffer.rs
@@ -8,6 +8,7 @@
         mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     },
     thread,
+    time::Duration,
 };
 
 /// Lines that wait for the output at most; at 250 bytes each, half a megabyte.
@@ -19,6 +20,9 @@
 /// Bytes that are written at once.
 const MAX_WRITE_BYTES: usize = 64 * 1024;
 
+/// Between two looks whether all lines are written.
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// How many lines were dropped.
 #[derive(Debug, Default)]
 pub struct DropCounts {
@@ -42,6 +46,25 @@
     }
 }
 
+/// Waits for the last lines at the end of the process.
+#[derive(Debug, Clone)]
+pub struct LogEnd {
+    waiting: Arc<AtomicUsize>,
+}
+
+impl LogEnd {
+    /// Waits until all lines are written, but not longer than `limit`.
+    pub fn wait(&self, limit: Duration) {
+        let looks = limit.as_millis() / LOOK_INTERVAL.as_millis();
+        for _ in 0..looks {
+            if self.waiting.load(Ordering::Acquire) == 0 {
+                return;
+            }
+            thread::sleep(LOOK_INTERVAL);
+        }
+    }
+}
+
 /// Takes lines without ever waiting.
 pub struct LineBuffer {
     tx: SyncSender<Vec<u8>>,
@@ -51,7 +74,7 @@
 
 impl LineBuffer {
     /// Starts the thread that writes to `output`; it ends when the buffer is dropped.
-    pub fn start(output: impl Write + Send + 'static) -> io::Result<(Self, Arc<DropCounts>)> {
+    pub fn start(output: impl Write + Send + 'static) -> io::Result<Self> {
         let (tx, rx) = sync_channel(MAX_WAITING_LINES);
         let waiting = Arc::new(AtomicUsize::new(0));
         let counts = Arc::new(DropCounts::default());
@@ -59,7 +82,17 @@
         thread::Builder::new()
             .name("log-writer".to_owned())
             .spawn(move || write_all(&rx, &writer, output))?;
-        Ok((Self { tx, waiting, counts: counts.clone() }, counts))
+        Ok(Self { tx, waiting, counts })
+    }
+
+    /// How many lines were dropped.
+    pub fn counts(&self) -> Arc<DropCounts> {
+        self.counts.clone()
+    }
+
+    /// To wait for the last lines.
+    pub fn end(&self) -> LogEnd {
+        LogEnd { waiting: self.waiting.clone() }
     }
 }
 
@@ -70,11 +103,11 @@
             self.counts.full.fetch_add(1, Ordering::Relaxed);
             return Ok(line.len());
         }
+        self.waiting.fetch_add(1, Ordering::Relaxed);
         match self.tx.try_send(line.to_vec()) {
-            Ok(()) => {
-                self.waiting.fetch_add(1, Ordering::Relaxed);
-            }
+            Ok(()) => {}
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                self.waiting.fetch_sub(1, Ordering::Relaxed);
                 self.counts.full.fetch_add(1, Ordering::Relaxed);
             }
         }
@@ -102,10 +135,10 @@
             buf.extend_from_slice(&next);
             lines += 1;
         }
-        waiting.fetch_sub(lines, Ordering::Relaxed);
         // Nobody reads the logs any more; there is nowhere left to say so.
         if output.write_all(&buf).and_then(|()| output.flush()).is_err() {
             return;
         }
+        waiting.fetch_sub(lines, Ordering::Release);
     }
 }
--- a/components/json_log/src/lib.rs
+++ b/components/json_log/src/lib.rs
@@ -10,23 +10,24 @@
 
 use std::{
     io::{self, Write},
-    sync::{Arc, Mutex},
+    sync::Mutex,
     time::{SystemTime, UNIX_EPOCH},
 };
 
 pub use crate::{
-    buffer::{DropCounts, LineBuffer},
+    buffer::{DropCounts, LineBuffer, LogEnd},
     line::format_line,
     rate::{LineRates, MAX_LINES_PER_SECOND},
 };
 
 /// Starts logging to `output`; `RUST_LOG` chooses the level, `info` without it.
 ///
-/// Returns the counts of dropped lines.
-pub fn start(output: impl Write + Send + 'static) -> io::Result<Arc<DropCounts>> {
-    let (buffer, counts) = LineBuffer::start(output)?;
+/// Returns what waits for the last lines.
+pub fn start(output: impl Write + Send + 'static) -> io::Result<LogEnd> {
+    let buffer = LineBuffer::start(output)?;
+    let end = buffer.end();
     let rates = Mutex::new(LineRates::default());
-    let rate_counts = counts.clone();
+    let rate_counts = buffer.counts();
     let env = env_logger::Env::default().default_filter_or("info");
     env_logger::Builder::from_env(env)
         .target(env_logger::Target::Pipe(Box::new(buffer)))
@@ -42,5 +43,5 @@
             buf.write_all(&format_line(millis, record))
         })
         .init();
-    Ok(counts)
+    Ok(end)
 }
--- a/components/registry/src/followers.rs
+++ b/components/registry/src/followers.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use ids::{HostId, LogIndex, Millis, Timestamp};
-use schema::sync::{HostsRevision, Poll};
+use schema::sync::{HostsRevision, Place, Poll, Presence};
 
 /// How long a poll waits for news, in milliseconds.
 ///
@@ -22,6 +22,8 @@
     pub(crate) sequence: u64,
     pub(crate) holds: LogIndex,
     pub(crate) holds_hosts: HostsRevision,
+    /// Where the sender is, if it is an entry host.
+    pub(crate) place: Option<Place>,
     received_at: Timestamp,
 }
 
@@ -44,6 +46,7 @@
             sequence: poll.sequence,
             holds: poll.holds,
             holds_hosts: poll.holds_hosts.clone(),
+            place: place_of(&poll.presence),
             received_at: now,
         };
         self.waiting.insert(from, waiting);
@@ -69,3 +72,12 @@
         due.into_iter().collect()
     }
 }
+
+fn place_of(presence: &Presence) -> Option<Place> {
+    match presence {
+        Presence::Entry(it) => {
+            Some(Place { region: it.region.clone(), data_centre: it.data_centre.clone() })
+        }
+        Presence::Control => None,
+    }
+}
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -370,7 +370,8 @@
     }
 
     fn update_for(&self, poll: &WaitingPoll, news: News) -> Update {
-        let registry = match news.is_current && news.last_changed > poll.holds {
+        let has_news = news.is_current && news.last_changed > poll.holds;
+        let registry = match has_news && !self.should_ask_nearer(poll) {
             true => RegistryUpdate::Changed(self.registry.changes_since(poll.holds)),
             false => RegistryUpdate::Unchanged,
         };
@@ -390,6 +391,21 @@
         }
     }
 
+    /// Whether an entry host that has just started should get the whole registry from a control
+    /// host nearer to it, which it learns of by this answer.
+    fn should_ask_nearer(&self, poll: &WaitingPoll) -> bool {
+        let Some(place) = &poll.place else { return false };
+        let distance = |it: &Place| match () {
+            () if it.data_centre == place.data_centre => 0,
+            () if it.region == place.region => 1,
+            () => 2,
+        };
+        let others = self.other_members();
+        let nearest = others.iter().filter_map(|it| self.places.get(it)).map(distance).min();
+        let is_first = poll.sequence == 1 && poll.holds == LogIndex(0);
+        is_first && nearest.is_some_and(|it| it < distance(&self.place))
+    }
+
     fn place_of(&self, host: HostId) -> KnownPlace {
         let place = if host == self.own { Some(&self.place) } else { self.places.get(&host) };
         place.map_or(KnownPlace::Unknown, |it| KnownPlace::Known(it.clone()))
--- a/src/bin/daisypaddle-gateway.rs
+++ b/src/bin/daisypaddle-gateway.rs
@@ -1,6 +1,6 @@
 //! A gateway fleet: entry hosts with a policy for each route, and their control hosts.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{path::PathBuf, process::ExitCode, time::Duration};
 
 use daisypaddle::cli::{self, ExitError};
 
@@ -22,6 +22,9 @@
 command line, 3 settings with errors.
 ";
 
+/// Longest wait for the last log lines: a reader that has stopped must not hold up the end.
+const LOG_LIMIT: Duration = Duration::from_millis(100);
+
 /// What the process does in the fleet.
 enum Role {
     Entry,
@@ -61,7 +64,7 @@
     if only_check {
         return Ok(());
     }
-    json_log::start(std::io::stdout()).map_err(ExitError::failed)?;
+    let log_end = json_log::start(std::io::stdout()).map_err(ExitError::failed)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -73,5 +76,6 @@
     }
     // Blocked disk writes must not hold up the end of the process.
     runtime.shutdown_background();
+    log_end.wait(LOG_LIMIT);
     result.map_err(ExitError::failed)
 }
