Name the control host near them to backend servers

Ruled out: polls (near by now), heartbeats of the log (about 0.15 MB), reports of lost requests (0.07 MB, by their counts).

--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -47,9 +47,11 @@
         .map_err(StartError::Storage)?;
     let (transport, mut frames) =
         peers::bind_transport(settings.ip, settings.peer_port.get(), incarnation).await?;
+    let regions = settings.data_centres.iter().map(|it| (it.name.clone(), it.region.clone()));
     let host_settings = RegistryHostSettings {
         consensus: consensus_settings(&settings, incarnation.0),
         place: Place { region: settings.region.clone(), data_centre: settings.data_centre.clone() },
+        regions: regions.collect(),
         incarnation,
         is_new_fleet: settings.bootstrap,
     };
--- a/components/gateway/src/control/requests.rs
+++ b/components/gateway/src/control/requests.rs
@@ -100,12 +100,16 @@
         match answer {
             Some(Answer::Accepted) => match call {
                 ControlCall::Announce(_) | ControlCall::Leave(_) => {
-                    http::json(StatusCode::OK, announcements::encode_taken())
+                    http::json(StatusCode::OK, announcements::encode_taken(None))
                 }
                 ControlCall::PutConfig | ControlCall::ReadConfig => {
                     http::text(StatusCode::OK, Bytes::new())
                 }
             },
+            Some(Answer::Taken { next }) => {
+                let next = next.map(|it| peers::address_of(it, self.port));
+                http::json(StatusCode::OK, announcements::encode_taken(next))
+            }
             Some(Answer::Config { text, .. }) => http::json(StatusCode::OK, text.to_bytes()),
             Some(Answer::NoConfig) => unavailable("no configuration was put yet"),
             Some(Answer::AskLeader(leader)) => self.redirect(leader, path),
@@ -144,7 +148,7 @@
     answer: &Option<Answer>,
 ) {
     let outcome = match answer {
-        Some(Answer::Accepted) => "accepted".to_owned(),
+        Some(Answer::Accepted | Answer::Taken { .. }) => "accepted".to_owned(),
         Some(Answer::Config { version, .. }) => format!("version {version}"),
         Some(Answer::NoConfig) => "no configuration".to_owned(),
         Some(Answer::AskLeader(leader)) => {
@@ -154,7 +158,7 @@
         None => "stopping".to_owned(),
     };
     let is_routine = matches!(call, ControlCall::Announce(_))
-        && matches!(answer, Some(Answer::Accepted | Answer::AskLeader(_)));
+        && matches!(answer, Some(Answer::Taken { .. } | Answer::AskLeader(_)));
     if is_routine {
         return;
     }
--- a/components/registry/src/action.rs
+++ b/components/registry/src/action.rs
@@ -56,6 +56,11 @@
 pub enum Answer {
     /// Done, and durable on a majority of the control hosts.
     Accepted,
+    /// An announcement was taken; the next ones should go to this control host, if one is near.
+    Taken {
+        /// The control host.
+        next: Option<HostId>,
+    },
     /// The newest configuration.
     Config {
         /// Its version.
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -4,8 +4,8 @@
 
 use consensus::{Consensus, ProposeError, Settings};
 use ids::{
-    Blob, ConfigVersion, FastMap, HostId, Incarnation, LogIndex, RequestId, ServerId, Term,
-    Timestamp,
+    Blob, ConfigVersion, DataCentreName, FastMap, HostId, Incarnation, LogIndex, RegionName,
+    RequestId, ServerId, Term, Timestamp,
 };
 use schema::{
     announcement::Announcement,
@@ -23,7 +23,7 @@
 use crate::{
     action::{Answer, HostAction, HostEvent, Request, UnavailableReason},
     followers::{Followers, News, WaitingPoll},
-    log_requests::{LogRequests, Waiting},
+    log_requests::{LogRequests, Waiting, WhenAccepted},
     presence::EntryHosts,
     state::{ANY_INCARNATION, Judgement, Registry},
 };
@@ -37,6 +37,10 @@
 /// Between two polls by which a host that is no voter looks for the others, in milliseconds.
 const SEARCH_INTERVAL: ids::Millis = ids::Millis(500);
 
+/// Silence after which another control host is no longer named to backend servers, in
+/// milliseconds: control hosts tell each other of their entry hosts every four seconds at least.
+const PLACE_TIMEOUT: ids::Millis = ids::Millis(6_000);
+
 /// Settings of a control host.
 #[derive(Debug, Clone)]
 pub struct RegistryHostSettings {
@@ -44,6 +48,8 @@
     pub consensus: Settings,
     /// Where this host is.
     pub place: Place,
+    /// The regions of all data centres.
+    pub regions: FastMap<DataCentreName, RegionName>,
     /// The start of this process.
     pub incarnation: Incarnation,
     /// Whether the whole fleet starts for the first time.
@@ -75,6 +81,12 @@
     pub is_current: bool,
 }
 
+/// Where another control host said that it is, and when.
+struct HeardPlace {
+    place: Place,
+    heard_at: Timestamp,
+}
+
 /// All decisions of a control host.
 pub struct RegistryHost {
     own: HostId,
@@ -87,8 +99,9 @@
     /// Control hosts that others have named.
     named: BTreeSet<HostId>,
     place: Place,
-    /// Where the other control hosts are, as they said.
-    places: FastMap<HostId, Place>,
+    regions: FastMap<DataCentreName, RegionName>,
+    /// Where the other control hosts are, as they last said.
+    places: FastMap<HostId, HeardPlace>,
     next_search: Timestamp,
     is_stopping: bool,
     applied: LogIndex,
@@ -99,7 +112,8 @@
 impl RegistryHost {
     /// Resumes from what the disk holds.
     pub fn restore(settings: RegistryHostSettings, persisted: Persisted, now: Timestamp) -> Self {
-        let RegistryHostSettings { consensus, place, incarnation, is_new_fleet } = settings;
+        let RegistryHostSettings { consensus, place, regions, incarnation, is_new_fleet } =
+            settings;
         let own = persisted.identity.host;
         let seeds = consensus.voters.clone();
         let registry = Registry::restore(&persisted.snapshot.data);
@@ -114,6 +128,7 @@
             seeds,
             named: BTreeSet::new(),
             place,
+            regions,
             places: FastMap::default(),
             next_search: now,
             is_stopping: false,
@@ -136,7 +151,7 @@
             HostEvent::Stop => self.is_stopping = true,
         }
         self.abandon_lost();
-        self.compact();
+        self.compact(now);
         self.answer_followers(now);
         std::mem::take(&mut self.actions)
     }
@@ -165,7 +180,7 @@
 
     fn tick(&mut self, now: Timestamp) {
         let actions = self.consensus.tick(now);
-        self.carry_out(actions);
+        self.carry_out(now, actions);
         for waiting in self.requests.take_late(now) {
             self.answer(waiting.id, Answer::Unavailable(UnavailableReason::TimedOut));
         }
@@ -184,7 +199,7 @@
             PeerMessage::Sync(SyncMessage::Poll(it)) => self.on_poll(now, from, &it),
             PeerMessage::Sync(SyncMessage::Update(it)) => self.on_update(it),
             PeerMessage::Sync(SyncMessage::EntryHosts(it)) => {
-                self.places.insert(from, it.place);
+                self.places.insert(from, HeardPlace { place: it.place, heard_at: now });
                 self.entry_hosts.note_list(now, from, it.hosts);
             }
             // Other components of the product do not run on this host.
@@ -200,7 +215,7 @@
 
     fn on_consensus(&mut self, now: Timestamp, from: HostId, message: ConsensusMessage) {
         let actions = self.consensus.handle(now, from, message);
-        self.carry_out(actions);
+        self.carry_out(now, actions);
     }
 
     fn on_poll(&mut self, now: Timestamp, from: HostId, poll: &Poll) {
@@ -247,7 +262,9 @@
     fn on_request(&mut self, now: Timestamp, id: RequestId, request: Request) {
         match request {
             Request::PutConfig(it) => self.put_config(now, id, it),
-            Request::ReadConfig => self.propose(now, id, &RegistryCommand::Barrier),
+            Request::ReadConfig => {
+                self.propose(now, id, &RegistryCommand::Barrier, WhenAccepted::Config);
+            }
             Request::Announce(it) => self.announce(now, id, it),
             Request::Leave { server, incarnation } => self.leave(now, id, server, incarnation),
         }
@@ -257,14 +274,21 @@
         if config.version <= self.registry.version() {
             return self.answer(id, Answer::Accepted);
         }
-        self.propose(now, id, &RegistryCommand::PutConfig(config));
+        self.propose(now, id, &RegistryCommand::PutConfig(config), WhenAccepted::Done);
     }
 
     /// What the applied state knows is durable, so that only news need the leader.
     fn announce(&mut self, now: Timestamp, id: RequestId, announcement: Announcement) {
+        let data_centre = announcement.data_centre.clone();
         match self.registry.judge(&announcement) {
-            Judgement::Changes => self.propose(now, id, &RegistryCommand::Announce(announcement)),
-            Judgement::Repeats | Judgement::Outdated => self.answer(id, Answer::Accepted),
+            Judgement::Changes => {
+                let command = RegistryCommand::Announce(announcement);
+                self.propose(now, id, &command, WhenAccepted::Taken(data_centre));
+            }
+            Judgement::Repeats | Judgement::Outdated => {
+                let next = self.nearest_to(now, &data_centre);
+                self.answer(id, Answer::Taken { next });
+            }
         }
     }
 
@@ -279,25 +303,30 @@
         // A server that is unknown here may be known to the leader.
         match self.registry.has_left(&leave) {
             true => self.answer(id, Answer::Accepted),
-            false => self.propose(now, id, &RegistryCommand::Leave(leave)),
+            false => self.propose(now, id, &RegistryCommand::Leave(leave), WhenAccepted::Done),
         }
     }
 
-    fn propose(&mut self, now: Timestamp, id: RequestId, command: &RegistryCommand) {
-        let reads_config = *command == RegistryCommand::Barrier;
+    fn propose(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        command: &RegistryCommand,
+        when_accepted: WhenAccepted,
+    ) {
         let data = Blob::from(schema::encode(command));
         let proposed = self.consensus.propose(now, data);
         match proposed.outcome {
             Ok(index) => {
                 let term = self.consensus.term();
-                self.requests.add(now, index, term, id, reads_config);
+                self.requests.add(now, index, term, id, when_accepted);
             }
             Err(e) => self.answer(id, answer_of(&e, self.own)),
         }
-        self.carry_out(proposed.actions);
+        self.carry_out(now, proposed.actions);
     }
 
-    fn carry_out(&mut self, actions: Vec<consensus::Action>) {
+    fn carry_out(&mut self, now: Timestamp, actions: Vec<consensus::Action>) {
         for action in actions {
             match action {
                 consensus::Action::Store(record) => self.actions.push(HostAction::Store(record)),
@@ -307,7 +336,7 @@
                 consensus::Action::Send { to, message } => {
                     self.send(to, PeerMessage::Consensus(message));
                 }
-                consensus::Action::Apply { index, data } => self.apply(index, &data),
+                consensus::Action::Apply { index, data } => self.apply(now, index, &data),
                 consensus::Action::RestoreState { index, data } => {
                     self.registry = Registry::restore(&data);
                     self.applied = index;
@@ -318,24 +347,27 @@
         }
     }
 
-    fn apply(&mut self, index: LogIndex, data: &Blob) {
+    fn apply(&mut self, now: Timestamp, index: LogIndex, data: &Blob) {
         let command = schema::decode(data.as_slice()).expect("accepted commands are whole");
         self.registry.apply(index, command);
         self.applied = index;
         self.log_bytes += data.as_slice().len();
         for waiting in self.requests.take_accepted(index, self.consensus.term()) {
-            let answer = self.accepted_answer(&waiting);
+            let answer = self.accepted_answer(now, &waiting);
             self.answer(waiting.id, answer);
         }
     }
 
-    fn accepted_answer(&self, waiting: &Waiting) -> Answer {
-        if !waiting.reads_config {
-            return Answer::Accepted;
-        }
-        match self.registry.config() {
-            Some(it) => Answer::Config { version: it.version, text: it.text.clone() },
-            None => Answer::NoConfig,
+    fn accepted_answer(&self, now: Timestamp, waiting: &Waiting) -> Answer {
+        match &waiting.when_accepted {
+            WhenAccepted::Done => Answer::Accepted,
+            WhenAccepted::Taken(data_centre) => {
+                Answer::Taken { next: self.nearest_to(now, data_centre) }
+            }
+            WhenAccepted::Config => match self.registry.config() {
+                Some(it) => Answer::Config { version: it.version, text: it.text.clone() },
+                None => Answer::NoConfig,
+            },
         }
     }
 
@@ -346,14 +378,14 @@
         }
     }
 
-    fn compact(&mut self) {
+    fn compact(&mut self, now: Timestamp) {
         let entries = self.applied.0.saturating_sub(self.consensus.snapshot_index().0);
         if entries < MAX_LOG_ENTRIES && self.log_bytes < MAX_LOG_BYTES {
             return;
         }
         self.log_bytes = 0;
         let actions = self.consensus.compact(self.applied, self.registry.snapshot());
-        self.carry_out(actions);
+        self.carry_out(now, actions);
     }
 
     fn answer_followers(&mut self, now: Timestamp) {
@@ -395,19 +427,32 @@
     /// host nearer to it, which it learns of by this answer.
     fn should_ask_nearer(&self, poll: &WaitingPoll) -> bool {
         let Some(place) = &poll.place else { return false };
-        let distance = |it: &Place| match () {
-            () if it.data_centre == place.data_centre => 0,
-            () if it.region == place.region => 1,
-            () => 2,
-        };
         let others = self.other_members();
-        let nearest = others.iter().filter_map(|it| self.places.get(it)).map(distance).min();
+        let places = others.iter().filter_map(|it| self.places.get(it));
+        let nearest = places.map(|it| distance(&it.place, place)).min();
         let is_first = poll.sequence == 1 && poll.holds == LogIndex(0);
-        is_first && nearest.is_some_and(|it| it < distance(&self.place))
+        is_first && nearest.is_some_and(|it| it < distance(&self.place, place))
+    }
+
+    /// A control host in the same data centre or region that was heard lately, to which a backend
+    /// server should announce itself: announcements are frequent, and far ones are paid by volume.
+    fn nearest_to(&self, now: Timestamp, data_centre: &DataCentreName) -> Option<HostId> {
+        let region = self.regions.get(data_centre)?.clone();
+        let place = Place { region, data_centre: data_centre.clone() };
+        let members = self.other_members();
+        let others = members.iter().filter_map(|it| {
+            let heard = self.places.get(it)?;
+            let is_fresh = now.since(heard.heard_at) < PLACE_TIMEOUT;
+            is_fresh.then(|| (distance(&heard.place, &place), *it))
+        });
+        let own = (distance(&self.place, &place), self.own);
+        let (distance, host) = others.chain([own]).min()?;
+        (distance < FAR).then_some(host)
     }
 
     fn place_of(&self, host: HostId) -> KnownPlace {
-        let place = if host == self.own { Some(&self.place) } else { self.places.get(&host) };
+        let heard = self.places.get(&host).map(|it| &it.place);
+        let place = if host == self.own { Some(&self.place) } else { heard };
         place.map_or(KnownPlace::Unknown, |it| KnownPlace::Known(it.clone()))
     }
 
@@ -426,6 +471,17 @@
     }
 }
 
+/// The distance of places in different regions.
+const FAR: u8 = 2;
+
+/// 0 in the same data centre, 1 in the same region, [`FAR`] elsewhere.
+fn distance(a: &Place, b: &Place) -> u8 {
+    if a.data_centre == b.data_centre {
+        return 0;
+    }
+    if a.region == b.region { 1 } else { FAR }
+}
+
 /// The revision of a host that holds no list of entry hosts.
 pub(crate) fn no_hosts_held() -> schema::sync::HostsRevision {
     schema::sync::HostsRevision { control_host: HostId(0), incarnation: Incarnation(0), number: 0 }
--- a/components/registry/src/log_requests.rs
+++ b/components/registry/src/log_requests.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use ids::{LogIndex, Millis, RequestId, Term, Timestamp};
+use ids::{DataCentreName, LogIndex, Millis, RequestId, Term, Timestamp};
 
 /// How long a request waits for its entry, in milliseconds.
 ///
@@ -10,11 +10,22 @@
 /// that tells them why.
 pub(crate) const ANSWER_WITHIN: Millis = Millis(900);
 
+/// What is answered once the entry of a request is accepted.
+#[derive(Debug, Clone)]
+pub(crate) enum WhenAccepted {
+    /// That it is done.
+    Done,
+    /// The newest configuration.
+    Config,
+    /// That an announcement from this data centre was taken.
+    Taken(DataCentreName),
+}
+
 /// A request whose entry is in the log but not accepted yet.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(crate) struct Waiting {
     pub(crate) id: RequestId,
-    pub(crate) reads_config: bool,
+    pub(crate) when_accepted: WhenAccepted,
     term: Term,
     give_up_at: Timestamp,
 }
@@ -32,9 +43,9 @@
         index: LogIndex,
         term: Term,
         id: RequestId,
-        reads_config: bool,
+        when_accepted: WhenAccepted,
     ) {
-        let waiting = Waiting { id, reads_config, term, give_up_at: now + ANSWER_WITHIN };
+        let waiting = Waiting { id, when_accepted, term, give_up_at: now + ANSWER_WITHIN };
         self.by_index.entry(index).or_default().push(waiting);
     }
 
--- a/components/registry/tests/control_hosts.rs
+++ b/components/registry/tests/control_hosts.rs
@@ -182,6 +182,22 @@
     assert_eq!(states, [ServerState::Draining]);
 }
 
+#[test]
+fn servers_are_told_a_control_host_near_them_if_there_is_one() {
+    let mut fleet = Fleet::new(3);
+    fleet.run(500);
+    let mut far = announcement(1, ServerState::Serving);
+    far.server = "s2".parse().unwrap();
+    far.data_centre = "south-a".parse().unwrap();
+    far.address = "10.0.0.2:80".parse().unwrap();
+
+    let near = fleet.ask(&Request::Announce(announcement(1, ServerState::Serving)));
+    let far = fleet.ask(&Request::Announce(far));
+
+    assert!(matches!(near, Answer::Taken { next: Some(_) }), "{near:?}");
+    assert_eq!(far, Answer::Taken { next: None });
+}
+
 #[test]
 fn a_server_that_started_later_takes_over_an_address() {
     let mut fleet = Fleet::new(3);
--- a/components/registry/tests/fleet/mod.rs
+++ b/components/registry/tests/fleet/mod.rs
@@ -100,6 +100,10 @@
                 lease_use: LeaseUse::Hints,
             },
             place: place("north"),
+            regions: ["north", "south"]
+                .map(|it| (place(it).data_centre, place(it).region))
+                .into_iter()
+                .collect(),
             incarnation: Incarnation(it.starts),
             is_new_fleet: it.disk.identity.bootstrap,
         };
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -92,7 +92,8 @@
 
     fn start_control(&mut self, host: u8, bootstrap: bool) {
         let settings = format!(
-            "ip: {}\nregion: north\ndata_centre: north-a\nseeds:\n{}peer_port: {}\n\
+            "ip: {}\nregion: north\ndata_centre: north-a\n\
+             data_centres: [{{ name: north-a, region: north }}]\nseeds:\n{}peer_port: {}\n\
              metrics_port: {}\nrequest_address: {}\ndata_folder: {}\nbootstrap: {bootstrap}\n\
              lost_disks: 1\nannouncement_lifetime_ms: 1500\n",
             self.ip(host),
