Close idle connections between own processes

Cause: after a crash of all control hosts, gateways still had connections to control hosts that they had last polled half a minute before. A crashed host does not end its connections, so that the first poll over each of them was lost, and a poll without an answer takes 1.6 s.

Ruled out: the replicated log (the new leader held version 43 from its first entry on), clock steps (no host's clock was off at the time), and the addresses of answers.

A connection without a message for 5 s is now closed. The test of a silent crash fails without the change (the connection stays open for 20 s).

--- a/components/transport/src/stream.rs
+++ b/components/transport/src/stream.rs
@@ -8,7 +8,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::{Semaphore, mpsc},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 use crate::{Inbox, Stats, seal::MAC_BYTES};
@@ -20,6 +20,12 @@
 /// Time after which a connection whose peer acknowledges nothing counts as broken.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time without a message after which a connection is closed.
+///
+/// A peer that crashed meanwhile cannot say so, and the first message over such a connection is
+/// lost. Longer than the four seconds between the lists that control hosts send each other.
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
+
 /// Longest wait until a peer takes a message.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -107,13 +113,16 @@
     None,
 }
 
-/// Waits for the next message, and notices when the connection ends meanwhile.
+/// Waits for the next message; meanwhile notices the end of the connection, and closes it when
+/// idle.
 async fn next_message(stream: &mut TcpStream, rx: &mut mpsc::Receiver<Vec<u8>>) -> NextMessage {
     tokio::select! {
         biased;
         // A peer sends nothing on this connection, so that it is readable only at its end.
         _ = stream.read_u8() => {}
         message = rx.recv() => return message.map_or(NextMessage::None, NextMessage::Send),
+        // An error means that the connection has ended already.
+        () = sleep(IDLE_LIMIT) => drop(stream.shutdown().await),
     }
     rx.recv().await.map_or(NextMessage::None, NextMessage::NeedsConnection)
 }
--- a/components/transport/tests/transport.rs
+++ b/components/transport/tests/transport.rs
@@ -175,3 +175,24 @@
     let (mut stream, _) = accepted.expect("the message is not lost").unwrap();
     assert!(stream.read_u32_le().await.unwrap() > 0);
 }
+
+#[tokio::test]
+async fn a_message_after_a_silent_crash_of_an_idle_peer_arrives_over_a_new_connection() {
+    let (sender, _keep) = host(1, keys(&["ab"])).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    sender.send(HostId(2), address, stream_message());
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let mut received = Vec::new();
+    // The sender ends the connection while it is idle. A peer that crashed would not end it.
+    let closed = timeout(Duration::from_secs(20), stream.read_to_end(&mut received)).await;
+    closed.expect("an idle connection is closed").unwrap();
+
+    sender.send(HostId(2), address, stream_message());
+
+    // Kept open, as a crashed peer would leave it.
+    let _kept = stream;
+    let accepted = timeout(Duration::from_secs(20), listener.accept()).await;
+    let (mut stream, _) = accepted.expect("the message is not lost").unwrap();
+    assert!(stream.read_u32_le().await.unwrap() > 0);
+}
