--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -455,6 +455,17 @@
     }
 }
 
+/// A fleet that serves with one backend server.
+fn serving_fleet() -> (Fleet, Server) {
+    let fleet = Fleet::start();
+    let server = Server::start(1, "queue");
+    fleet.put(1, "queue");
+    fleet.announce(&server, 1, ServerState::Serving);
+    fleet.wait_ready();
+    fleet.wait_served(11, "/look/first");
+    (fleet, server)
+}
+
 #[test]
 fn a_fleet_serves_from_its_first_start_and_after_the_loss_of_its_leader() {
     let mut fleet = Fleet::start();
@@ -529,12 +540,7 @@
 
 #[test]
 fn a_planned_stop_cuts_off_nothing() {
-    let mut fleet = Fleet::start();
-    let server = Server::start(1, "queue");
-    fleet.put(1, "queue");
-    fleet.announce(&server, 1, ServerState::Serving);
-    fleet.wait_ready();
-    fleet.wait_served(11, "/look/first");
+    let (mut fleet, _server) = serving_fleet();
     let listed = fleet.address(11, fleet.ports.callers).to_string();
     wait_for("both addresses", || {
         let all = [11, 12].map(|it| fleet.directory(it).contains(&listed));
@@ -571,12 +577,7 @@
 
 #[test]
 fn a_settings_change_cuts_off_nothing_and_is_logged() {
-    let fleet = Fleet::start();
-    let server = Server::start(1, "queue");
-    fleet.put(1, "queue");
-    fleet.announce(&server, 1, ServerState::Serving);
-    fleet.wait_ready();
-    fleet.wait_served(11, "/look/first");
+    let (fleet, _server) = serving_fleet();
     let headers = stand_in::caller_headers("hup", Millis(4_000));
     let mut slow = TcpStream::connect(fleet.address(11, fleet.ports.callers)).unwrap();
     send(&mut slow, "GET", "/look/slow", &headers, b"").unwrap();
@@ -595,12 +596,7 @@
 
 #[test]
 fn a_failed_request_is_found_in_the_log_by_its_id() {
-    let fleet = Fleet::start();
-    let server = Server::start(1, "queue");
-    fleet.put(1, "queue");
-    fleet.announce(&server, 1, ServerState::Serving);
-    fleet.wait_ready();
-    fleet.wait_served(11, "/look/first");
+    let (fleet, server) = serving_fleet();
     server.breaks.store(true, Ordering::Relaxed);
 
     fleet.request(11, "lost-payment", "/pay/1").unwrap();
