--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -15,8 +15,8 @@
     registry::{ConfigDocument, Leave, RegistryCommand},
     storage::Persisted,
     sync::{
-        ControlHostRecord, EntryHostList, HostsUpdate, KnownPlace, Place, Poll, Presence,
-        RegistryUpdate, SyncMessage, Update,
+        ControlHostRecord, EntryHostList, HostsUpdate, Place, Poll, Presence, RegistryUpdate,
+        SyncMessage, Update,
     },
 };
 
@@ -24,6 +24,7 @@
     action::{Answer, HostAction, HostEvent, Request, UnavailableReason},
     followers::{Followers, News, WaitingPoll},
     log_requests::{LogRequests, Waiting, WhenAccepted},
+    places::Places,
     presence::EntryHosts,
     state::{ANY_INCARNATION, Judgement, Registry},
 };
@@ -37,10 +38,6 @@
 /// Between two polls by which a host that is no voter looks for the others, in milliseconds.
 const SEARCH_INTERVAL: ids::Millis = ids::Millis(500);
 
-/// Silence after which another control host is no longer named to backend servers, in
-/// milliseconds: control hosts tell each other of their entry hosts every four seconds at least.
-const PLACE_TIMEOUT: ids::Millis = ids::Millis(6_000);
-
 /// Settings of a control host.
 #[derive(Debug, Clone)]
 pub struct RegistryHostSettings {
@@ -81,12 +78,6 @@
     pub is_current: bool,
 }
 
-/// Where another control host said that it is, and when.
-struct HeardPlace {
-    place: Place,
-    heard_at: Timestamp,
-}
-
 /// All decisions of a control host.
 pub struct RegistryHost {
     own: HostId,
@@ -98,10 +89,7 @@
     seeds: Vec<HostId>,
     /// Control hosts that others have named.
     named: BTreeSet<HostId>,
-    place: Place,
-    regions: FastMap<DataCentreName, RegionName>,
-    /// Where the other control hosts are, as they last said.
-    places: FastMap<HostId, HeardPlace>,
+    places: Places,
     next_search: Timestamp,
     is_stopping: bool,
     applied: LogIndex,
@@ -127,9 +115,7 @@
             entry_hosts: EntryHosts::new(own, incarnation, now, is_new_fleet),
             seeds,
             named: BTreeSet::new(),
-            place,
-            regions,
-            places: FastMap::default(),
+            places: Places::new(own, place, regions),
             next_search: now,
             is_stopping: false,
             applied,
@@ -185,7 +171,10 @@
             self.answer(waiting.id, Answer::Unavailable(UnavailableReason::TimedOut));
         }
         if let Some(hosts) = self.entry_hosts.tick(now) {
-            let list = SyncMessage::EntryHosts(EntryHostList { place: self.place.clone(), hosts });
+            let list = SyncMessage::EntryHosts(EntryHostList {
+                place: self.places.own_place().clone(),
+                hosts,
+            });
             for to in self.other_members() {
                 self.send(to, PeerMessage::Sync(list.clone()));
             }
@@ -199,7 +188,7 @@
             PeerMessage::Sync(SyncMessage::Poll(it)) => self.on_poll(now, from, &it),
             PeerMessage::Sync(SyncMessage::Update(it)) => self.on_update(it),
             PeerMessage::Sync(SyncMessage::EntryHosts(it)) => {
-                self.places.insert(from, HeardPlace { place: it.place, heard_at: now });
+                self.places.note(now, from, it.place);
                 self.entry_hosts.note_list(now, from, it.hosts);
             }
             // Other components of the product do not run on this host.
@@ -413,7 +402,7 @@
         };
         let members = self.consensus.members();
         let ids = members.voters.iter().chain(&members.learners).map(|it| it.host);
-        let control_hosts = ids.map(|host| ControlHostRecord { host, place: self.place_of(host) });
+        let control_hosts = ids.map(|host| ControlHostRecord { host, place: self.places.of(host) });
         Update {
             sequence: poll.sequence,
             current: news.is_current,
@@ -427,33 +416,13 @@
     /// host nearer to it, which it learns of by this answer.
     fn should_ask_nearer(&self, poll: &WaitingPoll) -> bool {
         let Some(place) = &poll.place else { return false };
-        let others = self.other_members();
-        let places = others.iter().filter_map(|it| self.places.get(it));
-        let nearest = places.map(|it| distance(&it.place, place)).min();
         let is_first = poll.sequence == 1 && poll.holds == LogIndex(0);
-        is_first && nearest.is_some_and(|it| it < distance(&self.place, place))
+        is_first && self.places.is_another_nearer(place, &self.other_members())
     }
 
-    /// A control host in the same data centre or region that was heard lately, to which a backend
-    /// server should announce itself: announcements are frequent, and far ones are paid by volume.
+    /// The control host to which backend servers of a data centre should announce themselves.
     fn nearest_to(&self, now: Timestamp, data_centre: &DataCentreName) -> Option<HostId> {
-        let region = self.regions.get(data_centre)?.clone();
-        let place = Place { region, data_centre: data_centre.clone() };
-        let members = self.other_members();
-        let others = members.iter().filter_map(|it| {
-            let heard = self.places.get(it)?;
-            let is_fresh = now.since(heard.heard_at) < PLACE_TIMEOUT;
-            is_fresh.then(|| (distance(&heard.place, &place), *it))
-        });
-        let own = (distance(&self.place, &place), self.own);
-        let (distance, host) = others.chain([own]).min()?;
-        (distance < FAR).then_some(host)
-    }
-
-    fn place_of(&self, host: HostId) -> KnownPlace {
-        let heard = self.places.get(&host).map(|it| &it.place);
-        let place = if host == self.own { Some(&self.place) } else { heard };
-        place.map_or(KnownPlace::Unknown, |it| KnownPlace::Known(it.clone()))
+        self.places.nearest_to(now, data_centre, &self.other_members())
     }
 
     fn other_members(&self) -> Vec<HostId> {
@@ -471,17 +440,6 @@
     }
 }
 
-/// The distance of places in different regions.
-const FAR: u8 = 2;
-
-/// 0 in the same data centre, 1 in the same region, [`FAR`] elsewhere.
-fn distance(a: &Place, b: &Place) -> u8 {
-    if a.data_centre == b.data_centre {
-        return 0;
-    }
-    if a.region == b.region { 1 } else { FAR }
-}
-
 /// The revision of a host that holds no list of entry hosts.
 pub(crate) fn no_hosts_held() -> schema::sync::HostsRevision {
     schema::sync::HostsRevision { control_host: HostId(0), incarnation: Incarnation(0), number: 0 }
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -8,6 +8,7 @@
 mod followers;
 mod host;
 mod log_requests;
+mod places;
 mod presence;
 mod state;
 
