--- a/components/json_log/src/lib.rs
+++ b/components/json_log/src/lib.rs
@@ -33,6 +33,7 @@
         .target(env_logger::Target::Pipe(Box::new(buffer)))
         .write_style(env_logger::WriteStyle::Never)
         .format(move |buf, record| {
+            // A clock before 1970 shows as `ts_ms` 0 in the line itself: no line is lost for it.
             let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
             let millis = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
             let mut rates = rates.lock().expect("no holder panics");
