Try a server without answers again after seconds, and judge requests apart from probes

At a low load all servers of a host are idle, so that it always takes its cheapest one. A server without a latency was assumed to take the mean of the known ones, which one failure raises; what a failure stands for halved in 30 s only; and a trace of the costs showed a third reason: an attempt that was cancelled after a failure made the estimate one of an answer again, with its half-life of 30 s. So each host tried the server once or twice in 90 s. Good probes outweighed what was left.

Ruled out: one of the changes alone.

Two tests of the chooser fail before the change.

Two tests for each symptom raise the threshold by 0.7 nats, which docs/design/health.md gives.

--- a/components/health/src/budget.rs
+++ b/components/health/src/budget.rs
@@ -9,8 +9,9 @@
 /// Seconds in a year.
 const SECONDS_PER_YEAR: f64 = 365.25 * 86_400.0;
 
-/// Sequential tests that run on one server at the same time.
-const TESTS_PER_SERVER: f64 = 5.0;
+/// Sequential tests that run on one server at the same time: five symptoms, by requests alone and
+/// by requests and probes together.
+const TESTS_PER_SERVER: f64 = 10.0;
 
 /// What a favour allows and demands.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/components/health/src/evidence.rs
+++ b/components/health/src/evidence.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use ids::{DataCentreName, FastMap, HostId, Millis, RegionName, Timestamp};
-use schema::health::{EvidenceSummary, OutcomeCounts, Symptom};
+use schema::health::{EvidenceSummary, OutcomeCounts, OutcomeSource, Symptom};
 
 use crate::{budget::Budget, types::DataCentreEvidence};
 
@@ -75,6 +75,56 @@
     last_report: Timestamp,
 }
 
+/// The evidence on one server: of requests alone, and of requests and probes together.
+///
+/// A server may break requests and answer probes well. Routing then sends it hardly any request,
+/// and the good probes would outweigh the few that are lost.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct SplitEvidence {
+    requests: Evidence,
+    all: Evidence,
+}
+
+impl SplitEvidence {
+    /// Adds an observer's report.
+    pub(crate) fn add(
+        &mut self,
+        now: Timestamp,
+        observer: &Observer,
+        counts: &OutcomeCounts,
+        budget: &Budget,
+    ) {
+        if counts.source == OutcomeSource::Request {
+            self.requests.add(now, observer, counts, budget);
+        }
+        self.all.add(now, observer, counts, budget);
+    }
+
+    /// Scales the evidence down so that no symptom has more than `most` nats.
+    pub(crate) fn limit(&mut self, most: f64) {
+        self.requests.limit(most);
+        self.all.limit(most);
+    }
+
+    /// The pooled log-likelihood ratio of the strongest symptom, in nats.
+    pub(crate) fn strongest(&self) -> f64 {
+        self.requests.strongest().max(self.all.strongest())
+    }
+
+    /// The symptom whose evidence suffices for an ejection, if any.
+    pub(crate) fn conviction(&self, now: Timestamp, budget: &Budget) -> Option<EvidenceSummary> {
+        self.all.conviction(now, budget).or_else(|| self.requests.conviction(now, budget))
+    }
+
+    /// The strongest evidence of each data centre's observers.
+    pub(crate) fn by_data_centre(&self) -> Vec<DataCentreEvidence> {
+        match self.requests.strongest() > self.all.strongest() {
+            true => self.requests.by_data_centre(),
+            false => self.all.by_data_centre(),
+        }
+    }
+}
+
 /// The evidence on one server, by observer, data centre and region.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Evidence {
--- a/components/health/src/health/inbound.rs
+++ b/components/health/src/health/inbound.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ids::{HostId, Millis, ServerId, Timestamp};
-use schema::health::{HealthMessage, OutcomeCounts, Verdicts};
+use schema::health::{HealthMessage, OutcomeCounts, OutcomeSource, Verdicts};
 
 use crate::{
     evidence::Observer,
@@ -33,13 +33,6 @@
 /// Other servers seen lately that are needed to call the links bad.
 const BAD_LINKS_SERVERS: usize = 4;
 
-/// Where an outcome comes from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Source {
-    Request,
-    Probe,
-}
-
 impl Health {
     /// Takes in the outcome of a real request.
     pub fn observe(&mut self, now: Timestamp, observation: Observation) {
@@ -47,7 +40,7 @@
             return;
         }
         let Observation { server, kind, latency, .. } = observation;
-        self.note(now, &server, kind, latency, Source::Request);
+        self.note(now, &server, kind, latency, OutcomeSource::Request);
     }
 
     /// Takes in the outcome of a probe.
@@ -55,7 +48,7 @@
         if result.kind == OutcomeKind::Shed {
             self.postpone_probe(now, server);
         }
-        self.note(now, server, result.kind, result.latency, Source::Probe);
+        self.note(now, server, result.kind, result.latency, OutcomeSource::Probe);
     }
 
     /// Takes in what a server says of itself: it only makes its watchers look closer.
@@ -75,7 +68,7 @@
     ) -> Vec<HealthAction> {
         match message {
             HealthMessage::Digest(digest) => {
-                digest.entries.iter().for_each(|it| self.add_evidence(now, from, it, true));
+                digest.entries.iter().for_each(|it| self.add_evidence(now, from, it));
             }
             HealthMessage::Suspicions(suspicions) => {
                 for server in suspicions.servers {
@@ -101,7 +94,7 @@
         server: &ServerId,
         kind: OutcomeKind,
         latency: Duration,
-        source: Source,
+        source: OutcomeSource,
     ) {
         let Some(mut counts) = self.count(now, server, kind, latency, source) else { return };
         let bad = counts.failed + counts.slow > 0;
@@ -115,8 +108,7 @@
             counts.failed = 0;
             counts.slow = 0;
         }
-        let passive = source == Source::Request;
-        self.add_evidence(now, self.settings.host, &counts, passive);
+        self.add_evidence(now, self.settings.host, &counts);
         self.pend(server, &counts);
     }
 
@@ -127,20 +119,20 @@
         server: &ServerId,
         kind: OutcomeKind,
         latency: Duration,
-        source: Source,
+        source: OutcomeSource,
     ) -> Option<OutcomeCounts> {
         let record = self.servers.get_mut(server)?;
         let service = self.services.get_mut(&record.known.service)?;
         let cold = record.is_cold(now);
-        let mut counts = no_outcomes(&record.known);
+        let mut counts = no_outcomes(&record.known, source);
         match kind {
             OutcomeKind::Answered => {
                 let baseline = match source {
-                    Source::Request => &mut service.requests,
-                    Source::Probe => &mut service.probes,
+                    OutcomeSource::Request => &mut service.requests,
+                    OutcomeSource::Probe => &mut service.probes,
                 };
                 let slow = baseline.note(latency, record.path.is_doubtful());
-                if source == Source::Request {
+                if source == OutcomeSource::Request {
                     record.path.note_latency(latency);
                 }
                 counts.slow = u32::from(slow && !cold);
@@ -174,7 +166,10 @@
     /// Keeps outcomes for the next digest to the watchers.
     fn pend(&mut self, server: &ServerId, counts: &OutcomeCounts) {
         let Some(record) = self.servers.get_mut(server) else { return };
-        let pending = &mut record.pending;
+        let pending = match counts.source {
+            OutcomeSource::Request => &mut record.pending_requests,
+            OutcomeSource::Probe => &mut record.pending_probes,
+        };
         pending.good += counts.good;
         pending.slow += counts.slow;
         pending.failed += counts.failed;
@@ -183,13 +178,7 @@
     }
 
     /// Adds an observer's outcomes to the evidence on a server that this host watches.
-    fn add_evidence(
-        &mut self,
-        now: Timestamp,
-        from: HostId,
-        counts: &OutcomeCounts,
-        passive: bool,
-    ) {
+    fn add_evidence(&mut self, now: Timestamp, from: HostId, counts: &OutcomeCounts) {
         let Some(host) = self.hosts.get(from) else { return };
         let Some(record) = self.servers.get_mut(&counts.server) else { return };
         let Some(service) = self.services.get(&record.known.service) else { return };
@@ -206,7 +195,7 @@
         let bad = counts.failed + counts.wrong + counts.slow > 0;
         let event = if bad { JudgeEvent::Bad } else { JudgeEvent::Good };
         watch.judge.handle(&event);
-        if passive {
+        if counts.source == OutcomeSource::Request {
             let all = counts.good + counts.slow + counts.failed + counts.wrong;
             watch.note_passive(now, all);
         }
--- a/components/health/src/health/outbound.rs
+++ b/components/health/src/health/outbound.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    evidence::Evidence,
+    evidence::SplitEvidence,
     health::Health,
     judge::{Excuse, Findings, JudgeEvent},
     types::{HealthAction, KnownState},
@@ -51,14 +51,13 @@
         let mut digests: BTreeMap<HostId, Vec<OutcomeCounts>> = BTreeMap::new();
         for server in std::mem::take(&mut self.pending) {
             let Some(record) = self.servers.get_mut(&server) else { continue };
-            let counts = &record.pending;
-            if !flush && counts.failed + counts.wrong + counts.slow == 0 {
+            if !flush && !record.has_bad_pending() {
                 self.pending.insert(server);
                 continue;
             }
             let counts = record.take_pending();
             for watcher in self.other_watchers(&server) {
-                digests.entry(watcher).or_default().push(counts.clone());
+                digests.entry(watcher).or_default().extend(counts.iter().cloned());
             }
         }
         for (to, entries) in digests {
@@ -83,7 +82,7 @@
                 if before == Some(VerdictStage::Ejected)
                     && watch.judge.state().stage() == VerdictStage::Probation
                 {
-                    watch.evidence = Evidence::default();
+                    watch.evidence = SplitEvidence::default();
                 }
             }
             if was_suspect != self.holds_suspect(&server) {
--- a/components/health/src/health/record.rs
+++ b/components/health/src/health/record.rs
@@ -1,11 +1,11 @@
 //! What this host holds of one backend server.
 
 use ids::{HostId, Millis, ServerId, Timestamp};
-use schema::health::OutcomeCounts;
+use schema::health::{OutcomeCounts, OutcomeSource};
 use statig::prelude::*;
 
 use crate::{
-    evidence::Evidence,
+    evidence::SplitEvidence,
     hash,
     judge::{Judge, JudgeEvent},
     path::PathState,
@@ -31,7 +31,10 @@
     pub(crate) started: Timestamp,
     pub(crate) watchers: Vec<HostId>,
     pub(crate) path: PathState,
-    pub(crate) pending: OutcomeCounts,
+    /// Outcomes of requests that are not yet sent.
+    pub(crate) pending_requests: OutcomeCounts,
+    /// Outcomes of probes that are not yet sent.
+    pub(crate) pending_probes: OutcomeCounts,
     pub(crate) verdicts: VerdictTable,
     pub(crate) status: ServerStatus,
     pub(crate) slow_start: Option<Timestamp>,
@@ -40,7 +43,7 @@
 
 /// What a watcher holds besides.
 pub(crate) struct Watch {
-    pub(crate) evidence: Evidence,
+    pub(crate) evidence: SplitEvidence,
     pub(crate) judge: StateMachine<Judge>,
     pub(crate) next_probe: Timestamp,
     pub(crate) hinted_until: Timestamp,
@@ -57,7 +60,7 @@
         let spread = hash::mix(settings.seed ^ hash::text(server.as_str()));
         let delay = Millis(spread % PROBE_INTERVAL.0);
         Self {
-            evidence: Evidence::default(),
+            evidence: SplitEvidence::default(),
             judge: Judge::default().state_machine(),
             next_probe: now + delay,
             hinted_until: Timestamp::default(),
@@ -77,7 +80,8 @@
             started: now,
             watchers,
             path: PathState::default(),
-            pending: no_outcomes(known),
+            pending_requests: no_outcomes(known, OutcomeSource::Request),
+            pending_probes: no_outcomes(known, OutcomeSource::Probe),
             verdicts: VerdictTable::default(),
             status: ServerStatus::InRotation,
             slow_start: None,
@@ -90,9 +94,10 @@
         if known.incarnation != self.known.incarnation {
             self.started = now;
             self.path = PathState::default();
-            self.pending = no_outcomes(known);
+            self.pending_requests = no_outcomes(known, OutcomeSource::Request);
+            self.pending_probes = no_outcomes(known, OutcomeSource::Probe);
             if let Some(watch) = &mut self.watch {
-                watch.evidence = Evidence::default();
+                watch.evidence = SplitEvidence::default();
                 watch.judge.handle(&JudgeEvent::Restarted(now));
             }
         }
@@ -104,9 +109,20 @@
         self.known.state == KnownState::Starting || now < self.started + WARM_UP
     }
 
-    /// Takes the outcomes that are not yet sent.
-    pub(crate) fn take_pending(&mut self) -> OutcomeCounts {
-        std::mem::replace(&mut self.pending, no_outcomes(&self.known))
+    /// Takes the outcomes that are not yet sent, those of requests and those of probes.
+    pub(crate) fn take_pending(&mut self) -> Vec<OutcomeCounts> {
+        let none = |source| no_outcomes(&self.known, source);
+        let requests = std::mem::replace(&mut self.pending_requests, none(OutcomeSource::Request));
+        let probes = std::mem::replace(&mut self.pending_probes, none(OutcomeSource::Probe));
+        let all = [requests, probes].into_iter();
+        all.filter(|it| it.good + it.slow + it.failed + it.wrong > 0).collect()
+    }
+
+    /// Whether an outcome that is not yet sent speaks against the server.
+    pub(crate) fn has_bad_pending(&self) -> bool {
+        [&self.pending_requests, &self.pending_probes]
+            .iter()
+            .any(|it| it.failed + it.wrong + it.slow > 0)
     }
 
     /// The server's share of the work, in thousandths.
@@ -145,10 +161,11 @@
 }
 
 /// Empty counts for the present incarnation of a server.
-pub(crate) fn no_outcomes(known: &KnownServer) -> OutcomeCounts {
+pub(crate) fn no_outcomes(known: &KnownServer, source: OutcomeSource) -> OutcomeCounts {
     OutcomeCounts {
         server: known.server.clone(),
         incarnation: known.incarnation,
+        source,
         good: 0,
         slow: 0,
         failed: 0,
--- a/components/health/tests/floor.rs
+++ b/components/health/tests/floor.rs
@@ -9,8 +9,8 @@
 use schema::{
     config_text::Favour,
     health::{
-        EvidenceSummary, HealthMessage, OutcomeCounts, OutcomeDigest, Suspicions, Symptom, Verdict,
-        VerdictStage, Verdicts,
+        EvidenceSummary, HealthMessage, OutcomeCounts, OutcomeDigest, OutcomeSource, Suspicions,
+        Symptom, Verdict, VerdictStage, Verdicts,
     },
 };
 
@@ -132,6 +132,7 @@
     fn send_digest(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
         let server = self.any_server(u)?.clone();
         let counts = OutcomeCounts {
+            source: OutcomeSource::Request,
             server: server.server,
             incarnation: server.incarnation,
             good: u.int_in_range(0..=3)?,
--- a/components/routing/src/chooser.rs
+++ b/components/routing/src/chooser.rs
@@ -17,9 +17,15 @@
 /// Share of a new latency in the moving average, in thousandths.
 const LATENCY_GAIN_MILLI: u64 = 250;
 
-/// Time in which a latency estimate halves that gets no new observation.
+/// Time in which the latency of an answer halves that gets no new observation.
 const LATENCY_HALF_LIFE: Millis = Millis(30_000);
 
+/// Time in which the latency that an attempt without an answer stands for halves.
+///
+/// From 200 ms it reaches the 1 ms of a fast server after 8 s. A host then tries the server once
+/// more, which tells the detector whether it still fails.
+const NO_ANSWER_HALF_LIFE: Millis = Millis(1_000);
+
 /// Time in which the load of a server that shed halves.
 const SHED_HALF_LIFE: Millis = Millis(200);
 
@@ -110,11 +116,30 @@
     in_flight: u32,
     latency_micros: Option<u64>,
     latency_at: Timestamp,
+    latency_source: LatencySource,
     shed_load_milli: u64,
     shed_at: Timestamp,
     used_at: Timestamp,
 }
 
+/// What the last change of a latency estimate came from.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum LatencySource {
+    #[default]
+    Answer,
+    NoAnswer,
+}
+
+impl LatencySource {
+    /// Time in which the estimate halves.
+    fn half_life(self) -> Millis {
+        match self {
+            Self::Answer => LATENCY_HALF_LIFE,
+            Self::NoAnswer => NO_ANSWER_HALF_LIFE,
+        }
+    }
+}
+
 impl ServerChooser {
     /// A chooser that knows no server yet.
     pub fn new(seed: u64) -> Self {
@@ -192,16 +217,15 @@
         }
     }
 
-    /// The latency that is assumed of servers without one: the mean of the sampled others.
+    /// The latency that is assumed of servers without one: the least of the sampled others.
+    ///
+    /// With their mean, one failed server would keep all servers without a latency from being tried
+    /// as long as the fastest is idle.
     fn assumed_latency(&self, now: Timestamp, sampled: &[&Candidate]) -> u64 {
-        let known: Vec<u64> = sampled
+        let known = sampled
             .iter()
-            .filter_map(|candidate| self.servers.get(&candidate.server)?.latency(now))
-            .collect();
-        if known.is_empty() {
-            return DEFAULT_LATENCY_MICROS;
-        }
-        known.iter().sum::<u64>() / known.len() as u64
+            .filter_map(|candidate| self.servers.get(&candidate.server)?.latency(now));
+        known.min().unwrap_or(DEFAULT_LATENCY_MICROS)
     }
 
     /// The expected wait on a candidate, scaled by distance and weight.
@@ -239,13 +263,17 @@
                 (known.unwrap_or(0) * 2).max(observed).max(FAILURE_LATENCY_MICROS)
             }
         };
+        self.latency_source = match attempt.end {
+            AttemptEnd::Answered | AttemptEnd::Shed => LatencySource::Answer,
+            AttemptEnd::Failed | AttemptEnd::Cancelled => LatencySource::NoAnswer,
+        };
         self.latency_micros = Some(latency.min(MAX_LATENCY_MICROS));
         self.latency_at = now;
     }
 
     fn latency(&self, now: Timestamp) -> Option<u64> {
         let latency = self.latency_micros?;
-        Some(halved(latency, now.since(self.latency_at), LATENCY_HALF_LIFE))
+        Some(halved(latency, now.since(self.latency_at), self.latency_source.half_life()))
     }
 
     fn work_milli(&self, now: Timestamp) -> u64 {
--- a/components/routing/tests/chooser.rs
+++ b/components/routing/tests/chooser.rs
@@ -97,6 +97,50 @@
     assert_eq!(chosen, Some(server(0)));
 }
 
+#[test]
+fn a_failed_server_does_not_keep_unknown_ones_from_being_tried() {
+    let mut chooser = ServerChooser::new(1);
+    attempt(&mut chooser, 0, Millis(1), AttemptEnd::Failed);
+    attempt(&mut chooser, 1, Millis(1), AttemptEnd::Answered);
+
+    let chosen = times_chosen(&mut chooser, &near_servers(4), 2);
+
+    assert!(chosen > ROUNDS / 10, "{chosen}");
+}
+
+#[test]
+fn a_server_without_answers_is_tried_again_after_seconds_among_fast_ones() {
+    for end in [AttemptEnd::Failed, AttemptEnd::Cancelled] {
+        let tried = seconds_tried(end);
+
+        assert!((2..=4).contains(&tried.len()), "{end:?}: {tried:?}");
+    }
+}
+
+/// The seconds in which server 0, whose attempts end with `end` after 200 ms, is chosen, with one
+/// attempt each second among four servers.
+fn seconds_tried(end: AttemptEnd) -> Vec<u64> {
+    let mut chooser = ServerChooser::new(1);
+    attempt(&mut chooser, 0, Millis(200), end);
+    let mut tried = Vec::new();
+
+    for second in 2..30 {
+        let now = Timestamp::from_millis(second * 1_000);
+        let chosen = chooser.choose(now, &near_servers(4), &[]).unwrap();
+        chooser.started(now, &chosen);
+        let (end, latency) = match chosen == server(0) {
+            true => (end, Millis(200)),
+            false => (AttemptEnd::Answered, Millis(1)),
+        };
+        let report = Attempt { started: now, reported_load: None, end };
+        chooser.finished(now + latency, &chosen, report);
+        if chosen == server(0) {
+            tried.push(second);
+        }
+    }
+    tried
+}
+
 #[test]
 fn farther_servers_are_used_when_the_near_ones_are_much_busier() {
     let mut chooser = ServerChooser::new(1);
