Announce large updates with their size, so that hosts with slow links wait for them

No entry host had a configuration again until the end. A gateway that holds nothing waits 0.4 s for an answer, and 1.6 s otherwise; at 2 Mbit/s the whole registry takes longer. Each gave up, asked the next control host, and started again from nothing, for ever. Control hosts queued whole registries to 110 slow hosts: three reached 259 MB and were ended, and 0.9 GB crossed regions. The log showed it: no `configuration in force` after 30 s, control hosts current from 32.7 s on.

Ruled out: the replicated log (a leader and leases 1.5 s after the start), the disks. Considered: waits that double with each unanswered poll; they would also delay the way from a host that is down to one that is up.

--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -127,6 +127,9 @@
                 }
                 shared.poll_due.notify_one();
             }
+            PeerMessage::Sync(SyncMessage::UpdateBegins(begins)) => {
+                shared.with_core(|core, now| core.on_update_begins(now, frame.from, &begins));
+            }
             // Other messages are for control hosts or for other parts of the product.
             _ => {}
         }
--- a/components/gateway_core/src/follower.rs
+++ b/components/gateway_core/src/follower.rs
@@ -4,7 +4,7 @@
 //! would otherwise cross regions many times. A control host that does not answer in time, or that
 //! says that it is not current, is left for another one.
 
-use ids::{HostId, LogIndex, Millis, Timestamp};
+use ids::{ByteSize, HostId, LogIndex, Millis, SLOWEST_LINK, Timestamp};
 use schema::sync::{ControlHostRecord, HostsRevision, KnownPlace, Place, Poll, Presence};
 
 use crate::notes::Note;
@@ -17,6 +17,10 @@
 /// a poll is not held, and control hosts that restart together may not listen yet.
 const FIRST_ANSWER_TIMEOUT: Millis = Millis(400);
 
+/// Longest time that is allowed for a large update beyond the usual wait, in milliseconds: 3 MB, the
+/// largest configuration that is accepted, take 25 s on the slowest link.
+const MAX_TRANSFER_TIME: Millis = Millis(25_000);
+
 /// Least time between two polls, in milliseconds.
 const MIN_POLL_INTERVAL: Millis = Millis(20);
 
@@ -111,9 +115,30 @@
         Some(PollOut { to, poll })
     }
 
+    /// Waits longer for a large update that has begun to arrive.
+    ///
+    /// Without this a host with a slow link would give up each time and start again from nothing
+    /// with another control host.
+    pub(crate) fn note_update_begins(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        sequence: u64,
+        size: ByteSize,
+    ) {
+        if self.awaits(from, sequence) {
+            let transfer = Millis(SLOWEST_LINK.time_for(size).0.min(MAX_TRANSFER_TIME.0));
+            self.waits_until = now + Millis(ANSWER_TIMEOUT.0 + transfer.0);
+        }
+    }
+
+    fn awaits(&self, from: HostId, sequence: u64) -> bool {
+        self.is_waiting && self.target == Some(from) && sequence == self.sequence
+    }
+
     /// Whether an update answers the poll on its way; an older one tells nothing new.
     pub(crate) fn accept(&mut self, from: HostId, sequence: u64) -> bool {
-        let is_awaited = self.is_waiting && self.target == Some(from) && sequence == self.sequence;
+        let is_awaited = self.awaits(from, sequence);
         if is_awaited {
             self.is_waiting = false;
         }
--- a/components/gateway_core/src/gateway/following.rs
+++ b/components/gateway_core/src/gateway/following.rs
@@ -3,7 +3,7 @@
 use ids::{DataCentreName, HostId, RegionName, Timestamp};
 use schema::{
     registry::ConfigDocument,
-    sync::{EntryHostRecord, EntryHostState, Presence, RegistryUpdate, Update},
+    sync::{EntryHostRecord, EntryHostState, Presence, RegistryUpdate, Update, UpdateBegins},
 };
 
 use super::Gateway;
@@ -44,6 +44,11 @@
         config
     }
 
+    /// A control host says that it has begun to send a large update.
+    pub fn on_update_begins(&mut self, now: Timestamp, from: HostId, begins: &UpdateBegins) {
+        self.follower.note_update_begins(now, from, begins.sequence, begins.size);
+    }
+
     /// The settings name other control hosts.
     pub fn add_seeds(&mut self, seeds: &[HostId]) {
         self.follower.add_seeds(seeds);
--- a/components/gateway_core/tests/following.rs
+++ b/components/gateway_core/tests/following.rs
@@ -4,8 +4,10 @@
 
 use common::{Bed, CONTROL, at, data_centre, entry_host, region, route, server};
 use gateway_core::{ANSWER_TIMEOUT, Note, Repeats};
-use ids::{HostId, LogIndex, Timestamp};
-use schema::sync::{ControlHostRecord, HostsUpdate, KnownPlace, Place, RegistryUpdate, Update};
+use ids::{ByteSize, HostId, LogIndex, SLOWEST_LINK, Timestamp};
+use schema::sync::{
+    ControlHostRecord, HostsUpdate, KnownPlace, Place, RegistryUpdate, Update, UpdateBegins,
+};
 
 fn bed() -> Bed {
     let routes = vec![route("look", Repeats::Allowed)];
@@ -61,6 +63,39 @@
     assert_eq!(answer(&mut bed, much_later, false, hosts), HostId(102));
 }
 
+#[test]
+fn a_large_update_that_has_begun_is_waited_for() {
+    let mut bed = bed();
+    let poll = bed.gateway.poll(at(100)).unwrap();
+    let begins = UpdateBegins { sequence: poll.poll.sequence, size: ByteSize(1_000_000) };
+
+    bed.gateway.on_update_begins(at(200), poll.to, &begins);
+
+    let transfer = SLOWEST_LINK.time_for(begins.size);
+    assert!(bed.gateway.poll(at(200) + transfer).is_none(), "it may be on its way still");
+    let update = Update {
+        sequence: poll.poll.sequence,
+        current: true,
+        control_hosts: Vec::new(),
+        registry: RegistryUpdate::Unchanged,
+        hosts: HostsUpdate::Unchanged,
+    };
+    bed.gateway.on_update(at(200) + transfer, poll.to, update);
+    let next = bed.gateway.poll(at(300) + transfer).expect("the next poll is due");
+    assert_eq!(next.to, poll.to);
+}
+
+#[test]
+fn a_large_update_that_never_arrives_is_given_up() {
+    let mut bed = bed();
+    let poll = bed.gateway.poll(at(100)).unwrap();
+    let begins = UpdateBegins { sequence: poll.poll.sequence, size: ByteSize(u64::MAX) };
+
+    bed.gateway.on_update_begins(at(200), poll.to, &begins);
+
+    assert!(bed.gateway.poll(at(30_000)).is_some());
+}
+
 #[test]
 fn an_answer_to_an_older_poll_changes_nothing() {
     let mut bed = bed();
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -15,8 +15,8 @@
     fractions::{Seconds, Share},
     names::{DataCentreName, IdempotencyKey, OrganisationName, RegionName, ServerId, ServiceName},
     numbers::{
-        AttemptNumber, ByteSize, ConfigVersion, Epoch, HostId, Incarnation, LogIndex, RequestId,
-        RequestRate, Term,
+        AttemptNumber, ByteRate, ByteSize, ConfigVersion, Epoch, HostId, Incarnation, LogIndex,
+        RequestId, RequestRate, SLOWEST_LINK, Term,
     },
     time::{Millis, Timestamp, WallTime},
 };
--- a/components/ids/src/numbers.rs
+++ b/components/ids/src/numbers.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ParseIdError;
+use crate::{Millis, ParseIdError};
 
 macro_rules! number_type {
     ($(#[$doc:meta])* $name:ident, $int:ty, $what:literal) => {
@@ -74,7 +74,22 @@
     /// A size in bytes.
     ByteSize, u64, "byte size"
 );
+number_type!(
+    /// A rate in bytes a second.
+    ByteRate, u64, "byte rate"
+);
 number_type!(
     /// A rate in requests a second.
     RequestRate, u32, "request rate"
 );
+
+/// The slowest link of a host that is planned for, in bytes a second: half of the 2 Mbit/s of the
+/// smallest hosts, since requests share it.
+pub const SLOWEST_LINK: ByteRate = ByteRate(125_000);
+
+impl ByteRate {
+    /// How long `size` takes at this rate.
+    pub fn time_for(self, size: ByteSize) -> Millis {
+        Millis(size.0.saturating_mul(1_000) / self.0.max(1))
+    }
+}
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -4,8 +4,8 @@
 
 use consensus::{Consensus, ProposeError, Settings};
 use ids::{
-    Blob, ConfigVersion, DataCentreName, FastMap, HostId, Incarnation, LogIndex, RegionName,
-    RequestId, ServerId, Term, Timestamp,
+    Blob, ByteSize, ConfigVersion, DataCentreName, FastMap, HostId, Incarnation, LogIndex,
+    RegionName, RequestId, ServerId, Term, Timestamp,
 };
 use schema::{
     announcement::Announcement,
@@ -16,7 +16,7 @@
     storage::Persisted,
     sync::{
         ControlHostRecord, EntryHostList, HostsUpdate, Place, Poll, Presence, RegistryUpdate,
-        SyncMessage, Update,
+        SyncMessage, Update, UpdateBegins,
     },
 };
 
@@ -35,6 +35,9 @@
 /// Bytes of commands after which the log is replaced by a snapshot.
 const MAX_LOG_BYTES: usize = 8 * 1024 * 1024;
 
+/// Size from which an update is announced: what the slowest link carries in about 100 ms.
+const LARGE_UPDATE: ByteSize = ByteSize(12 * 1024);
+
 /// Between two polls by which a host that is no voter looks for the others, in milliseconds.
 const SEARCH_INTERVAL: ids::Millis = ids::Millis(500);
 
@@ -191,6 +194,8 @@
                 self.places.note(now, from, it.place);
                 self.entry_hosts.note_list(now, from, it.hosts);
             }
+            // This host's own search asks for names only, which are never large.
+            PeerMessage::Sync(SyncMessage::UpdateBegins(_)) => {}
             // Other components of the product do not run on this host.
             PeerMessage::Membership(_)
             | PeerMessage::Dissemination(_)
@@ -386,6 +391,11 @@
         let due = self.followers.take_due(now, news, |held| hosts.has_news_for(held));
         for (to, poll) in due {
             let update = self.update_for(&poll, news);
+            let size = schema::encoded_size(&update);
+            if size >= LARGE_UPDATE {
+                let begins = UpdateBegins { sequence: update.sequence, size };
+                self.send(to, PeerMessage::Sync(SyncMessage::UpdateBegins(begins)));
+            }
             self.send(to, PeerMessage::Sync(SyncMessage::Update(update)));
         }
     }
--- a/components/registry/tests/control_hosts.rs
+++ b/components/registry/tests/control_hosts.rs
@@ -275,6 +275,26 @@
     assert_eq!(third.registry, RegistryUpdate::Unchanged);
 }
 
+#[test]
+fn a_large_update_is_announced_with_its_size() {
+    let mut fleet = Fleet::new(3);
+    fleet.ask(&config(1, &"x".repeat(500_000)));
+    fleet.run(500);
+    let host = fleet.leader().unwrap();
+
+    // The first answer may only name nearer hosts.
+    fleet.feed(host, poll(2, 0));
+    fleet.step();
+
+    let sent: Vec<_> = fleet.sent_outside.iter().map(|(_, message)| message).collect();
+    let [PeerMessage::Sync(SyncMessage::UpdateBegins(begins)), update] = sent[..] else {
+        panic!("two messages are sent: {}", sent.len());
+    };
+    assert!(matches!(update, PeerMessage::Sync(SyncMessage::Update(_))));
+    assert_eq!(begins.sequence, 2);
+    assert!((500_000..510_000).contains(&begins.size.0), "{}", begins.size);
+}
+
 #[test]
 fn a_control_host_that_lags_says_that_it_is_not_current() {
     let mut fleet = Fleet::new(3);
--- a/components/schema/src/codec.rs
+++ b/components/schema/src/codec.rs
@@ -1,5 +1,6 @@
 //! Encodes and decodes messages between processes.
 
+use ids::ByteSize;
 use serde::{Serialize, de::DeserializeOwned};
 
 /// The largest encoded message, in bytes.
@@ -23,6 +24,12 @@
     postcard::to_stdvec(message).expect("messages have no unsized parts")
 }
 
+/// The size of a message once it is encoded.
+pub fn encoded_size<T: Serialize>(message: &T) -> ByteSize {
+    let size = postcard::experimental::serialized_size(message);
+    ByteSize(size.expect("messages have no unsized parts") as u64)
+}
+
 /// Decodes a message that fills `data` exactly.
 pub fn decode<T: DeserializeOwned>(data: &[u8]) -> Result<T, DecodeError> {
     if data.len() > MAX_FRAME_BYTES {
--- a/components/schema/src/lib.rs
+++ b/components/schema/src/lib.rs
@@ -10,6 +10,6 @@
 mod codec;
 
 pub use crate::{
-    codec::{DecodeError, MAX_FRAME_BYTES, decode, encode},
+    codec::{DecodeError, MAX_FRAME_BYTES, decode, encode, encoded_size},
     generated::*,
 };
