Compress configuration texts once, where they are put

Its text has some 400 KB; each change takes a host with 2 Mbit/s about 2 s, in which requests wait for the same link, and it may not be in force in time.

Ruled out: processor time (0.0150 of a core at most of 0.1). Considered: compressing each message, which a control host would do for each of its followers; differences between versions, which need the older ones to be kept and help a host that starts with nothing in no way.

--- a/components/gateway/src/control/requests.rs
+++ b/components/gateway/src/control/requests.rs
@@ -12,7 +12,7 @@
 };
 use ids::{HostId, Millis};
 use platform::{announcements, calls::ControlCall, configuration};
-use registry::{Answer, Request};
+use registry::{Answer, MAX_CONFIG_BYTES, Request, pack_text, unpack_text};
 use schema::{gateway_settings::RegistrySettings, registry::ConfigDocument};
 use tokio::sync::{mpsc, oneshot};
 
@@ -22,9 +22,6 @@
     peers,
 };
 
-/// Largest body of a request, in bytes: a configuration of tens of thousands of routes.
-const MAX_BODY_BYTES: usize = 3 * 1024 * 1024;
-
 /// What answering requests needs.
 pub(crate) struct Requests {
     tx: mpsc::Sender<DriverEvent>,
@@ -46,7 +43,7 @@
         let Some(call) = ControlCall::of(&head.method, path) else {
             return http::text(StatusCode::NOT_FOUND, "no such call\n");
         };
-        let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
+        let body = match Limited::new(body, MAX_CONFIG_BYTES).collect().await {
             Ok(body) => body.to_bytes(),
             Err(e) => {
                 log::warn!(path:% = path, error:% = e; "request body not read");
@@ -73,8 +70,8 @@
         match call {
             ControlCall::PutConfig => {
                 let config = decode_config(body)?;
-                let text = body.clone().into();
-                Ok(Request::PutConfig(ConfigDocument { version: config.version, text }))
+                let packed_text = pack_text(body);
+                Ok(Request::PutConfig(ConfigDocument { version: config.version, packed_text }))
             }
             ControlCall::ReadConfig => Ok(Request::ReadConfig),
             ControlCall::Announce(id) => {
@@ -110,7 +107,7 @@
                 let next = next.map(|it| peers::address_of(it, self.port));
                 http::json(StatusCode::OK, announcements::encode_taken(next))
             }
-            Some(Answer::Config { text, .. }) => http::json(StatusCode::OK, text.to_bytes()),
+            Some(Answer::Config(it)) => read_config(&it),
             Some(Answer::NoConfig) => unavailable("no configuration was put yet"),
             Some(Answer::AskLeader(leader)) => self.redirect(leader, path),
             Some(Answer::Unavailable(reason)) => unavailable(&reason.to_string()),
@@ -136,6 +133,16 @@
     Ok(config)
 }
 
+fn read_config(config: &ConfigDocument) -> Reply {
+    match unpack_text(&config.packed_text) {
+        Ok(text) => http::json(StatusCode::OK, text),
+        Err(e) => {
+            log::error!(version = config.version.0, error:% = e; "configuration not readable");
+            unavailable("the configuration cannot be read")
+        }
+    }
+}
+
 fn unavailable(message: &str) -> Reply {
     http::text(StatusCode::SERVICE_UNAVAILABLE, format!("{message}\n"))
 }
@@ -149,7 +156,7 @@
 ) {
     let outcome = match answer {
         Some(Answer::Accepted | Answer::Taken { .. }) => "accepted".to_owned(),
-        Some(Answer::Config { version, .. }) => format!("version {version}"),
+        Some(Answer::Config(it)) => format!("version {}", it.version),
         Some(Answer::NoConfig) => "no configuration".to_owned(),
         Some(Answer::AskLeader(leader)) => {
             format!("redirected to {}", peers::address_of(*leader, 0).ip())
--- a/components/gateway/src/entry/shared.rs
+++ b/components/gateway/src/entry/shared.rs
@@ -3,9 +3,10 @@
 use std::{cell::RefCell, rc::Rc};
 
 use admin::Clock;
-use gateway_core::Gateway;
+use gateway_core::{Gateway, GatewayConfig};
 use ids::{FastMap, HostId, RequestId, Timestamp};
 use platform::configuration;
+use registry::unpack_text;
 use schema::{peer::PeerMessage, registry::ConfigDocument};
 use tokio::sync::Notify;
 use transport::Transport;
@@ -13,6 +14,11 @@
 use super::{metrics::Metrics, notes, pool::Pool};
 use crate::peers;
 
+fn decode_config(document: &ConfigDocument) -> Result<GatewayConfig, String> {
+    let text = unpack_text(&document.packed_text).map_err(|e| e.to_string())?;
+    configuration::decode(&text).map_err(|e| e.to_string())
+}
+
 /// What the tasks of a gateway share; all of them run on one thread.
 pub(crate) struct Shared {
     core: RefCell<Gateway>,
@@ -82,7 +88,7 @@
 
     /// Decodes a configuration and puts it in force.
     pub(crate) fn put_in_force(&self, document: &ConfigDocument) {
-        match configuration::decode(document.text.as_slice()) {
+        match decode_config(document) {
             Ok(config) => self.with_core(|core, _| core.set_config(config)),
             // Control hosts accept only what they can decode; a newer one may know newer formats.
             Err(e) => {
--- a/components/registry/src/action.rs
+++ b/components/registry/src/action.rs
@@ -1,6 +1,6 @@
 //! What a control host of the registry is told, and what it decides to do.
 
-use ids::{Blob, ConfigVersion, HostId, Incarnation, RequestId, ServerId};
+use ids::{HostId, Incarnation, RequestId, ServerId};
 use schema::{
     announcement::Announcement, consensus::Snapshot, peer::PeerMessage, registry::ConfigDocument,
     storage::Record,
@@ -62,12 +62,7 @@
         next: Option<HostId>,
     },
     /// The newest configuration.
-    Config {
-        /// Its version.
-        version: ConfigVersion,
-        /// The text as it was put.
-        text: Blob,
-    },
+    Config(ConfigDocument),
     /// No configuration was put yet.
     NoConfig,
     /// This host leads and should be asked.
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -359,7 +359,7 @@
                 Answer::Taken { next: self.nearest_to(now, data_centre) }
             }
             WhenAccepted::Config => match self.registry.config() {
-                Some(it) => Answer::Config { version: it.version, text: it.text.clone() },
+                Some(it) => Answer::Config(it.clone()),
                 None => Answer::NoConfig,
             },
         }
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -8,6 +8,7 @@
 mod followers;
 mod host;
 mod log_requests;
+mod packed_text;
 mod places;
 mod presence;
 mod state;
@@ -16,5 +17,6 @@
     action::{Answer, HostAction, HostEvent, Request, UnavailableReason},
     followers::{HOST_LIST_INTERVAL, POLL_HOLD},
     host::{RegistryHost, RegistryHostSettings, RegistryStatus},
+    packed_text::{MAX_CONFIG_BYTES, UnpackError, pack_text, unpack_text},
     state::{Judgement, Registry},
 };
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -60,7 +60,7 @@
 
     /// The state as a snapshot.
     pub fn snapshot(&self) -> Blob {
-        let empty = || ConfigDocument { version: ConfigVersion(0), text: Blob::default() };
+        let empty = || ConfigDocument { version: ConfigVersion(0), packed_text: Blob::default() };
         let snapshot = RegistrySnapshot {
             config: self.config.clone().unwrap_or_else(empty),
             config_changed: self.config_changed,
--- a/components/registry/tests/control_hosts.rs
+++ b/components/registry/tests/control_hosts.rs
@@ -18,7 +18,7 @@
 
 fn version_of(answer: &Answer) -> ConfigVersion {
     match answer {
-        Answer::Config { version, .. } => *version,
+        Answer::Config(it) => it.version,
         answer => panic!("no configuration: {answer:?}"),
     }
 }
@@ -97,11 +97,11 @@
     assert_eq!(fleet.ask(&config(4, "four")), Answer::Accepted);
     assert_eq!(fleet.ask(&config(5, "other content")), Answer::Accepted);
 
-    let Answer::Config { version, text } = fleet.ask(&Request::ReadConfig) else {
+    let Answer::Config(read) = fleet.ask(&Request::ReadConfig) else {
         panic!("no configuration");
     };
-    assert_eq!(version, ConfigVersion(5));
-    assert_eq!(text.as_slice(), b"five");
+    assert_eq!(read.version, ConfigVersion(5));
+    assert_eq!(read.packed_text.as_slice(), b"five");
 }
 
 #[test]
@@ -357,7 +357,7 @@
         if fleet.answers.get(&put) == Some(&Answer::Accepted) {
             accepted = ConfigVersion(version);
         }
-        if let Some(answer @ Answer::Config { .. }) = fleet.answers.get(&read) {
+        if let Some(answer @ Answer::Config(_)) = fleet.answers.get(&read) {
             assert!(version_of(answer) >= before, "read {answer:?} after {before}");
         }
     }
--- a/components/registry/tests/fleet/mod.rs
+++ b/components/registry/tests/fleet/mod.rs
@@ -40,8 +40,8 @@
 }
 
 pub fn config(version: u64, text: &str) -> Request {
-    let text = Blob::from(text.as_bytes().to_vec());
-    Request::PutConfig(ConfigDocument { version: ConfigVersion(version), text })
+    let packed_text = Blob::from(text.as_bytes().to_vec());
+    Request::PutConfig(ConfigDocument { version: ConfigVersion(version), packed_text })
 }
 
 pub fn place(name: &str) -> Place {
