Collect the log lines of a request by its id, and test the walk of a late one

`daisypaddle trace ID FILE...` prints the lines that name an id in the order of their times; with `--around MS` also those about the servers of its attempts at that time. The walks of a lost, a refused and a late request are tests of their own now, with the command and the metrics page alone; one of a request refused for full servers is new too. The fleet, server and HTTP stand-ins of tests/gateway_fleet.rs (626 lines) are modules beside it, unchanged but for `pub` and loopback addresses that differ between test processes.

--- a/src/bin/daisypaddle.rs
+++ b/src/bin/daisypaddle.rs
@@ -6,7 +6,7 @@
     cli::{self, ExitError},
     commands::{self, ControlOptions},
 };
-use ids::{HostId, ServerId};
+use ids::{HostId, Millis, ServerId};
 use pico_args::Arguments;
 
 const HELP: &str = "\
@@ -25,6 +25,9 @@
   servers --entry ADDRESS    print the backend servers as an entry host sees them
   explain SERVER --entry ADDRESS
                              print why a backend server is in or out of rotation
+  trace ID FILE... [--around MS]
+                             print the log lines that name a request, in the order of their times;
+                             with --around, also those about its servers at that time
 
 options:
   --control ADDRESSES        admin addresses of the control hosts, separated by commas
@@ -46,6 +49,12 @@
             cli::finish(args)?;
             return commands::check(&file);
         }
+        if command == "trace" {
+            let around: Option<u64> = args.opt_value_from_str("--around")?;
+            let id: String = args.free_from_str()?;
+            let files = cli::finish_files(args)?;
+            return commands::trace(&id, around.map(Millis), &files);
+        }
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -83,6 +83,18 @@
     }
 }
 
+/// The files that are left as arguments.
+pub fn finish_files(args: pico_args::Arguments) -> Result<Vec<String>, ExitError> {
+    let files: Vec<_> = args.finish().into_iter().map(|it| it.to_string_lossy().into()).collect();
+    if let Some(option) = files.iter().find(|it: &&String| it.starts_with('-')) {
+        return Err(ExitError::usage(format!("unexpected argument {option:?}")));
+    }
+    if files.is_empty() {
+        return Err(ExitError::usage("a file is needed"));
+    }
+    Ok(files)
+}
+
 /// Writes structured logs to standard error; `RUST_LOG` chooses the level.
 pub fn start_logs() {
     let env = env_logger::Env::default().default_filter_or("info");
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod servers;
 mod submit;
+mod trace;
 
 use std::{fs, net::SocketAddr};
 
@@ -17,6 +18,7 @@
     fleet::{remove_voter, status},
     servers::{explain, servers},
     submit::{check, current, submit},
+    trace::trace,
 };
 
 /// How control hosts are reached.
--- /dev/null
+++ b/tests/gateway/mod.rs
@@ -0,0 +1,298 @@
+//! A gateway fleet of real processes on loopback addresses.
+
+#![allow(dead_code, unused_imports)]
+
+mod http;
+mod server;
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    path::PathBuf,
+    process::{self, Child, Command, Stdio},
+    sync::atomic::{AtomicU64, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use gateway_core::{CallerLimits, GatewayConfig, Repeats, Route, RouteTarget, ServicePolicy};
+use ids::{ByteSize, ConfigVersion, Millis};
+use platform::stand_in;
+use schema::announcement::{Announcement, ServerState};
+use tempfile::TempDir;
+
+pub use self::{
+    http::{HttpAnswer, call, receive, send},
+    server::Server,
+};
+
+/// Ends a wait that would never end; no test depends on its length.
+pub const HANG_LIMIT: Duration = Duration::from_secs(60);
+
+/// Numbers the fleets of this process, so that each has loopback addresses of its own.
+static NEXT_FLEET: AtomicU64 = AtomicU64::new(0);
+
+#[derive(Clone, Copy)]
+pub struct Ports {
+    pub peer: u16,
+    pub metrics: u16,
+    pub requests: u16,
+    pub callers: u16,
+    pub readiness: u16,
+    pub directory: u16,
+}
+
+pub struct Fleet {
+    pub ports: Ports,
+    pub folder: TempDir,
+    pub network: u8,
+    pub processes: BTreeMap<Ipv4Addr, Child>,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for process in self.processes.values_mut() {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+}
+
+impl Fleet {
+    /// Three control hosts and two gateways.
+    pub fn start() -> Self {
+        let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
+        let network = 20 + u8::try_from((u64::from(process::id()) + number) % 200).unwrap();
+        let ports = free_ports(network);
+        let mut fleet = Self {
+            ports,
+            folder: tempfile::tempdir().unwrap(),
+            network,
+            processes: BTreeMap::new(),
+        };
+        for i in 1..=3 {
+            fleet.start_control(i, true);
+        }
+        for i in 11..=12 {
+            fleet.start_gateway(i);
+        }
+        fleet
+    }
+
+    pub fn ip(&self, host: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, 77, self.network, host)
+    }
+
+    pub fn address(&self, host: u8, port: u16) -> SocketAddr {
+        (self.ip(host), port).into()
+    }
+
+    pub fn seeds(&self) -> String {
+        let seeds = (1..=3).map(|it| format!("  - {}\n", self.address(it, self.ports.requests)));
+        seeds.collect()
+    }
+
+    pub fn start_control(&mut self, host: u8, bootstrap: bool) {
+        let settings = format!(
+            "ip: {}\nregion: north\ndata_centre: north-a\n\
+             data_centres: [{{ name: north-a, region: north }}]\nseeds:\n{}peer_port: {}\n\
+             metrics_port: {}\nrequest_address: {}\ndata_folder: {}\nbootstrap: {bootstrap}\n\
+             lost_disks: 1\nannouncement_lifetime_ms: 1500\n",
+            self.ip(host),
+            self.seeds(),
+            self.ports.peer,
+            self.ports.metrics,
+            self.address(host, self.ports.requests),
+            self.folder.path().join(format!("data-{host}")).display(),
+        );
+        self.spawn("control", host, &settings);
+    }
+
+    pub fn start_gateway(&mut self, host: u8) {
+        let settings = format!(
+            "ip: {}\nregion: north\ndata_centre: north-a\n\
+             data_centres: [{{ name: north-a, region: north }}]\nseeds:\n{}peer_port: {}\n\
+             metrics_port: {}\ncaller_address: {}\nreadiness_address: {}\n\
+             directory_address: {}\nstop_within_s: 6\ndirectory_keep_s: 1\n\
+             retry_budget: {{ share: 0.2, slack: 58, window_s: 10 }}\n",
+            self.ip(host),
+            self.seeds(),
+            self.ports.peer,
+            self.ports.metrics,
+            self.address(host, self.ports.callers),
+            self.address(host, self.ports.readiness),
+            self.address(host, self.ports.directory),
+        );
+        self.spawn("entry", host, &settings);
+    }
+
+    pub fn log_file(&self, host: u8) -> PathBuf {
+        self.folder.path().join(format!("{host}.log"))
+    }
+
+    pub fn spawn(&mut self, role: &str, host: u8, settings: &str) {
+        let path = self.folder.path().join(format!("{host}.yaml"));
+        fs::write(&path, settings).unwrap();
+        let log = fs::OpenOptions::new().create(true).append(true).open(self.log_file(host));
+        let process = Command::new(env!("CARGO_BIN_EXE_daisypaddle-gateway"))
+            .args([role, "--settings"])
+            .arg(&path)
+            .stdout(Stdio::from(log.unwrap()))
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap();
+        self.processes.insert(self.ip(host), process);
+    }
+
+    pub fn signal(&self, host: u8, name: &str) {
+        let id = self.processes[&self.ip(host)].id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
+    pub fn kill(&mut self, host: u8) {
+        let process = self.processes.get_mut(&self.ip(host)).unwrap();
+        process.kill().unwrap();
+        process.wait().unwrap();
+    }
+
+    /// Asks the control hosts in turn, following redirects, until one answers with 200.
+    pub fn ask(&self, method: &str, path: &str, body: &[u8]) -> Vec<u8> {
+        wait_for(path, || {
+            (1..=3).find_map(|host| {
+                let mut address = self.address(host, self.ports.requests);
+                for _ in 0..3 {
+                    let answer = call(address, method, path, &[], body)?;
+                    match answer.status {
+                        200 => return Some(answer.body),
+                        307 => address = answer.redirect()?,
+                        _ => return None,
+                    }
+                }
+                None
+            })
+        })
+    }
+
+    pub fn put(&self, version: u64, service: &str) {
+        self.ask("POST", stand_in::PUT_CONFIG, &stand_in::config_body(&config(version, service)));
+    }
+
+    pub fn announce(&self, server: &Server, sequence: u64, state: ServerState) {
+        let announcement = Announcement { sequence, state, ..server.announcement.clone() };
+        let path = stand_in::announce_path(&announcement.server);
+        self.ask("POST", &path, &stand_in::announcement_body(&announcement));
+    }
+
+    pub fn is_ready(&self, host: u8) -> bool {
+        let address = self.address(host, self.ports.readiness);
+        call(address, "GET", stand_in::READINESS, &[], b"").is_some_and(|it| it.status == 200)
+    }
+
+    pub fn wait_ready(&self) {
+        wait_for("ready gateways", || (11..=12).all(|it| self.is_ready(it)).then_some(()));
+    }
+
+    pub fn request(&self, gateway: u8, id: &str, path: &str) -> Option<HttpAnswer> {
+        let headers = stand_in::caller_headers(id, Millis(4_000));
+        call(self.address(gateway, self.ports.callers), "GET", path, &headers, b"")
+    }
+
+    /// Waits until a gateway serves a path.
+    pub fn wait_served(&self, gateway: u8, path: &str) {
+        wait_for(path, || {
+            self.request(gateway, "wait", path).filter(|it| it.status == 200).map(drop)
+        });
+    }
+
+    /// Waits until a gateway has sent requests to each of these servers.
+    pub fn wait_used(&self, gateway: u8, servers: &[Server]) {
+        let id = format!("used-{gateway}");
+        wait_for("work at each server", || {
+            self.request(gateway, &id, "/look/1");
+            servers.iter().all(|it| it.ran().contains(&id)).then_some(())
+        });
+    }
+
+    pub fn directory(&self, gateway: u8) -> Vec<String> {
+        let address = self.address(gateway, self.ports.directory);
+        let path = stand_in::directory_path("north", "north-a");
+        let answer = call(address, "GET", &path, &[], b"");
+        answer.map(|it| stand_in::read_addresses(&it.body)).unwrap_or_default()
+    }
+}
+
+/// Ports that are free on the fleet's addresses for TCP and UDP.
+fn free_ports(network: u8) -> Ports {
+    let held: Vec<(TcpListener, UdpSocket)> = (0..6)
+        .map(|_| {
+            loop {
+                let tcp = TcpListener::bind((Ipv4Addr::new(127, 77, network, 1), 0)).unwrap();
+                if let Ok(udp) = UdpSocket::bind(tcp.local_addr().unwrap()) {
+                    break (tcp, udp);
+                }
+            }
+        })
+        .collect();
+    let port = |i: usize| held[i].0.local_addr().unwrap().port();
+    Ports {
+        peer: port(0),
+        metrics: port(1),
+        requests: port(2),
+        callers: port(3),
+        readiness: port(4),
+        directory: port(5),
+    }
+}
+
+pub fn config(version: u64, service: &str) -> GatewayConfig {
+    let policy = |name: &str| ServicePolicy {
+        name: name.parse().unwrap(),
+        max_connections: 300,
+        probe_path: "/health".to_owned(),
+    };
+    let route = |name: &str, repeats| Route {
+        name: name.to_owned(),
+        host: "shop.example".to_owned(),
+        path_prefix: format!("/{name}/"),
+        repeats,
+        targets: vec![RouteTarget { service: service.parse().unwrap(), weight: 1 }],
+        time_limit: Millis(3_000),
+        latency_aim: Millis(1_000),
+        priority: 1,
+        max_attempts: 2,
+    };
+    GatewayConfig {
+        version: ConfigVersion(version),
+        services: vec![policy("queue"), policy("other")],
+        routes: vec![route("look", Repeats::Allowed), route("pay", Repeats::Forbidden)],
+        caller_limits: CallerLimits {
+            max_head: ByteSize(16_384),
+            max_body: ByteSize(1_000_000),
+            head_timeout: Millis(3_000),
+            idle_timeout: Millis(15_000),
+        },
+    }
+}
+
+pub fn wait_for<T>(what: &str, check: impl Fn() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(value) = check() {
+            return value;
+        }
+        assert!(start.elapsed() < HANG_LIMIT, "waited in vain for {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A fleet that serves with one backend server.
+pub fn serving_fleet() -> (Fleet, Server) {
+    let fleet = Fleet::start();
+    let server = Server::start(1, "queue");
+    fleet.put(1, "queue");
+    fleet.announce(&server, 1, ServerState::Serving);
+    fleet.wait_ready();
+    fleet.wait_served(11, "/look/first");
+    (fleet, server)
+}
