--- a/components/gateway/src/control/driver.rs
+++ b/components/gateway/src/control/driver.rs
@@ -107,8 +107,9 @@
         Ok(())
     }
 
-    /// Shows a changed status to monitoring, and logs what on-call engineers look for.
+    /// Shows counts and a changed status to monitoring, and logs what on-call engineers look for.
     fn note_status(&mut self) {
+        self.metrics.set_transport(self.transport.stats());
         let status = self.host.status(self.clock.now());
         if self.status.as_ref() == Some(&status) {
             return;
@@ -141,7 +142,7 @@
         if before.is_some_and(|it| it.is_current != status.is_current) {
             log::info!(is_current = status.is_current, term = status.term.0; "currency changed");
         }
-        self.metrics.set(&status, self.transport.stats());
+        self.metrics.set(&status);
         self.status = Some(status);
     }
 }
--- a/components/gateway/src/control/metrics.rs
+++ b/components/gateway/src/control/metrics.rs
@@ -59,9 +59,13 @@
         }
     }
 
-    /// Shows the status of the host.
-    pub(crate) fn set(&self, status: &RegistryStatus, stats: StatsSnapshot) {
+    /// Shows what was sent and received.
+    pub(crate) fn set_transport(&self, stats: StatsSnapshot) {
         self.transport.set(stats);
+    }
+
+    /// Shows the status of the host.
+    pub(crate) fn set(&self, status: &RegistryStatus) {
         self.leads.set(i64::from(status.role == Role::Leader));
         self.current.set(i64::from(status.is_current));
         self.term.set(clamp(status.term.0));
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -7,7 +7,7 @@
 
 use std::{
     collections::BTreeMap,
-    fs,
+    env, fs,
     net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::PathBuf,
     process::{self, Child, Command, Stdio},
@@ -62,6 +62,11 @@
 impl Fleet {
     /// Three control hosts and two gateways.
     pub fn start() -> Self {
+        Self::start_with(2)
+    }
+
+    /// Three control hosts, and gateways from host 11 on.
+    pub fn start_with(gateways: u8) -> Self {
         let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
         let network = 20 + u8::try_from((u64::from(process::id()) + number) % 200).unwrap();
         let ports = free_ports(network);
@@ -74,8 +79,8 @@
         for i in 1..=3 {
             fleet.start_control(i, true);
         }
-        for i in 11..=12 {
-            fleet.start_gateway(i);
+        for i in 0..gateways {
+            fleet.start_gateway(11 + i);
         }
         fleet
     }
@@ -135,7 +140,7 @@
         let path = self.folder.path().join(format!("{host}.yaml"));
         fs::write(&path, settings).unwrap();
         let log = fs::OpenOptions::new().create(true).append(true).open(self.log_file(host));
-        let process = Command::new(env!("CARGO_BIN_EXE_daisypaddle-gateway"))
+        let process = Command::new(gateway_binary())
             .args([role, "--settings"])
             .arg(&path)
             .stdout(Stdio::from(log.unwrap()))
@@ -222,6 +227,15 @@
     }
 }
 
+/// The binary; a measurement, which is not built as a test, finds it beside its own folder.
+fn gateway_binary() -> PathBuf {
+    if let Some(path) = option_env!("CARGO_BIN_EXE_daisypaddle-gateway") {
+        return path.into();
+    }
+    let own = env::current_exe().unwrap();
+    own.ancestors().nth(2).unwrap().join("daisypaddle-gateway")
+}
+
 /// Ports that are free on the fleet's addresses for TCP and UDP.
 fn free_ports(network: u8) -> Ports {
     let held: Vec<(TcpListener, UdpSocket)> = (0..6)
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use gateway::{Fleet, HANG_LIMIT, Server, config, receive, send, serving_fleet, wait_for};
+use gateway::{Fleet, HANG_LIMIT, Server, call, config, receive, send, serving_fleet, wait_for};
 use ids::Millis;
 use platform::stand_in;
 use schema::announcement::ServerState;
@@ -124,6 +124,23 @@
     assert!(status.success());
 }
 
+#[test]
+fn metrics_of_a_control_host_follow_what_it_sends() {
+    let (fleet, _server) = serving_fleet();
+    let sent_bytes = || {
+        let address = fleet.address(1, fleet.ports.metrics);
+        let page = call(address, "GET", "/metrics", &[], b"")?;
+        let page = String::from_utf8(page.body).ok()?;
+        let name = "daisypaddle_peer_sent_bytes_total ";
+        page.lines().find_map(|it| it.strip_prefix(name))?.parse::<u64>().ok()
+    };
+
+    // Nothing of the fleet changes, but gateways are still answered.
+    let before = wait_for("the metric", sent_bytes);
+    let later = wait_for("more bytes", || sent_bytes().filter(|it| *it > before));
+    wait_for("still more bytes", || sent_bytes().filter(|it| *it > later));
+}
+
 #[test]
 fn a_settings_change_cuts_off_nothing_and_is_logged() {
     let (fleet, _server) = serving_fleet();
