--- a/components/gateway_core/tests/placement.rs
+++ b/components/gateway_core/tests/placement.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 
 use common::{Bed, at, entry_host, route, server, server_id};
-use gateway_core::{AttemptEnd, RefusalReason, Repeats, Step};
-use ids::{HostId, ServerId};
+use gateway_core::{AttemptEnd, AttemptStart, RefusalReason, Repeats, Step};
+use ids::{HostId, RequestId, ServerId};
 use schema::{
     announcement::ServerState,
     server_load::{LoadEvent, LoadReport, ReportScope},
@@ -207,6 +207,34 @@
     assert!(used.contains(&server_id(2)));
 }
 
+#[test]
+fn each_sound_server_keeps_part_in_the_work_of_requests_that_must_not_repeat() {
+    let servers: Vec<_> = (1..=8).map(|it| server(it, "north-a")).collect();
+    let mut bed = Bed::new(unsafe_and_safe(), servers, vec![entry_host(1, "north-a")]);
+    let mut used_at = [0; 9];
+    let mut longest_pause = 0;
+    let mut in_flight: Vec<(u64, RequestId, AttemptStart)> = Vec::new();
+
+    // Twenty requests a second; each server takes longer than the one before it.
+    for sent in (0..15_000).step_by(50) {
+        for (ended, id, start) in in_flight.extract_if(.., |it| it.0 <= sent) {
+            bed.end(at(ended), id, &start, AttemptEnd::Answered);
+            bed.gateway.step(at(ended), id);
+            bed.gateway.forget(at(ended), id);
+        }
+        let (id, start) = bed.send(at(sent), "/pay/1");
+        let number = (1..=8).find(|it| server_id(*it) == start.server).unwrap();
+        in_flight.push((sent + 60 * number, id, start));
+        if sent > 3_000 {
+            longest_pause = longest_pause.max(sent - used_at[number as usize]);
+        }
+        used_at[number as usize] = sent;
+    }
+
+    let last_pause = used_at[1..].iter().map(|it| 15_000 - it).max().unwrap();
+    assert!(longest_pause.max(last_pause) <= 750, "{longest_pause} {last_pause}");
+}
+
 #[test]
 fn a_draining_server_gets_nothing_more() {
     let servers = vec![server(1, "north-a"), server(2, "north-a")];
