Try every idle server again while many requests of its service are lost

They are left alone since they are broken still in most cases (0.75 to 0.9 up to 3 s after a loss, 0.3 to 0.5 after 4 s), which is right in calm times. In an outbreak that hits most of a service, those of them that have recovered are needed.

Change: each gateway keeps the share of failed attempts of its data centre, by service; above a tenth, a server that was idle for 1.4 to 1.9 s is tried whatever was believed of it.

What is left is a window of 2 s in whose first half nothing was wrong yet.

--- a/components/gateway_core/src/gateway/reports.rs
+++ b/components/gateway_core/src/gateway/reports.rs
@@ -15,6 +15,7 @@
             ReportScope::Near => {
                 self.servers.note_other(now, from, key, report.in_flight);
                 self.note_attempt(now, key, &report.event);
+                self.servers.note_end(now, key, &report.event);
             }
             ReportScope::ToPassOn => self.pass_on(report),
             ReportScope::PassedOn => {}
@@ -45,6 +46,7 @@
 
     pub(super) fn report_end(&mut self, now: Timestamp, key: ServerKey, event: LoadEvent) {
         let in_flight = self.servers.note_own_end(key);
+        self.servers.note_end(now, key, &event);
         self.note_event(now, self.settings.host, key, &event);
         self.report(key, in_flight, event);
         self.wake_next(key);
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -4,6 +4,7 @@
 //! Counts of one gateway say nothing, so gateways of one data centre tell each other each start
 //! and end of an attempt, and each adds up what all of them have in flight.
 
+mod distress;
 pub mod placement;
 pub mod standing;
 
@@ -19,6 +20,7 @@
     sync::RegistryChanges,
 };
 
+use distress::FailureShare;
 use standing::{BrokenShare, Standing};
 
 use crate::configuration::{Route, RouteKey};
@@ -167,6 +169,8 @@
     by_service: FastMap<ServiceName, Vec<ServerId>>,
     /// How common broken servers are, by service.
     broken_shares: FastMap<ServiceName, BrokenShare>,
+    /// How many attempts of this data centre's gateways fail, by service.
+    failure_shares: FastMap<ServiceName, FailureShare>,
     /// Usual latencies by route, in milliseconds.
     latencies: FastMap<RouteKey, f64>,
     /// Usual sizes of request and answer by route, in kilobytes.
@@ -188,6 +192,7 @@
             by_address: FastMap::default(),
             by_service: FastMap::default(),
             broken_shares: FastMap::default(),
+            failure_shares: FastMap::default(),
             latencies: FastMap::default(),
             sizes: FastMap::default(),
         }
@@ -237,6 +242,27 @@
         self.broken_shares.get(service).copied().unwrap_or_default()
     }
 
+    /// Whether many attempts at a service fail now.
+    pub fn is_in_distress(&self, now: Timestamp, service: &ServiceName) -> bool {
+        self.failure_shares.get(service).is_some_and(|it| it.is_distress(now))
+    }
+
+    /// Counts the end of an attempt of this data centre's gateways for [`Self::is_in_distress`].
+    pub(crate) fn note_end(&mut self, now: Timestamp, key: ServerKey, event: &LoadEvent) {
+        let has_failed = match event {
+            LoadEvent::Answered(_) => false,
+            LoadEvent::Lost(_) | LoadEvent::Overdue | LoadEvent::ServerError => true,
+            LoadEvent::Started
+            | LoadEvent::Repeated
+            | LoadEvent::Cancelled
+            | LoadEvent::Shed
+            | LoadEvent::Unreachable => return,
+        };
+        let Some(server) = self.by_key_mut(key) else { return };
+        let service = server.announcement.service.clone();
+        self.failure_shares.entry(service).or_default().note(now, has_failed);
+    }
+
     /// The usual latency of a route, in milliseconds.
     pub fn usual_latency(&self, route: &Route) -> f64 {
         let known = self.latencies.get(&route.key()).copied();
--- a/components/gateway_core/src/servers/placement.rs
+++ b/components/gateway_core/src/servers/placement.rs
@@ -11,6 +11,7 @@
 //! - *New servers, and servers that were left alone.* A server of this data centre that was idle
 //!   for a second is tried, so that all of them keep part in the work and what is known of them
 //!   stays fresh; requests that may repeat go first.
+//! - *Many servers that break at once.* See [`super::distress`].
 //! - *Outbreaks of broken connections.* See [`super::standing`]; requests that must not repeat
 //!   weigh the risk higher.
 
@@ -65,6 +66,13 @@
 /// The same for requests that must not be sent again.
 const IDLE_MAX_BROKEN_FINAL: f64 = 0.45;
 
+/// The same while many attempts at the service fail: each server of this data centre gets some work
+/// in two seconds then, since what broke it may have passed.
+const IDLE_BETWEEN_DISTRESS: (f64, f64) = (1_400.0, 1_900.0);
+
+/// Cost that is taken off an idle server then, in lost requests: more than a certain loss.
+const IDLE_GAIN_DISTRESS: f64 = 1.0;
+
 /// Time to another data centre of the region and back, in milliseconds.
 const REGION_ROUND_TRIP: f64 = 3.0;
 
@@ -121,6 +129,7 @@
     let kilobytes = table.usual_kilobytes(request.route);
     let aim = request.route.latency_aim.0.max(1) as f64;
     let time_left = request.time_left.0 as f64;
+    let in_distress = table.is_in_distress(now, request.service);
     let mut best: Option<(f64, &Server)> = None;
     let mut soonest_free = f64::INFINITY;
     let mut soonest_answer = f64::INFINITY;
@@ -137,7 +146,10 @@
             soonest_free = soonest_free.min(outlook.free_in);
             continue;
         }
-        let cost = outlook.cost(request.route.repeats, aim, kilobytes) + JITTER * random();
+        let mut cost = outlook.cost(request.route.repeats, aim, kilobytes) + JITTER * random();
+        if in_distress {
+            cost -= outlook.distress_gain();
+        }
         if best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, server));
         }
@@ -224,7 +236,17 @@
         if self.broken > max_broken {
             return 0.0;
         }
-        gain * ((self.idle - from) / (to - from)).clamp(0.0, 1.0)
+        gain * self.idle_part(from, to)
+    }
+
+    fn distress_gain(&self) -> f64 {
+        let (from, to) = IDLE_BETWEEN_DISTRESS;
+        IDLE_GAIN_DISTRESS * self.idle_part(from, to)
+    }
+
+    /// How far the idle time has come between two bounds, from 0 to 1.
+    fn idle_part(&self, from: f64, to: f64) -> f64 {
+        ((self.idle - from) / (to - from)).clamp(0.0, 1.0)
     }
 }
 
--- a/components/gateway_core/tests/placement.rs
+++ b/components/gateway_core/tests/placement.rs
@@ -235,6 +235,34 @@
     assert!(longest_pause.max(last_pause) <= 750, "{longest_pause} {last_pause}");
 }
 
+/// The longest time from 3 s to 13 s in which one of eight servers gets nothing, at twenty requests
+/// a second that must not repeat, of which one in `lost_each` is lost.
+fn longest_pause(lost_each: u64) -> u64 {
+    let servers: Vec<_> = (1..=8).map(|it| server(it, "north-a")).collect();
+    let mut bed = Bed::new(unsafe_and_safe(), servers, vec![entry_host(1, "north-a")]);
+    let mut used_at = BTreeMap::new();
+    let mut longest = 0;
+    for i in 0..260 {
+        let sent = i * 50;
+        let end = if i % lost_each == 0 { AttemptEnd::Lost } else { AttemptEnd::Answered };
+        let used = bed.run(at(sent), at(sent + 40), "/pay/1", end);
+        if let Some(before) = used_at.insert(used, sent).filter(|_| sent > 3_000) {
+            longest = longest.max(sent - before);
+        }
+    }
+    longest
+}
+
+#[test]
+fn servers_that_broke_are_tried_again_within_two_seconds_while_many_requests_are_lost() {
+    assert!(longest_pause(5) <= 2_000, "{}", longest_pause(5));
+}
+
+#[test]
+fn servers_that_broke_are_left_alone_for_longer_in_calm_times() {
+    assert!(longest_pause(50) > 2_500, "{}", longest_pause(50));
+}
+
 #[test]
 fn a_draining_server_gets_nothing_more() {
     let servers = vec![server(1, "north-a"), server(2, "north-a")];
