--- a/components/gateway_core/tests/common/mod.rs
+++ b/components/gateway_core/tests/common/mod.rs
@@ -96,6 +96,36 @@
     }
 }
 
+/// Settings of a gateway in data centre `north-a`.
+fn settings(host: HostId) -> GatewaySettings {
+    let places = ["north-a", "north-b", "south-a", "south-b"];
+    GatewaySettings {
+        host,
+        region: region("north-a"),
+        data_centre: data_centre("north-a"),
+        regions: places.iter().map(|it| (data_centre(it), region(it))).collect(),
+        incarnation: Incarnation(1),
+        caller_address: format!("10.1.0.{host}:80").parse().unwrap(),
+        seeds: vec![CONTROL],
+        budget: BudgetSettings { share_milli: 200, slack: 48, window: Millis(10_000) },
+        directory_keep: Millis(1_000),
+        seed: 7,
+    }
+}
+
+/// A gateway that serves these routes with these servers and hosts.
+pub fn gateway(
+    host: HostId,
+    routes: Vec<Route>,
+    servers: Vec<Announcement>,
+    hosts: Vec<EntryHostRecord>,
+) -> Gateway {
+    let mut bed = Bed { gateway: Gateway::new(settings(host)), next_index: 1 };
+    bed.gateway.set_config(config(1, routes));
+    bed.update(at(0), servers, hosts);
+    bed.gateway
+}
+
 /// A gateway in data centre `north-a`.
 pub struct Bed {
     pub gateway: Gateway,
@@ -109,20 +139,7 @@
         servers: Vec<Announcement>,
         hosts: Vec<EntryHostRecord>,
     ) -> Self {
-        let places = ["north-a", "north-b", "south-a", "south-b"];
-        let settings = GatewaySettings {
-            host: OWN,
-            region: region("north-a"),
-            data_centre: data_centre("north-a"),
-            regions: places.iter().map(|it| (data_centre(it), region(it))).collect(),
-            incarnation: Incarnation(1),
-            caller_address: "10.1.0.1:80".parse().unwrap(),
-            seeds: vec![CONTROL],
-            budget: BudgetSettings { share_milli: 200, slack: 48, window: Millis(10_000) },
-            directory_keep: Millis(1_000),
-            seed: 7,
-        };
-        let mut bed = Self { gateway: Gateway::new(settings), next_index: 1 };
+        let mut bed = Self { gateway: Gateway::new(settings(OWN)), next_index: 1 };
         bed.gateway.set_config(config(1, routes));
         bed.update(at(0), servers, hosts);
         bed
