Bound what waits for the connections to peers in bytes

Cause: a control host grew to 259 MB and was ended while it queued whole registries for gateways with slow links. Now 8 MB may wait for one peer and 32 MB for all of them, a fifth of the memory of the smallest hosts; what is beyond is dropped and counted, as before.

The test fails before (20 of 20 MB wait for one peer).

--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod datagram;
 mod keys;
+mod queue;
 mod seal;
 mod stats;
 mod stream;
@@ -19,6 +20,8 @@
     sync::mpsc,
 };
 
+use crate::queue::{Queued, Room};
+
 pub use crate::{
     keys::{FleetKeys, KeyError},
     seal::{OpenError, open, seal},
@@ -47,6 +50,12 @@
     pub keys: FleetKeys,
 }
 
+/// What waits for the connection to a peer.
+struct PeerStream {
+    tx: mpsc::Sender<Queued>,
+    room: Room,
+}
+
 /// Sends messages to peers; dropping it closes all connections.
 pub struct Transport {
     host: HostId,
@@ -55,7 +64,8 @@
     keys: Arc<FleetKeys>,
     stats: Arc<Stats>,
     datagrams: mpsc::Sender<datagram::Datagram>,
-    streams: Mutex<FastMap<SocketAddr, mpsc::Sender<Vec<u8>>>>,
+    streams: Mutex<FastMap<SocketAddr, PeerStream>>,
+    room: Room,
     listener: tokio::task::AbortHandle,
     reader: tokio::task::AbortHandle,
 }
@@ -89,6 +99,7 @@
             stats,
             datagrams,
             streams: Mutex::default(),
+            room: Room::of_all(),
             listener: listener.abort_handle(),
             reader: reader.abort_handle(),
         };
@@ -125,23 +136,26 @@
 
     fn send_stream(&self, address: SocketAddr, data: Vec<u8>) {
         let mut streams = self.streams.lock().expect("no holder panics");
-        let tx = streams.entry(address).or_insert_with(|| self.open_stream(address));
-        match tx.try_send(data) {
+        let peer = streams.entry(address).or_insert_with(|| self.open_stream(address));
+        let Some(message) = Queued::new(data, &peer.room, &self.room) else {
+            return self.stats.count_dropped();
+        };
+        match peer.tx.try_send(message) {
             Ok(()) => {}
             Err(mpsc::error::TrySendError::Full(_)) => self.stats.count_dropped(),
-            Err(mpsc::error::TrySendError::Closed(data)) => {
-                *tx = self.open_stream(address);
-                if tx.try_send(data).is_err() {
+            Err(mpsc::error::TrySendError::Closed(message)) => {
+                *peer = self.open_stream(address);
+                if peer.tx.try_send(message).is_err() {
                     self.stats.count_dropped();
                 }
             }
         }
     }
 
-    fn open_stream(&self, address: SocketAddr) -> mpsc::Sender<Vec<u8>> {
+    fn open_stream(&self, address: SocketAddr) -> PeerStream {
         let (tx, rx) = mpsc::channel(QUEUED_FRAMES_PER_PEER);
         tokio::spawn(stream::send_all(address, rx, self.stats.clone()));
-        tx
+        PeerStream { tx, room: Room::of_peer() }
     }
 }
 
--- a/components/transport/src/stream.rs
+++ b/components/transport/src/stream.rs
@@ -11,7 +11,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{Inbox, Stats, seal::MAC_BYTES};
+use crate::{Inbox, Stats, queue::Queued, seal::MAC_BYTES};
 
 /// Longest wait for a connection to a peer: a lost opening packet is not waited for, since what is
 /// sent is repeated anyway.
@@ -38,7 +38,7 @@
 /// Connects and sends until the channel is closed or no connection can be made.
 pub(crate) async fn send_all(
     address: SocketAddr,
-    mut rx: mpsc::Receiver<Vec<u8>>,
+    mut rx: mpsc::Receiver<Queued>,
     stats: Arc<Stats>,
 ) {
     let mut unsent = None;
@@ -68,8 +68,8 @@
 /// Sends over one connection; a message that was not taken is left in `unsent`.
 async fn connect_and_send(
     address: SocketAddr,
-    rx: &mut mpsc::Receiver<Vec<u8>>,
-    unsent: &mut Option<Vec<u8>>,
+    rx: &mut mpsc::Receiver<Queued>,
+    unsent: &mut Option<Queued>,
     stats: &Stats,
 ) -> ConnectionEnd {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
@@ -80,24 +80,25 @@
     let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE_TIMEOUT));
     loop {
         let is_resend = unsent.is_some();
-        let data = match unsent.take() {
-            Some(data) => data,
+        let message = match unsent.take() {
+            Some(message) => message,
             None => match next_message(&mut stream, rx).await {
-                NextMessage::Send(data) => data,
-                NextMessage::NeedsConnection(data) => {
-                    *unsent = Some(data);
+                NextMessage::Send(message) => message,
+                NextMessage::NeedsConnection(message) => {
+                    *unsent = Some(message);
                     return ConnectionEnd::Lost;
                 }
                 NextMessage::None => return ConnectionEnd::ChannelClosed,
             },
         };
+        let data = &message.data;
         let mut buf = Vec::with_capacity(LENGTH_BYTES + data.len());
         buf.extend_from_slice(&(data.len() as u32).to_le_bytes());
-        buf.extend_from_slice(&data);
+        buf.extend_from_slice(data);
         match timeout(WRITE_TIMEOUT, stream.write_all(&buf)).await {
             Ok(Ok(())) => stats.count_sent(data.len()),
             Ok(Err(_)) | Err(_) => {
-                *unsent = Some(data);
+                *unsent = Some(message);
                 return if is_resend { ConnectionEnd::Unreachable } else { ConnectionEnd::Lost };
             }
         }
@@ -106,16 +107,16 @@
 
 /// What is to be sent next.
 enum NextMessage {
-    Send(Vec<u8>),
+    Send(Queued),
     /// The same, but the connection has ended meanwhile.
-    NeedsConnection(Vec<u8>),
+    NeedsConnection(Queued),
     /// Nothing more.
     None,
 }
 
 /// Waits for the next message; meanwhile notices the end of the connection, and closes it when
 /// idle.
-async fn next_message(stream: &mut TcpStream, rx: &mut mpsc::Receiver<Vec<u8>>) -> NextMessage {
+async fn next_message(stream: &mut TcpStream, rx: &mut mpsc::Receiver<Queued>) -> NextMessage {
     tokio::select! {
         biased;
         // A peer sends nothing on this connection, so that it is readable only at its end.
--- a/components/transport/tests/transport.rs
+++ b/components/transport/tests/transport.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use ids::{Epoch, HostId, Incarnation};
+use ids::{Blob, ConfigVersion, Epoch, HostId, Incarnation, LogIndex};
 use schema::{
     dissemination::DisseminationMessage,
     peer::{PeerFrame, PeerMessage},
+    registry::ConfigDocument,
+    sync::{HostsUpdate, RegistryChanges, RegistryUpdate, SyncMessage, Update},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -35,6 +37,25 @@
     PeerMessage::Dissemination(DisseminationMessage::ClaimMapRequest(Epoch(7)))
 }
 
+/// A message that carries a configuration of this size.
+fn large_message(size: usize) -> PeerMessage {
+    let packed_text = Blob::from(vec![7; size]);
+    let config = ConfigDocument { version: ConfigVersion(1), packed_text };
+    let changes = RegistryChanges {
+        up_to: LogIndex(1),
+        whole: true,
+        config: vec![config],
+        servers: Vec::new(),
+    };
+    PeerMessage::Sync(SyncMessage::Update(Update {
+        sequence: 1,
+        current: true,
+        control_hosts: Vec::new(),
+        registry: RegistryUpdate::Changed(changes),
+        hosts: HostsUpdate::Unchanged,
+    }))
+}
+
 #[test]
 fn key_files_are_checked() {
     let good = "# first\n".to_owned() + &"ab".repeat(32);
@@ -196,3 +217,26 @@
     let (mut stream, _) = accepted.expect("the message is not lost").unwrap();
     assert!(stream.read_u32_le().await.unwrap() > 0);
 }
+
+#[tokio::test]
+async fn what_waits_for_peers_that_take_nothing_is_bounded_in_bytes() {
+    let (sender, _keep) = host(1, keys(&["ab"])).await;
+    let size = 1024 * 1024;
+    let mut listeners = Vec::new();
+    for _ in 0..6 {
+        listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+    }
+
+    // Nothing is sent meanwhile, since the tasks that send do not run.
+    let first = listeners[0].local_addr().unwrap();
+    (0..20).for_each(|_| sender.send(HostId(2), first, large_message(size)));
+    let of_one = 20 - sender.stats().dropped;
+    for listener in &listeners[1..] {
+        let address = listener.local_addr().unwrap();
+        (0..20).for_each(|_| sender.send(HostId(2), address, large_message(size)));
+    }
+    let of_all = 120 - sender.stats().dropped;
+
+    assert!((1..=8).contains(&of_one), "{of_one} MB wait for one peer");
+    assert!((8..=32).contains(&of_all), "{of_all} MB wait for six peers");
+}
