Log errors of sockets that were dropped, and pause after a failed accept between hosts

A failed accept between hosts was tried again at once, which takes a whole core when no descriptors are left. Options that cannot be set, connections that end with an error and peers or servers that are not reached leave a line at the debug level; what it means for a request was logged before.

--- a/components/gateway/src/entry/pool.rs
+++ b/components/gateway/src/entry/pool.rs
@@ -1,6 +1,6 @@
 //! Connections to backend servers.
 
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -73,12 +73,29 @@
 
 /// Opens a connection; `None` when the server cannot be reached in time.
 pub(crate) async fn connect(address: SocketAddr) -> Option<Connection> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
-    stream.set_nodelay(true).ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    match timeout(CONNECT_TIMEOUT, open(address)).await {
+        Ok(Ok(connection)) => Some(connection),
+        Ok(Err(e)) => {
+            log::debug!(server_address:% = address, error:% = e; "server not reached");
+            None
+        }
+        Err(_) => {
+            log::debug!(server_address:% = address; "server not reached in time");
+            None
+        }
+    }
+}
+
+async fn open(address: SocketAddr) -> io::Result<Connection> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
-        // Its error reaches the request that used the connection.
-        let _ = connection.await;
+        // Its error reaches the request that used the connection, too.
+        if let Err(e) = connection.await {
+            log::debug!(error:% = e; "connection to a server ended");
+        }
     });
-    Some(Connection { sender, task: task.abort_handle() })
+    Ok(Connection { sender, task: task.abort_handle() })
 }
--- a/components/gateway/src/http.rs
+++ b/components/gateway/src/http.rs
@@ -60,7 +60,9 @@
             }
         };
         // Without it small answers would wait for the other side's acknowledgement.
-        let _ = stream.set_nodelay(true);
+        if let Err(e) = stream.set_nodelay(true) {
+            log::debug!(error:% = e; "answers may be delayed");
+        }
         let handle = handle.clone();
         let service = service_fn(move |req| {
             let reply = handle(req);
@@ -73,7 +75,9 @@
             .serve_connection(TokioIo::new(stream), service);
         tokio::task::spawn_local(async move {
             // A broken connection concerns its caller only.
-            let _ = connection.await;
+            if let Err(e) = connection.await {
+                log::debug!(error:% = e; "connection of a caller ended");
+            }
         });
     }
 }
--- a/components/transport/src/stream.rs
+++ b/components/transport/src/stream.rs
@@ -32,6 +32,9 @@
 /// Connections from peers served at once.
 const MAX_INBOUND_CONNECTIONS: usize = 2048;
 
+/// Pause after an error of accept, which mostly says that no descriptors are left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
 /// Length of the length in front of each message, in bytes.
 const LENGTH_BYTES: usize = 4;
 
@@ -65,6 +68,29 @@
     Unreachable,
 }
 
+async fn connect(address: SocketAddr) -> Option<TcpStream> {
+    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(e)) => {
+            log::debug!(peer:% = address, error:% = e; "peer not reached");
+            return None;
+        }
+        Err(_) => {
+            log::debug!(peer:% = address; "peer not reached in time");
+            return None;
+        }
+    };
+    // Without it small messages would wait for each other.
+    if let Err(e) = stream.set_nodelay(true) {
+        log::debug!(peer:% = address, error:% = e; "messages may be delayed");
+    }
+    // Where the option is missing, a silent connection is noticed only once its buffer is full.
+    if let Err(e) = SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE_TIMEOUT)) {
+        log::debug!(peer:% = address, error:% = e; "silent connections are noticed late");
+    }
+    Some(stream)
+}
+
 /// Sends over one connection; a message that was not taken is left in `unsent`.
 async fn connect_and_send(
     address: SocketAddr,
@@ -72,12 +98,7 @@
     unsent: &mut Option<Queued>,
     stats: &Stats,
 ) -> ConnectionEnd {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let Ok(Ok(mut stream)) = connected else { return ConnectionEnd::Unreachable };
-    // Without it small messages would wait for each other.
-    let _ = stream.set_nodelay(true);
-    // Where the option is missing, a silent connection is noticed only once its buffer is full.
-    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(SILENCE_TIMEOUT));
+    let Some(mut stream) = connect(address).await else { return ConnectionEnd::Unreachable };
     loop {
         let is_resend = unsent.is_some();
         let message = match unsent.take() {
@@ -132,11 +153,20 @@
 pub(crate) async fn accept_all(listener: TcpListener, inbox: Inbox) {
     let permits = Arc::new(Semaphore::new(MAX_INBOUND_CONNECTIONS));
     while let Ok(permit) = permits.clone().acquire_owned().await {
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::warn!(error:% = e; "cannot accept a connection");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
         let inbox = inbox.clone();
         tokio::spawn(async move {
             // The connection ends with its first error; the peer connects anew.
-            let _ = receive_all(stream, &inbox).await;
+            if let Err(e) = receive_all(stream, &inbox).await {
+                log::debug!(error:% = e; "connection from a peer ended");
+            }
             drop(permit);
         });
     }
