Tell other control hosts only what changed in the list of entry hosts

One part grows with hosts squared: each control host sent its whole list of entry hosts to all others after each change of one of them, some 45 changes a second at 302 hosts that restart in turn. Now it sends the change, and all of the list every 4 s, since messages may be lost.

The test fails before (244 KB in ten seconds of changes, below 40 KB after); another one shows that lists agree again after lost messages.

Most of the growth is elsewhere: every gateway is told of every change of a server.

--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -25,7 +25,7 @@
     followers::{Followers, News, WaitingPoll},
     log_requests::{LogRequests, Waiting, WhenAccepted},
     places::Places,
-    presence::EntryHosts,
+    presence::{EntryHosts, ListNews},
     state::{ANY_INCARNATION, Judgement, Registry},
 };
 
@@ -173,11 +173,9 @@
         for waiting in self.requests.take_late(now) {
             self.answer(waiting.id, Answer::Unavailable(UnavailableReason::TimedOut));
         }
-        if let Some(hosts) = self.entry_hosts.tick(now) {
-            let list = SyncMessage::EntryHosts(EntryHostList {
-                place: self.places.own_place().clone(),
-                hosts,
-            });
+        if let Some(ListNews { whole, hosts, gone }) = self.entry_hosts.tick(now) {
+            let place = self.places.own_place().clone();
+            let list = SyncMessage::EntryHosts(EntryHostList { place, whole, hosts, gone });
             for to in self.other_members() {
                 self.send(to, PeerMessage::Sync(list.clone()));
             }
@@ -191,8 +189,9 @@
             PeerMessage::Sync(SyncMessage::Poll(it)) => self.on_poll(now, from, &it),
             PeerMessage::Sync(SyncMessage::Update(it)) => self.on_update(it),
             PeerMessage::Sync(SyncMessage::EntryHosts(it)) => {
-                self.places.note(now, from, it.place);
-                self.entry_hosts.note_list(now, from, it.hosts);
+                self.places.note(now, from, it.place.clone());
+                let EntryHostList { whole, hosts, gone, .. } = it;
+                self.entry_hosts.note_list(now, from, ListNews { whole, hosts, gone });
             }
             // This host's own search asks for names only, which are never large.
             PeerMessage::Sync(SyncMessage::UpdateBegins(_)) => {}
--- a/components/registry/src/presence.rs
+++ b/components/registry/src/presence.rs
@@ -25,7 +25,7 @@
 /// The list of another control host.
 #[derive(Debug)]
 struct OtherList {
-    hosts: Vec<EntryHostRecord>,
+    hosts: BTreeMap<HostId, EntryHostRecord>,
     received_at: Timestamp,
 }
 
@@ -55,8 +55,18 @@
     others: FastMap<HostId, OtherList>,
     union: BTreeMap<HostId, Listed>,
     revision: u64,
-    sent: Vec<EntryHostRecord>,
-    sent_at: Timestamp,
+    /// The own list as the others were last told.
+    sent: BTreeMap<HostId, EntryHostRecord>,
+    /// When all of it was last sent.
+    whole_sent_at: Timestamp,
+}
+
+/// What the other control hosts are told of the own list.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct ListNews {
+    pub(crate) whole: bool,
+    pub(crate) hosts: Vec<EntryHostRecord>,
+    pub(crate) gone: Vec<HostId>,
 }
 
 impl EntryHosts {
@@ -77,8 +87,8 @@
             others: FastMap::default(),
             union: BTreeMap::new(),
             revision: 0,
-            sent: Vec::new(),
-            sent_at: now,
+            sent: BTreeMap::new(),
+            whole_sent_at: now,
         }
     }
 
@@ -87,13 +97,22 @@
         self.pollers.insert(record.host, Poller { record, seen_at: now });
     }
 
-    /// Takes the list of another control host.
-    pub(crate) fn note_list(&mut self, now: Timestamp, from: HostId, hosts: Vec<EntryHostRecord>) {
-        self.others.insert(from, OtherList { hosts, received_at: now });
+    /// Takes what another control host says of its list.
+    pub(crate) fn note_list(&mut self, now: Timestamp, from: HostId, news: ListNews) {
+        let empty = || OtherList { hosts: BTreeMap::new(), received_at: now };
+        let list = self.others.entry(from).or_insert_with(empty);
+        list.received_at = now;
+        if news.whole {
+            list.hosts.clear();
+        }
+        list.hosts.extend(news.hosts.into_iter().map(|it| (it.host, it)));
+        for host in news.gone {
+            list.hosts.remove(&host);
+        }
     }
 
-    /// Brings the union up to date; returns the own list when the others should get it.
-    pub(crate) fn tick(&mut self, now: Timestamp) -> Option<Vec<EntryHostRecord>> {
+    /// Brings the union up to date; returns what the others should be told of the own list.
+    pub(crate) fn tick(&mut self, now: Timestamp) -> Option<ListNews> {
         self.pollers.retain(|_, it| now < it.seen_at + POLLER_TIMEOUT);
         self.others.retain(|_, it| now < it.received_at + LIST_TIMEOUT);
         self.update_union();
@@ -101,13 +120,27 @@
             self.revision += 1;
             self.complete_from = Some(self.revision);
         }
-        let list: Vec<_> = self.pollers.values().map(|it| it.record.clone()).collect();
-        if list == self.sent && now < self.sent_at + REPEAT_INTERVAL {
+        self.list_news(now)
+    }
+
+    /// All of the list from time to time, since messages may be lost; else what changed.
+    fn list_news(&mut self, now: Timestamp) -> Option<ListNews> {
+        let list: BTreeMap<_, _> =
+            self.pollers.iter().map(|(host, it)| (*host, it.record.clone())).collect();
+        let whole = now >= self.whole_sent_at + REPEAT_INTERVAL;
+        if list == self.sent && !whole {
             return None;
         }
-        self.sent = list.clone();
-        self.sent_at = now;
-        Some(list)
+        if whole {
+            self.whole_sent_at = now;
+        }
+        let sent = std::mem::replace(&mut self.sent, list);
+        let is_new = |it: &&EntryHostRecord| whole || sent.get(&it.host) != Some(*it);
+        Some(ListNews {
+            whole,
+            hosts: self.sent.values().filter(is_new).cloned().collect(),
+            gone: sent.into_keys().filter(|it| !self.sent.contains_key(it)).collect(),
+        })
     }
 
     /// Whether a follower lacks something of the list.
@@ -154,7 +187,7 @@
     fn update_union(&mut self) {
         let mut union: BTreeMap<HostId, EntryHostRecord> = BTreeMap::new();
         let own = self.pollers.values().map(|it| &it.record);
-        for record in own.chain(self.others.values().flat_map(|it| &it.hosts)) {
+        for record in own.chain(self.others.values().flat_map(|it| it.hosts.values())) {
             let newest = union.get(&record.host).is_none_or(|it| is_newer(record, it));
             if newest {
                 union.insert(record.host, record.clone());
--- a/components/registry/tests/control_hosts.rs
+++ b/components/registry/tests/control_hosts.rs
@@ -326,6 +326,83 @@
     assert_eq!(place("north").region, changes.hosts[0].region);
 }
 
+/// A poll of one of many entry hosts.
+fn poll_of(host: u32, state: EntryHostState) -> HostEvent {
+    let HostEvent::Peer { message: PeerMessage::Sync(SyncMessage::Poll(mut poll)), .. } =
+        poll(1, u64::MAX)
+    else {
+        unreachable!("a poll is a poll");
+    };
+    if let Presence::Entry(record) = &mut poll.presence {
+        record.host = HostId(host);
+        record.state = state;
+    }
+    HostEvent::Peer {
+        from: HostId(host),
+        incarnation: Incarnation(1),
+        message: PeerMessage::Sync(SyncMessage::Poll(poll)),
+    }
+}
+
+/// Lets entry hosts poll a control host twice a second.
+fn run_polls(fleet: &mut Fleet, control: HostId, entries: &[u32], millis: u64) {
+    for _ in 0..millis / 500 {
+        for host in entries {
+            fleet.feed(control, poll_of(*host, EntryHostState::Serving));
+        }
+        fleet.run(500);
+    }
+}
+
+/// The entry hosts that a control host names.
+fn listed(fleet: &mut Fleet, control: HostId) -> Vec<u32> {
+    fleet.sent_outside.clear();
+    fleet.feed(control, poll(7, u64::MAX));
+    fleet.run(300);
+    let update = updates(fleet).into_iter().find(|it| it.sequence == 7).expect("an answer");
+    let HostsUpdate::Changed(changes) = &update.hosts else { panic!("no hosts") };
+    changes.hosts.iter().map(|it| it.host.0).filter(|it| *it != 900).collect()
+}
+
+#[test]
+fn lists_of_entry_hosts_agree_again_after_messages_were_lost() {
+    let mut fleet = Fleet::new(3);
+    let hosts = fleet.ids();
+    run_polls(&mut fleet, hosts[0], &[901, 902, 903], 2_000);
+    assert_eq!(listed(&mut fleet, hosts[1]), [901, 902, 903]);
+
+    fleet.cuts.insert((hosts[0], hosts[1]));
+    run_polls(&mut fleet, hosts[0], &[902, 903, 904], 3_000);
+    fleet.cuts.clear();
+    run_polls(&mut fleet, hosts[0], &[902, 903, 904], 4_500);
+
+    assert_eq!(listed(&mut fleet, hosts[1]), [902, 903, 904]);
+}
+
+#[test]
+fn a_change_of_one_entry_host_does_not_cost_the_whole_list() {
+    let mut fleet = Fleet::new(3);
+    let hosts = fleet.ids();
+    let entries: Vec<u32> = (901..=950).collect();
+    run_polls(&mut fleet, hosts[0], &entries, 1_000);
+    fleet.list_bytes = 0;
+
+    // Each host leaves and comes back in turn within ten seconds.
+    for host in &entries {
+        for state in [EntryHostState::Draining, EntryHostState::Serving] {
+            for other in &entries {
+                let is_other = other != host;
+                let state = if is_other { EntryHostState::Serving } else { state };
+                fleet.feed(hosts[0], poll_of(*other, state));
+            }
+            fleet.run(100);
+        }
+    }
+
+    // A whole list has some 2,000 bytes and goes to two hosts every four seconds.
+    assert!(fleet.list_bytes < 40_000, "{} bytes", fleet.list_bytes);
+}
+
 #[test]
 fn nothing_accepted_is_lost_and_nothing_older_is_read() {
     for case in 0..60u64 {
--- a/components/registry/tests/fleet/mod.rs
+++ b/components/registry/tests/fleet/mod.rs
@@ -13,7 +13,7 @@
     peer::PeerMessage,
     registry::ConfigDocument,
     storage::{Identity, Persisted, Record},
-    sync::Place,
+    sync::{Place, SyncMessage},
 };
 
 const TICK: Millis = Millis(50);
@@ -35,6 +35,8 @@
     pub answers: BTreeMap<RequestId, Answer>,
     /// Everything sent to hosts that are no control hosts of this fleet.
     pub sent_outside: Vec<(HostId, PeerMessage)>,
+    /// Bytes by which control hosts told each other of entry hosts.
+    pub list_bytes: u64,
     next_request: u64,
     next_disk: u64,
 }
@@ -58,6 +60,7 @@
             now: Timestamp::from_millis(1_000),
             answers: BTreeMap::new(),
             sent_outside: Vec::new(),
+            list_bytes: 0,
             next_request: 0,
             next_disk: 0,
         };
@@ -199,6 +202,9 @@
             if self.cuts.contains(&(from, to)) {
                 continue;
             }
+            if matches!(message, PeerMessage::Sync(SyncMessage::EntryHosts(_))) {
+                self.list_bytes += schema::encoded_size(&message).0;
+            }
             if !self.hosts.contains_key(&to) {
                 self.sent_outside.push((to, message));
                 continue;
