Send the whole list of entry hosts at once to a control host that has just started

Now a control host sends its whole list when it hears of a start of another one, known by the number that each start has, and says itself at once that it is there.

--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -131,7 +131,9 @@
     pub fn handle(&mut self, now: Timestamp, event: HostEvent) -> Vec<HostAction> {
         match event {
             HostEvent::Tick => self.tick(now),
-            HostEvent::Peer { from, message, .. } => self.on_peer(now, from, message),
+            HostEvent::Peer { from, incarnation, message } => {
+                self.on_peer(now, from, incarnation, message);
+            }
             HostEvent::Request { id, request } => self.on_request(now, id, request),
             HostEvent::SeedsChanged(seeds) => {
                 self.seeds = seeds;
@@ -183,7 +185,13 @@
         self.search(now);
     }
 
-    fn on_peer(&mut self, now: Timestamp, from: HostId, message: PeerMessage) {
+    fn on_peer(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        incarnation: Incarnation,
+        message: PeerMessage,
+    ) {
         match message {
             PeerMessage::Consensus(it) => self.on_consensus(now, from, it),
             PeerMessage::Sync(SyncMessage::Poll(it)) => self.on_poll(now, from, &it),
@@ -191,7 +199,8 @@
             PeerMessage::Sync(SyncMessage::EntryHosts(it)) => {
                 self.places.note(now, from, it.place.clone());
                 let EntryHostList { whole, hosts, gone, .. } = it;
-                self.entry_hosts.note_list(now, from, ListNews { whole, hosts, gone });
+                let news = ListNews { whole, hosts, gone };
+                self.entry_hosts.note_list(now, (from, incarnation), news);
             }
             // This host's own search asks for names only, which are never large.
             PeerMessage::Sync(SyncMessage::UpdateBegins(_)) => {}
--- a/components/registry/src/presence.rs
+++ b/components/registry/src/presence.rs
@@ -25,6 +25,7 @@
 /// The list of another control host.
 #[derive(Debug)]
 struct OtherList {
+    incarnation: Incarnation,
     hosts: BTreeMap<HostId, EntryHostRecord>,
     received_at: Timestamp,
 }
@@ -57,8 +58,8 @@
     revision: u64,
     /// The own list as the others were last told.
     sent: BTreeMap<HostId, EntryHostRecord>,
-    /// When all of it was last sent.
-    whole_sent_at: Timestamp,
+    /// When all of it was last sent; `None` when a control host has just appeared that lacks it.
+    whole_sent_at: Option<Timestamp>,
 }
 
 /// What the other control hosts are told of the own list.
@@ -88,7 +89,7 @@
             union: BTreeMap::new(),
             revision: 0,
             sent: BTreeMap::new(),
-            whole_sent_at: now,
+            whole_sent_at: None,
         }
     }
 
@@ -98,8 +99,18 @@
     }
 
     /// Takes what another control host says of its list.
-    pub(crate) fn note_list(&mut self, now: Timestamp, from: HostId, news: ListNews) {
-        let empty = || OtherList { hosts: BTreeMap::new(), received_at: now };
+    pub(crate) fn note_list(
+        &mut self,
+        now: Timestamp,
+        (from, incarnation): (HostId, Incarnation),
+        news: ListNews,
+    ) {
+        let is_new = self.others.get(&from).is_none_or(|it| it.incarnation != incarnation);
+        if is_new {
+            self.others.remove(&from);
+            self.whole_sent_at = None;
+        }
+        let empty = || OtherList { incarnation, hosts: BTreeMap::new(), received_at: now };
         let list = self.others.entry(from).or_insert_with(empty);
         list.received_at = now;
         if news.whole {
@@ -127,12 +138,12 @@
     fn list_news(&mut self, now: Timestamp) -> Option<ListNews> {
         let list: BTreeMap<_, _> =
             self.pollers.iter().map(|(host, it)| (*host, it.record.clone())).collect();
-        let whole = now >= self.whole_sent_at + REPEAT_INTERVAL;
+        let whole = self.whole_sent_at.is_none_or(|it| now >= it + REPEAT_INTERVAL);
         if list == self.sent && !whole {
             return None;
         }
         if whole {
-            self.whole_sent_at = now;
+            self.whole_sent_at = Some(now);
         }
         let sent = std::mem::replace(&mut self.sent, list);
         let is_new = |it: &&EntryHostRecord| whole || sent.get(&it.host) != Some(*it);
--- a/components/registry/tests/control_hosts.rs
+++ b/components/registry/tests/control_hosts.rs
@@ -379,6 +379,24 @@
     assert_eq!(listed(&mut fleet, hosts[1]), [902, 903, 904]);
 }
 
+#[test]
+fn a_control_host_that_restarts_learns_the_lists_of_the_others_at_once() {
+    let mut fleet = Fleet::new(3);
+    let leader = fleet.leader().unwrap();
+    let others: Vec<_> = fleet.ids().into_iter().filter(|it| *it != leader).collect();
+    let (polled, restarted) = (others[0], others[1]);
+    run_polls(&mut fleet, polled, &[901, 902], 2_000);
+
+    // Eight restarts meet each part of the four seconds between two whole lists.
+    for _ in 0..8 {
+        fleet.stop(restarted);
+        fleet.start(restarted);
+        run_polls(&mut fleet, polled, &[901, 902], 500);
+
+        assert_eq!(listed(&mut fleet, restarted), [901, 902]);
+    }
+}
+
 #[test]
 fn a_change_of_one_entry_host_does_not_cost_the_whole_list() {
     let mut fleet = Fleet::new(3);
--- a/components/registry/tests/fleet/mod.rs
+++ b/components/registry/tests/fleet/mod.rs
@@ -209,7 +209,8 @@
                 self.sent_outside.push((to, message));
                 continue;
             }
-            self.feed(to, HostEvent::Peer { from, incarnation: Incarnation(1), message });
+            let incarnation = Incarnation(self.hosts.get(&from).map_or(1, |it| it.starts));
+            self.feed(to, HostEvent::Peer { from, incarnation, message });
         }
         self.now = self.now + TICK;
         for host in self.ids() {
