--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -1,14 +1,14 @@
 //! A backend server of the platform.
 
 use std::{
-    io::Write,
+    io::{Read, Write},
     net::{TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use hyper::HeaderMap;
@@ -27,6 +27,8 @@
     pub breaks: Arc<AtomicBool>,
     /// Whether the server names itself by another id.
     pub is_other: Arc<AtomicBool>,
+    /// When connections were ended whose request the server never answers.
+    pub freed: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl Server {
@@ -49,15 +51,17 @@
             ran: Arc::default(),
             breaks: Arc::default(),
             is_other: Arc::default(),
+            freed: Arc::default(),
         };
         let (ran, breaks, is_other) =
             (server.ran.clone(), server.breaks.clone(), server.is_other.clone());
         let name = server.announcement.server.to_string();
+        let freed = server.freed.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (ran, breaks, is_other) = (ran.clone(), breaks.clone(), is_other.clone());
-                let name = name.clone();
-                thread::spawn(move || serve(stream, &name, &ran, &breaks, &is_other));
+                let (name, freed) = (name.clone(), freed.clone());
+                thread::spawn(move || serve(stream, &name, &ran, &breaks, &is_other, &freed));
             }
         });
         server
@@ -75,6 +79,7 @@
     ran: &Mutex<Vec<String>>,
     breaks: &AtomicBool,
     is_other: &AtomicBool,
+    freed: &Mutex<Vec<Instant>>,
 ) {
     let mut buf = Vec::new();
     while let Some(head) = read_head(&mut stream, &mut buf) {
@@ -88,6 +93,13 @@
             return;
         }
         let target = head.split_whitespace().nth(1).unwrap_or_default().to_owned();
+        if target.ends_with("hang") {
+            // The gateway sends nothing more; the read ends with the connection.
+            let ended = stream.read(&mut [0]).map_or(true, |it| it == 0);
+            assert!(ended, "nothing follows a request without a body");
+            freed.lock().unwrap().push(Instant::now());
+            return;
+        }
         if target.ends_with("slow") {
             thread::sleep(Duration::from_secs(2));
         }
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -124,6 +124,21 @@
     assert!(status.success());
 }
 
+#[test]
+fn a_caller_that_leaves_frees_its_server_within_half_a_second() {
+    let (fleet, server) = serving_fleet();
+    let headers = stand_in::caller_headers("leaves", Millis(4_000));
+    let mut caller = TcpStream::connect(fleet.address(11, fleet.ports.callers)).unwrap();
+    send(&mut caller, "GET", "/look/hang", &headers, b"").unwrap();
+    wait_for("the request", || server.ran().contains(&"leaves".to_owned()).then_some(()));
+
+    let left = Instant::now();
+    drop(caller);
+
+    let freed = wait_for("the end", || server.freed.lock().unwrap().first().copied());
+    assert!(freed - left < Duration::from_millis(500), "{:?}", freed - left);
+}
+
 #[test]
 fn metrics_of_a_control_host_follow_what_it_sends() {
     let (fleet, _server) = serving_fleet();
