--- a/components/gateway_core/src/servers/placement.rs
+++ b/components/gateway_core/src/servers/placement.rs
@@ -57,7 +57,8 @@
 const IDLE_BETWEEN_REPEATABLE: (f64, f64) = (400.0, 900.0);
 
 /// The same for requests that must not be sent again: a server that answered a second ago still
-/// does in 98 of 100 cases, and services that get only such requests have no other test.
+/// does in 98 of 100 cases on calm days of the small sites (docs/design/overload.md), and services
+/// that get only such requests have no other test.
 const IDLE_BETWEEN_FINAL: (f64, f64) = (400.0, 900.0);
 
 /// Chance of being broken up to which an idle server is tried by requests that may be sent again.
