--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -53,10 +53,6 @@
     finish(text, problems, settings)
 }
 
-/// Minimum duration of a graceful shutdown of a gateway, in milliseconds, so that callers have time
-/// to switch to other gateways.
-const MIN_SHUTDOWN_MILLIS: u64 = 1_000;
-
 /// Maximum time to live of a gateway's directory answers, in milliseconds.
 const MAX_DIRECTORY_TTL_MILLIS: u64 = 60_000;
 
@@ -69,13 +65,7 @@
         [settings.caller_address, settings.readiness_address, settings.directory_address];
     check_addresses(&mut problems, &addresses);
     let shutdown_millis = settings.stop_within_s.0.0;
-    check_range(
-        &mut problems,
-        "stop_within_s",
-        shutdown_millis,
-        MIN_SHUTDOWN_MILLIS,
-        MAX_SHUTDOWN_MILLIS,
-    );
+    check_range(&mut problems, "stop_within_s", shutdown_millis, 1, MAX_SHUTDOWN_MILLIS);
     let ttl_millis = settings.directory_keep_s.0.0;
     check_range(&mut problems, "directory_keep_s", ttl_millis, 1, MAX_DIRECTORY_TTL_MILLIS);
     finish(text, problems, settings)
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -110,7 +110,7 @@
 }
 
 fn consensus_settings(settings: &RegistrySettings, seed: u64) -> consensus::Settings {
-    let lost_disks = settings.lost_disks as usize;
+    let lost_disks = settings.lost_disks.0 as usize;
     consensus::Settings {
         voters: peers::hosts_of(&settings.seeds),
         seed,
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -90,7 +90,7 @@
         seeds: peers::hosts_of(&settings.seeds),
         retry_budget: RetryBudgetSettings {
             share_milli: budget.share.milli.into(),
-            slack: budget.slack,
+            slack_milli: budget.slack.milli,
             window: budget.window_s.0,
         },
         directory_ttl: settings.directory_keep_s.0,
--- a/components/gateway_core/src/retry_budget.rs
+++ b/components/gateway_core/src/retry_budget.rs
@@ -84,9 +84,10 @@
             retries += slice.retries;
         }
         let fleet_hosts = (fleet_hosts as u64).max(MIN_ASSUMED_HOSTS);
-        let slack_milli = u64::from(self.settings.slack) * 1_000 * local_hosts as u64 / fleet_hosts;
-        let allowed = (first * self.settings.share_milli + slack_milli) * USABLE_SHARE_MILLI;
-        (retries + 1) * 1_000 * 1_000 <= allowed
+        let slack_milli =
+            self.settings.slack_milli.saturating_mul(local_hosts as u64) / fleet_hosts;
+        let allowed_milli = (first * self.settings.share_milli).saturating_add(slack_milli);
+        (retries + 1) * 1_000 * 1_000 <= allowed_milli.saturating_mul(USABLE_SHARE_MILLI)
     }
 
     fn slice_index(&self, now: Timestamp) -> u64 {
--- a/components/gateway_core/src/settings.rs
+++ b/components/gateway_core/src/settings.rs
@@ -9,8 +9,8 @@
 pub struct RetryBudgetSettings {
     /// Retries per first attempt, in thousandths.
     pub share_milli: u64,
-    /// Retries allowed per window in addition to the share.
-    pub slack: u32,
+    /// Retries allowed per window in addition to the share, in thousandths.
+    pub slack_milli: u64,
     /// Length of the window.
     pub window: Millis,
 }
--- a/components/ids/src/fractions.rs
+++ b/components/ids/src/fractions.rs
@@ -6,6 +6,9 @@
 
 use crate::{Millis, ParseIdError};
 
+/// Highest number of thousandths that a fraction holds exactly.
+const MAX_MILLI: f64 = 9_007_199_254_740_992.0;
+
 /// A non-negative fraction, stored in thousandths; it may exceed 1.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Share {
@@ -17,6 +20,13 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Seconds(pub Millis);
 
+/// A number of retries that may have a fraction, stored in thousandths.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RetryAllowance {
+    /// The number of retries in thousandths.
+    pub milli: u64,
+}
+
 macro_rules! fraction_text {
     ($name:ident, $what:literal, $to_milli:expr, $from_milli:expr) => {
         impl fmt::Display for $name {
@@ -31,7 +41,7 @@
 
             fn from_str(text: &str) -> Result<Self, ParseIdError> {
                 let value: f64 = text.parse().map_err(|_| ParseIdError::BadNumber($what))?;
-                to_milli(value).map($from_milli).ok_or(ParseIdError::BadNumber($what))
+                to_milli(value).and_then($from_milli).ok_or(ParseIdError::BadNumber($what))
             }
         }
 
@@ -45,20 +55,26 @@
         impl<'de> Deserialize<'de> for $name {
             fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
                 let value = f64::deserialize(deserializer)?;
-                let parsed = to_milli(value).map($from_milli);
+                let parsed = to_milli(value).and_then($from_milli);
                 parsed.ok_or_else(|| de::Error::custom(ParseIdError::BadNumber($what)))
             }
         }
     };
 }
 
-fraction_text!(Share, "share", |it: Share| u64::from(it.milli), |milli: u32| Share { milli });
-fraction_text!(Seconds, "number of seconds", |it: Seconds| it.0.0, |milli: u32| Seconds(Millis(
-    milli.into()
-)));
+fraction_text!(Share, "share", |it: Share| u64::from(it.milli), |milli| {
+    u32::try_from(milli).ok().map(|milli| Share { milli })
+});
+fraction_text!(Seconds, "number of seconds", |it: Seconds| it.0.0, |milli| {
+    Some(Seconds(Millis(milli)))
+});
+fraction_text!(RetryAllowance, "number of retries", |it: RetryAllowance| it.milli, |milli| {
+    Some(RetryAllowance { milli })
+});
 
-/// Converts to thousandths; returns `None` if the result does not fit into a `u32`.
-fn to_milli(value: f64) -> Option<u32> {
+/// Converts to thousandths; returns `None` for negative numbers and for those without an exact
+/// result.
+fn to_milli(value: f64) -> Option<u64> {
     let milli = (value * 1_000.0).round();
-    (milli >= 0.0 && milli <= f64::from(u32::MAX)).then_some(milli as u32)
+    (0.0..=MAX_MILLI).contains(&milli).then_some(milli as u64)
 }
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -12,11 +12,11 @@
 pub use crate::{
     blob::Blob,
     digest::{ContentDigest, Fingerprint, KeyDigest},
-    fractions::{Seconds, Share},
+    fractions::{RetryAllowance, Seconds, Share},
     names::{DataCentreName, IdempotencyKey, OrganisationName, RegionName, ServerId, ServiceName},
     numbers::{
-        AttemptNumber, ByteRate, ByteSize, ConfigVersion, Epoch, HostId, Incarnation, LogIndex,
-        MIN_LINK_RATE, RequestId, RequestRate, Term,
+        AttemptNumber, ByteRate, ByteSize, ConfigVersion, DiskCount, Epoch, HostId, Incarnation,
+        LogIndex, MIN_LINK_RATE, RequestId, RequestRate, Term,
     },
     time::{Millis, Timestamp, WallTime},
 };
--- a/components/ids/src/numbers.rs
+++ b/components/ids/src/numbers.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, str::FromStr};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de};
 
 use crate::{Millis, ParseIdError};
 
@@ -83,6 +83,25 @@
     RequestRate, u32, "request rate"
 );
 
+/// A number of disks; texts may write it as a whole number with a decimal point.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(transparent)]
+pub struct DiskCount(pub u32);
+
+impl<'de> Deserialize<'de> for DiskCount {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if !deserializer.is_human_readable() {
+            return u32::deserialize(deserializer).map(Self);
+        }
+        let value = f64::deserialize(deserializer)?;
+        let is_count = value.fract() == 0.0 && (0.0..=f64::from(u32::MAX)).contains(&value);
+        match is_count {
+            true => Ok(Self(value as u32)),
+            false => Err(de::Error::custom(ParseIdError::BadNumber("number of disks"))),
+        }
+    }
+}
+
 /// The slowest transfer rate that the fleet is designed for: half of the 2 Mbit/s link of the
 /// smallest hosts, since requests share that link.
 pub const MIN_LINK_RATE: ByteRate = ByteRate(125_000);
--- a/components/ids/src/time.rs
+++ b/components/ids/src/time.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de};
 
 use crate::ParseIdError;
 
@@ -15,13 +15,25 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Timestamp(pub u64);
 
-/// A duration in milliseconds.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+/// A duration in milliseconds; texts may write it with a fraction, which is rounded up so that a
+/// limit below 1 ms does not become 0.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 #[serde(transparent)]
 pub struct Millis(pub u64);
 
+impl<'de> Deserialize<'de> for Millis {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if !deserializer.is_human_readable() {
+            return u64::deserialize(deserializer).map(Self);
+        }
+        let value = f64::deserialize(deserializer)?;
+        match value.is_finite() && value >= 0.0 {
+            true => Ok(Self(value.ceil() as u64)),
+            false => Err(de::Error::custom(ParseIdError::BadNumber("duration in milliseconds"))),
+        }
+    }
+}
+
 /// A wall clock instant, in milliseconds since the Unix epoch.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
