Control hosts with a full disk go on without a vote

A control host now fails the requests of that event, keeps following the leader in memory and answers polls. It doesn't vote or campaign, and acknowledges only what is on its disk, in replies to heartbeats, so that it stays a member without a hot loop of resends. Every 250 ms it probes the disk; once there is room, all that was written completely goes to a new segment and the host is restored from it, as after a restart. A start on a full disk waits for room.

Weighed: to go silent until there is room; its members would remove it after 8 s and its pollers would all move. The log line, the metric control_disk_failed and status say it.

--- a/components/config/src/yaml.rs
+++ b/components/config/src/yaml.rs
@@ -23,9 +23,7 @@
 }
 
 fn position_of(text: &str, path: &Path) -> Option<(usize, usize)> {
-    if path.iter().next().is_none() {
-        return None;
-    }
+    path.iter().next()?;
     Locator::new(text).find_path(path)
 }
 
--- a/components/consensus/src/consensus.rs
+++ b/components/consensus/src/consensus.rs
@@ -12,7 +12,7 @@
     action::{Action, ProposeError, Proposed, ReadError},
     members::is_voter,
     message::Received,
-    replica::Replica,
+    replica::{DiskState, Replica},
     role::{Context, Event, Role, State},
     settings::Settings,
 };
@@ -31,6 +31,17 @@
         Self { role: Role.state_machine(), replica: Replica::restore(settings, persisted, now) }
     }
 
+    /// Restores a host whose disk takes no writes.
+    ///
+    /// It follows the leader in memory, but doesn't vote, campaign or acknowledge new entries, and
+    /// returns no actions that write. What it learns is lost when it is restored from its disk.
+    pub fn restore_read_only(settings: Settings, persisted: Persisted, now: Timestamp) -> Self {
+        let mut consensus = Self::restore(settings, persisted, now);
+        let durable = consensus.replica.log.last_index();
+        consensus.replica.disk_state = DiskState::ReadOnly { durable };
+        consensus
+    }
+
     /// Handles a message from another host.
     pub fn handle(
         &mut self,
--- a/components/consensus/src/follower.rs
+++ b/components/consensus/src/follower.rs
@@ -4,7 +4,13 @@
 use schema::consensus::{Append, AppendReply, AppendResult, ConsensusBody, Entry};
 use statig::Outcome::{self, Handled, Super};
 
-use crate::{bootstrap, election, message::Received, replica::Replica, role::State, snapshot};
+use crate::{
+    bootstrap, election,
+    message::Received,
+    replica::{DiskState, Replica},
+    role::State,
+    snapshot,
+};
 
 /// Announces this host if it must, and starts an election when the election timeout expires.
 pub(crate) fn tick(replica: &mut Replica) -> Outcome<State> {
@@ -35,13 +41,30 @@
 
 fn handle_append(replica: &mut Replica, received: &Received, append: &Append) {
     let result = match has_previous_entry(replica, append) {
-        true => AppendResult::Matched(append_missing_entries(replica, append)),
+        true => {
+            let matched = append_missing_entries(replica, append);
+            let Some(matched) = acknowledged(replica, append, matched) else { return };
+            AppendResult::Matched(matched)
+        }
         false => AppendResult::Mismatched(latest_possible_match(replica, append)),
     };
     let reply = AppendReply { result, sent_us: append.sent_us };
     replica.send(received.from.host, ConsensusBody::AppendReply(reply));
 }
 
+/// Returns the index up to which entries may be acknowledged, or `None` for no reply.
+///
+/// Without a writable disk, this host replies only to heartbeats. The leader then keeps it as a
+/// member, and sends entries that are not acknowledged again at intervals rather than at once.
+fn acknowledged(replica: &Replica, append: &Append, matched: LogIndex) -> Option<LogIndex> {
+    match replica.disk_state {
+        DiskState::Writable => Some(matched),
+        DiskState::ReadOnly { durable } => {
+            append.entries.is_empty().then_some(matched.min(durable))
+        }
+    }
+}
+
 /// Returns whether this host has the entry that precedes the sent ones.
 ///
 /// Committed entries are the same on all hosts, so their terms need no comparison.
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -22,6 +22,17 @@
     snapshot::IncomingSnapshot,
 };
 
+/// Whether the disk of a host takes writes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum DiskState {
+    Writable,
+    /// Nothing can be written, so this host doesn't vote, campaign or acknowledge new entries.
+    ReadOnly {
+        /// The log in memory is that on the disk up to this index.
+        durable: LogIndex,
+    },
+}
+
 /// The state that a host keeps in every role, and its pending actions.
 pub(crate) struct Replica {
     pub(crate) settings: Settings,
@@ -43,6 +54,7 @@
     pub(crate) election_deadline: Timestamp,
     pub(crate) bootstrap: Bootstrap,
     pub(crate) incoming_snapshot: Option<IncomingSnapshot>,
+    pub(crate) disk_state: DiskState,
     pub(crate) now: Timestamp,
     actions: Vec<Action>,
     rng: Xoshiro256PlusPlus,
@@ -66,6 +78,7 @@
             election_deadline: now,
             bootstrap: Bootstrap::new(identity.bootstrap, persisted.promised),
             incoming_snapshot: None,
+            disk_state: DiskState::Writable,
             now,
             actions: Vec::new(),
             rng,
@@ -82,7 +95,9 @@
     }
 
     pub(crate) fn push_action(&mut self, action: Action) {
-        self.actions.push(action);
+        if self.disk_state == DiskState::Writable || is_allowed_without_disk(&action) {
+            self.actions.push(action);
+        }
     }
 
     pub(crate) fn is_voter(&self) -> bool {
@@ -94,6 +109,9 @@
     /// This includes a voter that is being removed: until its removal is committed, it can be the
     /// only host whose log is up to date.
     pub(crate) fn may_campaign(&self) -> bool {
+        if self.disk_state != DiskState::Writable {
+            return false;
+        }
         self.is_voter() || (self.has_uncommitted_members() && self.was_voter_before_change())
     }
 
@@ -181,6 +199,9 @@
     pub(crate) fn truncate(&mut self, from: LogIndex) {
         assert!(from > self.commit_index, "committed entries must not be removed");
         self.log.truncate(from);
+        if let DiskState::ReadOnly { durable } = &mut self.disk_state {
+            *durable = (*durable).min(LogIndex(from.0 - 1));
+        }
         self.push_action(Action::Store(Record::Truncate(from)));
     }
 
@@ -204,6 +225,16 @@
     }
 }
 
+/// Returns whether an action neither needs the disk nor tells another host of something that should
+/// be on it. Replies to appended entries report only what is on the disk.
+fn is_allowed_without_disk(action: &Action) -> bool {
+    match action {
+        Action::Apply { .. } | Action::RestoreState { .. } | Action::MembersChanged(_) => true,
+        Action::Store(_) | Action::SaveSnapshot(_) => false,
+        Action::Send { message, .. } => matches!(message.body, ConsensusBody::AppendReply(_)),
+    }
+}
+
 /// Derives a seed that differs between hosts even if their settings' seeds differ by as much as
 /// their ids.
 fn host_seed(seed: u64, host: HostId) -> u64 {
--- a/components/gateway/src/control/driver.rs
+++ b/components/gateway/src/control/driver.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use admin::Clock;
-use ids::{FastMap, RequestId};
+use ids::{FastMap, Millis, RequestId, Timestamp};
 use registry::{Answer, HostAction, HostEvent, RegistryHost, RegistryStatus, Request};
 use storage::{Storage, StorageError};
 use tokio::sync::{mpsc, oneshot};
@@ -12,6 +12,9 @@
 use super::metrics::Metrics;
 use crate::peers;
 
+/// Interval at which a failed disk is tried again.
+const DISK_RETRY_INTERVAL: Millis = Millis(250);
+
 /// An event for the driver.
 pub(crate) enum DriverEvent {
     /// An event for the decision logic.
@@ -31,6 +34,8 @@
     pending_answers: FastMap<RequestId, oneshot::Sender<Answer>>,
     next_request: RequestId,
     last_status: Option<RegistryStatus>,
+    /// When a failed disk is tried again; `None` while the disk takes writes.
+    retry_disk_at: Option<Timestamp>,
 }
 
 impl Driver {
@@ -52,20 +57,60 @@
             pending_answers: FastMap::default(),
             next_request: RequestId(0),
             last_status: None,
+            retry_disk_at: None,
         }
     }
 
-    /// Runs until the channel is closed or the disk fails.
+    /// Runs until the channel is closed or the folder can't be read.
     pub(crate) fn run(mut self, mut rx: mpsc::Receiver<DriverEvent>) -> Result<(), StorageError> {
         while let Some(event) = rx.blocking_recv() {
+            self.retry_disk()?;
             let event = self.convert_event(event);
             let actions = self.host.handle(self.clock.now(), event);
-            self.execute(actions)?;
+            if let Err(e) = self.execute(actions) {
+                self.continue_without_disk(&e)?;
+            }
             self.report_status();
         }
         Ok(())
     }
 
+    /// Continues in memory after a failed write. The remaining actions of the failed event are
+    /// dropped, since they may tell others of what is not on disk.
+    fn continue_without_disk(&mut self, cause: &StorageError) -> Result<(), StorageError> {
+        log::error!(
+            error:% = cause,
+            term = self.host.status(self.clock.now()).term.0;
+            "cannot write to the disk; continuing without a vote"
+        );
+        let now = self.clock.now();
+        self.retry_disk_at = Some(now + DISK_RETRY_INTERVAL);
+        let persisted = self.storage.last_written()?;
+        let actions = self.host.disk_failed(now, persisted);
+        self.execute(actions)
+    }
+
+    /// Tries a failed disk again at regular intervals.
+    fn retry_disk(&mut self) -> Result<(), StorageError> {
+        let now = self.clock.now();
+        if self.retry_disk_at.is_none_or(|it| now < it) {
+            return Ok(());
+        }
+        match self.storage.recover() {
+            Ok(persisted) => {
+                self.retry_disk_at = None;
+                log::info!(entries = persisted.entries.len(); "the disk takes writes again");
+                let actions = self.host.disk_recovered(now, persisted);
+                self.execute(actions)
+            }
+            Err(e) => {
+                self.retry_disk_at = Some(now + DISK_RETRY_INTERVAL);
+                log::debug!(error:% = e; "the disk still takes no writes");
+                Ok(())
+            }
+        }
+    }
+
     fn convert_event(&mut self, event: DriverEvent) -> HostEvent {
         match event {
             DriverEvent::Host(event) => event,
--- a/components/gateway/src/control/metrics.rs
+++ b/components/gateway/src/control/metrics.rs
@@ -17,6 +17,7 @@
     transport: TransportMetrics,
     is_leader: Gauge,
     is_current: Gauge,
+    is_read_only: Gauge,
     term: Gauge,
     commit: Gauge,
     voters: Gauge,
@@ -37,6 +38,10 @@
         };
         let is_leader = gauge("control_leads", "1 on the leader of the replicated log");
         let is_current = gauge("control_current", "1 when this host follows or leads closely");
+        let is_read_only = gauge(
+            "control_disk_failed",
+            "1 while the disk takes no writes and this host can't vote",
+        );
         let term = gauge("control_term", "Term of the replicated log");
         let commit = gauge("control_commit_index", "Newest accepted entry of the log");
         let voters = gauge("control_voters", "Voters of the replicated log");
@@ -49,6 +54,7 @@
             transport,
             is_leader,
             is_current,
+            is_read_only,
             term,
             commit,
             voters,
@@ -68,6 +74,7 @@
     pub(crate) fn set_status(&self, status: &RegistryStatus) {
         self.is_leader.set(i64::from(status.role == Role::Leader));
         self.is_current.set(i64::from(status.is_current));
+        self.is_read_only.set(i64::from(status.is_read_only));
         self.term.set(gauge_value(status.term.0));
         self.commit.set(gauge_value(status.commit.0));
         self.voters.set(gauge_value(status.voters.len() as u64));
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -4,14 +4,20 @@
 mod metrics;
 mod requests;
 
-use std::{path::PathBuf, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    path::{Path, PathBuf},
+    pin::pin,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use admin::Clock;
 use consensus::{LeaseUse, MembershipPolicy};
-use ids::Millis;
+use ids::{HostId, Incarnation, Millis};
 use registry::{HostEvent, RegistryHost, RegistryHostSettings};
 use schema::{gateway_settings::RegistrySettings, sync::Place};
-use storage::Storage;
+use storage::{Opened, Storage};
 use tokio::{sync::mpsc, time::MissedTickBehavior};
 
 use crate::{
@@ -33,6 +39,9 @@
 /// short network failures take, so that a removed voter rarely returns.
 const REMOVE_VOTER_AFTER: Millis = Millis(8_000);
 
+/// Interval at which a start is tried again while the disk is full.
+const OPEN_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Time to deliver the last responses and messages before the process exits.
 const STOP_DELAY: Duration = Duration::from_millis(200);
 
@@ -43,9 +52,11 @@
     let clock = Clock::start();
     let incarnation = clock.incarnation();
     let host_id = peers::host_of(settings.ip);
-    let opened =
-        Storage::open(settings.data_folder.as_ref(), host_id, incarnation, settings.bootstrap)
-            .map_err(StartError::Storage)?;
+    let mut stop = pin!(stop);
+    let opened = tokio::select! {
+        () = &mut stop => return Ok(()),
+        opened = open_storage(&settings, host_id, incarnation) => opened?,
+    };
     let (transport, mut frames) =
         peers::bind_transport(settings.ip, settings.peer_port.get(), incarnation).await?;
     let regions = settings.data_centres.iter().map(|it| (it.name.clone(), it.region.clone()));
@@ -80,7 +91,7 @@
         "control host started"
     );
     tokio::select! {
-        () = stop => {}
+        () = &mut stop => {}
         result = &mut driver => {
             let result = result.expect("the driver does not panic");
             return result.map_err(StartError::Storage);
@@ -109,6 +120,29 @@
     Ok(())
 }
 
+/// Opens the data folder, and waits while its disk is full.
+async fn open_storage(
+    settings: &RegistrySettings,
+    host: HostId,
+    incarnation: Incarnation,
+) -> Result<Opened, StartError> {
+    let folder: &Path = settings.data_folder.as_ref();
+    let mut is_logged = false;
+    loop {
+        match Storage::open(folder, host, incarnation, settings.bootstrap) {
+            Ok(opened) => return Ok(opened),
+            Err(e) if e.is_disk_full() => {
+                if !is_logged {
+                    log::error!(error:% = e; "cannot write to the disk; waiting for room to start");
+                }
+                is_logged = true;
+                tokio::time::sleep(OPEN_RETRY_INTERVAL).await;
+            }
+            Err(e) => return Err(StartError::Storage(e)),
+        }
+    }
+}
+
 fn consensus_settings(settings: &RegistrySettings, seed: u64) -> consensus::Settings {
     let lost_disks = settings.lost_disks.0 as usize;
     consensus::Settings {
--- a/components/registry/src/action.rs
+++ b/components/registry/src/action.rs
@@ -86,6 +86,8 @@
     LeadershipLost,
     /// the request is larger than the log takes
     TooLarge,
+    /// the disk of this host takes no writes
+    DiskFailed,
 }
 
 /// An action for the driver of the host to execute, in the order given.
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -80,12 +80,17 @@
     pub entry_hosts: usize,
     /// Whether the applied state is up to date.
     pub is_current: bool,
+    /// Whether the disk takes no writes, so that this host doesn't vote.
+    pub is_read_only: bool,
 }
 
 /// A control host of the registry, without I/O and clocks.
 pub struct RegistryHost {
     own_id: HostId,
+    consensus_settings: Settings,
     consensus: Consensus,
+    /// Whether the disk takes no writes.
+    is_read_only: bool,
     registry: Registry,
     requests: PendingRequests,
     long_polls: LongPolls,
@@ -113,7 +118,9 @@
         let applied = persisted.snapshot.index;
         Self {
             own_id,
-            consensus: Consensus::restore(consensus, persisted, now),
+            consensus: Consensus::restore(consensus.clone(), persisted, now),
+            consensus_settings: consensus,
+            is_read_only: false,
             registry,
             requests: PendingRequests::default(),
             long_polls: LongPolls::default(),
@@ -149,6 +156,40 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Continues without writes after one has failed, with the state that the disk holds.
+    ///
+    /// The host keeps following the leader and answers polls, but it gives up its lead, doesn't vote
+    /// and acknowledges nothing.
+    pub fn disk_failed(&mut self, now: Timestamp, persisted: Persisted) -> Vec<HostAction> {
+        self.is_read_only = true;
+        self.reload(now, persisted)
+    }
+
+    /// Takes part again with the state that the disk holds, once it takes writes.
+    pub fn disk_recovered(&mut self, now: Timestamp, persisted: Persisted) -> Vec<HostAction> {
+        self.is_read_only = false;
+        self.reload(now, persisted)
+    }
+
+    /// Replaces all state that depends on the disk. The actions of the failed event are lost, so
+    /// all requests fail.
+    fn reload(&mut self, now: Timestamp, persisted: Persisted) -> Vec<HostAction> {
+        self.actions.clear();
+        for request in self.requests.take_all() {
+            self.answer(request.id, Answer::Unavailable(UnavailableReason::DiskFailed));
+        }
+        self.registry = Registry::restore(&persisted.snapshot.data);
+        self.applied = persisted.snapshot.index;
+        self.log_bytes = 0;
+        let settings = self.consensus_settings.clone();
+        self.consensus = match self.is_read_only {
+            true => Consensus::restore_read_only(settings, persisted, now),
+            false => Consensus::restore(settings, persisted, now),
+        };
+        self.update_contacts();
+        std::mem::take(&mut self.actions)
+    }
+
     /// Returns the state that this host has applied, which may be behind the leader's.
     pub fn registry(&self) -> &Registry {
         &self.registry
@@ -168,6 +209,7 @@
             servers: self.registry.servers().count(),
             entry_hosts: self.entry_hosts.len(),
             is_current: self.consensus.is_current(now),
+            is_read_only: self.is_read_only,
         }
     }
 
@@ -385,6 +427,9 @@
     }
 
     fn compact(&mut self, now: Timestamp) {
+        if self.is_read_only {
+            return;
+        }
         let log_entries = self.applied.0.saturating_sub(self.consensus.snapshot_index().0);
         if log_entries < MAX_LOG_ENTRIES && self.log_bytes < MAX_LOG_BYTES {
             return;
--- a/components/registry/src/pending_requests.rs
+++ b/components/registry/src/pending_requests.rs
@@ -56,6 +56,11 @@
         requests
     }
 
+    /// Removes and returns all requests.
+    pub(crate) fn take_all(&mut self) -> Vec<PendingRequest> {
+        std::mem::take(&mut self.by_index).into_values().flatten().collect()
+    }
+
     /// Removes and returns the requests whose deadline has passed.
     pub(crate) fn take_expired(&mut self, now: Timestamp) -> Vec<PendingRequest> {
         self.take_if(|it| now >= it.deadline)
--- a/components/registry/tests/fleet/mod.rs
+++ b/components/registry/tests/fleet/mod.rs
@@ -32,6 +32,8 @@
     messages: VecDeque<(HostId, HostId, PeerMessage)>,
     /// Links on which messages are dropped, as (from, to).
     pub blocked_links: BTreeSet<(HostId, HostId)>,
+    /// Hosts whose disks refuse every write.
+    pub full_disks: BTreeSet<HostId>,
     pub now: Timestamp,
     pub answers: BTreeMap<RequestId, Answer>,
     /// Messages sent to hosts that are not control hosts of this fleet.
@@ -59,6 +61,7 @@
             hosts: BTreeMap::new(),
             messages: VecDeque::new(),
             blocked_links: BTreeSet::new(),
+            full_disks: BTreeSet::new(),
             now: Timestamp::from_millis(1_000),
             answers: BTreeMap::new(),
             external_messages: Vec::new(),
@@ -181,12 +184,37 @@
         panic!("no host answered the request");
     }
 
+    /// Makes room on a full disk.
+    pub fn free_disk(&mut self, host: HostId) {
+        self.full_disks.remove(&host);
+        let now = self.now;
+        let it = self.hosts.get_mut(&host).unwrap();
+        let disk = it.disk.clone();
+        let Some(process) = it.process.as_mut() else { return };
+        if process.status(now).is_read_only {
+            let actions = process.disk_recovered(now, disk);
+            self.execute_actions(host, actions);
+        }
+    }
+
     pub fn handle_event(&mut self, host: HostId, event: HostEvent) {
         let now = self.now;
         let it = self.hosts.get_mut(&host).unwrap();
         let Some(process) = it.process.as_mut() else { return };
-        for action in process.handle(now, event) {
+        let actions = process.handle(now, event);
+        self.execute_actions(host, actions);
+    }
+
+    fn execute_actions(&mut self, host: HostId, actions: Vec<HostAction>) {
+        let is_full = self.full_disks.contains(&host);
+        for action in actions {
+            let it = self.hosts.get_mut(&host).unwrap();
             match action {
+                HostAction::Store(_) | HostAction::SaveSnapshot(_) if is_full => {
+                    let process = it.process.as_mut().unwrap();
+                    let actions = process.disk_failed(self.now, it.disk.clone());
+                    return self.execute_actions(host, actions);
+                }
                 HostAction::Store(record) => store(&mut it.disk, record),
                 HostAction::SaveSnapshot(snapshot) => {
                     it.disk.entries.retain(|entry| entry.index > snapshot.index);
--- a/components/storage/src/error.rs
+++ b/components/storage/src/error.rs
@@ -43,6 +43,13 @@
 impl std::error::Error for StorageError {}
 
 impl StorageError {
+    /// Returns whether the disk has no room, which may pass.
+    pub fn is_disk_full(&self) -> bool {
+        use io::ErrorKind::{FileTooLarge, QuotaExceeded, ReadOnlyFilesystem, StorageFull};
+        let Self::Io { source, .. } = self else { return false };
+        matches!(source.kind(), StorageFull | QuotaExceeded | ReadOnlyFilesystem | FileTooLarge)
+    }
+
     pub(crate) fn io(path: impl Into<PathBuf>) -> impl FnOnce(io::Error) -> Self {
         let path = path.into();
         move |source| Self::Io { path, source }
--- a/components/storage/src/folder.rs
+++ b/components/storage/src/folder.rs
@@ -23,6 +23,11 @@
 const LOCK_FILE: &str = "lock";
 const IDENTITY_FILE: &str = "identity";
 const SNAPSHOT_FILE: &str = "snapshot";
+const PROBE_FILE: &str = "probe";
+
+/// Size of the file that tests whether the disk takes writes again, in bytes: room for a few
+/// hundred changes.
+const PROBE_BYTES: usize = 64 * 1024;
 
 /// Size at which a new segment is started, in bytes.
 const MAX_SEGMENT_BYTES: u64 = 16 * 1024 * 1024;
@@ -30,6 +35,7 @@
 /// An open data folder, locked by this process.
 pub struct Storage {
     folder: PathBuf,
+    identity: Identity,
     segment: Segment,
     /// The state that the records on disk describe.
     log: LogState,
@@ -82,15 +88,9 @@
             Some((number, path)) => Segment::open(path.clone(), *number)?,
             None => Segment::create(folder, 1, &[])?,
         };
-        let persisted = Persisted {
-            identity,
-            promised: log.promised,
-            vote: log.vote.clone(),
-            snapshot,
-            entries: log.entries.clone(),
-        };
+        let persisted = log.persisted(identity.clone(), snapshot);
         let folder = folder.to_owned();
-        let storage = Self { folder, segment, log, is_poisoned: false, _lock: lock };
+        let storage = Self { folder, identity, segment, log, is_poisoned: false, _lock: lock };
         Ok(Opened { storage, persisted })
     }
 
@@ -121,6 +121,33 @@
         })
     }
 
+    /// Returns the contents as of the last complete write. It writes nothing, so that it also works
+    /// after a failed one.
+    pub fn last_written(&mut self) -> Result<Persisted, StorageError> {
+        let snapshot = read_file(&self.folder.join(SNAPSHOT_FILE))?.unwrap_or_else(empty_snapshot);
+        // A failed write may have replaced the snapshot but not the log.
+        if !self.log.discard_through(snapshot.index) {
+            let first = snapshot.index.next();
+            return Err(StorageError::MissingEntries(first, self.folder.clone()));
+        }
+        self.log.base = self.log.base.max(snapshot.index);
+        Ok(self.log.persisted(self.identity.clone(), snapshot))
+    }
+
+    /// Makes the folder usable again after a failed write, once the disk takes writes.
+    ///
+    /// All that was written completely goes to a new segment, so that remains of the failed write
+    /// are never read.
+    pub fn recover(&mut self) -> Result<Persisted, StorageError> {
+        let probe = self.folder.join(PROBE_FILE);
+        files::replace_atomically(&probe, &[0; PROBE_BYTES])?;
+        fs::remove_file(&probe).map_err(StorageError::io(&probe))?;
+        let persisted = self.last_written()?;
+        self.rewrite_log()?;
+        self.is_poisoned = false;
+        Ok(persisted)
+    }
+
     /// Writes the current state to a new segment and removes the older segments.
     fn rewrite_log(&mut self) -> Result<(), StorageError> {
         let log = &self.log;
--- a/components/storage/src/log_state.rs
+++ b/components/storage/src/log_state.rs
@@ -2,8 +2,8 @@
 
 use ids::{Incarnation, LogIndex, Term};
 use schema::{
-    consensus::{Entry, Vote, VotedFor},
-    storage::Record,
+    consensus::{Entry, Snapshot, Vote, VotedFor},
+    storage::{Identity, Persisted, Record},
 };
 
 /// The state after all records applied so far.
@@ -25,6 +25,17 @@
         }
     }
 
+    /// Returns the state together with the identity and the snapshot of its folder.
+    pub(crate) fn persisted(&self, identity: Identity, snapshot: Snapshot) -> Persisted {
+        Persisted {
+            identity,
+            promised: self.promised,
+            vote: self.vote.clone(),
+            snapshot,
+            entries: self.entries.clone(),
+        }
+    }
+
     pub(crate) fn apply(&mut self, record: Record) {
         match record {
             Record::Reset(base) => {
--- a/components/storage/tests/data_folder.rs
+++ b/components/storage/tests/data_folder.rs
@@ -308,3 +308,58 @@
         .run();
     }
 }
+
+/// Makes the next write of a file that replaces `name` fail for want of room.
+fn refuse_next_replacement(folder: &Path, name: &str) {
+    let path = folder.join(name).with_extension("tmp");
+    std::os::unix::fs::symlink("/dev/full", path).unwrap();
+}
+
+#[test]
+fn a_snapshot_without_room_is_taken_back_and_writes_continue_after_a_recovery() {
+    let (folder, _) = written_folder();
+    let mut storage = open(folder.path()).unwrap().storage;
+    refuse_next_replacement(folder.path(), "snapshot");
+
+    let error = storage.save_snapshot(&snapshot(4)).unwrap_err();
+    let while_full = storage.last_written().unwrap();
+    let recovered = storage.recover().unwrap();
+    storage.write(&[append(6..=6)]).unwrap();
+
+    assert!(error.is_disk_full(), "{error}");
+    assert_eq!(while_full, recovered);
+    drop(storage);
+    assert_eq!(indices(&reopen(folder.path())), [1, 2, 3, 4, 5, 6]);
+}
+
+#[test]
+fn a_log_that_cannot_be_rewritten_keeps_the_snapshot_and_the_entries_after_it() {
+    let (folder, _) = written_folder();
+    let mut storage = open(folder.path()).unwrap().storage;
+    refuse_next_replacement(folder.path(), "log-0000000000000002");
+
+    let error = storage.save_snapshot(&snapshot(4)).unwrap_err();
+    let while_full = storage.last_written().unwrap();
+    let after_crash = reopen(copy_folder(folder.path()).path());
+    let recovered = storage.recover().unwrap();
+
+    assert!(error.is_disk_full(), "{error}");
+    assert_eq!(while_full.snapshot.index, LogIndex(4));
+    assert_eq!(indices(&while_full), [5]);
+    assert_eq!((indices(&after_crash), indices(&recovered)), (vec![5], vec![5]));
+}
+
+#[test]
+fn a_disk_without_room_is_not_recovered() {
+    let (folder, _) = written_folder();
+    let mut storage = open(folder.path()).unwrap().storage;
+    refuse_next_replacement(folder.path(), "snapshot");
+    storage.save_snapshot(&snapshot(4)).unwrap_err();
+    refuse_next_replacement(folder.path(), "probe");
+
+    assert!(storage.recover().unwrap_err().is_disk_full());
+
+    assert!(matches!(storage.write(&[vote(9)]), Err(StorageError::Poisoned)));
+    storage.recover().unwrap();
+    storage.write(&[vote(9)]).unwrap();
+}
