Send lists of entry hosts once, and little between data centres while a fleet starts

Each switch to another control host fetched the list again, and gateways switched up to six times each, since a follower that fell behind for some milliseconds turned all its pollers away, and a host turned away was not tried again for 10 s. Lists between control hosts took 5 MB, each whole whenever any host started.

- A poll carries the digest of the list that the gateway holds; another control host with the same list answers with its revision alone.
A host that was not current is tried again after 2 s, a silent one after 10.
- While a new fleet starts, the seeds answer gateways of their own data centre, after 4 s of their region, after 6 s all; the other control hosts join meanwhile.
- Control hosts send each other changes and a digest; who misses something asks for the whole list.

Ruled out: load reports (1.1 MB) and the log itself (1 MB).

--- a/components/gateway_core/src/entry_hosts.rs
+++ b/components/gateway_core/src/entry_hosts.rs
@@ -3,7 +3,10 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use ids::{DataCentreName, HostId, Incarnation, Millis, RegionName};
-use schema::sync::{EntryHostRecord, EntryHostState, HostsRevision, HostsUpdate};
+use schema::{
+    record_digest,
+    sync::{EntryHostRecord, EntryHostState, HostsRevision, HostsUpdate},
+};
 
 /// Maximum number of addresses in a directory answer.
 const MAX_ADDRESSES: usize = 64;
@@ -26,19 +29,25 @@
 pub(crate) struct EntryHosts {
     hosts: BTreeMap<HostId, EntryHostRecord>,
     revision: HostsRevision,
+    /// Digest of the hosts as they were received.
+    digest: u64,
 }
 
 impl EntryHosts {
     pub(crate) fn new() -> Self {
         let revision =
             HostsRevision { control_host: HostId(0), incarnation: Incarnation(0), number: 0 };
-        Self { hosts: BTreeMap::new(), revision }
+        Self { hosts: BTreeMap::new(), revision, digest: 0 }
     }
 
     pub(crate) fn revision(&self) -> &HostsRevision {
         &self.revision
     }
 
+    pub(crate) fn digest(&self) -> u64 {
+        self.digest
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.hosts.len()
     }
@@ -61,6 +70,7 @@
         }
         self.hosts.extend(changes.hosts.into_iter().map(|it| (it.host, it)));
         self.revision = changes.revision;
+        self.digest = self.hosts.values().fold(0, |sum, it| sum ^ record_digest(it));
     }
 
     /// Returns the hosts of a data centre.
--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -15,7 +15,8 @@
     /// Returns the poll to be sent now, if any.
     pub fn poll(&mut self, now: Timestamp) -> Option<OutgoingPoll> {
         let presence = Presence::Entry(self.own_record());
-        self.registry_poller.poll(now, presence, self.entry_hosts.revision(), &mut self.events)
+        let hosts = (self.entry_hosts.revision(), self.entry_hosts.digest());
+        self.registry_poller.poll(now, presence, hosts, &mut self.events)
     }
 
     /// Returns when [`Self::poll`] must be called again if no update arrives.
--- a/components/gateway_core/src/registry_poller.rs
+++ b/components/gateway_core/src/registry_poller.rs
@@ -27,8 +27,12 @@
 /// Delay before another control host is polled after one was not current, in milliseconds.
 const FAILOVER_DELAY: Millis = Millis(100);
 
-/// Time after which an abandoned control host may be tried again, in milliseconds.
-const RETRY_HOST_AFTER: Millis = Millis(10_000);
+/// Time after which a control host that did not answer may be tried again, in milliseconds.
+const RETRY_SILENT_AFTER: Millis = Millis(10_000);
+
+/// Time after which a control host that was not current may be tried again, in milliseconds: a
+/// little longer than an election takes.
+const RETRY_OUTDATED_AFTER: Millis = Millis(2_000);
 
 /// A poll to be sent to a control host.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -45,7 +49,8 @@
     host: HostId,
     /// 0 in the same data centre, 1 in the same region, 2 elsewhere or unknown.
     distance: u8,
-    failed_at: Option<Timestamp>,
+    /// When the host may be tried again after a failure.
+    retry_at: Option<Timestamp>,
 }
 
 /// Chooses the control host to poll, and tracks the poll in flight.
@@ -93,14 +98,14 @@
         &mut self,
         now: Timestamp,
         presence: Presence,
-        holds_hosts: &HostsRevision,
+        (holds_hosts, hosts_digest): (&HostsRevision, u64),
         events: &mut Vec<Event>,
     ) -> Option<OutgoingPoll> {
         if now < self.wakeup_at {
             return None;
         }
         if self.is_in_flight {
-            self.abandon_target(now, "no answer in time", events);
+            self.abandon_target(now + RETRY_SILENT_AFTER, "no answer in time", events);
         }
         let to = self.choose_target(now)?;
         self.sequence += 1;
@@ -111,6 +116,7 @@
             presence,
             holds: self.applied_index,
             holds_hosts: holds_hosts.clone(),
+            hosts_digest,
         };
         Some(OutgoingPoll { to, poll })
     }
@@ -161,7 +167,7 @@
             }
             return;
         }
-        self.abandon_target(now, "not current", events);
+        self.abandon_target(now + RETRY_OUTDATED_AFTER, "not current", events);
         self.wakeup_at = now + FAILOVER_DELAY;
     }
 
@@ -180,7 +186,7 @@
         let candidates = control_hosts.iter().map(|it| Candidate {
             host: it.host,
             distance: self.distance(&it.place),
-            failed_at: self.candidate(it.host).and_then(|it| it.failed_at),
+            retry_at: self.candidate(it.host).and_then(|it| it.retry_at),
         });
         self.candidates = candidates.collect();
     }
@@ -189,7 +195,7 @@
     pub(crate) fn add_seeds(&mut self, seeds: &[HostId]) {
         for &host in seeds {
             if self.candidate(host).is_none() {
-                self.candidates.push(Candidate { host, distance: 2, failed_at: None });
+                self.candidates.push(Candidate { host, distance: 2, retry_at: None });
             }
         }
     }
@@ -213,10 +219,15 @@
         }
     }
 
-    fn abandon_target(&mut self, now: Timestamp, cause: &'static str, events: &mut Vec<Event>) {
+    fn abandon_target(
+        &mut self,
+        retry_at: Timestamp,
+        cause: &'static str,
+        events: &mut Vec<Event>,
+    ) {
         if let Some(host) = self.target.take() {
             if let Some(it) = self.candidates.iter_mut().find(|it| it.host == host) {
-                it.failed_at = Some(now);
+                it.retry_at = Some(retry_at);
             }
             if self.is_target_current {
                 events.push(Event::ControlHostLost { host, cause });
@@ -227,13 +238,13 @@
     }
 
     /// Keeps the target unless a nearer host may be tried. If all hosts have failed recently, picks
-    /// the one that failed longest ago.
+    /// the one that may be tried again first.
     fn choose_target(&mut self, now: Timestamp) -> Option<HostId> {
         let rank = |it: &Candidate| {
-            let failed_at = it.failed_at.filter(|at| now.since(*at) < RETRY_HOST_AFTER);
+            let retry_at = it.retry_at.filter(|at| now < *at);
             let is_target = self.target == Some(it.host);
             let hash = (u64::from(it.host.0) ^ self.spread_seed).wrapping_mul(HASH_MULTIPLIER);
-            (failed_at, it.distance, !is_target, hash)
+            (retry_at, it.distance, !is_target, hash)
         };
         let best = self.candidates.iter().min_by_key(|it| rank(it))?.host;
         if self.target != Some(best) {
--- a/components/gateway_core/tests/following.rs
+++ b/components/gateway_core/tests/following.rs
@@ -162,3 +162,16 @@
     let south = harness.gateway.directory(Some(&region("south-a")), Some(&data_centre("south-a")));
     assert_eq!(south.addresses.len(), 3);
 }
+
+#[test]
+fn a_control_host_that_was_not_current_is_tried_again_once_an_election_is_over() {
+    let mut harness = harness();
+    let hosts = vec![control_host(101, "north-b"), control_host(102, "north-a")];
+    answer(&mut harness, at(100), true, hosts.clone());
+    assert_eq!(answer(&mut harness, at(200), false, hosts.clone()), HostId(102));
+
+    let meanwhile = answer(&mut harness, at(400), true, hosts.clone());
+    let later = answer(&mut harness, at(2_400), true, hosts);
+
+    assert_eq!((meanwhile, later), (HostId(101), HostId(102)));
+}
--- a/components/registry/src/entry_hosts.rs
+++ b/components/registry/src/entry_hosts.rs
@@ -6,17 +6,21 @@
 use std::collections::BTreeMap;
 
 use ids::{FastMap, HostId, Incarnation, Millis, Timestamp};
-use schema::sync::{EntryHostRecord, HostsChanges, HostsRevision, HostsUpdate};
+use schema::{
+    record_digest,
+    sync::{EntryHostRecord, HostsChanges, HostsRevision, HostsUpdate},
+};
 
 /// Time without a poll after which an entry host is removed from the list.
 ///
 /// A live host polls again right after each answer, and answers are delayed for one second at most.
 const POLLER_TIMEOUT: Millis = Millis(2_500);
 
-/// Interval at which the full list is sent, because deltas may be lost.
-const FULL_LIST_INTERVAL: Millis = Millis(4_000);
+/// Interval at which control hosts send each other at least the digest of their list, by which the
+/// receivers notice that they missed changes.
+const LIST_INTERVAL: Millis = Millis(4_000);
 
-/// Age at which the list of another control host expires: after two full lists were lost.
+/// Age at which the list of another control host expires: after two digests were lost.
 const PEER_LIST_TIMEOUT: Millis = Millis(10_000);
 
 /// Time after a restart during which lists of other control hosts may still be missing.
@@ -41,6 +45,8 @@
 #[derive(Debug)]
 struct UnionEntry {
     record: Option<EntryHostRecord>,
+    /// Digest of the record, 0 if there is none.
+    digest: u64,
     /// Revision of the union at which `record` last changed.
     revision: u64,
 }
@@ -57,20 +63,32 @@
     peer_lists: FastMap<HostId, PeerList>,
     union: BTreeMap<HostId, UnionEntry>,
     revision: u64,
+    /// Digest of the union.
+    digest: u64,
     /// This host's list as last sent to the other control hosts.
     last_sent: BTreeMap<HostId, EntryHostRecord>,
-    /// When the full list was last sent; `None` if never, or if another control host has started
-    /// since.
-    full_list_sent_at: Option<Timestamp>,
+    /// When the list or its digest was last sent.
+    list_sent_at: Option<Timestamp>,
 }
 
-/// An update of one control host's list for the others: the full list or a delta.
+/// An update of one control host's list for the others: the full list, or changes that may be none.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) struct ListUpdate {
     /// Whether `hosts` is the full list.
     pub(crate) whole: bool,
     pub(crate) hosts: Vec<EntryHostRecord>,
     pub(crate) gone: Vec<HostId>,
+    /// Digest of the full list.
+    pub(crate) digest: u64,
+}
+
+/// Full lists that two control hosts need after an update from one to the other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct NeededLists {
+    /// The result of the update is not the list that the sender has.
+    pub(crate) from_sender: bool,
+    /// The sender has started since the last update and has no lists.
+    pub(crate) to_sender: bool,
 }
 
 impl EntryHosts {
@@ -91,8 +109,9 @@
             peer_lists: FastMap::default(),
             union: BTreeMap::new(),
             revision: 0,
+            digest: 0,
             last_sent: BTreeMap::new(),
-            full_list_sent_at: None,
+            list_sent_at: None,
         }
     }
 
@@ -101,18 +120,18 @@
         self.pollers.insert(record.host, Poller { record, polled_at: now });
     }
 
-    /// Merges an update from another control host into its list.
+    /// Merges an update from another control host into its list; returns which full lists are needed
+    /// to complete this exchange.
     pub(crate) fn merge_list(
         &mut self,
         now: Timestamp,
         (from, incarnation): (HostId, Incarnation),
         update: ListUpdate,
-    ) {
+    ) -> NeededLists {
         let is_new_incarnation =
             self.peer_lists.get(&from).is_none_or(|it| it.incarnation != incarnation);
         if is_new_incarnation {
             self.peer_lists.remove(&from);
-            self.full_list_sent_at = None;
         }
         let empty = || PeerList { incarnation, hosts: BTreeMap::new(), received_at: now };
         let list = self.peer_lists.entry(from).or_insert_with(empty);
@@ -124,6 +143,20 @@
         for host in update.gone {
             list.hosts.remove(&host);
         }
+        NeededLists {
+            from_sender: list_digest(list.hosts.values()) != update.digest,
+            to_sender: is_new_incarnation,
+        }
+    }
+
+    /// Returns the full list for a control host that needs it.
+    pub(crate) fn full_list(&self) -> ListUpdate {
+        ListUpdate {
+            whole: true,
+            hosts: self.last_sent.values().cloned().collect(),
+            gone: Vec::new(),
+            digest: list_digest(self.last_sent.values()),
+        }
     }
 
     /// Updates the union and returns the list update to send to the other control hosts, if any.
@@ -138,23 +171,22 @@
         self.next_list_update(now)
     }
 
-    /// Returns the full list at regular intervals, otherwise the changes since the last update.
+    /// Returns the changes since the last update; at regular intervals also if there are none.
     fn next_list_update(&mut self, now: Timestamp) -> Option<ListUpdate> {
         let list: BTreeMap<_, _> =
             self.pollers.iter().map(|(host, it)| (*host, it.record.clone())).collect();
-        let whole = self.full_list_sent_at.is_none_or(|it| now >= it + FULL_LIST_INTERVAL);
-        if list == self.last_sent && !whole {
+        let is_due = self.list_sent_at.is_none_or(|it| now >= it + LIST_INTERVAL);
+        if list == self.last_sent && !is_due {
             return None;
         }
-        if whole {
-            self.full_list_sent_at = Some(now);
-        }
+        self.list_sent_at = Some(now);
         let previous = std::mem::replace(&mut self.last_sent, list);
-        let is_changed = |it: &&EntryHostRecord| whole || previous.get(&it.host) != Some(*it);
+        let is_changed = |it: &&EntryHostRecord| previous.get(&it.host) != Some(*it);
         Some(ListUpdate {
-            whole,
+            whole: false,
             hosts: self.last_sent.values().filter(is_changed).cloned().collect(),
             gone: previous.into_keys().filter(|it| !self.last_sent.contains_key(it)).collect(),
+            digest: list_digest(self.last_sent.values()),
         })
     }
 
@@ -163,11 +195,12 @@
         *held != self.current_revision()
     }
 
-    /// Returns the changes since revision `held`.
+    /// Returns the changes since revision `held` for a poller whose list has this digest.
     ///
+    /// A poller that comes from another control host with the same list gets only the new revision.
     /// During the warm-up, the update doesn't replace the list of the poller: it may contain hosts
     /// that this control host has not learned of yet.
-    pub(crate) fn update_for(&self, held: &HostsRevision) -> HostsUpdate {
+    pub(crate) fn update_for(&self, held: &HostsRevision, digest: u64) -> HostsUpdate {
         if !self.has_changes_since(held) {
             return HostsUpdate::Unchanged;
         }
@@ -176,6 +209,10 @@
             held.control_host == revision.control_host && held.incarnation == revision.incarnation;
         let whole =
             self.first_complete_revision.is_some_and(|it| !is_same_list || held.number < it);
+        if digest == self.digest {
+            let (hosts, gone) = (Vec::new(), Vec::new());
+            return HostsUpdate::Changed(HostsChanges { revision, whole: false, hosts, gone });
+        }
         let since = if is_same_list && !whole { held.number } else { 0 };
         let changed = self.union.iter().filter(|(_, it)| it.revision > since);
         let gone = changed.clone().filter(|(_, it)| it.record.is_none()).map(|(host, _)| *host);
@@ -214,17 +251,25 @@
             let record = union.remove(host);
             if record != entry.record {
                 revision += 1;
-                *entry = UnionEntry { record, revision };
+                let digest = record.as_ref().map_or(0, record_digest);
+                self.digest ^= entry.digest ^ digest;
+                *entry = UnionEntry { record, digest, revision };
             }
         }
         for (host, record) in union {
             revision += 1;
-            self.union.insert(host, UnionEntry { record: Some(record), revision });
+            let digest = record_digest(&record);
+            self.digest ^= digest;
+            self.union.insert(host, UnionEntry { record: Some(record), digest, revision });
         }
         self.revision = revision;
     }
 }
 
+fn list_digest<'a>(list: impl Iterator<Item = &'a EntryHostRecord>) -> u64 {
+    list.fold(0, |sum, it| sum ^ record_digest(it))
+}
+
 /// Returns whether `record` is newer than `other`, a record of the same host.
 fn is_newer(record: &EntryHostRecord, other: &EntryHostRecord) -> bool {
     (record.incarnation, record.state) > (other.incarnation, other.state)
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -42,6 +42,14 @@
 /// Interval between discovery polls of a host that is not a voter.
 const DISCOVERY_INTERVAL: ids::Millis = ids::Millis(500);
 
+/// Time after the start of a new fleet from which entry hosts of the same region get its state from
+/// this host, in milliseconds: most control hosts have joined by then.
+const SAME_REGION_SERVED_AFTER: ids::Millis = ids::Millis(4_000);
+
+/// Time after the start of a new fleet from which all entry hosts get its state from this host, in
+/// milliseconds.
+const OTHER_REGION_SERVED_AFTER: ids::Millis = ids::Millis(6_000);
+
 /// Settings of a control host.
 #[derive(Debug, Clone)]
 pub struct RegistryHostSettings {
@@ -101,6 +109,10 @@
     places: Places,
     next_discovery: Timestamp,
     is_stopping: bool,
+    started_at: Timestamp,
+    is_new_fleet: bool,
+    /// When the applied state was last up to date; `None` if never since the start.
+    last_current_at: Option<Timestamp>,
     applied: LogIndex,
     /// Size of the commands applied since the last snapshot.
     log_bytes: usize,
@@ -130,6 +142,9 @@
             places: Places::new(own_id, place, regions),
             next_discovery: now,
             is_stopping: false,
+            started_at: now,
+            is_new_fleet,
+            last_current_at: None,
             applied,
             log_bytes: 0,
             actions: Vec::new(),
@@ -219,9 +234,8 @@
         for request in self.requests.take_expired(now) {
             self.answer(request.id, Answer::Unavailable(UnavailableReason::TimedOut));
         }
-        if let Some(ListUpdate { whole, hosts, gone }) = self.entry_hosts.tick(now) {
-            let place = self.places.own_place().clone();
-            let list = SyncMessage::EntryHosts(EntryHostList { place, whole, hosts, gone });
+        if let Some(update) = self.entry_hosts.tick(now) {
+            let list = self.list_message(update);
             for to in self.other_members() {
                 self.send(to, PeerMessage::Sync(list.clone()));
             }
@@ -242,10 +256,17 @@
             PeerMessage::Sync(SyncMessage::Update(it)) => self.on_update(it),
             PeerMessage::Sync(SyncMessage::EntryHosts(it)) => {
                 self.places.record(now, from, it.place.clone());
-                let EntryHostList { whole, hosts, gone, .. } = it;
-                let update = ListUpdate { whole, hosts, gone };
-                self.entry_hosts.merge_list(now, (from, incarnation), update);
+                let EntryHostList { whole, hosts, gone, digest, .. } = it;
+                let update = ListUpdate { whole, hosts, gone, digest };
+                let needed = self.entry_hosts.merge_list(now, (from, incarnation), update);
+                if needed.from_sender {
+                    self.send(from, PeerMessage::Sync(SyncMessage::EntryHostsWanted));
+                }
+                if needed.to_sender {
+                    self.send_full_list(from);
+                }
             }
+            PeerMessage::Sync(SyncMessage::EntryHostsWanted) => self.send_full_list(from),
             // Discovery polls have no timeout that a large answer could exceed.
             PeerMessage::Sync(SyncMessage::UpdateBegins(_)) => {}
             // Messages to components that do not run on control hosts.
@@ -259,6 +280,17 @@
         }
     }
 
+    fn send_full_list(&mut self, to: HostId) {
+        let list = self.list_message(self.entry_hosts.full_list());
+        self.send(to, PeerMessage::Sync(list));
+    }
+
+    fn list_message(&self, update: ListUpdate) -> SyncMessage {
+        let ListUpdate { whole, hosts, gone, digest } = update;
+        let place = self.places.own_place().clone();
+        SyncMessage::EntryHosts(EntryHostList { place, whole, hosts, gone, digest })
+    }
+
     fn on_consensus(&mut self, now: Timestamp, from: HostId, message: ConsensusMessage) {
         let actions = self.consensus.handle(now, from, message);
         self.handle_consensus_actions(now, actions);
@@ -291,6 +323,7 @@
             // Without a list of entry hosts, the poll is answered after `MIN_HOST_UPDATE_INTERVAL`.
             holds: LogIndex(u64::MAX),
             holds_hosts: no_hosts_revision(),
+            hosts_digest: 0,
         };
         let targets: BTreeSet<_> = self.seeds.iter().chain(&self.discovered).copied().collect();
         for to in targets {
@@ -440,14 +473,26 @@
     }
 
     fn answer_polls(&mut self, now: Timestamp) {
+        let is_current = self.consensus.is_current(now) && !self.is_stopping;
+        if is_current {
+            self.last_current_at = Some(now);
+        }
         let head = RegistryHead {
             last_changed: self.registry.last_changed(),
-            is_current: self.consensus.is_current(now) && !self.is_stopping,
+            is_current,
+            is_leaving: self.is_stopping,
+            last_current_at: self.last_current_at,
         };
-        let hosts = &self.entry_hosts;
-        let due = self.long_polls.take_due(now, head, |held| hosts.has_changes_since(held));
+        let mut long_polls = std::mem::take(&mut self.long_polls);
+        let due = long_polls.take_due(
+            now,
+            head,
+            |poll| self.is_withheld(now, poll),
+            |held| self.entry_hosts.has_changes_since(held),
+        );
+        self.long_polls = long_polls;
         for (to, poll) in due {
-            let update = self.update_for(&poll, head);
+            let update = self.update_for(now, &poll, head);
             let size = schema::encoded_size(&update);
             if size >= LARGE_UPDATE {
                 let begins = UpdateBegins { sequence: update.sequence, size };
@@ -457,14 +502,15 @@
         }
     }
 
-    fn update_for(&self, poll: &PendingPoll, head: RegistryHead) -> Update {
+    fn update_for(&self, now: Timestamp, poll: &PendingPoll, head: RegistryHead) -> Update {
         let has_changes = head.is_current && head.last_changed > poll.holds;
-        let registry = match has_changes && !self.should_ask_nearer(poll) {
+        let is_withheld = self.is_withheld(now, poll);
+        let registry = match has_changes && !is_withheld && !self.should_ask_nearer(poll) {
             true => RegistryUpdate::Changed(self.registry.changes_since(poll.holds)),
             false => RegistryUpdate::Unchanged,
         };
-        let hosts = match head.is_current {
-            true => self.entry_hosts.update_for(&poll.holds_hosts),
+        let hosts = match head.is_current && !is_withheld {
+            true => self.entry_hosts.update_for(&poll.holds_hosts, poll.hosts_digest),
             false => HostsUpdate::Unchanged,
         };
         let members = self.consensus.members();
@@ -480,6 +526,19 @@
         }
     }
 
+    /// Returns whether a poller should wait for a nearer control host, as long as a new fleet starts.
+    ///
+    /// Only the seeds can answer at first, and the other control hosts join within seconds. A fleet
+    /// that fetched everything from the seeds would send it between data centres once for each of
+    /// its entry hosts.
+    fn is_withheld(&self, now: Timestamp, poll: &PendingPoll) -> bool {
+        let Some(place) = poll.place.as_ref().filter(|_| self.is_new_fleet) else { return false };
+        let uptime = now.since(self.started_at);
+        let own = self.places.own_place();
+        (uptime < SAME_REGION_SERVED_AFTER && place.data_centre != own.data_centre)
+            || (uptime < OTHER_REGION_SERVED_AFTER && place.region != own.region)
+    }
+
     /// Returns whether an entry host that has just started should get the whole registry from a
     /// nearer control host, which it discovers through this answer.
     fn should_ask_nearer(&self, poll: &PendingPoll) -> bool {
--- a/components/registry/tests/control_hosts.rs
+++ b/components/registry/tests/control_hosts.rs
@@ -65,8 +65,13 @@
         caller_address: "10.1.0.1:80".parse().unwrap(),
         state: EntryHostState::Serving,
     };
-    let poll =
-        Poll { sequence, presence: Presence::Entry(record), holds: LogIndex(holds), holds_hosts };
+    let poll = Poll {
+        sequence,
+        presence: Presence::Entry(record),
+        holds: LogIndex(holds),
+        holds_hosts,
+        hosts_digest: 0,
+    };
     HostEvent::Peer {
         from: HostId(900),
         incarnation: Incarnation(1),
--- a/components/schema/src/codec.rs
+++ b/components/schema/src/codec.rs
@@ -1,6 +1,6 @@
 //! Encodes and decodes messages between processes, in the postcard format.
 
-use ids::ByteSize;
+use ids::{ByteSize, ContentDigest};
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Maximum size of an encoded message, in bytes.
@@ -30,6 +30,14 @@
     ByteSize(size.expect("all sequences in messages have a known length") as u64)
 }
 
+/// Returns the digest of a record, for lists of which each party may hold another order.
+///
+/// The digest of a list is the exclusive or of those of its records.
+pub fn record_digest<T: Serialize>(record: &T) -> u64 {
+    let digest = ContentDigest::of(&encode(record));
+    digest.0.iter().take(8).fold(0, |sum, byte| sum << 8 | u64::from(*byte))
+}
+
 /// Decodes a message; `data` must contain nothing else.
 pub fn decode<T: DeserializeOwned>(data: &[u8]) -> Result<T, DecodeError> {
     if data.len() > MAX_FRAME_BYTES {
--- a/components/schema/src/lib.rs
+++ b/components/schema/src/lib.rs
@@ -11,6 +11,6 @@
 mod codec;
 
 pub use crate::{
-    codec::{DecodeError, MAX_FRAME_BYTES, decode, encode, encoded_size},
+    codec::{DecodeError, MAX_FRAME_BYTES, decode, encode, encoded_size, record_digest},
     generated::*,
 };
