Responses are overdue by the spread of their route's latencies

A response was overdue after eight average latencies, 3.7 s, longer than most outbreaks, and requests went on to the server meanwhile.

The deviation of the logarithm of the latency is learned by route; a response is overdue 2.6 of them above the average, at 2 to 8 times the average latency. One overdue response weighs less than a lost request, since healthy servers have slow ones too.

--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -20,10 +20,6 @@
 /// Maximum number of attempts per request that don't reach a server.
 const MAX_UNREACHABLE_ATTEMPTS: usize = 6;
 
-/// Multiple of the average latency after which a response is overdue: longer than even the rare
-/// slow requests take.
-const OVERDUE_LATENCY_FACTOR: f64 = 8.0;
-
 /// Multiple of the average latency after which an idempotent request is hedged.
 const HEDGE_LATENCY_FACTOR: f64 = 3.0;
 
@@ -115,12 +111,11 @@
     }
 
     /// Reports the end of all attempts that are still in flight when the request finishes or its
-    /// caller disconnects. An attempt that has run for half the overdue time counts as overdue.
+    /// caller disconnects.
     pub(super) fn end_in_flight(&mut self, now: Timestamp, request: &Request) {
-        let avg_latency = self.servers.average_latency(&request.route);
+        let overdue_after = self.servers.overdue_latency(&request.route);
         for attempt in &request.in_flight {
-            let age = now.since(attempt.started).0 as f64;
-            let is_overdue = age >= avg_latency * OVERDUE_LATENCY_FACTOR / 2.0;
+            let is_overdue = now.since(attempt.started).0 as f64 >= overdue_after;
             let event = match is_overdue && !attempt.is_reported_overdue {
                 true => LoadEvent::Overdue,
                 false => LoadEvent::Cancelled,
@@ -146,7 +141,7 @@
     fn check_in_flight(&mut self, now: Timestamp, id: RequestId) -> Step {
         let request = &self.requests[&id];
         let avg_latency = self.servers.average_latency(&request.route);
-        let overdue_after = Millis((avg_latency * OVERDUE_LATENCY_FACTOR) as u64);
+        let overdue_after = Millis(self.servers.overdue_latency(&request.route) as u64);
         let target_latency = request.route.target_latency.0 as f64;
         let hedge_after =
             Millis((avg_latency * HEDGE_LATENCY_FACTOR).max(target_latency * HEDGE_TARGET_SHARE)
--- a/components/gateway_core/src/servers/health.rs
+++ b/components/gateway_core/src/servers/health.rs
@@ -20,6 +20,9 @@
 /// Probability that a healthy server loses a request.
 const HEALTHY_LOSS_PROBABILITY: f64 = 0.003;
 
+/// Probability that a healthy server answers a request only after it is overdue.
+const HEALTHY_OVERDUE_PROBABILITY: f64 = 0.02;
+
 /// Probability of being broken from which a server is logged as avoided.
 const AVOIDED_PROBABILITY: f64 = 0.5;
 
@@ -86,10 +89,19 @@
 }
 
 impl ServerHealth {
-    /// Records a lost or overdue request; returns whether the server becomes avoided.
+    /// Records a lost request; returns whether the server becomes avoided.
     pub fn record_lost(&mut self, now: Timestamp, prior: &mut BrokenPrior) -> bool {
+        self.record_failure(now, prior, HEALTHY_LOSS_PROBABILITY)
+    }
+
+    /// Records an overdue request; returns whether the server becomes avoided.
+    pub fn record_overdue(&mut self, now: Timestamp, prior: &mut BrokenPrior) -> bool {
+        self.record_failure(now, prior, HEALTHY_OVERDUE_PROBABILITY)
+    }
+
+    fn record_failure(&mut self, now: Timestamp, prior: &mut BrokenPrior, healthy: f64) -> bool {
         let before = self.broken_probability(now, *prior);
-        self.update_posterior(now, prior, true);
+        self.update_posterior(now, prior, (BROKEN_LOSS_PROBABILITY, healthy), true);
         before < AVOIDED_PROBABILITY && self.broken_probability(now, *prior) >= AVOIDED_PROBABILITY
     }
 
@@ -98,7 +110,8 @@
         self.failed_connections = 0;
         self.unreachable_until = Timestamp::default();
         self.update_error_rate(now, 0.0);
-        self.update_posterior(now, prior, false);
+        let if_answered = (1.0 - BROKEN_LOSS_PROBABILITY, 1.0 - HEALTHY_LOSS_PROBABILITY);
+        self.update_posterior(now, prior, if_answered, false);
     }
 
     /// Records a server error response.
@@ -148,16 +161,22 @@
         self.error_ewma * (-elapsed / ERROR_HALF_LIFE.0 as f64).exp2()
     }
 
-    fn update_posterior(&mut self, now: Timestamp, prior: &mut BrokenPrior, is_lost: bool) {
+    /// Applies Bayes' rule; `likelihoods` are those of the outcome at a broken and a healthy server.
+    fn update_posterior(
+        &mut self,
+        now: Timestamp,
+        prior: &mut BrokenPrior,
+        likelihoods: (f64, f64),
+        is_lost: bool,
+    ) {
         let is_unobserved =
             self.broken_probability.is_none_or(|(_, at)| now.since(at) >= UNOBSERVED_AFTER);
         let broken_probability = self.broken_probability(now, *prior);
         if is_unobserved {
             prior.learn(is_lost);
         }
-        let likelihood = |loss: f64| if is_lost { loss } else { 1.0 - loss };
-        let if_broken = broken_probability * likelihood(BROKEN_LOSS_PROBABILITY);
-        let if_healthy = (1.0 - broken_probability) * likelihood(HEALTHY_LOSS_PROBABILITY);
+        let if_broken = broken_probability * likelihoods.0;
+        let if_healthy = (1.0 - broken_probability) * likelihoods.1;
         self.broken_probability = Some((if_broken / (if_broken + if_healthy), now));
     }
 
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -6,6 +6,7 @@
 
 mod failure_rate;
 pub mod health;
+mod latency;
 pub mod placement;
 
 use std::{collections::BTreeMap, net::SocketAddr};
@@ -22,6 +23,7 @@
 
 use failure_rate::FailureRate;
 use health::{BrokenPrior, ServerHealth};
+use latency::RouteLatency;
 
 use crate::configuration::{Route, RouteKey};
 
@@ -29,18 +31,12 @@
 /// any attempt lasts on today's services, so that only the counts of unreachable gateways expire.
 const PEER_COUNT_TIMEOUT: Millis = Millis(15_000);
 
-/// Weight of a new latency in the EWMA of a route.
-const LATENCY_EWMA_WEIGHT: f64 = 0.1;
-
 /// Weight of a new size in the EWMA of a route.
 const SIZE_EWMA_WEIGHT: f64 = 0.2;
 
 /// Assumed size of request and response before any was seen, in kilobytes.
 const INITIAL_KILOBYTES: f64 = 2.0;
 
-/// Cap on a single latency in the EWMA, as a multiple of the average.
-const MAX_LATENCY_RATIO: f64 = 4.0;
-
 /// Weight of a new latency in the EWMA of a server's slowdown; high because servers differ and
 /// observations are few.
 const SLOWDOWN_EWMA_WEIGHT: f64 = 0.3;
@@ -49,12 +45,6 @@
 /// the average latency.
 const SLOWDOWN_RATIO_BOUNDS: (f64, f64) = (0.3, 50.0);
 
-/// Assumed latency of a route before any response, as a fraction of its target latency.
-const INITIAL_LATENCY_SHARE: f64 = 1.0 / 3.0;
-
-/// Lower bound of the average latency, in milliseconds, so that ratios to it are meaningful.
-const MIN_AVERAGE_LATENCY_MS: f64 = 1.0;
-
 /// Half-life of the decay of a server's slowdown to 1 without new responses, in milliseconds.
 const SLOWDOWN_HALF_LIFE_MS: f64 = 8_000.0;
 
@@ -179,8 +169,8 @@
     broken_priors: FastMap<ServiceName, BrokenPrior>,
     /// Failure rates of this data centre's attempts, by service.
     failure_rates: FastMap<ServiceName, FailureRate>,
-    /// Average latencies by route, in milliseconds.
-    average_latencies: FastMap<RouteKey, f64>,
+    /// Latencies by route.
+    latencies: FastMap<RouteKey, RouteLatency>,
     /// Average sizes of request and response together by route, in kilobytes.
     average_kilobytes: FastMap<RouteKey, f64>,
 }
@@ -201,7 +191,7 @@
             by_service: FastMap::default(),
             broken_priors: FastMap::default(),
             failure_rates: FastMap::default(),
-            average_latencies: FastMap::default(),
+            latencies: FastMap::default(),
             average_kilobytes: FastMap::default(),
         }
     }
@@ -274,10 +264,18 @@
 
     /// Returns the average latency of a route, in milliseconds.
     pub fn average_latency(&self, route: &Route) -> f64 {
-        let known = self.average_latencies.get(&route.key()).copied();
-        known
-            .unwrap_or(route.target_latency.0 as f64 * INITIAL_LATENCY_SHARE)
-            .max(MIN_AVERAGE_LATENCY_MS)
+        self.latency(route).average()
+    }
+
+    /// Returns the time after which the response to a request of the route is overdue, in
+    /// milliseconds.
+    pub(crate) fn overdue_latency(&self, route: &Route) -> f64 {
+        self.latency(route).overdue()
+    }
+
+    fn latency(&self, route: &Route) -> RouteLatency {
+        let known = self.latencies.get(&route.key()).copied();
+        known.unwrap_or_else(|| RouteLatency::assumed(route.target_latency))
     }
 
     /// Returns the average size of a route's request and response together, in kilobytes.
@@ -294,11 +292,12 @@
 
     /// Updates the average latency of a route.
     pub(crate) fn record_latency(&mut self, route: RouteKey, millis: f64) {
-        let millis = millis.max(MIN_AVERAGE_LATENCY_MS);
-        let average = self.average_latencies.entry(route).or_insert(millis);
-        // Cap outliers, so that slow servers don't raise the average they are compared with.
-        let bounded = millis.min(*average * MAX_LATENCY_RATIO);
-        *average += (bounded - *average) * LATENCY_EWMA_WEIGHT;
+        match self.latencies.get_mut(&route) {
+            Some(it) => it.record(millis),
+            None => {
+                self.latencies.insert(route, RouteLatency::first(millis));
+            }
+        }
     }
 
     /// Records the start of an attempt of this gateway; returns its new in-flight count at the
@@ -377,7 +376,7 @@
                 server.health.record_answered(now, prior);
                 server.last_progress_at = now;
                 let route = RouteKey(answered.route);
-                let avg_latency = self.average_latencies.get(&route).copied();
+                let avg_latency = self.latencies.get(&route).map(|it| it.average());
                 let millis = f64::from(answered.latency_ms).max(1.0);
                 if let Some(avg_latency) = avg_latency {
                     server.record_latency(now, millis, avg_latency);
@@ -389,9 +388,8 @@
                 server.last_progress_at = now;
             }
             LoadEvent::Shed => server.health.record_shed(now),
-            LoadEvent::Lost(_) | LoadEvent::Overdue => {
-                return server.health.record_lost(now, prior);
-            }
+            LoadEvent::Lost(_) => return server.health.record_lost(now, prior),
+            LoadEvent::Overdue => return server.health.record_overdue(now, prior),
             LoadEvent::Unreachable => server.health.record_unreachable(now),
         }
         false
