Expected losses don't count as widespread failures

Cause: while more than a tenth of a service's attempts fail, all servers that were idle for two seconds are tried, also those believed broken.

A loss at a server that is believed broken no longer counts towards the rate.

Ruled out: how long a loss is remembered.

--- a/components/gateway_core/src/servers/failure_rate.rs
+++ b/components/gateway_core/src/servers/failure_rate.rs
@@ -4,6 +4,9 @@
 //! few servers known to be healthy, while servers that broke connections seconds before the outage
 //! and have recovered are still avoided. While more than a tenth of the attempts fail, servers that
 //! have been idle for two seconds are therefore tried whatever their estimated health.
+//!
+//! Losses at servers that are already believed to be broken are left out: such a try is one of the
+//! consequences, and would keep the rate up by itself.
 
 use ids::{Millis, Timestamp};
 
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -48,6 +48,10 @@
 /// Half-life of the decay of a server's slowdown to 1 without new responses, in milliseconds.
 const SLOWDOWN_HALF_LIFE_MS: f64 = 8_000.0;
 
+/// Probability of being broken from which the loss of a request is expected and says nothing about
+/// other servers.
+const EXPECTED_LOSS_PROBABILITY: f64 = 0.45;
+
 /// Distance of a backend server from this gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Distance {
@@ -258,7 +262,12 @@
             | LoadEvent::Unreachable => return,
         };
         let Some(server) = self.by_key_mut(key) else { return };
-        let service = server.announcement.service.clone();
+        let (service, health) = (server.announcement.service.clone(), server.health);
+        let prior = self.broken_prior(&service);
+        // Tries of servers that are believed broken must not keep up the mode that causes them.
+        if has_failed && health.broken_probability(now, prior) >= EXPECTED_LOSS_PROBABILITY {
+            return;
+        }
         self.failure_rates.entry(service).or_default().record(now, has_failed);
     }
 
--- a/components/gateway_core/tests/placement.rs
+++ b/components/gateway_core/tests/placement.rs
@@ -9,7 +9,7 @@
 use ids::{HostId, RequestId, ServerId};
 use schema::{
     announcement::ServerState,
-    server_load::{LoadEvent, LoadReport, ReportScope},
+    server_load::{Answered, LoadEvent, LoadReport, ReportScope},
 };
 
 fn idempotent_routes() -> Vec<gateway_core::Route> {
@@ -303,3 +303,28 @@
         assert_eq!(harness.run(sent, sent, "/pay/2", AttemptEnd::Answered), second.server);
     }
 }
+
+#[test]
+fn losses_at_servers_that_are_known_to_be_broken_send_no_work_to_others_that_broke() {
+    let servers: Vec<_> = (1..=5).map(|it| server(it, "north-a")).collect();
+    let hosts = vec![entry_host(1, "north-a"), entry_host(2, "north-a")];
+    let mut harness = Harness::new(mixed_routes(), servers, hosts);
+    let lost = |number| report(number, 0, LoadEvent::Lost(ids::Fingerprint::of(&[number as u8])));
+    let answered = |number| {
+        let answered = Answered { latency_ms: 40, route: 0 };
+        report(number, 0, LoadEvent::Answered(answered))
+    };
+    harness.gateway.on_report(at(0), HostId(2), &lost(1));
+
+    // A neighbour tries server 2 again and again, and gets answers from the others.
+    let mut used = Vec::new();
+    for now in (50..3_000).step_by(50) {
+        harness.gateway.on_report(at(now), HostId(2), &lost(2));
+        for number in 3..=5 {
+            harness.gateway.on_report(at(now), HostId(2), &answered(number));
+        }
+        used.push(harness.run(at(now + 1), at(now + 40), "/pay/1", AttemptEnd::Answered));
+    }
+
+    assert!(!used.contains(&server_id(1)) && !used.contains(&server_id(2)), "{used:?}");
+}
