Try again to connect to a host that was without power

Cause: after all hosts lost power, a host that started first sent its opening packets to hosts that were still down. TCP sends them again only after a second, and the connection was given up after 0.8 s, so that messages to hosts that had come back 30 ms later waited that long.

A connection is tried three times for 250 ms each while nothing answers; queued messages stay.

Ruled out: votes denied for older logs, the draw of the election timers.

--- a/components/transport/src/stream.rs
+++ b/components/transport/src/stream.rs
@@ -13,9 +13,15 @@
 
 use crate::{Inbox, Stats, queue::QueuedMessage, seal::MAC_BYTES};
 
-/// Timeout of connecting to a peer. Shorter than the 1 s after which TCP resends a lost SYN, since
-/// the sender of a message sends it again anyway.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Timeout of one attempt to connect to a peer: several round trips between regions.
+///
+/// TCP resends a lost SYN only after 1 s. A host that was without power when the first one was sent
+/// may be back long before.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Number of attempts to connect before the queued messages are dropped; their senders send them
+/// again.
+const CONNECT_ATTEMPTS: usize = 3;
 
 /// Time that sent data may go without a TCP acknowledgement before the connection counts as broken.
 const ACK_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -70,16 +76,12 @@
 }
 
 async fn connect(address: SocketAddr) -> Option<TcpStream> {
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => {
+    let stream = match open_stream(address).await {
+        Ok(stream) => stream,
+        Err(e) => {
             log::debug!(peer:% = address, error:% = e; "cannot connect to the peer");
             return None;
         }
-        Err(_) => {
-            log::debug!(peer:% = address; "connecting to the peer timed out");
-            return None;
-        }
     };
     // Nagle's algorithm would delay small messages.
     if let Err(e) = stream.set_nodelay(true) {
@@ -92,6 +94,16 @@
     Some(stream)
 }
 
+/// Opens a connection; tries again only if nothing answers.
+async fn open_stream(address: SocketAddr) -> io::Result<TcpStream> {
+    for _ in 0..CONNECT_ATTEMPTS {
+        if let Ok(result) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+            return result;
+        }
+    }
+    Err(io::ErrorKind::TimedOut.into())
+}
+
 /// Connects and sends messages until the connection ends; one that was not written is left in
 /// `unsent`.
 async fn connect_and_send(
--- a/components/transport/tests/transport.rs
+++ b/components/transport/tests/transport.rs
@@ -241,3 +241,44 @@
     assert!((1..=8).contains(&queued_for_one), "{queued_for_one} MiB queued for one peer");
     assert!((8..=32).contains(&queued_for_all), "{queued_for_all} MiB queued for six peers");
 }
+
+/// Returns a listener whose queue of new connections is full, and the connections that fill it: it
+/// drops the opening packets of further ones, like a host without power.
+async fn full_listener() -> (socket2::Socket, Vec<TcpStream>) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let address: std::net::SocketAddr = "127.0.0.1:0".parse().unwrap();
+    socket.bind(&address.into()).unwrap();
+    socket.listen(0).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    let mut filling = Vec::new();
+    while let Ok(connected) = timeout(Duration::from_millis(300), TcpStream::connect(address)).await
+    {
+        filling.push(connected.unwrap());
+    }
+    (socket, filling)
+}
+
+#[tokio::test]
+async fn a_message_reaches_a_host_that_comes_back_before_tcp_resends_the_opening_packet() {
+    let (sender, _messages) = bind_host(1, keys(&["ab"])).await;
+    let (socket, filling) = full_listener().await;
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+
+    sender.send(HostId(2), address, stream_message());
+    // The first opening packet is dropped by then.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    socket.set_nonblocking(true).unwrap();
+    let listener = TcpListener::from_std(socket.into()).unwrap();
+    let mut received = 0;
+    let reads = async {
+        // The connections that fill the queue come first and send nothing.
+        for _ in 0..filling.len() {
+            listener.accept().await.unwrap();
+        }
+        let (mut stream, _) = listener.accept().await.unwrap();
+        received = stream.read_u32_le().await.unwrap();
+    };
+
+    timeout(Duration::from_secs(10), reads).await.expect("the message is not dropped");
+    assert!(received > 0);
+}
