Expect no free slot sooner than servers have sent no response

Cause: the time until a slot is free came from average latencies alone.

The expectation is at least the time for which the server has sent no response. A request that cannot be served then is refused sooner too.

--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -140,11 +140,15 @@
     fn slowdown(&self, now: Timestamp, avg_latency: f64) -> f64 {
         let elapsed = now.since(self.slowdown_at).0 as f64;
         let decayed = 1.0 + (self.slowdown - 1.0) * (-elapsed / SLOWDOWN_HALF_LIFE_MS).exp2();
-        let stalled = match self.in_flight(now) {
+        decayed.max(self.stalled_millis(now) / (avg_latency * STALL_LATENCY_FACTOR))
+    }
+
+    /// Returns for how long a busy server has sent no response, in milliseconds; 0 if it is idle.
+    fn stalled_millis(&self, now: Timestamp) -> f64 {
+        match self.in_flight(now) {
             0 => 0.0,
-            _ => now.since(self.last_progress_at).0 as f64 / (avg_latency * STALL_LATENCY_FACTOR),
-        };
-        decayed.max(stalled)
+            _ => now.since(self.last_progress_at).0 as f64,
+        }
     }
 
     fn record_latency(&mut self, now: Timestamp, latency: f64, avg_latency: f64) {
--- a/components/gateway_core/src/servers/placement.rs
+++ b/components/gateway_core/src/servers/placement.rs
@@ -209,7 +209,9 @@
         };
         Self {
             response_in: round_trip + service_time * (1.0 + queued / f64::from(slots)),
-            free_in: service_time / f64::from(slots),
+            // The averages say nothing of what the requests in flight are: without a response for
+            // some time, the next one is as likely to take that long again.
+            free_in: (service_time / f64::from(slots)).max(server.stalled_millis(now)),
             is_full: in_flight >= slots + MAX_QUEUED_AT_SERVER || server.health.is_full(now),
             kilobyte_cost,
             is_unreachable: server.health.is_unreachable(now),
--- a/components/gateway_core/tests/requests.rs
+++ b/components/gateway_core/tests/requests.rs
@@ -5,7 +5,9 @@
 
 use arbtest::arbitrary::{self, Unstructured};
 use common::{Harness, at, config, entry_host, head, route, server};
-use gateway_core::{AttemptEnd, Finish, Idempotency, Refusal, RefusalReason, RunStatus, Step};
+use gateway_core::{
+    AttemptEnd, Finish, Idempotency, Refusal, RefusalReason, RequestHead, RunStatus, Step,
+};
 use ids::{ByteSize, Millis, RequestId, Timestamp};
 
 const ENDS: [AttemptEnd; 7] = [
@@ -264,3 +266,30 @@
         }
     }
 }
+
+#[test]
+fn a_refusal_for_full_servers_names_a_time_that_holds() {
+    let routes = vec![route("look", Idempotency::Idempotent)];
+    let hosts = vec![entry_host(1, "north-a")];
+    let mut harness = Harness::new(routes, vec![server(1, "north-a")], hosts);
+    for i in 0..20 {
+        harness.run(at(i * 50), at(i * 50 + 8), "/look/quick", AttemptEnd::Answered);
+    }
+    // Three slots and two places in the queue are taken by requests that take seconds.
+    for _ in 0..5 {
+        harness.send(at(2_000), "/look/slow");
+    }
+
+    let head = RequestHead { caller_timeout: Some(Millis(300)), ..head("/look/1") };
+    let id = harness.gateway.begin(at(2_020), head).unwrap();
+    let refused =
+        (2_020..2_320).step_by(10).find_map(|now| match harness.gateway.step(at(now), id) {
+            Step::Finish(Finish::Refuse(refusal)) => Some((now, refusal)),
+            _ => None,
+        });
+
+    let (now, refusal) = refused.expect("the request is refused");
+    assert_eq!((refusal.reason, refusal.run), (RefusalReason::Busy, RunStatus::NotRun));
+    let stalled = Millis(now - 2_000);
+    assert!(refusal.retry_after >= Some(stalled), "{refusal:?} after {stalled} ms");
+}
