Leave a server alone for three seconds after a loss while failures are widespread

All losses count again. While failures are widespread, a server that lost a request is tried after 3 to 3.5 s instead of 1.4 to 1.9 s: it counts as sound two seconds after it broke and has two more to get a request. A late answer to an overdue request clears the suspicion that the delay had raised.

--- a/components/gateway_core/src/servers/failure_rate.rs
+++ b/components/gateway_core/src/servers/failure_rate.rs
@@ -3,10 +3,9 @@
 //! Load pattern: many servers of a service break at the same moment. Requests then pile up on the
 //! few servers known to be healthy, while servers that broke connections seconds before the outage
 //! and have recovered are still avoided. While more than a tenth of the attempts fail, servers that
-//! have been idle for two seconds are therefore tried whatever their estimated health.
-//!
-//! Losses at servers that are already believed to be broken are left out: such a try is one of the
-//! consequences, and would keep the rate up by itself.
+//! have been idle for two seconds are therefore tried whatever their estimated health. Such a try
+//! is often lost and keeps the rate up by itself, so a server that has just lost a request is left
+//! alone for longer.
 
 use ids::{Millis, Timestamp};
 
--- a/components/gateway_core/src/servers/health.rs
+++ b/components/gateway_core/src/servers/health.rs
@@ -80,6 +80,10 @@
 pub struct ServerHealth {
     /// Probability of being broken after the last outcome, and the time of that outcome.
     broken_probability: Option<(f64, Timestamp)>,
+    /// Probability of being broken before the latest overdue request.
+    before_overdue: Option<f64>,
+    /// When a gateway of any data centre last lost a request here.
+    lost_at: Option<Timestamp>,
     /// Number of consecutive failed connections.
     failed_connections: u32,
     unreachable_until: Timestamp,
@@ -96,15 +100,26 @@
 
     /// Records an overdue request; returns whether the server becomes avoided.
     pub fn record_overdue(&mut self, now: Timestamp, prior: &mut BrokenPrior) -> bool {
+        self.before_overdue = Some(self.broken_probability(now, *prior));
         self.record_failure(now, prior, HEALTHY_OVERDUE_PROBABILITY)
     }
 
     fn record_failure(&mut self, now: Timestamp, prior: &mut BrokenPrior, healthy: f64) -> bool {
+        self.lost_at = Some(now);
         let before = self.broken_probability(now, *prior);
         self.update_posterior(now, prior, (BROKEN_LOSS_PROBABILITY, healthy), true);
         before < AVOIDED_PROBABILITY && self.broken_probability(now, *prior) >= AVOIDED_PROBABILITY
     }
 
+    /// Records the complete response to an overdue request: the server was slow, so that the
+    /// suspicion was wrong.
+    pub fn record_late_answer(&mut self, now: Timestamp, prior: &mut BrokenPrior) {
+        if let Some(before) = self.before_overdue.take() {
+            self.broken_probability = Some((before, now));
+        }
+        self.record_answered(now, prior);
+    }
+
     /// Records a complete response.
     pub fn record_answered(&mut self, now: Timestamp, prior: &mut BrokenPrior) {
         self.failed_connections = 0;
@@ -132,6 +147,11 @@
         self.full_until = now + FULL_BACKOFF;
     }
 
+    /// Returns the time since a request was lost here, or `None` if none was.
+    pub fn since_lost(&self, now: Timestamp) -> Option<Millis> {
+        self.lost_at.map(|at| now.since(at))
+    }
+
     /// Returns whether the server has recently reported that it is full.
     pub fn is_full(&self, now: Timestamp) -> bool {
         now < self.full_until
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -48,10 +48,6 @@
 /// Half-life of the decay of a server's slowdown to 1 without new responses, in milliseconds.
 const SLOWDOWN_HALF_LIFE_MS: f64 = 8_000.0;
 
-/// Probability of being broken from which the loss of a request is expected and says nothing about
-/// other servers.
-const EXPECTED_LOSS_PROBABILITY: f64 = 0.45;
-
 /// Distance of a backend server from this gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Distance {
@@ -266,12 +262,7 @@
             | LoadEvent::Unreachable => return,
         };
         let Some(server) = self.by_key_mut(key) else { return };
-        let (service, health) = (server.announcement.service.clone(), server.health);
-        let prior = self.broken_prior(&service);
-        // Tries of servers that are believed broken must not keep up the mode that causes them.
-        if has_failed && health.broken_probability(now, prior) >= EXPECTED_LOSS_PROBABILITY {
-            return;
-        }
+        let service = server.announcement.service.clone();
         self.failure_rates.entry(service).or_default().record(now, has_failed);
     }
 
@@ -386,13 +377,16 @@
         match event {
             LoadEvent::Started | LoadEvent::Repeated | LoadEvent::Cancelled => {}
             LoadEvent::Answered(answered) => {
-                server.health.record_answered(now, prior);
                 server.last_progress_at = now;
                 let route = RouteKey(answered.route);
-                let avg_latency = self.latencies.get(&route).map(|it| it.average());
                 let millis = f64::from(answered.latency_ms).max(1.0);
-                if let Some(avg_latency) = avg_latency {
-                    server.record_latency(now, millis, avg_latency);
+                let latency = self.latencies.get(&route).copied();
+                match latency.is_some_and(|it| millis >= it.overdue()) {
+                    true => server.health.record_late_answer(now, prior),
+                    false => server.health.record_answered(now, prior),
+                }
+                if let Some(latency) = latency {
+                    server.record_latency(now, millis, latency.average());
                 }
                 self.record_latency(route, millis);
             }
--- a/components/gateway_core/src/servers/placement.rs
+++ b/components/gateway_core/src/servers/placement.rs
@@ -77,6 +77,11 @@
 /// centre then gets a request within two seconds, since the cause of its failure may have passed.
 const IDLE_RAMP_WIDESPREAD_FAILURES: (f64, f64) = (1_400.0, 1_900.0);
 
+/// Range of time since the last lost request over which the cost reduction rises to its full value
+/// while failures are widespread, in milliseconds: a server counts as healthy again two seconds
+/// after it broke, and then has to get requests within two more.
+const LOST_RAMP_WIDESPREAD_FAILURES: (f64, f64) = (3_000.0, 3_500.0);
+
 /// Cost reduction for an idle server while failures are widespread, in lost requests: more than the
 /// risk of a server that is certainly broken.
 const IDLE_BONUS_WIDESPREAD_FAILURES: f64 = 1.0;
@@ -190,6 +195,8 @@
     idle_millis: f64,
     /// Probability that the server is broken.
     broken_probability: f64,
+    /// Time since a request was lost at the server, in milliseconds; infinite if none was.
+    millis_since_lost: f64,
 }
 
 impl Estimate {
@@ -218,6 +225,10 @@
             failure_probability: server.health.failure_probability(now, prior),
             idle_millis: idle_millis(now, server),
             broken_probability: server.health.broken_probability(now, prior),
+            millis_since_lost: server
+                .health
+                .since_lost(now)
+                .map_or(f64::INFINITY, |it| it.0 as f64),
         }
     }
 
@@ -258,12 +269,15 @@
 
     fn widespread_failure_bonus(&self) -> f64 {
         let (from, to) = IDLE_RAMP_WIDESPREAD_FAILURES;
-        IDLE_BONUS_WIDESPREAD_FAILURES * self.idle_ramp(from, to)
+        let (lost_from, lost_to) = LOST_RAMP_WIDESPREAD_FAILURES;
+        IDLE_BONUS_WIDESPREAD_FAILURES
+            * self.idle_ramp(from, to)
+            * ramp(self.millis_since_lost, lost_from, lost_to)
     }
 
     /// Returns the position of the idle time between two bounds, from 0 to 1.
     fn idle_ramp(&self, from: f64, to: f64) -> f64 {
-        ((self.idle_millis - from) / (to - from)).clamp(0.0, 1.0)
+        ramp(self.idle_millis, from, to)
     }
 }
 
@@ -278,6 +292,11 @@
     server.idle(now).map_or(f64::INFINITY, |it| it.0 as f64)
 }
 
+/// Returns the position of a value between two bounds, from 0 to 1.
+fn ramp(value: f64, from: f64, to: f64) -> f64 {
+    ((value - from) / (to - from)).clamp(0.0, 1.0)
+}
+
 fn to_millis(value: f64) -> Millis {
     Millis(value.clamp(1.0, 60_000.0) as u64)
 }
--- a/components/gateway_core/tests/overdue.rs
+++ b/components/gateway_core/tests/overdue.rs
@@ -71,3 +71,22 @@
         assert_ne!(used, held.server);
     }
 }
+
+#[test]
+fn a_late_response_shows_that_the_server_was_only_slow() {
+    let mut harness = gateway_after(&[95, 100, 105]);
+    let (id, slow) = harness.send(at(40_000), "/pay/2");
+    harness.gateway.step(at(40_300), id);
+    harness.end(at(40_400), id, &slow, AttemptEnd::Answered);
+    harness.gateway.step(at(40_400), id);
+    harness.gateway.forget(at(40_400), id);
+
+    let used: Vec<_> = (0..15)
+        .map(|i| {
+            let now = at(40_410 + i * 110);
+            harness.run(now, now + ids::Millis(100), "/pay/3", AttemptEnd::Answered)
+        })
+        .collect();
+
+    assert!(used.contains(&slow.server), "{used:?}");
+}
