Try idle servers within two seconds in calm times too

Each server that was idle for 1.4 to 1.9 s is tried, 3 to 3.5 s after a loss at the earliest. The failure rate is no longer needed.

--- a/components/gateway_core/src/gateway/reports.rs
+++ b/components/gateway_core/src/gateway/reports.rs
@@ -15,7 +15,6 @@
             ReportScope::Near => {
                 self.servers.record_peer_in_flight(now, from, key, report.in_flight);
                 self.record_attempt(now, key, &report.event);
-                self.servers.record_outcome(now, key, &report.event);
             }
             ReportScope::ToPassOn => self.relay(report),
             ReportScope::PassedOn => {}
@@ -46,7 +45,6 @@
 
     pub(super) fn report_end(&mut self, now: Timestamp, key: ServerKey, event: LoadEvent) {
         let in_flight = self.servers.record_own_end(key);
-        self.servers.record_outcome(now, key, &event);
         self.record_event(now, self.settings.host, key, &event);
         self.report(key, in_flight, event);
         self.wake_next(key);
--- a/components/gateway_core/src/servers/health.rs
+++ b/components/gateway_core/src/servers/health.rs
@@ -21,7 +21,7 @@
 const HEALTHY_LOSS_PROBABILITY: f64 = 0.003;
 
 /// Probability that a healthy server answers a request only after it is overdue.
-const HEALTHY_OVERDUE_PROBABILITY: f64 = 0.02;
+const HEALTHY_OVERDUE_PROBABILITY: f64 = 0.01;
 
 /// Probability of being broken from which a server is logged as avoided.
 const AVOIDED_PROBABILITY: f64 = 0.5;
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -4,7 +4,6 @@
 //! flight each. The counts of a single gateway say little, so the gateways of a data centre report
 //! each start and end of an attempt to each other, and each sums the requests in flight of all.
 
-mod failure_rate;
 pub mod health;
 mod latency;
 pub mod placement;
@@ -21,7 +20,6 @@
     sync::RegistryChanges,
 };
 
-use failure_rate::FailureRate;
 use health::{BrokenPrior, ServerHealth};
 use latency::RouteLatency;
 
@@ -171,8 +169,6 @@
     by_service: FastMap<ServiceName, Vec<ServerId>>,
     /// Prior probability of a broken server, by service.
     broken_priors: FastMap<ServiceName, BrokenPrior>,
-    /// Failure rates of this data centre's attempts, by service.
-    failure_rates: FastMap<ServiceName, FailureRate>,
     /// Latencies by route.
     latencies: FastMap<RouteKey, RouteLatency>,
     /// Average sizes of request and response together by route, in kilobytes.
@@ -194,7 +190,6 @@
             by_address: FastMap::default(),
             by_service: FastMap::default(),
             broken_priors: FastMap::default(),
-            failure_rates: FastMap::default(),
             latencies: FastMap::default(),
             average_kilobytes: FastMap::default(),
         }
@@ -244,28 +239,6 @@
         self.broken_priors.get(service).copied().unwrap_or_default()
     }
 
-    /// Returns whether many attempts at the service fail at present.
-    pub fn has_widespread_failures(&self, now: Timestamp, service: &ServiceName) -> bool {
-        self.failure_rates.get(service).is_some_and(|it| it.is_widespread(now))
-    }
-
-    /// Records the end of an attempt of any gateway in this data centre for
-    /// [`Self::has_widespread_failures`].
-    pub(crate) fn record_outcome(&mut self, now: Timestamp, key: ServerKey, event: &LoadEvent) {
-        let has_failed = match event {
-            LoadEvent::Answered(_) => false,
-            LoadEvent::Lost(_) | LoadEvent::Overdue | LoadEvent::ServerError => true,
-            LoadEvent::Started
-            | LoadEvent::Repeated
-            | LoadEvent::Cancelled
-            | LoadEvent::Shed
-            | LoadEvent::Unreachable => return,
-        };
-        let Some(server) = self.by_key_mut(key) else { return };
-        let service = server.announcement.service.clone();
-        self.failure_rates.entry(service).or_default().record(now, has_failed);
-    }
-
     /// Returns the average latency of a route, in milliseconds.
     pub fn average_latency(&self, route: &Route) -> f64 {
         self.latency(route).average()
--- a/components/gateway_core/src/servers/placement.rs
+++ b/components/gateway_core/src/servers/placement.rs
@@ -12,7 +12,9 @@
 //! - *New servers, and servers that were avoided.* A server of this data centre that has been idle
 //!   for a second is tried, so that all servers keep receiving requests and their health estimates
 //!   stay fresh. Idempotent requests are sent to it first.
-//! - *Many servers that break at once.* See [`super::failure_rate`].
+//! - *Many servers that break at once*, or hosts that go down with requests in flight. Servers that
+//!   recovered seconds before must have part in the work by then, so each idle server is tried
+//!   within two seconds whatever is believed of it, but not sooner than three after a loss.
 //! - *Servers that break connections for a few seconds.* See [`super::health`]; the risk weighs
 //!   more for non-idempotent requests.
 
@@ -73,18 +75,17 @@
 /// idle server.
 const IDLE_MAX_BROKEN_NON_IDEMPOTENT: f64 = 0.45;
 
-/// Range of idle time while failures are widespread, in milliseconds: each server of this data
-/// centre then gets a request within two seconds, since the cause of its failure may have passed.
-const IDLE_RAMP_WIDESPREAD_FAILURES: (f64, f64) = (1_400.0, 1_900.0);
+/// Range of idle time over which the cost reduction for any idle server rises to its full value, in
+/// milliseconds: a healthy server has to get requests within two seconds.
+const LONG_IDLE_RAMP: (f64, f64) = (1_400.0, 1_900.0);
 
-/// Range of time since the last lost request over which the cost reduction rises to its full value
-/// while failures are widespread, in milliseconds: a server counts as healthy again two seconds
-/// after it broke, and then has to get requests within two more.
-const LOST_RAMP_WIDESPREAD_FAILURES: (f64, f64) = (3_000.0, 3_500.0);
+/// Cost reduction for a server that was idle for long, in lost requests; it exceeds all other costs.
+const LONG_IDLE_BONUS: f64 = 1.0;
 
-/// Cost reduction for an idle server while failures are widespread, in lost requests: more than the
-/// risk of a server that is certainly broken.
-const IDLE_BONUS_WIDESPREAD_FAILURES: f64 = 1.0;
+/// Range of time since the last lost request over which [`LONG_IDLE_BONUS`] rises to its full value,
+/// in milliseconds: a server counts as healthy again two seconds after it broke, and then has to get
+/// requests within two more.
+const LONG_IDLE_LOST_RAMP: (f64, f64) = (3_000.0, 3_500.0);
 
 /// Round-trip time to another data centre of the region, in milliseconds.
 const SAME_REGION_ROUND_TRIP_MS: f64 = 3.0;
@@ -144,7 +145,6 @@
     let kilobytes = table.average_kilobytes(request.route);
     let target_latency = request.route.target_latency.0.max(1) as f64;
     let time_left = request.time_left.0 as f64;
-    let has_widespread_failures = table.has_widespread_failures(now, request.service);
     let mut best: Option<(f64, &Server)> = None;
     let mut earliest_free = f64::INFINITY;
     let mut earliest_response = f64::INFINITY;
@@ -161,11 +161,9 @@
             earliest_free = earliest_free.min(estimate.free_in);
             continue;
         }
-        let mut cost = estimate.cost(request.route.idempotency, target_latency, kilobytes)
-            + COST_JITTER * random();
-        if has_widespread_failures {
-            cost -= estimate.widespread_failure_bonus();
-        }
+        let cost = estimate.cost(request.route.idempotency, target_latency, kilobytes)
+            + COST_JITTER * random()
+            - estimate.long_idle_bonus();
         if best.is_none_or(|(lowest, _)| cost < lowest) {
             best = Some((cost, server));
         }
@@ -267,10 +265,10 @@
         bonus * self.idle_ramp(from, to)
     }
 
-    fn widespread_failure_bonus(&self) -> f64 {
-        let (from, to) = IDLE_RAMP_WIDESPREAD_FAILURES;
-        let (lost_from, lost_to) = LOST_RAMP_WIDESPREAD_FAILURES;
-        IDLE_BONUS_WIDESPREAD_FAILURES
+    fn long_idle_bonus(&self) -> f64 {
+        let (from, to) = LONG_IDLE_RAMP;
+        let (lost_from, lost_to) = LONG_IDLE_LOST_RAMP;
+        LONG_IDLE_BONUS
             * self.idle_ramp(from, to)
             * ramp(self.millis_since_lost, lost_from, lost_to)
     }
