Log and count each retry with what the gateway knew of the retry budget

The logs could not tell the hypotheses of the incident apart: no line said what a gateway believed when it sent a retry, and a request that the budget stopped ended as no-answer like any other.

'retry sent' has the first attempts, own and heard retries and the limit; retries_total counts by service; requests that the budget stops end as retry-budget-spent. What the budget allows is unchanged.

--- a/components/gateway/src/entry/events.rs
+++ b/components/gateway/src/entry/events.rs
@@ -42,6 +42,16 @@
         Event::ControlHostFound { host } => {
             log::info!(host:% = peers::address_of(*host, 0).ip(); "control host found");
         }
+        Event::RetrySent { service, usage } => {
+            log::info!(
+                service:% = service,
+                first = usage.first,
+                own_retries = usage.own_retries,
+                heard_retries = usage.heard_retries,
+                allowed = usage.allowed;
+                "retry sent"
+            );
+        }
         Event::RequestQuarantined { request, servers } => {
             log::warn!(request = request.0, servers = *servers; "request quarantined");
         }
--- a/components/gateway/src/entry/metrics.rs
+++ b/components/gateway/src/entry/metrics.rs
@@ -27,12 +27,18 @@
     end: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
 /// The metrics of a gateway.
 pub(crate) struct Metrics {
     registry: Registry,
     transport: TransportMetrics,
     requests: Family<RequestLabels, Counter>,
     attempts: Family<AttemptLabels, Counter>,
+    retries: Family<ServiceLabels, Counter>,
     latency: Histogram,
     wait_time: Histogram,
     servers_avoided: Counter,
@@ -51,6 +57,8 @@
         registry.register("requests", "Requests by service and outcome", requests.clone());
         let attempts = Family::<AttemptLabels, Counter>::default();
         registry.register("attempts", "Attempts by how they ended", attempts.clone());
+        let retries = Family::<ServiceLabels, Counter>::default();
+        registry.register("retries", "Retries sent, by service", retries.clone());
         let latency = Histogram::new(LATENCY_BUCKETS);
         let help = "Time from a request's receipt to its answer, in seconds";
         registry.register("request_seconds", help, latency.clone());
@@ -78,6 +86,7 @@
             transport,
             requests,
             attempts,
+            retries,
             latency,
             wait_time,
             servers_avoided,
@@ -111,6 +120,10 @@
             Event::ServerAvoided { .. } => {
                 self.servers_avoided.inc();
             }
+            Event::RetrySent { service, .. } => {
+                let labels = ServiceLabels { service: service.to_string() };
+                self.retries.get_or_create(&labels).inc();
+            }
             Event::ControlHostLost { .. } => {
                 self.control_hosts_lost.inc();
             }
--- a/components/gateway_core/src/events.rs
+++ b/components/gateway_core/src/events.rs
@@ -2,6 +2,26 @@
 
 use ids::{ConfigVersion, DataCentreName, HostId, Millis, RequestId, ServerId, ServiceName};
 
+/// What a gateway knows of the attempts for a service in the current window.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RetryUsage {
+    /// First attempts of all known gateways.
+    pub first: u64,
+    /// Retries of this gateway.
+    pub own_retries: u64,
+    /// Retries that other gateways reported.
+    pub heard_retries: u64,
+    /// Number of retries that may be sent in the window.
+    pub allowed: u64,
+}
+
+impl RetryUsage {
+    /// Returns whether another retry may be sent.
+    pub fn allows_retry(&self) -> bool {
+        self.own_retries + self.heard_retries < self.allowed
+    }
+}
+
 /// A decision or an observed state change.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
@@ -46,6 +66,13 @@
         /// The control host.
         host: HostId,
     },
+    /// A retry was sent.
+    RetrySent {
+        /// Service of the request.
+        service: ServiceName,
+        /// What the gateway knew of the retry budget before the retry.
+        usage: RetryUsage,
+    },
     /// A request crashed several servers and is refused from now on.
     RequestQuarantined {
         /// The request whose loss reached the limit; 0 if another gateway reported it.
--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -6,11 +6,12 @@
 use super::{Gateway, QUARANTINE_RETRY_AFTER, queue_key};
 use crate::{
     configuration::Idempotency,
-    events::Event,
+    events::{Event, RetryUsage},
     requests::{
         AttemptEnd, AttemptStart, Finish, InFlightAttempt, Refusal, RefusalReason, Request,
         RunStatus, Step,
     },
+    retry_budget::Attempt,
     servers::{
         ServerKey,
         placement::{self, Placement, PlacementRequest},
@@ -190,7 +191,10 @@
             return None;
         }
         let Placement::Server(server) = self.place(now, id) else { return None };
-        self.may_retry(now, id).then(|| self.start_attempt(now, id, server)).flatten()
+        match self.retry_usage(now, id).allows_retry() {
+            true => self.start_attempt(now, id, server),
+            false => None,
+        }
     }
 
     fn send_or_wait(&mut self, now: Timestamp, id: RequestId) -> Step {
@@ -221,8 +225,9 @@
     }
 
     fn send(&mut self, now: Timestamp, id: RequestId, server: ServerId) -> Step {
-        if self.requests[&id].arrived_attempts > 0 && !self.may_retry(now, id) {
-            return self.give_up(id, RefusalReason::NoAnswer, Some(NO_SERVER_RETRY_AFTER));
+        if self.requests[&id].arrived_attempts > 0 && !self.retry_usage(now, id).allows_retry() {
+            let retry_after = Some(NO_SERVER_RETRY_AFTER);
+            return self.give_up(id, RefusalReason::RetryBudgetSpent, retry_after);
         }
         let request = &self.requests[&id];
         let (service, key) = (request.service.clone(), queue_key(request, id));
@@ -267,12 +272,12 @@
         placement::place(now, &self.servers, &placement_request, || Self::random_unit(rng))
     }
 
-    /// Returns whether the retry budget allows another attempt.
-    fn may_retry(&self, now: Timestamp, id: RequestId) -> bool {
+    /// Returns what is known of the retry budget that the request draws on.
+    fn retry_usage(&self, now: Timestamp, id: RequestId) -> RetryUsage {
         let service = &self.requests[&id].service;
         let local_gateways =
             self.entry_hosts.in_data_centre(&self.settings.data_centre).count().max(1);
-        self.retry_budget.allows(now, service, self.entry_hosts.len(), local_gateways)
+        self.retry_budget.usage(now, service, self.entry_hosts.len(), local_gateways)
     }
 
     fn start_attempt(
@@ -282,9 +287,14 @@
         server: ServerId,
     ) -> Option<AttemptStart> {
         let announcement = self.servers.get(&server)?.announcement.clone();
+        let is_first = self.requests.get(&id)?.counted_attempts() == 0;
+        if !is_first {
+            let usage = self.retry_usage(now, id);
+            let service = announcement.service.clone();
+            self.events.push(Event::RetrySent { service, usage });
+        }
         let request = self.requests.get_mut(&id)?;
         let attempt = AttemptNumber(u32::try_from(request.attempt_log.len()).unwrap_or(u32::MAX));
-        let is_first = request.counted_attempts() == 0;
         let key = ServerKey::of(&announcement);
         request.in_flight.push(InFlightAttempt {
             number: attempt,
@@ -303,7 +313,8 @@
             may_reuse_connection: request.route.idempotency == Idempotency::Idempotent,
         };
         let service = request.service.clone();
-        self.retry_budget.record_attempt(now, &service, is_first);
+        let kind = if is_first { Attempt::First } else { Attempt::OwnRetry };
+        self.retry_budget.record_attempt(now, &service, kind);
         self.report_start(now, key, is_first);
         Some(start)
     }
--- a/components/gateway_core/src/gateway/reports.rs
+++ b/components/gateway_core/src/gateway/reports.rs
@@ -5,7 +5,7 @@
 use schema::server_load::{LoadEvent, LoadReport, ReportScope};
 
 use super::{Gateway, OutgoingReport};
-use crate::{events::Event, servers::ServerKey};
+use crate::{events::Event, retry_budget::Attempt, servers::ServerKey};
 
 impl Gateway {
     /// Processes a load report of another gateway.
@@ -28,13 +28,13 @@
 
     /// Counts another gateway's attempt against the shared retry budget.
     fn record_attempt(&mut self, now: Timestamp, key: ServerKey, event: &LoadEvent) {
-        let is_first = match event {
-            LoadEvent::Started => true,
-            LoadEvent::Repeated => false,
+        let attempt = match event {
+            LoadEvent::Started => Attempt::First,
+            LoadEvent::Repeated => Attempt::HeardRetry,
             _ => return,
         };
         let Some(server) = self.servers.by_key_mut(key) else { return };
-        self.retry_budget.record_attempt(now, &server.announcement.service, is_first);
+        self.retry_budget.record_attempt(now, &server.announcement.service, attempt);
     }
 
     pub(super) fn report_start(&mut self, now: Timestamp, key: ServerKey, is_first: bool) {
--- a/components/gateway_core/src/lib.rs
+++ b/components/gateway_core/src/lib.rs
@@ -21,7 +21,7 @@
         ServicePolicy,
     },
     entry_hosts::DirectoryAnswer,
-    events::{Event, RequestSummary},
+    events::{Event, RequestSummary, RetryUsage},
     gateway::{Gateway, OutgoingReport},
     registry_poller::{OutgoingPoll, POLL_TIMEOUT},
     requests::{
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -117,6 +117,8 @@
     TimeLimit,
     /// no backend server gave a whole answer
     NoAnswer,
+    /// the retry budget of the service is spent
+    RetryBudgetSpent,
     /// this gateway stops
     Stopping,
 }
@@ -132,6 +134,7 @@
             Self::Quarantined => "quarantined",
             Self::TimeLimit => "time-limit",
             Self::NoAnswer => "no-answer",
+            Self::RetryBudgetSpent => "retry-budget-spent",
             Self::Stopping => "stopping",
         }
     }
