Add failing tests for the retry budget of gateways that don't hear each other

Twelve gateways whose servers lose everything; five of them are frozen for 2.5 s, or no report arrives.

--- /dev/null
+++ b/components/gateway_core/tests/retry_budget.rs
@@ -0,0 +1,173 @@
+//! Tests that the gateways of a data centre keep to the retry budget that they share, whether or not
+//! they hear each other.
+
+mod common;
+
+use std::ops::Range;
+
+use common::{at, entry_host, gateway, head, route, server};
+use gateway_core::{AttemptEnd, Gateway, Idempotency, Step};
+use ids::{ByteSize, HostId, RequestId, Timestamp};
+use schema::server_load::LoadReport;
+
+/// Number of gateways in the data centre, which is half of the fleet.
+const GATEWAYS: u32 = 12;
+
+/// Retries in a window that the budget of the fleet allows this data centre beyond a fifth of its
+/// requests.
+const SLACK: usize = 24;
+
+/// Length of the window of the budget, in milliseconds.
+const WINDOW: u64 = 10_000;
+
+/// Milliseconds per simulation step; messages arrive in the next step.
+const STEP: u64 = 5;
+
+/// Gateways of one data centre.
+struct DataCentre {
+    gateways: Vec<Gateway>,
+    /// How attempts end.
+    attempt_end: AttemptEnd,
+    /// Milliseconds between two requests of a gateway.
+    request_interval: u64,
+    /// How long each gateway has been frozen, in milliseconds: its clock stops with it.
+    frozen_for: Vec<u64>,
+    reports: Vec<(HostId, HostId, LoadReport)>,
+    waiting: Vec<(usize, RequestId, Timestamp)>,
+    /// When requests began, and when retries were sent.
+    requests: Vec<u64>,
+    retries: Vec<u64>,
+}
+
+impl DataCentre {
+    fn new(request_interval: u64) -> Self {
+        let servers: Vec<_> = (1..=8).map(|it| server(it, "north-a")).collect();
+        let here = (1..=GATEWAYS).map(|it| entry_host(it, "north-a"));
+        let elsewhere = (1..=GATEWAYS).map(|it| entry_host(100 + it, "south-a"));
+        let hosts: Vec<_> = here.chain(elsewhere).collect();
+        let routes = vec![route("look", Idempotency::Idempotent)];
+        let gateways = (1..=GATEWAYS)
+            .map(|it| gateway(HostId(it), routes.clone(), servers.clone(), hosts.clone()));
+        Self {
+            gateways: gateways.collect(),
+            attempt_end: AttemptEnd::Lost,
+            request_interval,
+            frozen_for: vec![0; GATEWAYS as usize],
+            reports: Vec::new(),
+            waiting: Vec::new(),
+            requests: Vec::new(),
+            retries: Vec::new(),
+        }
+    }
+
+    /// Runs for a time in which the gateways `is_frozen` are frozen and messages for which
+    /// `is_lost` holds don't arrive.
+    fn run(
+        &mut self,
+        time: Range<u64>,
+        is_frozen: impl Fn(usize) -> bool,
+        is_lost: impl Fn(HostId, HostId) -> bool,
+    ) {
+        for now in time.step_by(STEP as usize) {
+            for i in (0..self.gateways.len()).filter(|it| is_frozen(*it)) {
+                self.frozen_for[i] += STEP;
+            }
+            for (from, to, report) in std::mem::take(&mut self.reports) {
+                let i = to.0 as usize - 1;
+                if !is_frozen(i) && !is_lost(from, to) {
+                    let clock = self.clock(i, now);
+                    self.gateways[i].on_report(clock, from, &report);
+                }
+            }
+            for (i, id, due) in std::mem::take(&mut self.waiting) {
+                match is_frozen(i) || self.clock(i, now) < due {
+                    true => self.waiting.push((i, id, due)),
+                    false => self.step(i, id, now),
+                }
+            }
+            for i in (0..self.gateways.len()).filter(|it| !is_frozen(*it)) {
+                let offset = i as u64 * self.request_interval / u64::from(GATEWAYS) / STEP * STEP;
+                if now % self.request_interval == offset {
+                    self.request(i, now);
+                }
+                self.collect(i);
+            }
+        }
+    }
+
+    /// Returns the time that gateway `i` reads from its own clock.
+    fn clock(&self, i: usize, now: u64) -> Timestamp {
+        at(now - self.frozen_for[i])
+    }
+
+    fn request(&mut self, i: usize, now: u64) {
+        self.requests.push(now);
+        let path = format!("/look/{i}-{now}");
+        let clock = self.clock(i, now);
+        let id = self.gateways[i].begin(clock, head(&path)).expect("the request is accepted");
+        self.step(i, id, now);
+    }
+
+    /// Performs the steps of a request until it waits or ends.
+    fn step(&mut self, i: usize, id: RequestId, now: u64) {
+        let clock = self.clock(i, now);
+        let gateway = &mut self.gateways[i];
+        loop {
+            match gateway.step(clock, id) {
+                Step::Send(start) => {
+                    if start.attempt.0 > 0 {
+                        self.retries.push(now);
+                    }
+                    let end = self.attempt_end;
+                    gateway.attempt_ended(clock, id, start.attempt, end, ByteSize(100));
+                }
+                Step::Wait(due) => return self.waiting.push((i, id, due)),
+                Step::Finish(_) => {
+                    gateway.forget(clock, id);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn collect(&mut self, i: usize) {
+        let from = HostId(i as u32 + 1);
+        for outgoing in self.gateways[i].take_reports() {
+            let to = outgoing.to.into_iter().filter(|it| it.0 <= GATEWAYS);
+            self.reports.extend(to.map(|it| (from, it, outgoing.report.clone())));
+        }
+    }
+
+    fn assert_within_budget(&self) {
+        for start in &self.retries {
+            let window = *start..*start + WINDOW;
+            let requests = self.requests.iter().filter(|it| window.contains(it)).count();
+            let retries = self.retries.iter().filter(|it| window.contains(it)).count();
+            assert!(
+                retries * 5 <= requests + SLACK * 5,
+                "{retries} retries for {requests} requests from {start} ms"
+            );
+        }
+    }
+}
+
+#[test]
+fn gateways_that_were_frozen_do_not_retry_what_others_have_spent() {
+    let mut data_centre = DataCentre::new(50);
+    data_centre.attempt_end = AttemptEnd::Answered;
+    data_centre.run(0..5_000, |_| false, |_, _| false);
+    data_centre.attempt_end = AttemptEnd::Lost;
+    data_centre.run(5_000..6_000, |_| false, |_, _| false);
+    data_centre.run(6_000..8_500, |it| it < 5, |_, _| false);
+    data_centre.run(8_500..25_000, |_| false, |_, _| false);
+
+    data_centre.assert_within_budget();
+}
+
+#[test]
+fn gateways_that_hear_nobody_stay_within_the_retry_budget() {
+    let mut data_centre = DataCentre::new(50);
+    data_centre.run(0..25_000, |_| false, |_, _| true);
+
+    data_centre.assert_within_budget();
+}
