Let each gateway spend only its own part of the retry budget, and borrow from others

Cause: a gateway counted the retries that it had heard of against the budget of its data centre, so that silence counted as unspent budget. Class: a shared limit enforced from what each one has heard of the others.

Ruled out: attempts that reach no server counted as first ones (3 of 9243 requests); restarts (none in the window); decisions at the same moment alone (hosts that were not frozen stop in time).

Change: a gateway's part is a fraction of its own callers' requests and an equal share of the fixed number, so that the parts sum to the budget whoever hears whom. What one needs more it borrows; the lender charges a loan before sending it. Requests count when they are accepted, not for each first attempt, so that attempts that reach no server don't raise the budget.

--- a/components/fleet_core/src/control_host.rs
+++ b/components/fleet_core/src/control_host.rs
@@ -159,7 +159,8 @@
             | PeerMessage::Health(_)
             | PeerMessage::Limits(_)
             | PeerMessage::Sync(_)
-            | PeerMessage::ServerLoad(_) => Vec::new(),
+            | PeerMessage::ServerLoad(_)
+            | PeerMessage::RetryLoan(_) => Vec::new(),
         }
     }
 
--- a/components/gateway/src/entry/events.rs
+++ b/components/gateway/src/entry/events.rs
@@ -45,10 +45,10 @@
         Event::RetrySent { service, usage } => {
             log::info!(
                 service:% = service,
-                first = usage.first,
-                own_retries = usage.own_retries,
-                heard_retries = usage.heard_retries,
-                allowed = usage.allowed;
+                requests = usage.requests,
+                charged_milli = usage.charged.0,
+                borrowed_milli = usage.borrowed.0,
+                allowed_milli = usage.allowed.0;
                 "retry sent"
             );
         }
--- a/components/gateway/src/entry/shared.rs
+++ b/components/gateway/src/entry/shared.rs
@@ -62,14 +62,17 @@
         let now = self.clock.now();
         let mut core = self.core.borrow_mut();
         let result = f(&mut core, now);
-        let (reports, events, wakeups) =
-            (core.take_reports(), core.take_events(), core.take_wakeups());
+        let (reports, loans, events, wakeups) =
+            (core.take_reports(), core.take_retry_loans(), core.take_events(), core.take_wakeups());
         drop(core);
         for outgoing in reports {
             for to in outgoing.to {
                 self.send(to, PeerMessage::ServerLoad(outgoing.report.clone()));
             }
         }
+        for (to, message) in loans {
+            self.send(to, PeerMessage::RetryLoan(message));
+        }
         for event in &events {
             self.metrics.count_event(event);
             events::log_event(event);
--- a/components/gateway_core/src/events.rs
+++ b/components/gateway_core/src/events.rs
@@ -1,24 +1,31 @@
 //! Events that a gateway reports for logs and metrics.
 
-use ids::{ConfigVersion, DataCentreName, HostId, Millis, RequestId, ServerId, ServiceName};
+use ids::{
+    ConfigVersion, DataCentreName, HostId, Millis, RequestId, RetryCredit, ServerId, ServiceName,
+};
 
-/// What a gateway knows of the attempts for a service in the current window.
+/// A gateway's part of the retry budget of a service in the current window.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RetryUsage {
-    /// First attempts of all known gateways.
-    pub first: u64,
-    /// Retries of this gateway.
-    pub own_retries: u64,
-    /// Retries that other gateways reported.
-    pub heard_retries: u64,
-    /// Number of retries that may be sent in the window.
-    pub allowed: u64,
+    /// Requests of its callers.
+    pub requests: u64,
+    /// What it has spent or lent.
+    pub charged: RetryCredit,
+    /// What it has borrowed and not spent.
+    pub borrowed: RetryCredit,
+    /// What it may spend or lend in the window, without loans.
+    pub allowed: RetryCredit,
 }
 
 impl RetryUsage {
-    /// Returns whether another retry may be sent.
-    pub fn allows_retry(&self) -> bool {
-        self.own_retries + self.heard_retries < self.allowed
+    /// Returns what is left of its own part.
+    pub fn left(&self) -> RetryCredit {
+        RetryCredit(self.allowed.0.saturating_sub(self.charged.0))
+    }
+
+    /// Returns what can be spent, loans included.
+    pub fn available(&self) -> RetryCredit {
+        RetryCredit(self.left().0 + self.borrowed.0)
     }
 }
 
@@ -70,7 +77,7 @@
     RetrySent {
         /// Service of the request.
         service: ServiceName,
-        /// What the gateway knew of the retry budget before the retry.
+        /// The gateway's part of the retry budget before the retry.
         usage: RetryUsage,
     },
     /// A request crashed several servers and is refused from now on.
--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -6,12 +6,12 @@
 use super::{Gateway, QUARANTINE_RETRY_AFTER, queue_key};
 use crate::{
     configuration::Idempotency,
-    events::{Event, RetryUsage},
+    events::Event,
     requests::{
         AttemptEnd, AttemptStart, Finish, InFlightAttempt, Refusal, RefusalReason, Request,
         RunStatus, Step,
     },
-    retry_budget::Attempt,
+    retry_budget::RetryDecision,
     servers::{
         ServerKey,
         placement::{self, Placement, PlacementRequest},
@@ -191,9 +191,9 @@
             return None;
         }
         let Placement::Server(server) = self.place(now, id) else { return None };
-        match self.retry_usage(now, id).allows_retry() {
-            true => self.start_attempt(now, id, server),
-            false => None,
+        match self.decide_retry(now, id) {
+            RetryDecision::Send => self.start_attempt(now, id, server),
+            RetryDecision::AwaitLoan(_) | RetryDecision::Deny => None,
         }
     }
 
@@ -225,16 +225,23 @@
     }
 
     fn send(&mut self, now: Timestamp, id: RequestId, server: ServerId) -> Step {
-        if self.requests[&id].arrived_attempts > 0 && !self.retry_usage(now, id).allows_retry() {
-            let retry_after = Some(NO_SERVER_RETRY_AFTER);
-            return self.give_up(id, RefusalReason::RetryBudgetSpent, retry_after);
-        }
         let request = &self.requests[&id];
+        let is_retry = request.arrived_attempts > 0;
         let (service, key) = (request.service.clone(), queue_key(request, id));
         if self.wait_queues.remove(&service, key) {
             // Several slots may be free; wake the next request so that it checks for itself.
             self.wakeups.extend(self.wait_queues.first(&service));
         }
+        if is_retry {
+            match self.decide_retry(now, id) {
+                RetryDecision::Send => {}
+                RetryDecision::AwaitLoan(until) => return Step::Wait(until),
+                RetryDecision::Deny => {
+                    let retry_after = Some(NO_SERVER_RETRY_AFTER);
+                    return self.give_up(id, RefusalReason::RetryBudgetSpent, retry_after);
+                }
+            }
+        }
         match self.start_attempt(now, id, server) {
             Some(start) => Step::Send(start),
             None => self.give_up(id, RefusalReason::NoServer, Some(NO_SERVER_RETRY_AFTER)),
@@ -272,12 +279,17 @@
         placement::place(now, &self.servers, &placement_request, || Self::random_unit(rng))
     }
 
-    /// Returns what is known of the retry budget that the request draws on.
-    fn retry_usage(&self, now: Timestamp, id: RequestId) -> RetryUsage {
+    /// Charges a retry to the retry budget, or asks other gateways for a loan.
+    fn decide_retry(&mut self, now: Timestamp, id: RequestId) -> RetryDecision {
+        let lenders = self.rotated_local_peers();
+        let fleet_hosts = self.entry_hosts.len();
         let service = &self.requests[&id].service;
-        let local_gateways =
-            self.entry_hosts.in_data_centre(&self.settings.data_centre).count().max(1);
-        self.retry_budget.usage(now, service, self.entry_hosts.len(), local_gateways)
+        let usage = self.retry_budget.usage(now, service, fleet_hosts);
+        let decision = self.retry_budget.decide(now, service, fleet_hosts, id, &lenders);
+        if decision == RetryDecision::Send {
+            self.events.push(Event::RetrySent { service: service.clone(), usage });
+        }
+        decision
     }
 
     fn start_attempt(
@@ -287,13 +299,8 @@
         server: ServerId,
     ) -> Option<AttemptStart> {
         let announcement = self.servers.get(&server)?.announcement.clone();
-        let is_first = self.requests.get(&id)?.counted_attempts() == 0;
-        if !is_first {
-            let usage = self.retry_usage(now, id);
-            let service = announcement.service.clone();
-            self.events.push(Event::RetrySent { service, usage });
-        }
         let request = self.requests.get_mut(&id)?;
+        let is_first = request.counted_attempts() == 0;
         let attempt = AttemptNumber(u32::try_from(request.attempt_log.len()).unwrap_or(u32::MAX));
         let key = ServerKey::of(&announcement);
         request.in_flight.push(InFlightAttempt {
@@ -312,9 +319,6 @@
             time_left: request.time_left(now),
             may_reuse_connection: request.route.idempotency == Idempotency::Idempotent,
         };
-        let service = request.service.clone();
-        let kind = if is_first { Attempt::First } else { Attempt::OwnRetry };
-        self.retry_budget.record_attempt(now, &service, kind);
         self.report_start(now, key, is_first);
         Some(start)
     }
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -177,6 +177,7 @@
         }
         let service = self.choose_service(&route);
         let deadline = self.deadline(now, &route, head.caller_timeout)?;
+        self.retry_budget.record_request(now, &service);
         let id = self.next_request;
         self.next_request = id.next();
         self.requests.insert(id, Request::new(now, head, route, service, deadline));
--- a/components/gateway_core/src/gateway/reports.rs
+++ b/components/gateway_core/src/gateway/reports.rs
@@ -2,10 +2,13 @@
 
 use ids::{HostId, Timestamp};
 use rand_xoshiro::rand_core::RngCore;
-use schema::server_load::{LoadEvent, LoadReport, ReportScope};
+use schema::{
+    retry_loan::RetryLoanMessage,
+    server_load::{LoadEvent, LoadReport, ReportScope},
+};
 
 use super::{Gateway, OutgoingReport};
-use crate::{events::Event, retry_budget::Attempt, servers::ServerKey};
+use crate::{events::Event, servers::ServerKey};
 
 impl Gateway {
     /// Processes a load report of another gateway.
@@ -14,7 +17,6 @@
         match report.scope {
             ReportScope::Near => {
                 self.servers.record_peer_in_flight(now, from, key, report.in_flight);
-                self.record_attempt(now, key, &report.event);
             }
             ReportScope::ToPassOn => self.relay(report),
             ReportScope::PassedOn => {}
@@ -26,15 +28,16 @@
         self.wake_next(key);
     }
 
-    /// Counts another gateway's attempt against the shared retry budget.
-    fn record_attempt(&mut self, now: Timestamp, key: ServerKey, event: &LoadEvent) {
-        let attempt = match event {
-            LoadEvent::Started => Attempt::First,
-            LoadEvent::Repeated => Attempt::HeardRetry,
-            _ => return,
-        };
-        let Some(server) = self.servers.by_key_mut(key) else { return };
-        self.retry_budget.record_attempt(now, &server.announcement.service, attempt);
+    /// Processes a message about a loan of retries from another gateway.
+    pub fn on_retry_loan(&mut self, now: Timestamp, from: HostId, message: &RetryLoanMessage) {
+        let fleet_hosts = self.entry_hosts.len();
+        let ready = self.retry_budget.on_message(now, from, message, fleet_hosts);
+        self.wakeups.extend(ready);
+    }
+
+    /// Takes the pending messages about loans of retries.
+    pub fn take_retry_loans(&mut self) -> Vec<(HostId, RetryLoanMessage)> {
+        self.retry_budget.take_messages()
     }
 
     pub(super) fn report_start(&mut self, now: Timestamp, key: ServerKey, is_first: bool) {
@@ -106,6 +109,16 @@
         entry_hosts.filter(|it| *it != self.settings.host).collect()
     }
 
+    /// Returns the other gateways in this data centre, starting with a random one.
+    pub(super) fn rotated_local_peers(&mut self) -> Vec<HostId> {
+        let mut peers = self.local_peers();
+        if !peers.is_empty() {
+            let first = self.rng.next_u64() as usize % peers.len();
+            peers.rotate_left(first);
+        }
+        peers
+    }
+
     /// Picks one gateway in each other data centre.
     fn pick_relays(&mut self) -> Vec<HostId> {
         let random = self.rng.next_u64();
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -16,7 +16,7 @@
     names::{DataCentreName, IdempotencyKey, OrganisationName, RegionName, ServerId, ServiceName},
     numbers::{
         AttemptNumber, ByteRate, ByteSize, ConfigVersion, DiskCount, Epoch, HostId, Incarnation,
-        LogIndex, MIN_LINK_RATE, RequestId, RequestRate, Term,
+        LoanNumber, LogIndex, MIN_LINK_RATE, RequestId, RequestRate, RetryCredit, Term,
     },
     time::{Millis, Timestamp, WallTime},
 };
--- a/components/ids/src/numbers.rs
+++ b/components/ids/src/numbers.rs
@@ -70,6 +70,14 @@
     /// Number of an attempt of a request, from 0.
     AttemptNumber, u32, "attempt number"
 );
+number_type!(
+    /// Number of an ask for a loan of retries, unique within the process of one host.
+    LoanNumber, u64, "loan number"
+);
+number_type!(
+    /// An amount of retries, in thousandths of a retry.
+    RetryCredit, u64, "retry credit"
+);
 number_type!(
     /// A size in bytes.
     ByteSize, u64, "byte size"
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -276,7 +276,8 @@
             | PeerMessage::Health(_)
             | PeerMessage::Limits(_)
             | PeerMessage::ClaimReport(_)
-            | PeerMessage::ServerLoad(_) => {}
+            | PeerMessage::ServerLoad(_)
+            | PeerMessage::RetryLoan(_) => {}
         }
     }
 
