Let a restarted gateway use the fixed part of the retry budget only by degrees

A process that starts anew knows nothing of what the previous one has spent, and took its share of the fixed number of retries again at each start.

Test: gateways_that_restart_do_not_spend_the_fixed_allowance_again, two restarts within a window: 53 retries for 60 requests where 36 are allowed before; passes now.

--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -14,7 +14,7 @@
 
 use admin::Clock;
 use gateway_core::{Gateway, GatewaySettings as CoreSettings, RetryBudgetSettings};
-use ids::Millis;
+use ids::{Millis, Timestamp};
 use schema::{
     gateway_settings::GatewaySettings,
     peer::{PeerFrame, PeerMessage},
@@ -86,6 +86,7 @@
         data_centre: settings.data_centre.clone(),
         regions: regions.collect(),
         incarnation,
+        started: Timestamp::default(),
         caller_address: settings.caller_address,
         seeds: peers::hosts_of(&settings.seeds),
         retry_budget: RetryBudgetSettings {
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -93,7 +93,7 @@
             registry_poller: RegistryPoller::new(place, &settings.seeds, seed),
             requests: FastMap::default(),
             wait_queues: WaitQueues::default(),
-            retry_budget: RetryBudget::new(settings.retry_budget),
+            retry_budget: RetryBudget::new(settings.retry_budget, settings.started),
             quarantine: Quarantine::default(),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             next_request: RequestId(1),
--- a/components/gateway_core/src/retry_budget/mod.rs
+++ b/components/gateway_core/src/retry_budget/mod.rs
@@ -26,10 +26,14 @@
 const MIN_ASSUMED_HOSTS: u64 = 24;
 
 /// Fraction of the budget that is used, in thousandths. The window of a gateway that was frozen is
-/// longer than that of the servers, gateways that have just started don't know of earlier retries,
-/// and requests that servers send to each other are counted here, but may not be part of the budget.
+/// longer than that of the servers, and requests that servers send to each other are counted here,
+/// but may not be part of the budget.
 const USABLE_SHARE_MILLI: u64 = 800;
 
+/// Fraction of the fixed allowance that is used at the start of a process, in thousandths. It rises
+/// to [`USABLE_SHARE_MILLI`] within a window, as what the previous process has spent expires.
+const INITIAL_FIXED_SHARE_MILLI: u64 = 1_000 - USABLE_SHARE_MILLI;
+
 /// Number of slices of the window; the oldest slice expires as a whole.
 const WINDOW_SLICES: u64 = 20;
 
@@ -67,15 +71,18 @@
 #[derive(Debug)]
 pub(crate) struct RetryBudget {
     settings: RetryBudgetSettings,
+    /// When this process started.
+    started: Timestamp,
     accounts: FastMap<ServiceName, Account>,
     next_loan: LoanNumber,
     messages: Vec<(HostId, RetryLoanMessage)>,
 }
 
 impl RetryBudget {
-    pub(crate) fn new(settings: RetryBudgetSettings) -> Self {
+    pub(crate) fn new(settings: RetryBudgetSettings, started: Timestamp) -> Self {
         Self {
             settings,
+            started,
             accounts: FastMap::default(),
             next_loan: LoanNumber(1),
             messages: Vec::new(),
@@ -112,11 +119,20 @@
         }
         let fleet_hosts = (fleet_hosts as u64).max(MIN_ASSUMED_HOSTS);
         let share = usage.requests.saturating_mul(self.settings.share_milli);
-        let budget = share.saturating_add(self.settings.slack_milli / fleet_hosts);
-        usage.allowed = RetryCredit(budget.saturating_mul(USABLE_SHARE_MILLI) / 1_000);
+        let share = share.saturating_mul(USABLE_SHARE_MILLI) / 1_000;
+        let fixed = self.settings.slack_milli / fleet_hosts;
+        let fixed = fixed.saturating_mul(self.usable_fixed_milli(now)) / 1_000;
+        usage.allowed = RetryCredit(share.saturating_add(fixed));
         usage
     }
 
+    fn usable_fixed_milli(&self, now: Timestamp) -> u64 {
+        let window = self.settings.window.0.max(1);
+        let age = now.since(self.started).0.min(window);
+        let rise = (USABLE_SHARE_MILLI - INITIAL_FIXED_SHARE_MILLI) * age / window;
+        INITIAL_FIXED_SHARE_MILLI + rise
+    }
+
     /// Charges a retry of `request`, or asks some of `lenders` for what is missing.
     pub(crate) fn decide(
         &mut self,
--- a/components/gateway_core/src/settings.rs
+++ b/components/gateway_core/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use ids::{DataCentreName, FastMap, HostId, Incarnation, Millis, RegionName};
+use ids::{DataCentreName, FastMap, HostId, Incarnation, Millis, RegionName, Timestamp};
 
 /// Limits on the retries of all gateways together, for each service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,6 +28,8 @@
     pub regions: FastMap<DataCentreName, RegionName>,
     /// Incarnation of this process.
     pub incarnation: Incarnation,
+    /// When this process started.
+    pub started: Timestamp,
     /// Address at which callers connect.
     pub caller_address: SocketAddr,
     /// Control hosts to poll until the registry lists others.
@@ -50,6 +52,6 @@
     /// Serves callers that still use its address, and will stop soon.
     Draining {
         /// When the process ends; no request may outlast it.
-        until: ids::Timestamp,
+        until: Timestamp,
     },
 }
--- a/components/gateway_core/tests/common/mod.rs
+++ b/components/gateway_core/tests/common/mod.rs
@@ -96,8 +96,8 @@
     }
 }
 
-/// Settings of a gateway in data centre `north-a`.
-fn settings(host: HostId) -> GatewaySettings {
+/// Settings of a gateway in data centre `north-a` that has run for a while.
+pub fn settings(host: HostId) -> GatewaySettings {
     let places = ["north-a", "north-b", "south-a", "south-b"];
     GatewaySettings {
         host,
@@ -105,6 +105,7 @@
         data_centre: data_centre("north-a"),
         regions: places.iter().map(|it| (data_centre(it), region(it))).collect(),
         incarnation: Incarnation(1),
+        started: Timestamp::default(),
         caller_address: format!("10.1.0.{host}:80").parse().unwrap(),
         seeds: vec![CONTROL_HOST],
         retry_budget: RetryBudgetSettings {
@@ -124,9 +125,20 @@
     servers: Vec<Announcement>,
     hosts: Vec<EntryHostRecord>,
 ) -> Gateway {
-    let mut harness = Harness { gateway: Gateway::new(settings(host)), next_index: 1 };
+    gateway_with(settings(host), routes, servers, hosts)
+}
+
+/// Creates a gateway with these settings, routes, servers and entry hosts.
+pub fn gateway_with(
+    settings: GatewaySettings,
+    routes: Vec<Route>,
+    servers: Vec<Announcement>,
+    hosts: Vec<EntryHostRecord>,
+) -> Gateway {
+    let now = settings.started.max(at(0));
+    let mut harness = Harness { gateway: Gateway::new(settings), next_index: 1 };
     harness.gateway.set_config(config(1, routes));
-    harness.update(at(0), servers, hosts);
+    harness.update(now, servers, hosts);
     harness.gateway
 }
 
--- a/components/gateway_core/tests/retry_budget.rs
+++ b/components/gateway_core/tests/retry_budget.rs
@@ -5,8 +5,8 @@
 
 use std::ops::Range;
 
-use common::{at, entry_host, gateway, head, route, server};
-use gateway_core::{AttemptEnd, Gateway, Idempotency, Step};
+use common::{at, entry_host, gateway_with, head, route, server, settings};
+use gateway_core::{AttemptEnd, Gateway, GatewaySettings, Idempotency, Step};
 use ids::{ByteSize, HostId, RequestId, Timestamp};
 use schema::{retry_loan::RetryLoanMessage, server_load::LoadReport};
 
@@ -42,13 +42,7 @@
 
 impl DataCentre {
     fn new(request_interval: u64) -> Self {
-        let servers: Vec<_> = (1..=8).map(|it| server(it, "north-a")).collect();
-        let here = (1..=GATEWAYS).map(|it| entry_host(it, "north-a"));
-        let elsewhere = (1..=GATEWAYS).map(|it| entry_host(100 + it, "south-a"));
-        let hosts: Vec<_> = here.chain(elsewhere).collect();
-        let routes = vec![route("look", Idempotency::Idempotent)];
-        let gateways = (1..=GATEWAYS)
-            .map(|it| gateway(HostId(it), routes.clone(), servers.clone(), hosts.clone()));
+        let gateways = (1..=GATEWAYS).map(|it| start_gateway(settings(HostId(it))));
         Self {
             gateways: gateways.collect(),
             attempt_end: AttemptEnd::Lost,
@@ -144,6 +138,17 @@
         }
     }
 
+    /// Replaces all gateways by new processes.
+    fn restart(&mut self, now: u64) {
+        for i in 0..self.gateways.len() {
+            self.frozen_for[i] = 0;
+            let host = HostId(i as u32 + 1);
+            let settings = GatewaySettings { started: at(now), ..settings(host) };
+            self.gateways[i] = start_gateway(settings);
+        }
+        self.waiting.clear();
+    }
+
     fn collect(&mut self, i: usize) {
         let from = HostId(i as u32 + 1);
         for outgoing in self.gateways[i].take_reports() {
@@ -170,6 +175,14 @@
     }
 }
 
+fn start_gateway(settings: GatewaySettings) -> Gateway {
+    let servers = (1..=8).map(|it| server(it, "north-a")).collect();
+    let here = (1..=GATEWAYS).map(|it| entry_host(it, "north-a"));
+    let elsewhere = (1..=GATEWAYS).map(|it| entry_host(100 + it, "south-a"));
+    let routes = vec![route("look", Idempotency::Idempotent)];
+    gateway_with(settings, routes, servers, here.chain(elsewhere).collect())
+}
+
 fn count_in_window(times: &[u64], start: u64) -> usize {
     times.iter().filter(|it| (start..start + WINDOW).contains(it)).count()
 }
@@ -195,6 +208,31 @@
     data_centre.assert_within_budget();
 }
 
+#[test]
+fn gateways_that_restart_do_not_spend_the_fixed_allowance_again() {
+    let mut data_centre = DataCentre::new(2_000);
+    data_centre.run(0..14_000, |_| false, |_, _| false);
+    data_centre.restart(14_000);
+    data_centre.run(14_000..17_000, |_| false, |_, _| false);
+    data_centre.restart(17_000);
+    data_centre.run(17_000..40_000, |_| false, |_, _| false);
+
+    data_centre.assert_within_budget();
+}
+
+#[test]
+fn gateways_that_restart_after_a_burst_of_retries_do_not_spend_the_retry_budget_again() {
+    let mut data_centre = DataCentre::new(100);
+    data_centre.attempt_end = AttemptEnd::Answered;
+    data_centre.run(0..12_000, |_| false, |_, _| false);
+    data_centre.attempt_end = AttemptEnd::Lost;
+    data_centre.run(12_000..14_000, |_| false, |_, _| false);
+    data_centre.restart(14_000);
+    data_centre.run(14_000..40_000, |_| false, |_, _| false);
+
+    data_centre.assert_within_budget();
+}
+
 #[test]
 fn gateways_that_hear_each_other_use_most_of_the_retry_budget() {
     let mut data_centre = DataCentre::new(50);
