Send nothing to backend servers that say they leave, or that ask for a pause

Responses may now carry Server-Leaving: 1, and a 503 may say with Retry-After for how long its server wants nothing from this gateway. Gateways read neither: an announcement was the only way to learn that a server leaves, and such a 503 closed it for 100 ms.

Both are read with the head of any response, kept by address and incarnation, and decided on in servers::notices. A leaving server gets nothing new whatever is announced, is told to all gateways, and its idle connections are closed. A pause is this gateway's own; its end is spread. A service whose servers are all paused refuses at once, waiting requests too, until the first pause ends. A request whose connection is being opened goes elsewhere, without a retry.

--- a/components/gateway/src/entry/backend.rs
+++ b/components/gateway/src/entry/backend.rs
@@ -2,15 +2,17 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use admin::Clock;
 use bytes::{Bytes, BytesMut};
 use gateway_core::AttemptEnd;
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header};
-use ids::Millis;
+use ids::{Incarnation, Millis};
 use platform::headers;
 
-use super::pool::{self, Connection, Pool};
+use super::{
+    pool::{self, Connection},
+    shared::Shared,
+};
 
 /// Maximum size of a response body, in bytes; it is held in memory until it is complete.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -29,6 +31,7 @@
 /// A request to a backend server.
 pub(crate) struct Call {
     pub(crate) address: SocketAddr,
+    pub(crate) incarnation: Incarnation,
     pub(crate) request: Request<Full<Bytes>>,
     pub(crate) attempt_id: Rc<str>,
     pub(crate) may_reuse_connection: bool,
@@ -54,22 +57,29 @@
 }
 
 /// Sends a request and reads the complete response.
-pub(crate) async fn call(pool: Rc<Pool>, clock: Clock, call: Call) -> CallResult {
-    let Call { address, request, attempt_id, may_reuse_connection } = call;
-    let sent = send(&pool, &clock, address, request, may_reuse_connection).await;
+pub(crate) async fn call(shared: Rc<Shared>, call: Call) -> CallResult {
+    let (address, incarnation) = (call.address, call.incarnation);
+    let attempt_id = call.attempt_id.clone();
+    let sent = send(&shared, call).await;
     let (connection, response) = match sent {
         Ok(sent) => sent,
         Err(end) => return CallResult::without_response(end),
     };
     let (head, body) = response.into_parts();
+    // A different server speaks for itself only.
+    if head.status != StatusCode::MISDIRECTED_REQUEST {
+        let found = headers::read_notice(head.status, &head.headers);
+        shared.process_notice(address, incarnation, found);
+    }
     let Some(body) = read_body(body).await else {
         return CallResult::without_response(AttemptEnd::Lost);
     };
     let end = classify(head.status, &head.headers, &attempt_id);
     if end != AttemptEnd::Lost
+        && shared.may_send(address, incarnation)
         && let Some(reusable_for) = reusable_for(&head.headers)
     {
-        pool.put(clock.now(), address, connection, reusable_for);
+        shared.pool.put(shared.clock.now(), address, connection, reusable_for);
     }
     match end {
         AttemptEnd::Answered | AttemptEnd::ServerError => {
@@ -80,15 +90,11 @@
     }
 }
 
-async fn send(
-    pool: &Pool,
-    clock: &Clock,
-    address: SocketAddr,
-    request: Request<Full<Bytes>>,
-    may_reuse_connection: bool,
-) -> Result<(Connection, Response<Incoming>), AttemptEnd> {
-    let mut request = request;
-    if may_reuse_connection && let Some(mut connection) = pool.take(clock.now(), address) {
+async fn send(shared: &Shared, call: Call) -> Result<(Connection, Response<Incoming>), AttemptEnd> {
+    let Call { address, incarnation, mut request, may_reuse_connection, .. } = call;
+    if may_reuse_connection
+        && let Some(mut connection) = shared.pool.take(shared.clock.now(), address)
+    {
         match connection.sender.try_send_request(request).await {
             Ok(response) => return Ok((connection, response)),
             // The request is returned only if nothing of it was sent.
@@ -101,6 +107,10 @@
     let Some(mut connection) = pool::connect(address).await else {
         return Err(AttemptEnd::Unreachable);
     };
+    // The response to another request may have closed the server to new ones meanwhile.
+    if !shared.may_send(address, incarnation) {
+        return Err(AttemptEnd::NotSent);
+    }
     match connection.sender.try_send_request(request).await {
         Ok(response) => Ok((connection, response)),
         Err(mut e) => match e.take_message() {
--- a/components/gateway/src/entry/events.rs
+++ b/components/gateway/src/entry/events.rs
@@ -32,6 +32,17 @@
                 "server avoided"
             );
         }
+        Event::ServerLeaving { server, address, seen_by } => {
+            log::info!(
+                server:% = server.as_ref().map_or("", |it| it.as_str()),
+                server_address:% = address,
+                seen_by:% = peers::address_of(*seen_by, 0).ip();
+                "server leaving"
+            );
+        }
+        Event::ServerPaused { server, pause } => {
+            log::info!(server:% = server, pause_ms = pause.0; "server paused");
+        }
         Event::ControlHostLost { host, cause } => {
             log::warn!(
                 host:% = peers::address_of(*host, 0).ip(),
--- a/components/gateway/src/entry/forward.rs
+++ b/components/gateway/src/entry/forward.rs
@@ -76,7 +76,7 @@
 }
 
 fn start_attempt(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     attempts: &mut JoinSet<(AttemptNumber, CallResult)>,
     request: &CallerRequest,
     start: &AttemptStart,
@@ -88,12 +88,13 @@
     headers::write_attempt(req.headers_mut(), &start.server, start.time_left);
     let call = Call {
         address: start.address,
+        incarnation: start.incarnation,
         request: req,
         attempt_id: request.attempt_id.clone(),
         may_reuse_connection: start.may_reuse_connection,
     };
-    let (pool, clock, attempt) = (shared.pool.clone(), shared.clock, start.attempt);
-    attempts.spawn_local(async move { (attempt, backend::call(pool, clock, call).await) });
+    let (cx, attempt) = (shared.clone(), start.attempt);
+    attempts.spawn_local(async move { (attempt, backend::call(cx, call).await) });
 }
 
 /// Waits for the end of an attempt; returns `None` if the request is woken or `wait` passes first.
--- a/components/gateway/src/entry/metrics.rs
+++ b/components/gateway/src/entry/metrics.rs
@@ -32,6 +32,11 @@
     service: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct HeaderLabels {
+    header: &'static str,
+}
+
 /// The metrics of a gateway.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -42,6 +47,9 @@
     latency: Histogram,
     wait_time: Histogram,
     servers_avoided: Counter,
+    servers_leaving: Counter,
+    servers_paused: Counter,
+    invalid_notices: Family<HeaderLabels, Counter>,
     control_hosts_lost: Counter,
     config_version: Gauge,
     in_flight: Gauge,
@@ -59,6 +67,9 @@
         registry.register("attempts", "Attempts by how they ended", attempts.clone());
         let retries = Family::<ServiceLabels, Counter>::default();
         registry.register("retries", "Retries sent, by service", retries.clone());
+        let invalid_notices = Family::<HeaderLabels, Counter>::default();
+        let help = "Headers of servers that were ignored because their values are not valid";
+        registry.register("invalid_server_headers", help, invalid_notices.clone());
         let latency = Histogram::new(LATENCY_BUCKETS);
         let help = "Time from a request's receipt to its answer, in seconds";
         registry.register("request_seconds", help, latency.clone());
@@ -71,6 +82,8 @@
             counter
         };
         let servers_avoided = counter("server_avoided", "Outbreaks of broken requests at servers");
+        let servers_leaving = counter("server_leaving", "Servers whose responses say they leave");
+        let servers_paused = counter("server_paused", "Pauses that servers asked for");
         let control_hosts_lost = counter("control_host_lost", "Control hosts left for another one");
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
@@ -90,6 +103,9 @@
             latency,
             wait_time,
             servers_avoided,
+            servers_leaving,
+            servers_paused,
+            invalid_notices,
             control_hosts_lost,
             config_version,
             in_flight,
@@ -115,11 +131,22 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    /// Counts a header of a backend server that was ignored.
+    pub(crate) fn count_invalid_notice(&self, header: &'static str) {
+        self.invalid_notices.get_or_create(&HeaderLabels { header }).inc();
+    }
+
     pub(crate) fn count_event(&self, event: &Event) {
         match event {
             Event::ServerAvoided { .. } => {
                 self.servers_avoided.inc();
             }
+            Event::ServerLeaving { .. } => {
+                self.servers_leaving.inc();
+            }
+            Event::ServerPaused { .. } => {
+                self.servers_paused.inc();
+            }
             Event::RetrySent { service, .. } => {
                 let labels = ServiceLabels { service: service.to_string() };
                 self.retries.get_or_create(&labels).inc();
--- a/components/gateway/src/entry/pool.rs
+++ b/components/gateway/src/entry/pool.rs
@@ -54,6 +54,11 @@
         None
     }
 
+    /// Closes the idle connections to a server.
+    pub(crate) fn close_idle(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// Keeps a connection for a later request.
     pub(crate) fn put(
         &self,
--- a/components/gateway/src/entry/shared.rs
+++ b/components/gateway/src/entry/shared.rs
@@ -1,11 +1,11 @@
 //! The state that the tasks of a gateway share, including its decision logic.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
 
 use admin::Clock;
-use gateway_core::{Gateway, GatewayConfig};
-use ids::{FastMap, HostId, RequestId, Timestamp};
-use platform::configuration;
+use gateway_core::{Event, Gateway, GatewayConfig, ServerNotice};
+use ids::{FastMap, HostId, Incarnation, RequestId, Timestamp};
+use platform::{configuration, headers::NoticeHeaders};
 use registry::unpack_text;
 use schema::{peer::PeerMessage, registry::ConfigDocument};
 use tokio::sync::Notify;
@@ -25,7 +25,7 @@
     pub(crate) clock: Clock,
     transport: Transport,
     peer_port: u16,
-    pub(crate) pool: Rc<Pool>,
+    pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
     /// Wakes requests that wait for a server.
     wakers: RefCell<FastMap<RequestId, Rc<Notify>>>,
@@ -48,7 +48,7 @@
             clock,
             transport,
             peer_port,
-            pool: Rc::new(Pool::default()),
+            pool: Pool::default(),
             metrics,
             wakers: RefCell::default(),
             poll_due: Notify::new(),
@@ -74,6 +74,9 @@
             self.send(to, PeerMessage::RetryLoan(message));
         }
         for event in &events {
+            if let Event::ServerLeaving { address, .. } = event {
+                self.pool.close_idle(*address);
+            }
             self.metrics.count_event(event);
             events::log_event(event);
         }
@@ -108,6 +111,29 @@
         self.poll_due.notify_one();
     }
 
+    /// Processes what a backend server says of itself in a response.
+    pub(crate) fn process_notice(
+        &self,
+        address: SocketAddr,
+        incarnation: Incarnation,
+        found: NoticeHeaders,
+    ) {
+        for header in found.invalid {
+            self.metrics.count_invalid_notice(header);
+            log::warn!(server_address:% = address, header:% = header; "invalid header in a response");
+        }
+        if found.notice != ServerNotice::default() {
+            self.with_core(|core, now| {
+                core.on_server_notice(now, address, incarnation, found.notice);
+            });
+        }
+    }
+
+    /// Returns whether a server still takes new requests of this gateway.
+    pub(crate) fn may_send(&self, address: SocketAddr, incarnation: Incarnation) -> bool {
+        self.core.borrow().may_send(self.clock.now(), address, incarnation)
+    }
+
     /// Registers and returns the notification that wakes a waiting request.
     pub(crate) fn register_waker(&self, id: RequestId) -> Rc<Notify> {
         let waker = Rc::new(Notify::new());
--- a/components/gateway_core/src/events.rs
+++ b/components/gateway_core/src/events.rs
@@ -1,5 +1,7 @@
 //! Events that a gateway reports for logs and metrics.
 
+use std::net::SocketAddr;
+
 use ids::{
     ConfigVersion, DataCentreName, HostId, Millis, RequestId, RetryCredit, ServerId, ServiceName,
 };
@@ -61,6 +63,22 @@
         /// Host that observed the event.
         seen_by: HostId,
     },
+    /// A backend server said in a response that it leaves.
+    ServerLeaving {
+        /// The server, if it is known.
+        server: Option<ServerId>,
+        /// Address of the server.
+        address: SocketAddr,
+        /// Host that received the response.
+        seen_by: HostId,
+    },
+    /// A backend server asked this gateway for a pause.
+    ServerPaused {
+        /// The server.
+        server: ServerId,
+        /// Until the next request may be sent to it.
+        pause: Millis,
+    },
     /// A control host stopped answering, or reported that it is not current.
     ControlHostLost {
         /// The control host.
--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -3,7 +3,7 @@
 use ids::{AttemptNumber, ByteSize, Millis, RequestId, ServerId, Timestamp};
 use schema::server_load::{Answered, LoadEvent};
 
-use super::{Gateway, QUARANTINE_RETRY_AFTER, queue_key};
+use super::{Gateway, PAUSE_RETURN_SPREAD, QUARANTINE_RETRY_AFTER, queue_key};
 use crate::{
     configuration::Idempotency,
     events::Event,
@@ -49,13 +49,13 @@
             return Step::Finish(Finish::Answer(attempt));
         }
         if now >= request.deadline {
-            return self.give_up(id, RefusalReason::TimeLimit, None);
+            return self.give_up(now, id, RefusalReason::TimeLimit, None);
         }
         if !request.in_flight.is_empty() {
             return self.check_in_flight(now, id);
         }
         if !request.may_be_sent() {
-            return self.give_up(id, RefusalReason::NoAnswer, None);
+            return self.give_up(now, id, RefusalReason::NoAnswer, None);
         }
         self.send_or_wait(now, id)
     }
@@ -203,10 +203,13 @@
         let is_exhausted = request.arrived_attempts >= request.route.max_attempts
             || unreachable >= MAX_UNREACHABLE_ATTEMPTS;
         if is_exhausted {
-            return self.give_up(id, RefusalReason::NoAnswer, Some(NO_SERVER_RETRY_AFTER));
+            return self.give_up(now, id, RefusalReason::NoAnswer, Some(NO_SERVER_RETRY_AFTER));
         }
         if self.quarantine.is_quarantined(now, request.head.fingerprint) {
-            return self.give_up(id, RefusalReason::Quarantined, Some(QUARANTINE_RETRY_AFTER));
+            return self.give_up(now, id, RefusalReason::Quarantined, Some(QUARANTINE_RETRY_AFTER));
+        }
+        if let Some(pause) = self.servers.all_paused_for(now, &request.service) {
+            return self.give_up(now, id, RefusalReason::ServersPaused, Some(pause));
         }
         let key = queue_key(request, id);
         if self.wait_queues.ahead_of(&request.service, key) > 0 {
@@ -216,10 +219,10 @@
             Placement::Server(server) => self.send(now, id, server),
             Placement::Full(free_in) => self.wait(now, id, free_in),
             Placement::TooLate(retry_after) => {
-                self.give_up(id, RefusalReason::Busy, Some(retry_after))
+                self.give_up(now, id, RefusalReason::Busy, Some(retry_after))
             }
             Placement::NoServer => {
-                self.give_up(id, RefusalReason::NoServer, Some(NO_SERVER_RETRY_AFTER))
+                self.give_up(now, id, RefusalReason::NoServer, Some(NO_SERVER_RETRY_AFTER))
             }
         }
     }
@@ -238,13 +241,13 @@
                 RetryDecision::AwaitLoan(until) => return Step::Wait(until),
                 RetryDecision::Deny => {
                     let retry_after = Some(NO_SERVER_RETRY_AFTER);
-                    return self.give_up(id, RefusalReason::RetryBudgetSpent, retry_after);
+                    return self.give_up(now, id, RefusalReason::RetryBudgetSpent, retry_after);
                 }
             }
         }
         match self.start_attempt(now, id, server) {
             Some(start) => Step::Send(start),
-            None => self.give_up(id, RefusalReason::NoServer, Some(NO_SERVER_RETRY_AFTER)),
+            None => self.give_up(now, id, RefusalReason::NoServer, Some(NO_SERVER_RETRY_AFTER)),
         }
     }
 
@@ -256,11 +259,11 @@
         let ahead = self.wait_queues.ahead_of(&request.service, key) as u64;
         let local_gateways =
             self.entry_hosts.in_data_centre(&self.settings.data_centre).count().max(1) as u64;
-        let servers = self.servers.available_for(&request.service).count().max(1) as u64;
+        let servers = self.servers.available_for(now, &request.service).count().max(1) as u64;
         let expected_wait = Millis(free_in.0 * (1 + ahead * local_gateways) / servers);
         let avg_latency = Millis(self.servers.average_latency(&request.route) as u64);
         if expected_wait.0 + avg_latency.0 > request.time_left(now).0 {
-            return self.give_up(id, RefusalReason::Busy, Some(expected_wait));
+            return self.give_up(now, id, RefusalReason::Busy, Some(expected_wait));
         }
         let (service, deadline) = (request.service.clone(), request.deadline);
         self.wait_queues.add(&service, key);
@@ -316,6 +319,7 @@
             attempt,
             server,
             address: announcement.address,
+            incarnation: announcement.incarnation,
             time_left: request.time_left(now),
             may_reuse_connection: request.route.idempotency == Idempotency::Idempotent,
         };
@@ -324,14 +328,25 @@
     }
 
     /// Ends a request with the last error response of a server if there is one, otherwise with a
-    /// refusal.
-    fn give_up(&self, id: RequestId, reason: RefusalReason, retry_after: Option<Millis>) -> Step {
+    /// refusal. While all servers of the service have asked for a pause, its Retry-After is not
+    /// shorter than that.
+    fn give_up(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        reason: RefusalReason,
+        retry_after: Option<Millis>,
+    ) -> Step {
         let request = &self.requests[&id];
         if let Some(attempt) = request.server_error {
             return Step::Finish(Finish::Answer(attempt));
         }
         let run = request.run_status();
-        let retry_after = retry_after.filter(|_| run == RunStatus::NotRun);
+        let pause = self.servers.all_paused_for(now, &request.service).map(|it| {
+            let spread = it.0 as f64 * PAUSE_RETURN_SPREAD * Self::random_unit(&mut self.rng);
+            Millis(it.0 + spread as u64)
+        });
+        let retry_after = retry_after.max(pause).filter(|_| run == RunStatus::NotRun);
         Step::Finish(Finish::Refuse(Refusal { reason, run, retry_after }))
     }
 }
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The top-level state machine of a gateway.
 
 mod attempts;
+mod notices;
 mod registry;
 mod reports;
 
@@ -39,6 +40,10 @@
 /// milliseconds.
 const STOP_MARGIN: Millis = Millis(100);
 
+/// Maximum random extension of the Retry-After of a service whose servers have asked for a pause, as
+/// a fraction of it, so that callers don't return at the same moment.
+const PAUSE_RETURN_SPREAD: f64 = 0.25;
+
 /// Multiple of the average latency that must remain before the stop for a draining gateway to
 /// accept a request.
 const STOP_LATENCY_FACTOR: f64 = 3.0;
--- a/components/gateway_core/src/gateway/reports.rs
+++ b/components/gateway_core/src/gateway/reports.rs
@@ -21,8 +21,12 @@
             ReportScope::ToPassOn => self.relay(report),
             ReportScope::PassedOn => {}
         }
-        if let LoadEvent::Lost(fingerprint) = report.event {
-            self.record_lost(now, None, fingerprint, key);
+        match report.event {
+            LoadEvent::Lost(fingerprint) => self.record_lost(now, None, fingerprint, key),
+            LoadEvent::Leaving => {
+                self.record_leaving(from, key);
+            }
+            _ => {}
         }
         self.record_event(now, from, key, &report.event);
         self.wake_next(key);
@@ -127,9 +131,9 @@
 }
 
 /// Returns whether an event is reported to all data centres. Gateways anywhere may use the server,
-/// and a lost request costs more than the report.
+/// and a lost request costs more than the report, as does one that reaches a server that has left.
 fn is_fleet_wide(event: &LoadEvent) -> bool {
-    matches!(event, LoadEvent::Lost(_) | LoadEvent::Overdue)
+    matches!(event, LoadEvent::Lost(_) | LoadEvent::Overdue | LoadEvent::Leaving)
 }
 
 fn load_event_name(event: &LoadEvent) -> &'static str {
@@ -143,5 +147,6 @@
         LoadEvent::Overdue => "overdue",
         LoadEvent::Unreachable => "unreachable",
         LoadEvent::Cancelled => "cancelled",
+        LoadEvent::Leaving => "leaving",
     }
 }
--- a/components/gateway_core/src/lib.rs
+++ b/components/gateway_core/src/lib.rs
@@ -30,6 +30,7 @@
     servers::{
         Distance, Server, ServerTable,
         health::{BrokenPrior, ServerHealth},
+        notices::ServerNotice,
         placement::{Placement, PlacementRequest},
     },
     settings::{GatewaySettings, Lifecycle, RetryBudgetSettings},
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -4,7 +4,9 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use ids::{AttemptNumber, Fingerprint, Millis, RequestId, ServerId, ServiceName, Timestamp};
+use ids::{
+    AttemptNumber, Fingerprint, Incarnation, Millis, RequestId, ServerId, ServiceName, Timestamp,
+};
 
 use crate::{
     configuration::{Idempotency, Route},
@@ -44,6 +46,8 @@
     pub server: ServerId,
     /// Address at which the server accepts requests.
     pub address: SocketAddr,
+    /// Incarnation of the server.
+    pub incarnation: Incarnation,
     /// Time left until the deadline of the request.
     pub time_left: Millis,
     /// Whether the attempt may use a pooled connection.
@@ -54,7 +58,8 @@
 ///
 /// `Shed`: the server refused the request without running it. `Misplaced`: a different server
 /// responded at the address. `Unreachable`: no connection could be opened. `NotSent`: a new
-/// connection failed before anything was sent. `Lost`: no complete and valid response arrived.
+/// connection failed before anything was sent, or the server asked for no more requests meanwhile.
+/// `Lost`: no complete and valid response arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
 pub enum AttemptEnd {
     /// answered
@@ -111,6 +116,8 @@
     Busy,
     /// no backend server of the service is known
     NoServer,
+    /// all backend servers of the service have asked for a pause
+    ServersPaused,
     /// the request has crashed the backend servers that ran it
     Quarantined,
     /// the time for an answer is over
@@ -131,6 +138,7 @@
             Self::UnknownRoute => "unknown-route",
             Self::Busy => "busy",
             Self::NoServer => "no-server",
+            Self::ServersPaused => "servers-paused",
             Self::Quarantined => "quarantined",
             Self::TimeLimit => "time-limit",
             Self::NoAnswer => "no-answer",
--- a/components/gateway_core/src/requests/wait_queue.rs
+++ b/components/gateway_core/src/requests/wait_queue.rs
@@ -43,6 +43,11 @@
         self.queues.get(service).map_or(0, |it| it.range(..key).count())
     }
 
+    /// Returns all requests in the queue, the first one first.
+    pub(crate) fn all(&self, service: &ServiceName) -> impl Iterator<Item = RequestId> {
+        self.queues.get(service).into_iter().flatten().map(|(_, id)| *id)
+    }
+
     /// Returns the first request in the queue.
     pub(crate) fn first(&self, service: &ServiceName) -> Option<RequestId> {
         self.queues.get(service)?.first().map(|(_, id)| *id)
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod health;
 mod latency;
+pub(crate) mod notices;
 pub mod placement;
 
 use std::{collections::BTreeMap, net::SocketAddr};
@@ -22,6 +23,7 @@
 
 use health::{BrokenPrior, ServerHealth};
 use latency::RouteLatency;
+use notices::ServerNotices;
 
 use crate::configuration::{Route, RouteKey};
 
@@ -109,6 +111,10 @@
         }
     }
 
+    fn key(&self) -> ServerKey {
+        ServerKey::of(&self.announcement)
+    }
+
     /// Returns the number of requests in flight, as far as this data centre's gateways know.
     pub fn in_flight(&self, now: Timestamp) -> u32 {
         let fresh =
@@ -173,6 +179,7 @@
     latencies: FastMap<RouteKey, RouteLatency>,
     /// Average sizes of request and response together by route, in kilobytes.
     average_kilobytes: FastMap<RouteKey, f64>,
+    notices: ServerNotices,
 }
 
 impl ServerTable {
@@ -192,6 +199,7 @@
             broken_priors: FastMap::default(),
             latencies: FastMap::default(),
             average_kilobytes: FastMap::default(),
+            notices: ServerNotices::default(),
         }
     }
 
@@ -223,10 +231,53 @@
         self.servers.get(server)
     }
 
-    /// Returns the servers of a service that accept requests.
-    pub fn available_for(&self, service: &ServiceName) -> impl Iterator<Item = &Server> {
+    /// Returns the servers of a service that accept requests now.
+    pub fn available_for(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = &Server> {
+        self.staying_for(service).filter(move |it| self.notices.paused_for(now, it.key()).is_none())
+    }
+
+    /// Returns the servers of a service that accept requests, now or after a pause.
+    fn staying_for(&self, service: &ServiceName) -> impl Iterator<Item = &Server> {
         let ids = self.by_service.get(service).into_iter().flatten();
-        ids.filter_map(|it| self.servers.get(it)).filter(|it| it.accepts_requests())
+        let servers = ids.filter_map(|it| self.servers.get(it));
+        servers.filter(|it| it.accepts_requests() && !self.notices.is_leaving(it.key()))
+    }
+
+    /// Returns the time until the first server of a service accepts requests again, or `None` if
+    /// one accepts them now or there is none.
+    pub(crate) fn all_paused_for(&self, now: Timestamp, service: &ServiceName) -> Option<Millis> {
+        let mut shortest = None;
+        for server in self.staying_for(service) {
+            let pause = self.notices.paused_for(now, server.key())?;
+            shortest = Some(shortest.map_or(pause, |it: Millis| it.min(pause)));
+        }
+        shortest
+    }
+
+    /// Returns whether the server leaves or has asked for a pause.
+    pub(crate) fn is_closed(&self, now: Timestamp, key: ServerKey) -> bool {
+        self.notices.is_leaving(key) || self.notices.paused_for(now, key).is_some()
+    }
+
+    /// Records that a server leaves; returns whether that is new.
+    pub(crate) fn record_leaving(&mut self, key: ServerKey) -> bool {
+        self.notices.record_leaving(key)
+    }
+
+    /// Records that a server wants no requests of this gateway; `random` is from 0 to 1. Returns
+    /// the end of the pause.
+    pub(crate) fn record_pause(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        pause: Millis,
+        random: f64,
+    ) -> Timestamp {
+        self.notices.record_pause(now, key, pause, random)
     }
 
     /// Returns all servers.
@@ -348,7 +399,10 @@
         }
         let prior = self.broken_priors.get_mut(service).expect("was just inserted");
         match event {
-            LoadEvent::Started | LoadEvent::Repeated | LoadEvent::Cancelled => {}
+            LoadEvent::Started
+            | LoadEvent::Repeated
+            | LoadEvent::Cancelled
+            | LoadEvent::Leaving => {}
             LoadEvent::Answered(answered) => {
                 server.last_progress_at = now;
                 let route = RouteKey(answered.route);
--- a/components/gateway_core/src/servers/placement.rs
+++ b/components/gateway_core/src/servers/placement.rs
@@ -148,7 +148,7 @@
     let mut best: Option<(f64, &Server)> = None;
     let mut earliest_free = f64::INFINITY;
     let mut earliest_response = f64::INFINITY;
-    for server in table.available_for(request.service) {
+    for server in table.available_for(now, request.service) {
         if request.excluded.contains(&server.announcement.server) {
             continue;
         }
--- a/tests/gateway/http.rs
+++ b/tests/gateway/http.rs
@@ -17,6 +17,11 @@
 }
 
 impl HttpResponse {
+    /// Returns the `retry-after` header in seconds.
+    pub fn retry_after(&self) -> Option<f64> {
+        header_map(&self.head).get("retry-after")?.to_str().ok()?.parse().ok()
+    }
+
     /// Returns the address in the `location` header.
     pub fn redirect_address(&self) -> Option<SocketAddr> {
         let headers = header_map(&self.head);
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -21,14 +21,34 @@
 /// A backend server that can be told to fail.
 pub struct Server {
     pub announcement: Announcement,
-    /// Ids of the attempts that have run, in order.
-    attempt_ids: Arc<Mutex<Vec<String>>>,
+    behaviour: Arc<Behaviour>,
+}
+
+/// What a server does with requests, and what it has seen.
+#[derive(Default)]
+pub struct Behaviour {
+    /// Ids of the attempts that have arrived, and when.
+    arrivals: Mutex<Vec<(String, Instant)>>,
     /// Whether the server runs requests but closes their connections without a response.
-    pub drops_connections: Arc<AtomicBool>,
+    pub drops_connections: AtomicBool,
     /// Whether the server refuses requests as if another server had its address.
-    pub has_other_id: Arc<AtomicBool>,
+    pub has_other_id: AtomicBool,
+    /// Whether the responses say that the server leaves.
+    pub is_leaving: AtomicBool,
+    /// The `Retry-After` with which the server turns all requests away.
+    pub turns_away: Mutex<Option<String>>,
     /// When the gateway closed the connections of requests to paths that end with `hang`.
-    pub closed_at: Arc<Mutex<Vec<Instant>>>,
+    pub closed_at: Mutex<Vec<Instant>>,
+    /// Number of open connections.
+    pub connections: Mutex<usize>,
+}
+
+impl std::ops::Deref for Server {
+    type Target = Behaviour;
+
+    fn deref(&self) -> &Behaviour {
+        &self.behaviour
+    }
 }
 
 impl Server {
@@ -47,65 +67,46 @@
             slots: 3,
             state: ServerState::Serving,
         };
-        let server = Self {
-            announcement,
-            attempt_ids: Arc::default(),
-            drops_connections: Arc::default(),
-            has_other_id: Arc::default(),
-            closed_at: Arc::default(),
-        };
-        let (attempt_ids, drops_connections, has_other_id) = (
-            server.attempt_ids.clone(),
-            server.drops_connections.clone(),
-            server.has_other_id.clone(),
-        );
+        let server = Self { announcement, behaviour: Arc::default() };
         let name = server.announcement.server.to_string();
-        let closed_at = server.closed_at.clone();
+        let behaviour = server.behaviour.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (attempt_ids, drops_connections, has_other_id) =
-                    (attempt_ids.clone(), drops_connections.clone(), has_other_id.clone());
-                let (name, closed_at) = (name.clone(), closed_at.clone());
+                let (name, behaviour) = (name.clone(), behaviour.clone());
                 thread::spawn(move || {
-                    serve(
-                        stream,
-                        &name,
-                        &attempt_ids,
-                        &drops_connections,
-                        &has_other_id,
-                        &closed_at,
-                    );
+                    *behaviour.connections.lock().unwrap() += 1;
+                    serve(stream, &name, &behaviour);
+                    *behaviour.connections.lock().unwrap() -= 1;
                 });
             }
         });
         server
     }
 
-    /// Returns the ids of the attempts that have run, in order.
+    /// Returns the ids of the attempts that have arrived, in order.
     pub fn attempt_ids(&self) -> Vec<String> {
-        self.attempt_ids.lock().unwrap().clone()
+        self.arrivals().into_iter().map(|(id, _)| id).collect()
+    }
+
+    /// Returns the ids of the attempts that have arrived and when, in order.
+    pub fn arrivals(&self) -> Vec<(String, Instant)> {
+        self.arrivals.lock().unwrap().clone()
     }
 }
 
 /// Serves requests on one connection; paths that end with `slow` take two seconds, and paths that
 /// end with `hang` get no response.
-fn serve(
-    mut stream: TcpStream,
-    name: &str,
-    attempt_ids: &Mutex<Vec<String>>,
-    drops_connections: &AtomicBool,
-    has_other_id: &AtomicBool,
-    closed_at: &Mutex<Vec<Instant>>,
-) {
+fn serve(mut stream: TcpStream, name: &str, behaviour: &Behaviour) {
     let mut buf = Vec::new();
     while let Some(head) = read_head(&mut stream, &mut buf) {
         let attempt = stand_in::read_attempt(&header_map(&head));
-        if has_other_id.load(Ordering::Relaxed) || attempt.target.as_deref() != Some(name) {
+        let has_other_id = behaviour.has_other_id.load(Ordering::Relaxed);
+        if has_other_id || attempt.target.as_deref() != Some(name) {
             let _ = stream.write_all(b"HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n");
             continue;
         }
-        attempt_ids.lock().unwrap().push(attempt.attempt_id.clone());
-        if drops_connections.load(Ordering::Relaxed) {
+        behaviour.arrivals.lock().unwrap().push((attempt.attempt_id.clone(), Instant::now()));
+        if behaviour.drops_connections.load(Ordering::Relaxed) {
             return;
         }
         let target = head.split_whitespace().nth(1).unwrap_or_default().to_owned();
@@ -113,7 +114,7 @@
             // The gateway sends nothing more, so the read returns when it closes the connection.
             let ended = stream.read(&mut [0]).map_or(true, |it| it == 0);
             assert!(ended, "data after a request without a body");
-            closed_at.lock().unwrap().push(Instant::now());
+            behaviour.closed_at.lock().unwrap().push(Instant::now());
             return;
         }
         if target.ends_with("slow") {
@@ -121,8 +122,20 @@
         }
         let mut headers = HeaderMap::new();
         stand_in::sign_response(&mut headers, &attempt.attempt_id);
+        if behaviour.is_leaving.load(Ordering::Relaxed) {
+            stand_in::mark_leaving(&mut headers);
+        }
+        let retry_after = behaviour.turns_away.lock().unwrap().clone();
+        let status = match &retry_after {
+            Some(value) => {
+                stand_in::mark_not_run(&mut headers);
+                headers.insert("retry-after", value.parse().unwrap());
+                "503 Service Unavailable"
+            }
+            None => "200 OK",
+        };
         let body = format!("{name} {target}");
-        let mut response = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n", body.len());
+        let mut response = format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n", body.len());
         for (name, value) in &headers {
             response += &format!("{name}: {}\r\n", value.to_str().unwrap());
         }
