Drop the in-flight counts of a gateway that has restarted

A killed gateway that starts again within that time stays listed, so that its requests, which ended with the process, take the slots of servers that are free.

Change: the counts are dropped when the list shows a new incarnation. Test: requests_of_a_gateway_that_has_restarted_take_no_slots, failed before.

--- a/components/gateway_core/src/entry_hosts.rs
+++ b/components/gateway_core/src/entry_hosts.rs
@@ -52,8 +52,9 @@
         self.hosts.len()
     }
 
-    pub(crate) fn contains(&self, host: HostId) -> bool {
-        self.hosts.contains_key(&host)
+    /// Returns the incarnation of a host, or `None` if it isn't listed.
+    pub(crate) fn incarnation(&self, host: HostId) -> Option<Incarnation> {
+        self.hosts.get(&host).map(|it| it.incarnation)
     }
 
     pub(crate) fn remove(&mut self, host: HostId) {
--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -87,15 +87,20 @@
     }
 
     fn apply_hosts(&mut self, update: schema::sync::HostsUpdate) {
-        let before: Vec<_> = self.entry_hosts.in_data_centre(&self.settings.data_centre).collect();
+        let before: Vec<_> = self
+            .local_peers()
+            .into_iter()
+            .map(|it| (it, self.entry_hosts.incarnation(it)))
+            .collect();
         self.entry_hosts.apply(update);
         // A host that isn't serving removes itself from its own directory at once, even if the
         // control hosts still list it.
         if self.lifecycle != Lifecycle::Serving {
             self.entry_hosts.remove(self.settings.host);
         }
-        for host in before {
-            if !self.entry_hosts.contains(host) {
+        // The requests of a gateway that has left or restarted have ended with its process.
+        for (host, incarnation) in before {
+            if self.entry_hosts.incarnation(host) != incarnation {
                 self.servers.forget_peer(host);
             }
         }
--- a/components/gateway_core/src/gateway/reports.rs
+++ b/components/gateway_core/src/gateway/reports.rs
@@ -108,7 +108,7 @@
     }
 
     /// Returns the other gateways in this data centre.
-    fn local_peers(&self) -> Vec<HostId> {
+    pub(super) fn local_peers(&self) -> Vec<HostId> {
         let entry_hosts = self.entry_hosts.in_data_centre(&self.settings.data_centre);
         entry_hosts.filter(|it| *it != self.settings.host).collect()
     }
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -374,7 +374,7 @@
         };
     }
 
-    /// Drops the in-flight counts of a gateway that has left.
+    /// Drops the in-flight counts of a gateway that has left or restarted.
     pub(crate) fn forget_peer(&mut self, host: HostId) {
         for server in self.servers.values_mut() {
             server.peer_in_flight.remove(&host);
--- a/components/gateway_core/tests/placement.rs
+++ b/components/gateway_core/tests/placement.rs
@@ -6,10 +6,11 @@
 
 use common::{Harness, at, entry_host, route, server, server_id};
 use gateway_core::{AttemptEnd, AttemptStart, Idempotency, RefusalReason, Step};
-use ids::{HostId, RequestId, ServerId};
+use ids::{HostId, Incarnation, RequestId, ServerId};
 use schema::{
     announcement::ServerState,
     server_load::{Answered, LoadEvent, LoadReport, ReportScope},
+    sync::EntryHostRecord,
 };
 
 fn idempotent_routes() -> Vec<gateway_core::Route> {
@@ -119,6 +120,23 @@
     }
 }
 
+#[test]
+fn requests_of_a_gateway_that_has_restarted_take_no_slots() {
+    let servers = vec![server(1, "north-a"), server(2, "north-a")];
+    let hosts = vec![entry_host(1, "north-a"), entry_host(2, "north-a")];
+    let mut harness = Harness::new(idempotent_routes(), servers, hosts);
+    for number in 1..=2 {
+        harness.gateway.on_report(at(10), HostId(2), &report(number, 5, LoadEvent::Started));
+    }
+    let id = harness.begin(at(20), "/look/1");
+    assert!(matches!(harness.gateway.step(at(20), id), Step::Wait(_)), "the servers are full");
+
+    let restarted = EntryHostRecord { incarnation: Incarnation(2), ..entry_host(2, "north-a") };
+    harness.update(at(700), Vec::new(), vec![restarted]);
+
+    assert!(matches!(harness.gateway.step(at(700), id), Step::Send(_)));
+}
+
 #[test]
 fn a_burst_goes_to_the_next_data_centre_and_then_waits() {
     let servers = vec![server(1, "north-a"), server(2, "north-b")];
