Accept in a test that the first text of a fleet is sent again

The log of host 1 shows why: it became leader, lost its majority 0.7 s later, and the operator's client of the test's own fixture sent the first text again, which the audit trail has to name. So the entry is allowed; the test now passes over it, and over no other resent text.

--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -315,12 +315,14 @@
     assert_eq!(without_token.unwrap_err(), OperatorError::BadToken);
     assert_current(&client, &config_text(1, 1)).await;
     let trail = audit_trail(&client).await;
+    let digest = |it: &str| ContentDigest::of(it.as_bytes());
+    // The fleet's first text is sent again if a change of leader delays the response.
+    let first_text_again = (AuditOutcome::Resent, digest(&config_text(1, 1)));
     let rejected: Vec<_> = trail
         .iter()
-        .filter(|it| it.outcome != AuditOutcome::Accepted)
         .map(|it| (it.outcome, it.digest))
+        .filter(|it| it.0 != AuditOutcome::Accepted && *it != first_text_again)
         .collect();
-    let digest = |it: &str| ContentDigest::of(it.as_bytes());
     assert_eq!(
         rejected,
         [
