--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -37,6 +37,8 @@
     pub is_leaving: AtomicBool,
     /// The `Retry-After` with which the server turns all requests away.
     pub turns_away: Mutex<Option<String>>,
+    /// The limit on the requests of all gateways that the responses name.
+    pub limit: Mutex<Option<String>>,
     /// When the gateway closed the connections of requests to paths that end with `hang`.
     pub closed_at: Mutex<Vec<Instant>>,
     /// Number of open connections.
@@ -125,6 +127,9 @@
         if behaviour.is_leaving.load(Ordering::Relaxed) {
             stand_in::mark_leaving(&mut headers);
         }
+        if let Some(limit) = &*behaviour.limit.lock().unwrap() {
+            stand_in::name_limit(&mut headers, limit);
+        }
         let retry_after = behaviour.turns_away.lock().unwrap().clone();
         let status = match &retry_after {
             Some(value) => {
