--- a/components/entry_core/src/peers.rs
+++ b/components/entry_core/src/peers.rs
@@ -51,7 +51,10 @@
             // Only control hosts take part in consensus and plan the claim map.
             PeerMessage::Consensus(_) | PeerMessage::ClaimReport(_) => {}
             // Only gateways poll a registry, and share server loads and retries.
-            PeerMessage::Sync(_) | PeerMessage::ServerLoad(_) | PeerMessage::RetryLoan(_) => {}
+            PeerMessage::Sync(_)
+            | PeerMessage::ServerLoad(_)
+            | PeerMessage::RetryLoan(_)
+            | PeerMessage::ServerLimit(_) => {}
         }
     }
 
--- a/components/fleet_core/src/control_host.rs
+++ b/components/fleet_core/src/control_host.rs
@@ -160,7 +160,8 @@
             | PeerMessage::Limits(_)
             | PeerMessage::Sync(_)
             | PeerMessage::ServerLoad(_)
-            | PeerMessage::RetryLoan(_) => Vec::new(),
+            | PeerMessage::RetryLoan(_)
+            | PeerMessage::ServerLimit(_) => Vec::new(),
         }
     }
 
--- a/components/gateway/src/entry/backend.rs
+++ b/components/gateway/src/entry/backend.rs
@@ -34,6 +34,7 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) request: Request<Full<Bytes>>,
     pub(crate) attempt_id: Rc<str>,
+    pub(crate) has_permit: bool,
     pub(crate) may_reuse_connection: bool,
 }
 
@@ -60,6 +61,7 @@
 pub(crate) async fn call(shared: Rc<Shared>, call: Call) -> CallResult {
     let (address, incarnation) = (call.address, call.incarnation);
     let attempt_id = call.attempt_id.clone();
+    let sent_at = shared.clock.now();
     let sent = send(&shared, call).await;
     let (connection, response) = match sent {
         Ok(sent) => sent,
@@ -68,15 +70,15 @@
     let (head, body) = response.into_parts();
     // A different server speaks for itself only.
     if head.status != StatusCode::MISDIRECTED_REQUEST {
-        let found = headers::read_notice(head.status, &head.headers);
-        shared.process_notice(address, incarnation, found);
+        let found = headers::read_notice(head.status, &head.headers, &attempt_id);
+        shared.process_notice(address, incarnation, sent_at, found);
     }
     let Some(body) = read_body(body).await else {
         return CallResult::without_response(AttemptEnd::Lost);
     };
     let end = classify(head.status, &head.headers, &attempt_id);
     if end != AttemptEnd::Lost
-        && shared.may_send(address, incarnation)
+        && shared.may_keep_connection(address, incarnation)
         && let Some(reusable_for) = reusable_for(&head.headers)
     {
         shared.pool.put(shared.clock.now(), address, connection, reusable_for);
@@ -91,7 +93,7 @@
 }
 
 async fn send(shared: &Shared, call: Call) -> Result<(Connection, Response<Incoming>), AttemptEnd> {
-    let Call { address, incarnation, mut request, may_reuse_connection, .. } = call;
+    let Call { address, incarnation, mut request, has_permit, may_reuse_connection, .. } = call;
     if may_reuse_connection
         && let Some(mut connection) = shared.pool.take(shared.clock.now(), address)
     {
@@ -108,8 +110,8 @@
         return Err(AttemptEnd::Unreachable);
     };
     // The response to another request may have closed the server to new ones meanwhile.
-    if !shared.may_send(address, incarnation) {
-        return Err(AttemptEnd::NotSent);
+    if !shared.may_send(address, incarnation, has_permit) {
+        return Err(AttemptEnd::Withheld);
     }
     match connection.sender.try_send_request(request).await {
         Ok(response) => Ok((connection, response)),
--- a/components/gateway/src/entry/events.rs
+++ b/components/gateway/src/entry/events.rs
@@ -43,6 +43,20 @@
         Event::ServerPaused { server, pause } => {
             log::info!(server:% = server, pause_ms = pause.0; "server paused");
         }
+        Event::ServerLimitChanged { server, limit, seen_by } => {
+            log::info!(
+                server:% = server,
+                limit_milli:? = limit.map(|it| it.0),
+                seen_by:% = peers::address_of(*seen_by, 0).ip();
+                "server limit changed"
+            );
+        }
+        Event::LimitLeaseHeld { server } => {
+            log::info!(server:% = server; "grants permits for the server");
+        }
+        Event::PermitDenied { server, free_in } => {
+            log::debug!(server:% = server, free_in_ms = free_in.0; "no permit for the server");
+        }
         Event::ControlHostLost { host, cause } => {
             log::warn!(
                 host:% = peers::address_of(*host, 0).ip(),
--- a/components/gateway/src/entry/forward.rs
+++ b/components/gateway/src/entry/forward.rs
@@ -91,6 +91,7 @@
         incarnation: start.incarnation,
         request: req,
         attempt_id: request.attempt_id.clone(),
+        has_permit: start.has_permit,
         may_reuse_connection: start.may_reuse_connection,
     };
     let (cx, attempt) = (shared.clone(), start.attempt);
--- a/components/gateway/src/entry/metrics.rs
+++ b/components/gateway/src/entry/metrics.rs
@@ -49,6 +49,9 @@
     servers_avoided: Counter,
     servers_leaving: Counter,
     servers_paused: Counter,
+    server_limits: Counter,
+    limit_leases: Counter,
+    permits_denied: Counter,
     invalid_notices: Family<HeaderLabels, Counter>,
     control_hosts_lost: Counter,
     config_version: Gauge,
@@ -84,6 +87,9 @@
         let servers_avoided = counter("server_avoided", "Outbreaks of broken requests at servers");
         let servers_leaving = counter("server_leaving", "Servers whose responses say they leave");
         let servers_paused = counter("server_paused", "Pauses that servers asked for");
+        let server_limits = counter("server_limit_changed", "Changes of limits of servers");
+        let limit_leases = counter("limit_lease", "Leases to grant permits for limited servers");
+        let permits_denied = counter("permit_denied", "Permits for limited servers not granted");
         let control_hosts_lost = counter("control_host_lost", "Control hosts left for another one");
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
@@ -105,6 +111,9 @@
             servers_avoided,
             servers_leaving,
             servers_paused,
+            server_limits,
+            limit_leases,
+            permits_denied,
             invalid_notices,
             control_hosts_lost,
             config_version,
@@ -147,6 +156,15 @@
             Event::ServerPaused { .. } => {
                 self.servers_paused.inc();
             }
+            Event::ServerLimitChanged { .. } => {
+                self.server_limits.inc();
+            }
+            Event::LimitLeaseHeld { .. } => {
+                self.limit_leases.inc();
+            }
+            Event::PermitDenied { .. } => {
+                self.permits_denied.inc();
+            }
             Event::RetrySent { service, .. } => {
                 let labels = ServiceLabels { service: service.to_string() };
                 self.retries.get_or_create(&labels).inc();
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -129,6 +129,9 @@
             PeerMessage::RetryLoan(message) => {
                 shared.with_core(|core, now| core.on_retry_loan(now, frame.from, &message));
             }
+            PeerMessage::ServerLimit(message) => {
+                shared.with_core(|core, now| core.on_server_limit(now, frame.from, &message));
+            }
             PeerMessage::Sync(SyncMessage::Update(update)) => {
                 let config = shared.with_core(|core, now| core.on_update(now, frame.from, update));
                 if let Some(document) = config {
--- a/components/gateway/src/entry/shared.rs
+++ b/components/gateway/src/entry/shared.rs
@@ -62,8 +62,9 @@
         let now = self.clock.now();
         let mut core = self.core.borrow_mut();
         let result = f(&mut core, now);
-        let (reports, loans, events, wakeups) =
-            (core.take_reports(), core.take_retry_loans(), core.take_events(), core.take_wakeups());
+        let (reports, loans, limit_messages) =
+            (core.take_reports(), core.take_retry_loans(), core.take_limit_messages());
+        let (events, wakeups) = (core.take_events(), core.take_wakeups());
         drop(core);
         for outgoing in reports {
             for to in outgoing.to {
@@ -73,6 +74,9 @@
         for (to, message) in loans {
             self.send(to, PeerMessage::RetryLoan(message));
         }
+        for (to, message) in limit_messages {
+            self.send(to, PeerMessage::ServerLimit(message));
+        }
         for event in &events {
             if let Event::ServerLeaving { address, .. } = event {
                 self.pool.close_idle(*address);
@@ -111,11 +115,13 @@
         self.poll_due.notify_one();
     }
 
-    /// Processes what a backend server says of itself in a response.
+    /// Processes what a backend server says of itself in the response to a request that was sent at
+    /// `sent_at`.
     pub(crate) fn process_notice(
         &self,
         address: SocketAddr,
         incarnation: Incarnation,
+        sent_at: Timestamp,
         found: NoticeHeaders,
     ) {
         for header in found.invalid {
@@ -124,14 +130,28 @@
         }
         if found.notice != ServerNotice::default() {
             self.with_core(|core, now| {
-                core.on_server_notice(now, address, incarnation, found.notice);
+                core.on_server_notice(now, address, incarnation, sent_at, found.notice);
             });
         }
     }
 
     /// Returns whether a server still takes new requests of this gateway.
-    pub(crate) fn may_send(&self, address: SocketAddr, incarnation: Incarnation) -> bool {
-        self.core.borrow().may_send(self.clock.now(), address, incarnation)
+    pub(crate) fn may_send(
+        &self,
+        address: SocketAddr,
+        incarnation: Incarnation,
+        has_permit: bool,
+    ) -> bool {
+        self.core.borrow().may_send(self.clock.now(), address, incarnation, has_permit)
+    }
+
+    /// Returns whether an idle connection to a server may be kept.
+    pub(crate) fn may_keep_connection(
+        &self,
+        address: SocketAddr,
+        incarnation: Incarnation,
+    ) -> bool {
+        self.core.borrow().may_keep_connection(self.clock.now(), address, incarnation)
     }
 
     /// Registers and returns the notification that wakes a waiting request.
--- a/components/gateway_core/src/entry_hosts.rs
+++ b/components/gateway_core/src/entry_hosts.rs
@@ -1,10 +1,15 @@
 //! The entry hosts of the fleet, and the choice of those that a caller is told to use.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::BTreeMap,
+    hash::{Hash, Hasher},
+    net::SocketAddr,
+};
 
 use ids::{DataCentreName, HostId, Incarnation, Millis, RegionName};
+use rustc_hash::FxHasher;
 use schema::{
-    record_digest,
+    list_digest,
     sync::{EntryHostRecord, EntryHostState, HostsRevision, HostsUpdate},
 };
 
@@ -71,7 +76,7 @@
         }
         self.hosts.extend(changes.hosts.into_iter().map(|it| (it.host, it)));
         self.revision = changes.revision;
-        self.digest = self.hosts.values().fold(0, |sum, it| sum ^ record_digest(it));
+        self.digest = list_digest(self.hosts.values());
     }
 
     /// Returns the hosts of a data centre.
@@ -82,6 +87,23 @@
         self.hosts.values().filter(|it| it.data_centre == *data_centre).map(|it| it.host)
     }
 
+    /// Returns the serving host that grants permits for a server: one in the server's data centre if
+    /// there is one. All hosts that know the same hosts pick the same one.
+    pub(crate) fn grantor_for(
+        &self,
+        data_centre: &DataCentreName,
+        address: SocketAddr,
+        incarnation: Incarnation,
+    ) -> Option<HostId> {
+        let serving = self.hosts.values().filter(|it| it.state == EntryHostState::Serving);
+        let rank = |it: &&EntryHostRecord| {
+            let mut hasher = FxHasher::default();
+            (it.host, address, incarnation).hash(&mut hasher);
+            (it.data_centre != *data_centre, hasher.finish())
+        };
+        serving.min_by_key(rank).map(|it| it.host)
+    }
+
     /// Picks one host of each data centre other than `data_centre`, using a random number.
     pub(crate) fn pick_one_in_each_other_data_centre(
         &self,
--- a/components/gateway_core/src/events.rs
+++ b/components/gateway_core/src/events.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use ids::{
-    ConfigVersion, DataCentreName, HostId, Millis, RequestId, RetryCredit, ServerId, ServiceName,
+    ConfigVersion, DataCentreName, HostId, LimitRate, Millis, RequestId, RetryCredit, ServerId,
+    ServiceName,
 };
 
 /// A gateway's part of the retry budget of a service in the current window.
@@ -79,6 +80,27 @@
         /// Until the next request may be sent to it.
         pause: Millis,
     },
+    /// A backend server named another limit on the requests of all gateways, or none any more.
+    ServerLimitChanged {
+        /// The server.
+        server: ServerId,
+        /// The limit, if there is one.
+        limit: Option<LimitRate>,
+        /// Host that received the response.
+        seen_by: HostId,
+    },
+    /// This gateway has become the one that grants permits for a limited server.
+    LimitLeaseHeld {
+        /// The server.
+        server: ServerId,
+    },
+    /// A request got no permit for a limited server.
+    PermitDenied {
+        /// The server.
+        server: ServerId,
+        /// Time until a permit may be free.
+        free_in: Millis,
+    },
     /// A control host stopped answering, or reported that it is not current.
     ControlHostLost {
         /// The control host.
--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -3,7 +3,7 @@
 use ids::{AttemptNumber, ByteSize, Millis, RequestId, ServerId, Timestamp};
 use schema::server_load::{Answered, LoadEvent};
 
-use super::{Gateway, PAUSE_RETURN_SPREAD, QUARANTINE_RETRY_AFTER, queue_key};
+use super::{Gateway, QUARANTINE_RETRY_AFTER, queue_key};
 use crate::{
     configuration::Idempotency,
     events::Event,
@@ -12,8 +12,10 @@
         RunStatus, Step,
     },
     retry_budget::RetryDecision,
+    server_limits::PermitDecision,
     servers::{
         ServerKey,
+        notices::Closed,
         placement::{self, Placement, PlacementRequest},
     },
 };
@@ -31,6 +33,9 @@
 /// centres, whose load is not reported here, may have free slots by then.
 const RECHECK_INTERVAL: Millis = Millis(100);
 
+/// Maximum number of permits that a request asks for in vain.
+const MAX_PERMIT_ASKS: u32 = 4;
+
 /// Retry-After for requests that found no server or ran out of attempts, in milliseconds.
 const NO_SERVER_RETRY_AFTER: Millis = Millis(500);
 
@@ -80,6 +85,11 @@
         match end {
             AttemptEnd::Answered => request.answered_by = Some(attempt),
             AttemptEnd::ServerError => request.server_error = Some(attempt),
+            // The server may still take the request once it has a permit.
+            AttemptEnd::Withheld => {
+                let (server, _) = &request.attempt_log[attempt.0 as usize];
+                request.tried.retain(|it| it != server);
+            }
             _ => {}
         }
         let fingerprint = request.head.fingerprint;
@@ -96,7 +106,9 @@
             AttemptEnd::Shed => LoadEvent::Shed,
             AttemptEnd::Unreachable => LoadEvent::Unreachable,
             AttemptEnd::Lost => LoadEvent::Lost(fingerprint),
-            AttemptEnd::Misplaced | AttemptEnd::NotSent => LoadEvent::Cancelled,
+            AttemptEnd::Misplaced | AttemptEnd::NotSent | AttemptEnd::Withheld => {
+                LoadEvent::Cancelled
+            }
         };
         if end == AttemptEnd::Misplaced {
             self.servers.mark_misplaced(ended.key);
@@ -190,7 +202,7 @@
         if request.counted_attempts() >= request.route.max_attempts {
             return None;
         }
-        let Placement::Server(server) = self.place(now, id) else { return None };
+        let Placement::Server(server) = self.place(now, id, false) else { return None };
         match self.decide_retry(now, id) {
             RetryDecision::Send => self.start_attempt(now, id, server),
             RetryDecision::AwaitLoan(_) | RetryDecision::Deny => None,
@@ -208,21 +220,81 @@
         if self.quarantine.is_quarantined(now, request.head.fingerprint) {
             return self.give_up(now, id, RefusalReason::Quarantined, Some(QUARANTINE_RETRY_AFTER));
         }
-        if let Some(pause) = self.servers.all_paused_for(now, &request.service) {
-            return self.give_up(now, id, RefusalReason::ServersPaused, Some(pause));
+        if let Some(step) = self.send_with_permit(now, id) {
+            return step;
         }
+        if let Some(step) = self.wait_while_closed(now, id) {
+            return step;
+        }
+        let request = &self.requests[&id];
         let key = queue_key(request, id);
         if self.wait_queues.ahead_of(&request.service, key) > 0 {
             return self.wait(now, id, RECHECK_INTERVAL);
         }
-        match self.place(now, id) {
-            Placement::Server(server) => self.send(now, id, server),
-            Placement::Full(free_in) => self.wait(now, id, free_in),
-            Placement::TooLate(retry_after) => {
-                self.give_up(now, id, RefusalReason::Busy, Some(retry_after))
+        loop {
+            let may_ask = self.requests[&id].permit_asks < MAX_PERMIT_ASKS;
+            match self.place(now, id, may_ask) {
+                Placement::Server(server) => {
+                    let step = self.send_if_permitted(now, id, server);
+                    if let Some(step) = step.or_else(|| self.wait_while_closed(now, id)) {
+                        return step;
+                    }
+                }
+                Placement::Full(free_in) => return self.wait(now, id, free_in),
+                Placement::TooLate(retry_after) => {
+                    return self.give_up(now, id, RefusalReason::Busy, Some(retry_after));
+                }
+                Placement::NoServer if !may_ask => {
+                    let retry_after = Some(NO_SERVER_RETRY_AFTER);
+                    return self.give_up(now, id, RefusalReason::ServersAtLimit, retry_after);
+                }
+                Placement::NoServer => {
+                    let retry_after = Some(NO_SERVER_RETRY_AFTER);
+                    return self.give_up(now, id, RefusalReason::NoServer, retry_after);
+                }
             }
-            Placement::NoServer => {
-                self.give_up(now, id, RefusalReason::NoServer, Some(NO_SERVER_RETRY_AFTER))
+        }
+    }
+
+    /// Waits or gives up while no server of the service takes requests.
+    fn wait_while_closed(&mut self, now: Timestamp, id: RequestId) -> Option<Step> {
+        let reason = match self.servers.all_closed_for(now, &self.requests[&id].service)? {
+            Closed::Leaving => return None,
+            Closed::Paused(_) => RefusalReason::ServersPaused,
+            Closed::AtLimit(free_in) if free_in <= self.max_permit_wait(now, id) => {
+                return Some(Step::Wait(now + free_in));
+            }
+            Closed::AtLimit(_) => RefusalReason::ServersAtLimit,
+        };
+        Some(self.give_up(now, id, reason, None))
+    }
+
+    /// Goes on with a request that has asked for a permit; returns `None` if it needs a server.
+    fn send_with_permit(&mut self, now: Timestamp, id: RequestId) -> Option<Step> {
+        let key = self.server_limits.claimed_server(now, id)?;
+        let is_open = self.servers.closed(now, key, true).is_none();
+        let server = self.servers.by_key_mut(key).filter(|it| is_open && it.accepts_requests());
+        let Some(server) = server.map(|it| it.announcement.server.clone()) else {
+            self.server_limits.forget(id);
+            return None;
+        };
+        self.send_if_permitted(now, id, server)
+    }
+
+    /// Sends a request to a server, or waits for a permit; returns `None` if there is none.
+    fn send_if_permitted(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        server: ServerId,
+    ) -> Option<Step> {
+        let key = self.servers.get(&server)?.key();
+        match self.decide_permit(now, id, key) {
+            PermitDecision::Ready => Some(self.send(now, id, server)),
+            PermitDecision::Wait(until) => Some(Step::Wait(until)),
+            PermitDecision::Denied(_) => {
+                self.requests.get_mut(&id)?.permit_asks += 1;
+                None
             }
         }
     }
@@ -270,13 +342,15 @@
         Step::Wait(deadline.min(now + free_in.min(RECHECK_INTERVAL)))
     }
 
-    fn place(&mut self, now: Timestamp, id: RequestId) -> Placement {
+    /// Chooses a server; `may_ask` is whether it may be one that needs a permit.
+    fn place(&mut self, now: Timestamp, id: RequestId, may_ask: bool) -> Placement {
         let request = &self.requests[&id];
         let placement_request = PlacementRequest {
             service: &request.service,
             route: &request.route,
             excluded: &request.tried,
             time_left: request.time_left(now),
+            may_ask,
         };
         let rng = &mut self.rng;
         placement::place(now, &self.servers, &placement_request, || Self::random_unit(rng))
@@ -302,10 +376,14 @@
         server: ServerId,
     ) -> Option<AttemptStart> {
         let announcement = self.servers.get(&server)?.announcement.clone();
+        let key = ServerKey::of(&announcement);
+        let has_permit = self.servers.limit(key).is_some();
+        if has_permit && !self.server_limits.take_permit(now, id, key) {
+            return None;
+        }
         let request = self.requests.get_mut(&id)?;
         let is_first = request.counted_attempts() == 0;
         let attempt = AttemptNumber(u32::try_from(request.attempt_log.len()).unwrap_or(u32::MAX));
-        let key = ServerKey::of(&announcement);
         request.in_flight.push(InFlightAttempt {
             number: attempt,
             key,
@@ -321,6 +399,7 @@
             address: announcement.address,
             incarnation: announcement.incarnation,
             time_left: request.time_left(now),
+            has_permit,
             may_reuse_connection: request.route.idempotency == Idempotency::Idempotent,
         };
         self.report_start(now, key, is_first);
@@ -328,8 +407,8 @@
     }
 
     /// Ends a request with the last error response of a server if there is one, otherwise with a
-    /// refusal. While all servers of the service have asked for a pause, its Retry-After is not
-    /// shorter than that.
+    /// refusal. While all servers of the service are closed, its Retry-After is not shorter than
+    /// that.
     fn give_up(
         &mut self,
         now: Timestamp,
@@ -342,11 +421,13 @@
             return Step::Finish(Finish::Answer(attempt));
         }
         let run = request.run_status();
-        let pause = self.servers.all_paused_for(now, &request.service).map(|it| {
-            let spread = it.0 as f64 * PAUSE_RETURN_SPREAD * Self::random_unit(&mut self.rng);
-            Millis(it.0 + spread as u64)
-        });
-        let retry_after = retry_after.max(pause).filter(|_| run == RunStatus::NotRun);
+        let retry_after = match run {
+            RunStatus::NotRun => {
+                let service = request.service.clone();
+                retry_after.max(self.return_time_while_closed(now, &service))
+            }
+            RunStatus::MayHaveRun => None,
+        };
         Step::Finish(Finish::Refuse(Refusal { reason, run, retry_after }))
     }
 }
--- /dev/null
+++ b/components/gateway_core/src/gateway/limits.rs
@@ -0,0 +1,179 @@
+//! Keeps to the limits that backend servers name: learns them, and gets and grants permits.
+
+use ids::{HostId, LimitRate, Millis, RequestId, ServerId, ServiceName, Timestamp};
+use schema::{
+    server_limit::{PermitAsk, PermitOutcome, ServerLimitMessage},
+    server_load::{LimitNamed, LoadEvent},
+};
+
+use super::{Gateway, PAUSE_RETURN_SPREAD};
+use crate::{
+    events::Event,
+    server_limits::{PermitDecision, PermitRequest, ServerLimits},
+    servers::{
+        ServerKey,
+        notices::{Closed, LimitNotice},
+    },
+};
+
+impl Gateway {
+    /// Processes a message of another host about the limit of a server.
+    pub fn on_server_limit(&mut self, now: Timestamp, from: HostId, message: &ServerLimitMessage) {
+        match message {
+            ServerLimitMessage::PermitAsk(ask) => self.on_permit_ask(now, from, ask),
+            ServerLimitMessage::PermitAnswer(answer) => {
+                let asked = self.server_limits.record_outcome(now, answer.number, &answer.outcome);
+                let Some((request, key)) = asked else { return };
+                if let PermitOutcome::Unlimited(age) = answer.outcome {
+                    self.record_limit(now, from, key, LimitNotice::Unlimited, now - age);
+                }
+                self.wakeups.push(request);
+            }
+            ServerLimitMessage::LeaseAnswer(answer) => {
+                let held = self.server_limits.on_lease_answer(now, from, answer);
+                if let Some(server) = held.and_then(|it| self.servers.by_key_mut(it)) {
+                    let server = server.announcement.server.clone();
+                    self.events.push(Event::LimitLeaseHeld { server });
+                }
+            }
+            // Messages to control hosts.
+            ServerLimitMessage::LeaseAsk(_) | ServerLimitMessage::LeaseRelease(_) => {}
+        }
+    }
+
+    /// Takes the pending messages about the limits of servers.
+    pub fn take_limit_messages(&mut self) -> Vec<(HostId, ServerLimitMessage)> {
+        self.server_limits.take_messages()
+    }
+
+    /// Returns the limit that a server names.
+    pub fn server_limit(&self, server: &ServerId) -> Option<LimitRate> {
+        let key = self.servers.get(server)?.key();
+        self.servers.limit(key).map(|it| it.rate)
+    }
+
+    fn on_permit_ask(&mut self, now: Timestamp, from: HostId, ask: &PermitAsk) {
+        let key = ServerKey { address: ask.address, incarnation: ask.incarnation };
+        let LimitNamed { rate, age_ms } = ask.limit;
+        self.record_limit(now, from, key, LimitNotice::Limited(rate), now - age_ms);
+        let outcome = match (self.servers.limit(key), self.servers.limit_ended(key)) {
+            (Some(limit), _) => self.server_limits.grant(now, key, limit.rate, ask.max_wait_ms),
+            (None, Some(ended)) => PermitOutcome::Unlimited(now.since(ended)),
+            (None, None) => self.server_limits.grant(now, key, rate, ask.max_wait_ms),
+        };
+        self.server_limits.answer(from, ask.number, outcome);
+    }
+
+    /// Processes what a response to this gateway says of the server's limit.
+    pub(super) fn on_limit_notice(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        notice: LimitNotice,
+        sent_at: Timestamp,
+    ) {
+        let is_new = self.record_limit(now, self.settings.host, key, notice, sent_at);
+        let age_ms = now.since(sent_at);
+        match notice {
+            LimitNotice::Limited(rate) => {
+                let is_due = self.servers.should_tell_limit(now, key);
+                if is_new || is_due {
+                    let named = LimitNamed { rate, age_ms };
+                    self.report_event(now, key, LoadEvent::Limited(named));
+                }
+            }
+            LimitNotice::Unlimited if is_new => {
+                self.report_event(now, key, LoadEvent::Unlimited(age_ms));
+            }
+            LimitNotice::Unlimited | LimitNotice::Unknown => {}
+        }
+    }
+
+    /// Records what a response to a gateway says of the server's limit; returns whether it is new.
+    pub(super) fn record_limit(
+        &mut self,
+        now: Timestamp,
+        seen_by: HostId,
+        key: ServerKey,
+        notice: LimitNotice,
+        sent_at: Timestamp,
+    ) -> bool {
+        let is_new = match notice {
+            LimitNotice::Limited(rate) => self.servers.record_limit(now, key, rate, sent_at),
+            LimitNotice::Unlimited => self.servers.record_unlimited(key, sent_at),
+            LimitNotice::Unknown => false,
+        };
+        if !is_new {
+            return false;
+        }
+        let limit = self.servers.limit(key).map(|it| it.rate);
+        if let Some(server) = self.servers.by_key_mut(key) {
+            let announcement = &server.announcement;
+            let (server, service) = (announcement.server.clone(), announcement.service.clone());
+            self.events.push(Event::ServerLimitChanged { server, limit, seen_by });
+            if limit.is_none() {
+                self.wakeups.extend(self.wait_queues.first(&service));
+            }
+        }
+        true
+    }
+
+    /// Decides whether a request may be sent to a server; always if it names no limit.
+    pub(super) fn decide_permit(
+        &mut self,
+        now: Timestamp,
+        id: RequestId,
+        key: ServerKey,
+    ) -> PermitDecision {
+        let Some(limit) = self.servers.limit(key) else { return PermitDecision::Ready };
+        let request = &self.requests[&id];
+        let has_alternative = self.servers.available_for(now, &request.service).any(|it| {
+            self.servers.limit(it.key()).is_none()
+                && !request.tried.contains(&it.announcement.server)
+        });
+        let max_wait = match has_alternative {
+            true => Millis(0),
+            false => self.max_permit_wait(now, id),
+        };
+        let grantor = self.servers.by_key_mut(key).map(|it| it.announcement.data_centre.clone());
+        let grantor = grantor
+            .and_then(|it| self.entry_hosts.grantor_for(&it, key.address, key.incarnation))
+            .unwrap_or(self.settings.host);
+        let needed = PermitRequest { request: id, key, limit, max_wait, grantor };
+        let decision = self.server_limits.decide(now, &needed);
+        if let PermitDecision::Denied(until) = decision {
+            self.servers.record_no_permit(key, until);
+            if let Some(server) = self.servers.by_key_mut(key) {
+                let server = server.announcement.server.clone();
+                self.events.push(Event::PermitDenied { server, free_in: until.since(now) });
+            }
+        }
+        decision
+    }
+
+    /// Returns how long a request may wait for a permit.
+    pub(super) fn max_permit_wait(&self, now: Timestamp, id: RequestId) -> Millis {
+        let request = &self.requests[&id];
+        let response_time = Millis(self.servers.average_latency(&request.route) as u64);
+        let time_left = Millis(request.time_left(now).0.saturating_sub(response_time.0));
+        ServerLimits::max_wait(request.route.priority, time_left)
+    }
+
+    /// Returns when a caller of a service should return while all its servers are closed for a time.
+    pub(super) fn return_time_while_closed(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+    ) -> Option<Millis> {
+        let opens_in = match self.servers.all_closed_for(now, service)? {
+            Closed::Leaving => return None,
+            Closed::Paused(it) | Closed::AtLimit(it) => it,
+        };
+        let Some(total) = self.servers.total_limit(service) else {
+            let spread = opens_in.0 as f64 * PAUSE_RETURN_SPREAD;
+            return Some(Millis(opens_in.0 + (spread * Self::random_unit(&mut self.rng)) as u64));
+        };
+        let gateways = self.entry_hosts.len();
+        Some(self.server_limits.return_time(now, service, opens_in, total, gateways))
+    }
+}
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The top-level state machine of a gateway.
 
 mod attempts;
+mod limits;
 mod notices;
 mod registry;
 mod reports;
@@ -23,6 +24,7 @@
     registry_poller::RegistryPoller,
     requests::{QueueKey, Refusal, RefusalReason, Request, RequestHead, wait_queue::WaitQueues},
     retry_budget::RetryBudget,
+    server_limits::ServerLimits,
     servers::{Server, ServerTable},
     settings::{GatewaySettings, Lifecycle},
 };
@@ -40,7 +42,7 @@
 /// milliseconds.
 const STOP_MARGIN: Millis = Millis(100);
 
-/// Maximum random extension of the Retry-After of a service whose servers have asked for a pause, as
+/// Maximum random extension of the Retry-After of a service whose servers are all closed, as
 /// a fraction of it, so that callers don't return at the same moment.
 const PAUSE_RETURN_SPREAD: f64 = 0.25;
 
@@ -70,6 +72,7 @@
     requests: FastMap<RequestId, Request>,
     wait_queues: WaitQueues,
     retry_budget: RetryBudget,
+    server_limits: ServerLimits,
     quarantine: Quarantine,
     rng: Xoshiro256PlusPlus,
     next_request: RequestId,
@@ -99,6 +102,7 @@
             requests: FastMap::default(),
             wait_queues: WaitQueues::default(),
             retry_budget: RetryBudget::new(settings.retry_budget, settings.started),
+            server_limits: ServerLimits::new(settings.host),
             quarantine: Quarantine::default(),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             next_request: RequestId(1),
@@ -193,6 +197,7 @@
     pub fn forget(&mut self, now: Timestamp, id: RequestId) -> Option<RequestSummary> {
         let request = self.requests.remove(&id)?;
         self.wait_queues.remove(&request.service, queue_key(&request, id));
+        self.server_limits.forget(id);
         self.end_in_flight(now, &request);
         Some(RequestSummary {
             route: request.route.name.clone(),
--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -37,6 +37,7 @@
         }
         if update.current {
             self.registry_poller.set_control_hosts(&update.control_hosts);
+            self.server_limits.set_control_hosts(self.registry_poller.control_hosts());
             self.apply_hosts(update.hosts);
         }
         let config = match update.registry {
--- a/components/gateway_core/src/gateway/reports.rs
+++ b/components/gateway_core/src/gateway/reports.rs
@@ -4,11 +4,14 @@
 use rand_xoshiro::rand_core::RngCore;
 use schema::{
     retry_loan::RetryLoanMessage,
-    server_load::{LoadEvent, LoadReport, ReportScope},
+    server_load::{LimitNamed, LoadEvent, LoadReport, ReportScope},
 };
 
 use super::{Gateway, OutgoingReport};
-use crate::{events::Event, servers::ServerKey};
+use crate::{
+    events::Event,
+    servers::{ServerKey, notices::LimitNotice},
+};
 
 impl Gateway {
     /// Processes a load report of another gateway.
@@ -26,6 +29,13 @@
             LoadEvent::Leaving => {
                 self.record_leaving(from, key);
             }
+            LoadEvent::Limited(LimitNamed { rate, age_ms }) => {
+                self.servers.record_limit_told(now, key);
+                self.record_limit(now, from, key, LimitNotice::Limited(rate), now - age_ms);
+            }
+            LoadEvent::Unlimited(age) => {
+                self.record_limit(now, from, key, LimitNotice::Unlimited, now - age);
+            }
             _ => {}
         }
         self.record_event(now, from, key, &report.event);
@@ -131,9 +141,23 @@
 }
 
 /// Returns whether an event is reported to all data centres. Gateways anywhere may use the server,
-/// and a lost request costs more than the report, as does one that reaches a server that has left.
+/// and a lost request costs more than the report, as does one that reaches a server that has left or
+/// above its limit.
 fn is_fleet_wide(event: &LoadEvent) -> bool {
-    matches!(event, LoadEvent::Lost(_) | LoadEvent::Overdue | LoadEvent::Leaving)
+    match event {
+        LoadEvent::Lost(_)
+        | LoadEvent::Overdue
+        | LoadEvent::Leaving
+        | LoadEvent::Limited(_)
+        | LoadEvent::Unlimited(_) => true,
+        LoadEvent::Started
+        | LoadEvent::Repeated
+        | LoadEvent::Answered(_)
+        | LoadEvent::ServerError
+        | LoadEvent::Shed
+        | LoadEvent::Unreachable
+        | LoadEvent::Cancelled => false,
+    }
 }
 
 fn load_event_name(event: &LoadEvent) -> &'static str {
@@ -148,5 +172,7 @@
         LoadEvent::Unreachable => "unreachable",
         LoadEvent::Cancelled => "cancelled",
         LoadEvent::Leaving => "leaving",
+        LoadEvent::Limited(_) => "limited",
+        LoadEvent::Unlimited(_) => "unlimited",
     }
 }
--- a/components/gateway_core/src/lib.rs
+++ b/components/gateway_core/src/lib.rs
@@ -12,6 +12,7 @@
 mod registry_poller;
 mod requests;
 mod retry_budget;
+mod server_limits;
 mod servers;
 mod settings;
 
@@ -30,7 +31,7 @@
     servers::{
         Distance, Server, ServerTable,
         health::{BrokenPrior, ServerHealth},
-        notices::ServerNotice,
+        notices::{LimitNotice, ServerNotice},
         placement::{Placement, PlacementRequest},
     },
     settings::{GatewaySettings, Lifecycle, RetryBudgetSettings},
--- a/components/gateway_core/src/registry_poller.rs
+++ b/components/gateway_core/src/registry_poller.rs
@@ -191,6 +191,11 @@
         self.candidates = candidates.collect();
     }
 
+    /// Returns all known control hosts.
+    pub(crate) fn control_hosts(&self) -> Vec<HostId> {
+        self.candidates.iter().map(|it| it.host).collect()
+    }
+
     /// Adds control hosts from the settings.
     pub(crate) fn add_seeds(&mut self, seeds: &[HostId]) {
         for &host in seeds {
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -50,6 +50,8 @@
     pub incarnation: Incarnation,
     /// Time left until the deadline of the request.
     pub time_left: Millis,
+    /// Whether the request had a permit, if the server names a limit.
+    pub has_permit: bool,
     /// Whether the attempt may use a pooled connection.
     pub may_reuse_connection: bool,
 }
@@ -58,7 +60,8 @@
 ///
 /// `Shed`: the server refused the request without running it. `Misplaced`: a different server
 /// responded at the address. `Unreachable`: no connection could be opened. `NotSent`: a new
-/// connection failed before anything was sent, or the server asked for no more requests meanwhile.
+/// connection failed before anything was sent. `Withheld`: the server asked for no or fewer requests
+/// meanwhile.
 /// `Lost`: no complete and valid response arrived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
 pub enum AttemptEnd {
@@ -74,6 +77,8 @@
     Unreachable,
     /// not-sent
     NotSent,
+    /// withheld
+    Withheld,
     /// lost
     Lost,
 }
@@ -82,14 +87,16 @@
     /// Returns whether the request may have been executed.
     pub fn run_status(self) -> RunStatus {
         match self {
-            Self::Shed | Self::Misplaced | Self::Unreachable | Self::NotSent => RunStatus::NotRun,
+            Self::Shed | Self::Misplaced | Self::Unreachable | Self::NotSent | Self::Withheld => {
+                RunStatus::NotRun
+            }
             Self::Answered | Self::ServerError | Self::Lost => RunStatus::MayHaveRun,
         }
     }
 
     /// Returns whether the request reached the server.
     pub(crate) fn reached_server(self) -> bool {
-        !matches!(self, Self::Unreachable | Self::NotSent)
+        !matches!(self, Self::Unreachable | Self::NotSent | Self::Withheld)
     }
 
     pub(crate) fn name(self) -> &'static str {
@@ -100,6 +107,7 @@
             Self::Misplaced => "misplaced",
             Self::Unreachable => "unreachable",
             Self::NotSent => "not-sent",
+            Self::Withheld => "withheld",
             Self::Lost => "lost",
         }
     }
@@ -118,6 +126,8 @@
     NoServer,
     /// all backend servers of the service have asked for a pause
     ServersPaused,
+    /// all backend servers of the service get as many requests as they allow
+    ServersAtLimit,
     /// the request has crashed the backend servers that ran it
     Quarantined,
     /// the time for an answer is over
@@ -139,6 +149,7 @@
             Self::Busy => "busy",
             Self::NoServer => "no-server",
             Self::ServersPaused => "servers-paused",
+            Self::ServersAtLimit => "servers-at-limit",
             Self::Quarantined => "quarantined",
             Self::TimeLimit => "time-limit",
             Self::NoAnswer => "no-answer",
@@ -214,6 +225,8 @@
     /// The latest attempt that ended with a server error.
     pub(crate) server_error: Option<AttemptNumber>,
     pub(crate) first_sent_at: Option<Timestamp>,
+    /// Number of permits that were denied.
+    pub(crate) permit_asks: u32,
 }
 
 impl Request {
@@ -238,6 +251,7 @@
             answered_by: None,
             server_error: None,
             first_sent_at: None,
+            permit_asks: 0,
         }
     }
 
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -12,8 +12,8 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use ids::{
-    ByteSize, DataCentreName, FastMap, HostId, Incarnation, Millis, RegionName, ServerId,
-    ServiceName, Timestamp,
+    ByteSize, DataCentreName, FastMap, HostId, Incarnation, LimitRate, Millis, RegionName,
+    ServerId, ServiceName, Timestamp,
 };
 use schema::{
     announcement::{Announcement, ServerState},
@@ -23,7 +23,7 @@
 
 use health::{BrokenPrior, ServerHealth};
 use latency::RouteLatency;
-use notices::ServerNotices;
+use notices::{Closed, KnownLimit, ServerNotices};
 
 use crate::configuration::{Route, RouteKey};
 
@@ -111,7 +111,7 @@
         }
     }
 
-    fn key(&self) -> ServerKey {
+    pub(crate) fn key(&self) -> ServerKey {
         ServerKey::of(&self.announcement)
     }
 
@@ -231,36 +231,100 @@
         self.servers.get(server)
     }
 
-    /// Returns the servers of a service that accept requests now.
+    /// Returns the servers of a service that accept requests now. Those that name a limit take only
+    /// requests with a permit.
     pub fn available_for(
         &self,
         now: Timestamp,
         service: &ServiceName,
     ) -> impl Iterator<Item = &Server> {
-        self.staying_for(service).filter(move |it| self.notices.paused_for(now, it.key()).is_none())
+        let servers = self.accepting_for(service);
+        servers.filter(move |it| self.closed(now, it.key(), false).is_none())
     }
 
-    /// Returns the servers of a service that accept requests, now or after a pause.
-    fn staying_for(&self, service: &ServiceName) -> impl Iterator<Item = &Server> {
+    /// Returns the announced servers of a service that accept requests.
+    fn accepting_for(&self, service: &ServiceName) -> impl Iterator<Item = &Server> {
         let ids = self.by_service.get(service).into_iter().flatten();
         let servers = ids.filter_map(|it| self.servers.get(it));
-        servers.filter(|it| it.accepts_requests() && !self.notices.is_leaving(it.key()))
+        servers.filter(|it| it.accepts_requests())
+    }
+
+    /// Returns why all servers of a service are closed, and the time until the first one opens:
+    /// `None` if one is open, or if none will open.
+    pub(crate) fn all_closed_for(&self, now: Timestamp, service: &ServiceName) -> Option<Closed> {
+        let mut first: Option<(Millis, Closed)> = None;
+        for server in self.accepting_for(service) {
+            let closed = self.closed(now, server.key(), false)?;
+            let opens_in = match closed {
+                Closed::Leaving => continue,
+                Closed::Paused(it) | Closed::AtLimit(it) => it,
+            };
+            if first.is_none_or(|(earliest, _)| opens_in < earliest) {
+                first = Some((opens_in, closed));
+            }
+        }
+        first.map(|(_, closed)| closed)
+    }
+
+    /// Returns why a server gets no new request now; see [`ServerNotices::closed`].
+    pub(crate) fn closed(
+        &self,
+        now: Timestamp,
+        key: ServerKey,
+        has_permit: bool,
+    ) -> Option<Closed> {
+        self.notices.closed(now, key, has_permit)
+    }
+
+    /// Returns the limit that a server names.
+    pub(crate) fn limit(&self, key: ServerKey) -> Option<KnownLimit> {
+        self.notices.limit(key)
     }
 
-    /// Returns the time until the first server of a service accepts requests again, or `None` if
-    /// one accepts them now or there is none.
-    pub(crate) fn all_paused_for(&self, now: Timestamp, service: &ServiceName) -> Option<Millis> {
-        let mut shortest = None;
-        for server in self.staying_for(service) {
-            let pause = self.notices.paused_for(now, server.key())?;
-            shortest = Some(shortest.map_or(pause, |it: Millis| it.min(pause)));
+    /// Returns when the request was sent whose response showed that the server's limit had ended.
+    pub(crate) fn limit_ended(&self, key: ServerKey) -> Option<Timestamp> {
+        self.notices.limit_ended(key)
+    }
+
+    /// Returns the sum of the limits of a service's servers, or `None` if one has no limit.
+    pub(crate) fn total_limit(&self, service: &ServiceName) -> Option<LimitRate> {
+        let mut total: u64 = 0;
+        for server in self.accepting_for(service) {
+            total = total.saturating_add(self.limit(server.key())?.rate.0);
         }
-        shortest
+        Some(LimitRate(total))
+    }
+
+    /// Records a limit that a server named; returns whether it is new.
+    pub(crate) fn record_limit(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        rate: LimitRate,
+        sent_at: Timestamp,
+    ) -> bool {
+        self.notices.record_limit(now, key, rate, sent_at)
+    }
+
+    /// Records a response that names no limit; returns whether a limit has ended.
+    pub(crate) fn record_unlimited(&mut self, key: ServerKey, sent_at: Timestamp) -> bool {
+        self.notices.record_unlimited(key, sent_at)
+    }
+
+    /// Records that no permit for a server is free for a while.
+    pub(crate) fn record_no_permit(&mut self, key: ServerKey, until: Timestamp) {
+        self.notices.record_no_permit(key, until);
+    }
+
+    /// Returns whether the other gateways should be told of a limit once more, and records that
+    /// they are.
+    pub(crate) fn should_tell_limit(&mut self, now: Timestamp, key: ServerKey) -> bool {
+        self.notices.should_tell_limit(now, key)
     }
 
-    /// Returns whether the server leaves or has asked for a pause.
-    pub(crate) fn is_closed(&self, now: Timestamp, key: ServerKey) -> bool {
-        self.notices.is_leaving(key) || self.notices.paused_for(now, key).is_some()
+    /// Records that the other gateways were told of a limit.
+    pub(crate) fn record_limit_told(&mut self, now: Timestamp, key: ServerKey) {
+        self.notices.record_limit_told(now, key);
     }
 
     /// Records that a server leaves; returns whether that is new.
@@ -402,7 +466,9 @@
             LoadEvent::Started
             | LoadEvent::Repeated
             | LoadEvent::Cancelled
-            | LoadEvent::Leaving => {}
+            | LoadEvent::Leaving
+            | LoadEvent::Limited(_)
+            | LoadEvent::Unlimited(_) => {}
             LoadEvent::Answered(answered) => {
                 server.last_progress_at = now;
                 let route = RouteKey(answered.route);
--- a/components/gateway_core/src/servers/placement.rs
+++ b/components/gateway_core/src/servers/placement.rs
@@ -15,6 +15,7 @@
 //! - *Many servers that break at once*, or hosts that go down with requests in flight. Servers that
 //!   recovered seconds before must have part in the work by then, so each idle server is tried
 //!   within two seconds whatever is believed of it, but not sooner than three after a loss.
+//! - *Servers that name limits* get requests only with a permit, and rather few while others do as well.
 //! - *Servers that break connections for a few seconds.* See [`super::health`]; the risk weighs
 //!   more for non-idempotent requests.
 
@@ -99,6 +100,9 @@
 /// Cost of trying a server that could not be connected to recently, in lost requests.
 const UNREACHABLE_COST: f64 = 0.3;
 
+/// Cost of a server that names a limit, in lost requests: it is in need, and a permit may take time.
+const LIMITED_COST: f64 = 0.1;
+
 /// Factor on the expected latency of a server that has just started.
 const STARTING_LATENCY_FACTOR: f64 = 2.0;
 
@@ -117,6 +121,8 @@
     pub excluded: &'a [ServerId],
     /// Time until the deadline of the request.
     pub time_left: Millis,
+    /// Whether the server may be one that names a limit, so that a permit is needed.
+    pub may_ask: bool,
 }
 
 /// Result of the placement.
@@ -152,6 +158,10 @@
         if request.excluded.contains(&server.announcement.server) {
             continue;
         }
+        let is_limited = table.limit(server.key()).is_some();
+        if is_limited && !request.may_ask {
+            continue;
+        }
         let estimate = Estimate::of(now, server, avg_latency, prior);
         earliest_response = earliest_response.min(estimate.response_in);
         if estimate.response_in > time_left {
@@ -163,6 +173,7 @@
         }
         let cost = estimate.cost(request.route.idempotency, target_latency, kilobytes)
             + COST_JITTER * random()
+            + if is_limited { LIMITED_COST } else { 0.0 }
             - estimate.long_idle_bonus();
         if best.is_none_or(|(lowest, _)| cost < lowest) {
             best = Some((cost, server));
--- a/components/gateway_core/tests/common/mod.rs
+++ b/components/gateway_core/tests/common/mod.rs
@@ -134,9 +134,20 @@
     routes: Vec<Route>,
     servers: Vec<Announcement>,
     hosts: Vec<EntryHostRecord>,
+) -> Gateway {
+    gateway_of_fleet(settings, routes, servers, hosts, vec![CONTROL_HOST])
+}
+
+/// Creates a gateway with these settings, routes, servers, entry hosts and control hosts.
+pub fn gateway_of_fleet(
+    settings: GatewaySettings,
+    routes: Vec<Route>,
+    servers: Vec<Announcement>,
+    hosts: Vec<EntryHostRecord>,
+    control_hosts: Vec<HostId>,
 ) -> Gateway {
     let now = settings.started.max(at(0));
-    let mut harness = Harness { gateway: Gateway::new(settings), next_index: 1 };
+    let mut harness = Harness { gateway: Gateway::new(settings), next_index: 1, control_hosts };
     harness.gateway.set_config(config(1, routes));
     harness.update(now, servers, hosts);
     harness.gateway
@@ -146,6 +157,7 @@
 pub struct Harness {
     pub gateway: Gateway,
     next_index: u64,
+    control_hosts: Vec<HostId>,
 }
 
 impl Harness {
@@ -155,7 +167,11 @@
         servers: Vec<Announcement>,
         hosts: Vec<EntryHostRecord>,
     ) -> Self {
-        let mut harness = Self { gateway: Gateway::new(settings(OWN_HOST)), next_index: 1 };
+        let mut harness = Self {
+            gateway: Gateway::new(settings(OWN_HOST)),
+            next_index: 1,
+            control_hosts: vec![CONTROL_HOST],
+        };
         harness.gateway.set_config(config(1, routes));
         harness.update(at(0), servers, hosts);
         harness
@@ -173,10 +189,7 @@
         let update = Update {
             sequence: poll.poll.sequence,
             current: true,
-            control_hosts: vec![ControlHostRecord {
-                host: CONTROL_HOST,
-                place: KnownPlace::Unknown,
-            }],
+            control_hosts: self.control_hosts.iter().map(|it| control_host(*it)).collect(),
             registry: RegistryUpdate::Changed(RegistryChanges {
                 up_to: LogIndex(self.next_index),
                 whole: false,
@@ -230,6 +243,10 @@
     }
 }
 
+fn control_host(host: HostId) -> ControlHostRecord {
+    ControlHostRecord { host, place: KnownPlace::Unknown }
+}
+
 pub fn head(path: &str) -> RequestHead {
     RequestHead {
         host: "bank.example".to_owned(),
--- a/components/gateway_core/tests/notices.rs
+++ b/components/gateway_core/tests/notices.rs
@@ -6,8 +6,8 @@
     Harness, OWN_HOST, at, entry_host, gateway, head, route, server, server_id, settings,
 };
 use gateway_core::{
-    AttemptEnd, AttemptStart, Gateway, GatewaySettings, Idempotency, RefusalReason, ServerNotice,
-    Step,
+    AttemptEnd, AttemptStart, Gateway, GatewaySettings, Idempotency, LimitNotice, RefusalReason,
+    ServerNotice, Step,
 };
 use ids::{ByteSize, HostId, Incarnation, Millis, RequestId, ServerId, Timestamp};
 use schema::{
@@ -15,10 +15,11 @@
     server_load::{LoadEvent, LoadReport, ReportScope},
 };
 
-const LEAVING: ServerNotice = ServerNotice { is_leaving: true, pause: None };
+const LEAVING: ServerNotice =
+    ServerNotice { is_leaving: true, pause: None, limit: LimitNotice::Unknown };
 
 fn pause(millis: u64) -> ServerNotice {
-    ServerNotice { is_leaving: false, pause: Some(Millis(millis)) }
+    ServerNotice { pause: Some(Millis(millis)), ..ServerNotice::default() }
 }
 
 fn harness(servers: u64) -> Harness {
@@ -29,7 +30,7 @@
 
 fn notify(harness: &mut Harness, now: Timestamp, number: u64, notice: ServerNotice) {
     let Announcement { address, incarnation, .. } = server(number, "north-a");
-    harness.gateway.on_server_notice(now, address, incarnation, notice);
+    harness.gateway.on_server_notice(now, address, incarnation, now, notice);
 }
 
 /// Sends answered requests for two seconds, in which each available server is tried; returns the
@@ -113,7 +114,7 @@
     harness.gateway.forget(at(3_000), id);
     harness.gateway.take_reports();
 
-    harness.gateway.on_server_notice(at(4_000), start.address, start.incarnation, LEAVING);
+    harness.gateway.on_server_notice(at(4_000), start.address, start.incarnation, at(0), LEAVING);
 
     let reports = harness.gateway.take_reports();
     assert!(reports.iter().any(|it| it.report.event == LoadEvent::Leaving), "{reports:?}");
@@ -124,12 +125,12 @@
 fn an_attempt_that_still_connects_is_not_sent_to_a_server_that_closes() {
     let mut harness = harness(2);
     let (_, start) = harness.send(at(0), "/look/1");
-    assert!(harness.gateway.may_send(at(1), start.address, start.incarnation));
+    assert!(harness.gateway.may_send(at(1), start.address, start.incarnation, false));
 
-    harness.gateway.on_server_notice(at(2), start.address, start.incarnation, pause(1_000));
+    harness.gateway.on_server_notice(at(2), start.address, start.incarnation, at(0), pause(1_000));
 
-    assert!(!harness.gateway.may_send(at(3), start.address, start.incarnation));
-    assert!(harness.gateway.may_send(at(1_300), start.address, start.incarnation));
+    assert!(!harness.gateway.may_send(at(3), start.address, start.incarnation, false));
+    assert!(harness.gateway.may_send(at(1_300), start.address, start.incarnation, false));
 }
 
 #[test]
@@ -174,7 +175,7 @@
 fn a_request_that_every_server_turned_away_is_not_told_to_come_back_during_the_pauses() {
     let mut harness = harness(1);
     let (id, start) = harness.send(at(0), "/look/1");
-    harness.gateway.on_server_notice(at(5), start.address, start.incarnation, pause(2_000));
+    harness.gateway.on_server_notice(at(5), start.address, start.incarnation, at(0), pause(2_000));
     harness.end(at(5), id, &start, AttemptEnd::Shed);
 
     let step = harness.gateway.step(at(5), id);
@@ -195,7 +196,13 @@
     harness.gateway.take_wakeups();
 
     let start = &sent[0].1;
-    harness.gateway.on_server_notice(at(50), start.address, start.incarnation, pause(10_000));
+    harness.gateway.on_server_notice(
+        at(50),
+        start.address,
+        start.incarnation,
+        at(0),
+        pause(10_000),
+    );
 
     let woken = harness.gateway.take_wakeups();
     for id in waiting {
@@ -271,7 +278,13 @@
                 let end = match is_turned_away {
                     true => {
                         let (address, incarnation) = (start.address, start.incarnation);
-                        gateway.on_server_notice(at(now), address, incarnation, pause(PAUSE));
+                        gateway.on_server_notice(
+                            at(now),
+                            address,
+                            incarnation,
+                            at(now),
+                            pause(PAUSE),
+                        );
                         self.pauses.push((i, now));
                         AttemptEnd::Shed
                     }
@@ -343,8 +356,8 @@
         .map(|host| {
             let settings = GatewaySettings { seed: u64::from(host), ..settings(OWN_HOST) };
             let mut gateway = Gateway::new(settings);
-            gateway.on_server_notice(at(0), address, Incarnation(1), pause(2_000));
-            (0..5_000).find(|it| gateway.may_send(at(*it), address, Incarnation(1))).unwrap()
+            gateway.on_server_notice(at(0), address, Incarnation(1), at(0), pause(2_000));
+            (0..5_000).find(|it| gateway.may_send(at(*it), address, Incarnation(1), false)).unwrap()
         })
         .collect();
 
--- a/components/gateway_core/tests/requests.rs
+++ b/components/gateway_core/tests/requests.rs
@@ -10,13 +10,14 @@
 };
 use ids::{ByteSize, Millis, RequestId, Timestamp};
 
-const ENDS: [AttemptEnd; 7] = [
+const ENDS: [AttemptEnd; 8] = [
     AttemptEnd::Answered,
     AttemptEnd::ServerError,
     AttemptEnd::Shed,
     AttemptEnd::Misplaced,
     AttemptEnd::Unreachable,
     AttemptEnd::NotSent,
+    AttemptEnd::Withheld,
     AttemptEnd::Lost,
 ];
 
@@ -232,8 +233,9 @@
     let attempt = tracked.in_flight.remove(u.choose_index(tracked.in_flight.len())?);
     let end = *u.choose(&ENDS)?;
     tracked.may_have_run |= end.run_status() == RunStatus::MayHaveRun;
-    tracked.arrived_attempts +=
-        u32::from(!matches!(end, AttemptEnd::Unreachable | AttemptEnd::NotSent));
+    let is_sent =
+        !matches!(end, AttemptEnd::Unreachable | AttemptEnd::NotSent | AttemptEnd::Withheld);
+    tracked.arrived_attempts += u32::from(is_sent);
     harness.gateway.attempt_ended(now, tracked.id, attempt, end, ByteSize(100));
     Ok(())
 }
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -16,9 +16,10 @@
     names::{DataCentreName, IdempotencyKey, OrganisationName, RegionName, ServerId, ServiceName},
     numbers::{
         AttemptNumber, ByteRate, ByteSize, ConfigVersion, DiskCount, Epoch, HostId, Incarnation,
-        LoanNumber, LogIndex, MIN_LINK_RATE, RequestId, RequestRate, RetryCredit, Term,
+        LimitRate, LoanNumber, LogIndex, MIN_LINK_RATE, PermitNumber, RequestId, RequestRate,
+        RetryCredit, Term,
     },
-    time::{Millis, Timestamp, WallTime},
+    time::{LIMIT_LEASE_TIME, Millis, Timestamp, WallTime},
 };
 
 /// A hash map with a fast hasher that does not resist hash flooding.
--- a/components/ids/src/numbers.rs
+++ b/components/ids/src/numbers.rs
@@ -78,6 +78,15 @@
     /// An amount of retries, in thousandths of a retry.
     RetryCredit, u64, "retry credit"
 );
+number_type!(
+    /// Number of a message about the limit of a backend server that expects an answer, unique within
+    /// the process of one host.
+    PermitNumber, u64, "permit number"
+);
+number_type!(
+    /// The limit that a backend server names, in thousandths of a request per second.
+    LimitRate, u64, "limit rate"
+);
 number_type!(
     /// A size in bytes.
     ByteSize, u64, "byte size"
--- a/components/ids/src/time.rs
+++ b/components/ids/src/time.rs
@@ -34,6 +34,10 @@
     }
 }
 
+/// Time for which a control host grants the lease of a server's limit to no other gateway, in
+/// milliseconds.
+pub const LIMIT_LEASE_TIME: Millis = Millis(3_000);
+
 /// A wall clock instant, in milliseconds since the Unix epoch.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -10,9 +10,11 @@
 use schema::{
     announcement::Announcement,
     consensus::ConsensusMessage,
+    list_digest,
     operator::Role,
     peer::PeerMessage,
     registry::{ConfigDocument, Leave, RegistryCommand},
+    server_limit::{LimitLeaseAnswer, LimitLeaseAsk, ServerLimitMessage},
     storage::Persisted,
     sync::{
         ControlHostRecord, EntryHostList, HostsUpdate, Place, Poll, Presence, RegistryUpdate,
@@ -23,6 +25,7 @@
 use crate::{
     action::{Answer, HostAction, HostEvent, Request, UnavailableReason},
     entry_hosts::{EntryHosts, ListUpdate},
+    limit_leases::LimitLeases,
     long_polls::{LongPolls, PendingPoll, RegistryHead},
     pending_requests::{OnCommit, PendingRequest, PendingRequests},
     places::Places,
@@ -103,6 +106,7 @@
     requests: PendingRequests,
     long_polls: LongPolls,
     entry_hosts: EntryHosts,
+    limit_leases: LimitLeases,
     seeds: Vec<HostId>,
     /// Control hosts named in answers to discovery polls.
     discovered: BTreeSet<HostId>,
@@ -137,6 +141,7 @@
             requests: PendingRequests::default(),
             long_polls: LongPolls::default(),
             entry_hosts: EntryHosts::new(own_id, incarnation, now, is_new_fleet),
+            limit_leases: LimitLeases::new(now),
             seeds,
             discovered: BTreeSet::new(),
             places: Places::new(own_id, place, regions),
@@ -267,6 +272,12 @@
                 }
             }
             PeerMessage::Sync(SyncMessage::EntryHostsWanted) => self.send_full_list(from),
+            PeerMessage::ServerLimit(ServerLimitMessage::LeaseAsk(ask)) => {
+                self.on_lease_ask(now, (from, incarnation), &ask);
+            }
+            PeerMessage::ServerLimit(ServerLimitMessage::LeaseRelease(release)) => {
+                self.limit_leases.release((from, incarnation), &release);
+            }
             // Discovery polls have no timeout that a large answer could exceed.
             PeerMessage::Sync(SyncMessage::UpdateBegins(_)) => {}
             // Messages to components that do not run on control hosts.
@@ -277,10 +288,21 @@
             | PeerMessage::Limits(_)
             | PeerMessage::ClaimReport(_)
             | PeerMessage::ServerLoad(_)
-            | PeerMessage::RetryLoan(_) => {}
+            | PeerMessage::RetryLoan(_)
+            | PeerMessage::ServerLimit(_) => {}
         }
     }
 
+    /// Answers a lease ask. Majorities of different sets of control hosts need not overlap, so an
+    /// asker that counts other control hosts than this one gets nothing.
+    fn on_lease_ask(&mut self, now: Timestamp, holder: (HostId, Incarnation), ask: &LimitLeaseAsk) {
+        let counts_same_hosts = ask.control_hosts == list_digest(&self.members());
+        let is_granted = counts_same_hosts && self.limit_leases.grant(now, holder, ask);
+        let answer = LimitLeaseAnswer { number: ask.number, is_granted };
+        let message = ServerLimitMessage::LeaseAnswer(answer);
+        self.send(holder.0, PeerMessage::ServerLimit(message));
+    }
+
     fn send_full_list(&mut self, to: HostId) {
         let list = self.list_message(self.entry_hosts.full_list());
         self.send(to, PeerMessage::Sync(list));
@@ -514,10 +536,10 @@
             true => self.entry_hosts.update_for(&poll.holds_hosts, poll.hosts_digest),
             false => HostsUpdate::Unchanged,
         };
-        let members = self.consensus.members();
-        let ids = members.voters.iter().chain(&members.learners).map(|it| it.host);
-        let control_hosts =
-            ids.map(|host| ControlHostRecord { host, place: self.places.place_of(host) });
+        let control_hosts = self
+            .members()
+            .into_iter()
+            .map(|host| ControlHostRecord { host, place: self.places.place_of(host) });
         Update {
             sequence: poll.sequence,
             current: head.is_current,
@@ -554,10 +576,14 @@
         self.places.nearest_to(now, data_centre, &self.other_members())
     }
 
-    fn other_members(&self) -> Vec<HostId> {
+    /// Returns the control hosts that take part in the replicated log.
+    fn members(&self) -> Vec<HostId> {
         let members = self.consensus.members();
-        let all = members.voters.iter().chain(&members.learners).map(|it| it.host);
-        all.filter(|it| *it != self.own_id).collect()
+        members.voters.iter().chain(&members.learners).map(|it| it.host).collect()
+    }
+
+    fn other_members(&self) -> Vec<HostId> {
+        self.members().into_iter().filter(|it| *it != self.own_id).collect()
     }
 
     fn send(&mut self, to: HostId, message: PeerMessage) {
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -7,6 +7,7 @@
 mod action;
 mod entry_hosts;
 mod host;
+mod limit_leases;
 mod long_polls;
 mod packed_text;
 mod pending_requests;
@@ -16,6 +17,7 @@
 pub use crate::{
     action::{Answer, HostAction, HostEvent, Request, UnavailableReason},
     host::{RegistryHost, RegistryHostSettings, RegistryStatus},
+    limit_leases::LimitLeases,
     long_polls::{MAX_POLL_WAIT, MIN_HOST_UPDATE_INTERVAL},
     packed_text::{MAX_CONFIG_BYTES, UnpackError, pack_text, unpack_text},
     state::{Freshness, Registry},
--- a/components/schema/src/codec.rs
+++ b/components/schema/src/codec.rs
@@ -38,6 +38,11 @@
     digest.0.iter().take(8).fold(0, |sum, byte| sum << 8 | u64::from(*byte))
 }
 
+/// Returns the digest of a list, which does not depend on the order.
+pub fn list_digest<'a, T: Serialize + 'a>(records: impl IntoIterator<Item = &'a T>) -> u64 {
+    records.into_iter().fold(0, |sum, it| sum ^ record_digest(it))
+}
+
 /// Decodes a message; `data` must contain nothing else.
 pub fn decode<T: DeserializeOwned>(data: &[u8]) -> Result<T, DecodeError> {
     if data.len() > MAX_FRAME_BYTES {
--- a/components/schema/src/lib.rs
+++ b/components/schema/src/lib.rs
@@ -11,6 +11,8 @@
 mod codec;
 
 pub use crate::{
-    codec::{DecodeError, MAX_FRAME_BYTES, decode, encode, encoded_size, record_digest},
+    codec::{
+        DecodeError, MAX_FRAME_BYTES, decode, encode, encoded_size, list_digest, record_digest,
+    },
     generated::*,
 };
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -120,12 +120,15 @@
 
     /// Queues a message for a peer, without a guarantee of delivery.
     ///
-    /// Membership messages, load reports and retry loans go by UDP if they fit into a datagram, since
-    /// they tolerate loss and reordering. All others go by TCP.
+    /// Membership messages, load reports, retry loans and permits go by UDP if they fit into a
+    /// datagram, since they tolerate loss and reordering. All others go by TCP.
     pub fn send(&self, to: HostId, address: SocketAddr, message: PeerMessage) {
         let allows_datagram = matches!(
             message,
-            PeerMessage::Membership(_) | PeerMessage::ServerLoad(_) | PeerMessage::RetryLoan(_)
+            PeerMessage::Membership(_)
+                | PeerMessage::ServerLoad(_)
+                | PeerMessage::RetryLoan(_)
+                | PeerMessage::ServerLimit(_)
         );
         let frame = PeerFrame { from: self.host, to, incarnation: self.incarnation, message };
         let sealed = seal(&self.keys, &frame);
--- a/tests/gateway_limits.rs
+++ b/tests/gateway_limits.rs
@@ -36,7 +36,7 @@
     fleet.put_config(1, "queue");
     servers.iter().for_each(|it| fleet.announce(it, 1, ServerState::Serving));
     wait_for("ready gateways", || GATEWAYS.into_iter().all(|it| fleet.is_ready(it)).then_some(()));
-    GATEWAYS.into_iter().for_each(|it| fleet.wait_until_served(it, "/look/first"));
+    GATEWAYS.for_each(|it| fleet.wait_until_used(it, servers));
     fleet
 }
 
