Connect to backend servers from the host's own address

On a machine with several addresses the kernel picks one of them, so that a server can't tell which gateway a connection comes from, and several gateways on loopback look like one. Needed by tests that cut single gateways off from the servers.

--- a/components/gateway/src/entry/backend.rs
+++ b/components/gateway/src/entry/backend.rs
@@ -9,10 +9,7 @@
 use ids::{Incarnation, Millis};
 use platform::headers;
 
-use super::{
-    pool::{self, Connection},
-    shared::Shared,
-};
+use super::{pool::Connection, shared::Shared};
 
 /// Maximum size of a response body, in bytes; it is held in memory until it is complete.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -106,7 +103,7 @@
             },
         }
     }
-    let Some(mut connection) = pool::connect(address).await else {
+    let Some(mut connection) = shared.pool.connect(address).await else {
         return Err(AttemptEnd::Unreachable);
     };
     // The response to another request may have closed the server to new ones meanwhile.
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -59,8 +59,13 @@
     let (transport, frames) =
         peers::bind_transport(settings.ip, settings.peer_port.get(), incarnation).await?;
     let core = Gateway::new(core_settings(&settings, incarnation));
-    let shared =
-        Rc::new(Shared::new(core, clock, transport, settings.peer_port.get(), Metrics::new()));
+    let shared = Rc::new(Shared::new(
+        core,
+        clock,
+        transport,
+        (settings.ip, settings.peer_port.get()),
+        Metrics::new(),
+    ));
     spawn_listeners(&settings, &shared)?;
     tokio::task::spawn_local(feed_frames(shared.clone(), frames));
     tokio::task::spawn_local(poll_registry(shared.clone()));
--- a/components/gateway/src/entry/pool.rs
+++ b/components/gateway/src/entry/pool.rs
@@ -1,13 +1,18 @@
 //! A pool of idle connections to backend servers.
 
-use std::{cell::RefCell, io, net::SocketAddr, time::Duration};
+use std::{
+    cell::RefCell,
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use ids::{FastMap, Millis, Timestamp};
-use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use tokio::{net::TcpSocket, task::AbortHandle, time::timeout};
 
 /// Timeout for a new connection: several round trips to the farthest region, but less than the
 /// second after which a lost SYN packet is retransmitted.
@@ -34,13 +39,17 @@
     reusable_until: Timestamp,
 }
 
-/// Idle connections by server address.
-#[derive(Default)]
+/// Opens connections from the address of this host, and keeps idle ones by server address.
 pub(crate) struct Pool {
+    own_ip: Ipv4Addr,
     idle: RefCell<FastMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
 impl Pool {
+    pub(crate) fn new(own_ip: Ipv4Addr) -> Self {
+        Self { own_ip, idle: RefCell::default() }
+    }
+
     /// Takes an idle connection that is not known to be closed by the server.
     pub(crate) fn take(&self, now: Timestamp, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
@@ -54,6 +63,21 @@
         None
     }
 
+    /// Opens a connection; returns `None` if that fails or takes too long.
+    pub(crate) async fn connect(&self, address: SocketAddr) -> Option<Connection> {
+        match timeout(CONNECT_TIMEOUT, open(self.own_ip, address)).await {
+            Ok(Ok(connection)) => Some(connection),
+            Ok(Err(e)) => {
+                log::debug!(server_address:% = address, error:% = e; "cannot connect to the server");
+                None
+            }
+            Err(_) => {
+                log::debug!(server_address:% = address; "connecting to the server timed out");
+                None
+            }
+        }
+    }
+
     /// Closes the idle connections to a server.
     pub(crate) fn close_idle(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
@@ -76,23 +100,16 @@
     }
 }
 
-/// Opens a connection; returns `None` if that fails or takes too long.
-pub(crate) async fn connect(address: SocketAddr) -> Option<Connection> {
-    match timeout(CONNECT_TIMEOUT, open(address)).await {
-        Ok(Ok(connection)) => Some(connection),
-        Ok(Err(e)) => {
-            log::debug!(server_address:% = address, error:% = e; "cannot connect to the server");
-            None
-        }
-        Err(_) => {
-            log::debug!(server_address:% = address; "connecting to the server timed out");
-            None
+async fn open(own_ip: Ipv4Addr, address: SocketAddr) -> io::Result<Connection> {
+    let socket = match address {
+        SocketAddr::V4(_) => {
+            let socket = TcpSocket::new_v4()?;
+            socket.bind((own_ip, 0).into())?;
+            socket
         }
-    }
-}
-
-async fn open(address: SocketAddr) -> io::Result<Connection> {
-    let stream = TcpStream::connect(address).await?;
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    let stream = socket.connect(address).await?;
     stream.set_nodelay(true)?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
--- a/components/gateway/src/entry/shared.rs
+++ b/components/gateway/src/entry/shared.rs
@@ -1,6 +1,10 @@
 //! The state that the tasks of a gateway share, including its decision logic.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+use std::{
+    cell::RefCell,
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+};
 
 use admin::Clock;
 use gateway_core::{Event, Gateway, GatewayConfig, ServerNotice};
@@ -40,7 +44,7 @@
         core: Gateway,
         clock: Clock,
         transport: Transport,
-        peer_port: u16,
+        (own_ip, peer_port): (Ipv4Addr, u16),
         metrics: Metrics,
     ) -> Self {
         Self {
@@ -48,7 +52,7 @@
             clock,
             transport,
             peer_port,
-            pool: Pool::default(),
+            pool: Pool::new(own_ip),
             metrics,
             wakers: RefCell::default(),
             poll_due: Notify::new(),
