--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -24,7 +24,7 @@
 
 pub use self::{
     http::{HttpResponse, call, receive, send},
-    server::Server,
+    server::{Cut, Server},
 };
 
 /// Longest wait for a condition; it only ends tests that hang, and no check depends on its length.
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -1,8 +1,9 @@
 //! A stand-in for a backend server of the platform.
 
 use std::{
+    collections::BTreeMap,
     io::{Read, Write},
-    net::{TcpListener, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -39,12 +40,33 @@
     pub turns_away: Mutex<Option<String>>,
     /// The limit on the requests of all gateways that the responses name.
     pub limit: Mutex<Option<String>>,
+    /// Gateways that are cut off from the server, and how.
+    pub cuts: Mutex<BTreeMap<Ipv4Addr, Cut>>,
+    /// The gateways that the attempts came from, by id.
+    pub sources: Mutex<BTreeMap<String, Ipv4Addr>>,
     /// When the gateway closed the connections of requests to paths that end with `hang`.
     pub closed_at: Mutex<Vec<Instant>>,
     /// Number of open connections.
     pub connections: Mutex<usize>,
 }
 
+/// How a gateway is cut off from a server.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// Its connections are reset.
+    Reset,
+    /// Nothing arrives on its connections.
+    Silent,
+    /// Its open connections live on, and new ones are reset.
+    NewRefused,
+}
+
+impl Behaviour {
+    fn cut(&self, gateway: Ipv4Addr) -> Option<Cut> {
+        self.cuts.lock().unwrap().get(&gateway).copied()
+    }
+}
+
 impl std::ops::Deref for Server {
     type Target = Behaviour;
 
@@ -77,7 +99,8 @@
                 let (name, behaviour) = (name.clone(), behaviour.clone());
                 thread::spawn(move || {
                     *behaviour.connections.lock().unwrap() += 1;
-                    serve(stream, &name, &behaviour);
+                    let Ok(SocketAddr::V4(gateway)) = stream.peer_addr() else { return };
+                    serve(stream, *gateway.ip(), &name, &behaviour);
                     *behaviour.connections.lock().unwrap() -= 1;
                 });
             }
@@ -98,9 +121,21 @@
 
 /// Serves requests on one connection; paths that end with `slow` take two seconds, and paths that
 /// end with `hang` get no response.
-fn serve(mut stream: TcpStream, name: &str, behaviour: &Behaviour) {
+fn serve(mut stream: TcpStream, gateway: Ipv4Addr, name: &str, behaviour: &Behaviour) {
+    if matches!(behaviour.cut(gateway), Some(Cut::Reset | Cut::NewRefused)) {
+        return;
+    }
     let mut buf = Vec::new();
     while let Some(head) = read_head(&mut stream, &mut buf) {
+        match behaviour.cut(gateway) {
+            Some(Cut::Reset) => return,
+            Some(Cut::Silent) => {
+                // Returns when the gateway closes the connection.
+                while stream.read(&mut [0; 1024]).is_ok_and(|it| it > 0) {}
+                return;
+            }
+            Some(Cut::NewRefused) | None => {}
+        }
         let attempt = stand_in::read_attempt(&header_map(&head));
         let has_other_id = behaviour.has_other_id.load(Ordering::Relaxed);
         if has_other_id || attempt.target.as_deref() != Some(name) {
@@ -108,6 +143,7 @@
             continue;
         }
         behaviour.arrivals.lock().unwrap().push((attempt.attempt_id.clone(), Instant::now()));
+        behaviour.sources.lock().unwrap().insert(attempt.attempt_id.clone(), gateway);
         if behaviour.drops_connections.load(Ordering::Relaxed) {
             return;
         }
