--- a/components/gateway/src/entry/backend.rs
+++ b/components/gateway/src/entry/backend.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use bytes::{Bytes, BytesMut};
-use gateway_core::AttemptEnd;
+use gateway_core::{AttemptEnd, PathOutcome};
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header};
 use ids::{Incarnation, Millis};
@@ -74,11 +74,8 @@
         return CallResult::without_response(AttemptEnd::Lost);
     };
     let end = classify(head.status, &head.headers, &attempt_id);
-    if end != AttemptEnd::Lost
-        && shared.may_keep_connection(address, incarnation)
-        && let Some(reusable_for) = reusable_for(&head.headers)
-    {
-        shared.pool.put(shared.clock.now(), address, connection, reusable_for);
+    if end != AttemptEnd::Lost && shared.may_keep_connection(address, incarnation) {
+        keep_connection(&shared, address, connection, &head.headers);
     }
     match end {
         AttemptEnd::Answered | AttemptEnd::ServerError => {
@@ -89,27 +86,67 @@
     }
 }
 
-async fn send(shared: &Shared, call: Call) -> Result<(Connection, Response<Incoming>), AttemptEnd> {
-    let Call { address, incarnation, mut request, has_permit, may_reuse_connection, .. } = call;
-    if may_reuse_connection
-        && let Some(mut connection) = shared.pool.take(shared.clock.now(), address)
-    {
-        match connection.sender.try_send_request(request).await {
-            Ok(response) => return Ok((connection, response)),
-            // The request is returned only if nothing of it was sent.
-            Err(mut e) => match e.take_message() {
-                Some(unsent) => request = unsent,
-                None => return Err(AttemptEnd::Lost),
-            },
-        }
+/// Keeps a connection for a later request if the headers of its last response allow that.
+pub(crate) fn keep_connection(
+    shared: &Shared,
+    address: SocketAddr,
+    connection: Connection,
+    headers: &HeaderMap,
+) {
+    if let Some(reusable_for) = reusable_for(headers) {
+        shared.pool.put(shared.clock.now(), address, connection, reusable_for);
     }
-    let Some(mut connection) = shared.pool.connect(address).await else {
+}
+
+/// Sends a request to another gateway, and reads the head of its response.
+pub(crate) async fn send_to_gateway(
+    shared: &Shared,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    may_reuse_connection: bool,
+) -> Result<(Connection, Response<Incoming>), AttemptEnd> {
+    let request = match send_on_idle(shared, address, request, may_reuse_connection).await? {
+        Sent::Done(sent) => return Ok(*sent),
+        Sent::NotSent(request) => request,
+    };
+    let Some(connection) = shared.pool.connect(address).await else {
         return Err(AttemptEnd::Unreachable);
     };
-    // The response to another request may have closed the server to new ones meanwhile.
-    if !shared.may_send(address, incarnation, has_permit) {
-        return Err(AttemptEnd::Withheld);
+    send_on(connection, *request).await
+}
+
+/// Result of sending a request on an idle connection.
+enum Sent {
+    Done(Box<(Connection, Response<Incoming>)>),
+    /// There is no such connection, or it was closed before anything was sent.
+    NotSent(Box<Request<Full<Bytes>>>),
+}
+
+async fn send_on_idle(
+    shared: &Shared,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    may_reuse_connection: bool,
+) -> Result<Sent, AttemptEnd> {
+    let idle = match may_reuse_connection {
+        true => shared.pool.take(shared.clock.now(), address),
+        false => None,
+    };
+    let Some(mut connection) = idle else { return Ok(Sent::NotSent(Box::new(request))) };
+    match connection.sender.try_send_request(request).await {
+        Ok(response) => Ok(Sent::Done(Box::new((connection, response)))),
+        // The request is returned only if nothing of it was sent.
+        Err(mut e) => match e.take_message() {
+            Some(unsent) => Ok(Sent::NotSent(Box::new(unsent))),
+            None => Err(AttemptEnd::Lost),
+        },
     }
+}
+
+async fn send_on(
+    mut connection: Connection,
+    request: Request<Full<Bytes>>,
+) -> Result<(Connection, Response<Incoming>), AttemptEnd> {
     match connection.sender.try_send_request(request).await {
         Ok(response) => Ok((connection, response)),
         Err(mut e) => match e.take_message() {
@@ -119,8 +156,31 @@
     }
 }
 
+async fn send(shared: &Shared, call: Call) -> Result<(Connection, Response<Incoming>), AttemptEnd> {
+    let Call { address, incarnation, request, has_permit, may_reuse_connection, .. } = call;
+    let request = match send_on_idle(shared, address, request, may_reuse_connection).await? {
+        Sent::Done(sent) => return Ok(*sent),
+        Sent::NotSent(request) => request,
+    };
+    let Some(connection) = shared.pool.connect(address).await else {
+        shared.record_path(address, incarnation, PathOutcome::Unreachable);
+        return Err(AttemptEnd::Unreachable);
+    };
+    // The response to another request may have closed the server to new ones meanwhile.
+    if !shared.may_send(address, incarnation, has_permit) {
+        return Err(AttemptEnd::Withheld);
+    }
+    let sent = send_on(connection, *request).await;
+    let outcome = match &sent {
+        Ok(_) => PathOutcome::Reached,
+        Err(_) => PathOutcome::Broken,
+    };
+    shared.record_path(address, incarnation, outcome);
+    sent
+}
+
 /// Reads a body; returns `None` if it is truncated or too large.
-async fn read_body(mut body: Incoming) -> Option<Bytes> {
+pub(crate) async fn read_body(mut body: Incoming) -> Option<Bytes> {
     let mut data = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(chunk) = frame.ok()?.into_data() else { continue };
@@ -136,7 +196,7 @@
 ///
 /// A response to another attempt, an encoded one, or a success without a backend server's signature
 /// proves nothing about this request, which may have run: the attempt counts as lost.
-fn classify(status: StatusCode, headers: &HeaderMap, attempt_id: &str) -> AttemptEnd {
+pub(crate) fn classify(status: StatusCode, headers: &HeaderMap, attempt_id: &str) -> AttemptEnd {
     let platform_headers = headers::read_response(headers, attempt_id);
     if status == StatusCode::MISDIRECTED_REQUEST {
         return AttemptEnd::Misplaced;
--- a/components/gateway/src/entry/callers.rs
+++ b/components/gateway/src/entry/callers.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use gateway_core::{Lifecycle, Refusal, RefusalReason, RequestHead, RunStatus};
+use gateway_core::{Lifecycle, Refusal, RefusalReason, RelayEnd, RequestHead, RunStatus};
 use http_body_util::{BodyExt, Limited};
 use hyper::{
     HeaderMap, Request, Response, StatusCode, Uri,
@@ -17,9 +17,10 @@
 use super::{
     backend::ServerResponse,
     forward::{self, CallerRequest},
+    relay,
     shared::Shared,
 };
-use crate::http::{self, Reply};
+use crate::http::{self, Reply, Sender};
 
 /// Maximum size of a request body while there is no configuration, in bytes.
 const DEFAULT_MAX_BODY_BYTES: u64 = 1024 * 1024;
@@ -50,6 +51,13 @@
 
 async fn respond(shared: &Rc<Shared>, req: Request<Incoming>) -> Reply {
     let (mut head, body) = req.into_parts();
+    let sender = head.extensions.get::<Sender>().expect("the server sets the sender").0;
+    let Ok(relayed) = relay::take_head(shared, &mut head.headers, sender) else {
+        let mut reply =
+            http::text(StatusCode::SERVICE_UNAVAILABLE, "the relay header is not valid\n");
+        relay::mark_reply(&mut reply, RelayEnd::Unable);
+        return reply;
+    };
     let caller = headers::read_caller(&head.headers);
     let attempt_id: Rc<str> = caller.attempt_id.as_str().into();
     wait_for_config(shared, &attempt_id).await;
@@ -69,6 +77,7 @@
         path: head.uri.path().to_owned(),
         fingerprint: fingerprint_of(head.method.as_str(), &head.uri, &body),
         caller_timeout: caller.timeout,
+        relayed: relayed.clone(),
     };
     entry::remove_hop_by_hop(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
@@ -81,10 +90,16 @@
         body,
         attempt_id,
     };
-    match forward::forward(shared, request_head, &request).await {
+    let result = forward::forward(shared, request_head, &request).await;
+    let end = result.as_ref().map_or_else(|it| relay::end_of(shared, it), |_| RelayEnd::Answered);
+    let mut reply = match result {
         Ok(response) => proxied_reply(response),
         Err(refusal) => refusal_reply(refusal),
+    };
+    if relayed.is_some() {
+        relay::mark_reply(&mut reply, end);
     }
+    reply
 }
 
 /// Delays a request until the first configuration, if that is expected soon.
--- a/components/gateway/src/entry/events.rs
+++ b/components/gateway/src/entry/events.rs
@@ -67,6 +67,15 @@
         Event::ControlHostFound { host } => {
             log::info!(host:% = peers::address_of(*host, 0).ip(); "control host found");
         }
+        Event::PathsDown { servers } => {
+            log::warn!(servers = *servers; "paths to the servers are down");
+        }
+        Event::PathsUp { after } => {
+            log::info!(after_ms = after.0; "paths to the servers are up");
+        }
+        Event::RelayEnded { host, end } => {
+            log::debug!(host:% = peers::address_of(*host, 0).ip(), end:% = end; "relay ended");
+        }
         Event::RetrySent { service, usage } => {
             log::info!(
                 service:% = service,
--- a/components/gateway/src/entry/forward.rs
+++ b/components/gateway/src/entry/forward.rs
@@ -1,21 +1,24 @@
 //! Executes the steps that the decision logic returns for one request.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use gateway_core::{
-    AttemptStart, Finish, Refusal, RefusalReason, RequestHead, RequestSummary, RunStatus, Step,
+    AttemptStart, AttemptTarget, Finish, PathOutcome, Refusal, RefusalReason, RelayStart,
+    RequestHead, RequestSummary, RunStatus, Step,
 };
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Uri};
-use ids::{AttemptNumber, ByteSize, RequestId};
+use ids::{AttemptNumber, ByteSize, Incarnation, RequestId};
 use platform::headers;
 use tokio::{sync::Notify, task::JoinSet, time::sleep};
 
 use super::{
     backend::{self, Call, CallResult, ServerResponse},
+    relay::{self, RelayResult},
     shared::Shared,
 };
+use crate::peers;
 
 /// Minimum time between two steps of a waiting request, in microseconds.
 const MIN_STEP_WAIT_MICROS: u64 = 500;
@@ -30,6 +33,22 @@
     pub(crate) attempt_id: Rc<str>,
 }
 
+impl CallerRequest {
+    fn to_request(&self) -> Request<Full<Bytes>> {
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        *req.headers_mut() = self.headers.clone();
+        req
+    }
+}
+
+/// How an attempt ended.
+enum Ended {
+    Server(CallResult),
+    Relay(RelayResult),
+}
+
 /// Sends a request to backend servers until it has a response or is given up.
 ///
 /// If the caller disconnects, the future is dropped, which cancels the attempts and closes their
@@ -50,21 +69,34 @@
     };
     let mut guard = RequestGuard { shared: shared.clone(), id, request, is_finished: false };
     let waker = shared.register_waker(id);
-    let mut attempts: JoinSet<(AttemptNumber, CallResult)> = JoinSet::new();
+    let mut attempts: JoinSet<(AttemptNumber, Ended)> = JoinSet::new();
     let mut responses: Vec<(AttemptNumber, ServerResponse)> = Vec::new();
     loop {
-        let step = shared.with_core(|core, now| core.step(now, id));
+        let (step, probe) =
+            shared.with_core(|core, now| (core.step(now, id), core.take_path_probe(now)));
+        if let Some((address, incarnation)) = probe {
+            probe_path(shared.clone(), address, incarnation);
+        }
         match step {
             Step::Send(start) => start_attempt(shared, &mut attempts, request, &start),
+            Step::Relay(start) => start_relay(shared, &mut attempts, request, start),
             Step::Wait(until) => {
                 let wait = until.micros_since(shared.clock.now());
                 let wait = Duration::from_micros(wait.max(MIN_STEP_WAIT_MICROS));
                 let ended = next_attempt_end(&mut attempts, &waker, wait).await;
-                if let Some((attempt, CallResult { end, response })) = ended {
-                    let response_size = response.as_ref().map_or(0, |it| it.body.len());
-                    let size = ByteSize((request.body.len() + response_size) as u64);
-                    responses.extend(response.map(|it| (attempt, it)));
-                    shared.with_core(|core, now| core.attempt_ended(now, id, attempt, end, size));
+                match ended {
+                    Some((attempt, Ended::Server(CallResult { end, response }))) => {
+                        let response_size = response.as_ref().map_or(0, |it| it.body.len());
+                        let size = ByteSize((request.body.len() + response_size) as u64);
+                        responses.extend(response.map(|it| (attempt, it)));
+                        shared
+                            .with_core(|core, now| core.attempt_ended(now, id, attempt, end, size));
+                    }
+                    Some((attempt, Ended::Relay(RelayResult { end, response }))) => {
+                        responses.extend(response.map(|it| (attempt, it)));
+                        shared.with_core(|core, now| core.relay_ended(now, id, attempt, end));
+                    }
+                    None => {}
                 }
             }
             Step::Finish(finish) => {
@@ -77,14 +109,11 @@
 
 fn start_attempt(
     shared: &Rc<Shared>,
-    attempts: &mut JoinSet<(AttemptNumber, CallResult)>,
+    attempts: &mut JoinSet<(AttemptNumber, Ended)>,
     request: &CallerRequest,
     start: &AttemptStart,
 ) {
-    let mut req = Request::new(Full::new(request.body.clone()));
-    *req.method_mut() = request.method.clone();
-    *req.uri_mut() = request.uri.clone();
-    *req.headers_mut() = request.headers.clone();
+    let mut req = request.to_request();
     headers::write_attempt(req.headers_mut(), &start.server, start.time_left);
     let call = Call {
         address: start.address,
@@ -95,15 +124,40 @@
         may_reuse_connection: start.may_reuse_connection,
     };
     let (cx, attempt) = (shared.clone(), start.attempt);
-    attempts.spawn_local(async move { (attempt, backend::call(cx, call).await) });
+    attempts.spawn_local(async move { (attempt, Ended::Server(backend::call(cx, call).await)) });
+}
+
+fn start_relay(
+    shared: &Rc<Shared>,
+    attempts: &mut JoinSet<(AttemptNumber, Ended)>,
+    request: &CallerRequest,
+    start: RelayStart,
+) {
+    let mut req = request.to_request();
+    headers::write_time_left(req.headers_mut(), start.time_left);
+    let (cx, attempt, attempt_id) = (shared.clone(), start.attempt, request.attempt_id.clone());
+    attempts.spawn_local(async move {
+        (attempt, Ended::Relay(relay::call(cx, start, req, attempt_id).await))
+    });
+}
+
+/// Opens a connection to a server, without a request.
+fn probe_path(shared: Rc<Shared>, address: SocketAddr, incarnation: Incarnation) {
+    tokio::task::spawn_local(async move {
+        let outcome = match shared.pool.connect(address).await {
+            Some(_) => PathOutcome::Connected,
+            None => PathOutcome::Unreachable,
+        };
+        shared.record_path(address, incarnation, outcome);
+    });
 }
 
 /// Waits for the end of an attempt; returns `None` if the request is woken or `wait` passes first.
 async fn next_attempt_end(
-    attempts: &mut JoinSet<(AttemptNumber, CallResult)>,
+    attempts: &mut JoinSet<(AttemptNumber, Ended)>,
     waker: &Notify,
     wait: Duration,
-) -> Option<(AttemptNumber, CallResult)> {
+) -> Option<(AttemptNumber, Ended)> {
     tokio::select! {
         biased;
         Some(ended) = attempts.join_next() => Some(ended.expect("attempts do not panic")),
@@ -186,8 +240,14 @@
     outcome: &'static str,
     finish: Finish,
 ) {
-    let attempts: Vec<String> =
-        summary.attempts.iter().map(|(server, end)| format!("{server}:{end}")).collect();
+    let attempts: Vec<String> = summary
+        .attempts
+        .iter()
+        .map(|(target, end)| match target {
+            AttemptTarget::Server(server) => format!("{server}:{end}"),
+            AttemptTarget::Relay(host) => format!("via-{}:{end}", peers::address_of(*host, 0).ip()),
+        })
+        .collect();
     let attempts = attempts.join(" ");
     match finish {
         Finish::Answer(_) => log::info!(
--- a/components/gateway/src/entry/metrics.rs
+++ b/components/gateway/src/entry/metrics.rs
@@ -44,6 +44,8 @@
     requests: Family<RequestLabels, Counter>,
     attempts: Family<AttemptLabels, Counter>,
     retries: Family<ServiceLabels, Counter>,
+    relays: Family<AttemptLabels, Counter>,
+    paths_down: Counter,
     latency: Histogram,
     wait_time: Histogram,
     servers_avoided: Counter,
@@ -70,6 +72,8 @@
         registry.register("attempts", "Attempts by how they ended", attempts.clone());
         let retries = Family::<ServiceLabels, Counter>::default();
         registry.register("retries", "Retries sent, by service", retries.clone());
+        let relays = Family::<AttemptLabels, Counter>::default();
+        registry.register("relays", "Requests passed on to other gateways", relays.clone());
         let invalid_notices = Family::<HeaderLabels, Counter>::default();
         let help = "Headers of servers that were ignored because their values are not valid";
         registry.register("invalid_server_headers", help, invalid_notices.clone());
@@ -90,6 +94,7 @@
         let server_limits = counter("server_limit_changed", "Changes of limits of servers");
         let limit_leases = counter("limit_lease", "Leases to grant permits for limited servers");
         let permits_denied = counter("permit_denied", "Permits for limited servers not granted");
+        let paths_down = counter("paths_down", "Times that no backend server could be reached");
         let control_hosts_lost = counter("control_host_lost", "Control hosts left for another one");
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
@@ -106,6 +111,8 @@
             requests,
             attempts,
             retries,
+            relays,
+            paths_down,
             latency,
             wait_time,
             servers_avoided,
@@ -156,6 +163,12 @@
             Event::ServerPaused { .. } => {
                 self.servers_paused.inc();
             }
+            Event::PathsDown { .. } => {
+                self.paths_down.inc();
+            }
+            Event::RelayEnded { end, .. } => {
+                self.relays.get_or_create(&AttemptLabels { end }).inc();
+            }
             Event::ServerLimitChanged { .. } => {
                 self.server_limits.inc();
             }
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod forward;
 mod metrics;
 mod pool;
+mod relay;
 mod shared;
 
 use std::{path::PathBuf, rc::Rc, time::Duration};
--- /dev/null
+++ b/components/gateway/src/entry/relay.rs
@@ -0,0 +1,117 @@
+//! Passes requests on to other gateways, and reads what other gateways pass on.
+//!
+//! A request that is passed on is the caller's request with a header that names its service and the
+//! number of servers that it may still reach. The response carries a header that says how it ended
+//! there. Both are accepted only from hosts of the fleet.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use bytes::Bytes;
+use gateway_core::{AttemptEnd, Refusal, RelayEnd, RelayStart, RelayedHead};
+use http_body_util::Full;
+use hyper::{
+    HeaderMap, Request,
+    header::{self, HeaderValue},
+};
+use ids::Millis;
+
+use super::{
+    backend::{self, ServerResponse},
+    shared::Shared,
+};
+use crate::http::Reply;
+
+/// Name of the header of requests and responses between gateways.
+const RELAY: &str = "daisypaddle-relay";
+
+/// How a request that was passed on ended, and its response if the caller may receive it.
+pub(crate) struct RelayResult {
+    pub(crate) end: RelayEnd,
+    pub(crate) response: Option<ServerResponse>,
+}
+
+/// The header of a request from another gateway can't be read.
+pub(crate) struct InvalidHead;
+
+/// Removes the header from a request, and returns its value if the request comes from a gateway.
+pub(crate) fn take_head(
+    shared: &Shared,
+    headers: &mut HeaderMap,
+    sender: SocketAddr,
+) -> Result<Option<RelayedHead>, InvalidHead> {
+    let Some(value) = headers.remove(RELAY) else { return Ok(None) };
+    if !shared.is_gateway(sender) {
+        log::warn!(sender:% = sender; "ignored the header of another gateway from a caller");
+        return Ok(None);
+    }
+    let parts = value.to_str().ok().and_then(|it| it.split_once(' '));
+    let head = parts.and_then(|(max_attempts, service)| {
+        Some(RelayedHead {
+            service: service.parse().ok()?,
+            max_attempts: max_attempts.parse().ok()?,
+        })
+    });
+    head.map(Some).ok_or(InvalidHead)
+}
+
+/// Marks the reply to another gateway with how its request ended.
+pub(crate) fn mark_reply(reply: &mut Reply, end: RelayEnd) {
+    reply.headers_mut().insert(RELAY, HeaderValue::from_static(end.name()));
+}
+
+/// Passes a request on and reads the complete response.
+pub(crate) async fn call(
+    shared: Rc<Shared>,
+    start: RelayStart,
+    mut req: Request<Full<Bytes>>,
+    attempt_id: Rc<str>,
+) -> RelayResult {
+    let without_response = |end| RelayResult { end, response: None };
+    let RelayStart { address, head, may_reuse_connection, .. } = start;
+    let value = format!("{} {}", head.max_attempts, head.service);
+    let Ok(value) = HeaderValue::from_str(&value) else {
+        return without_response(RelayEnd::Unable);
+    };
+    req.headers_mut().insert(RELAY, value);
+    let sent = backend::send_to_gateway(&shared, address, req, may_reuse_connection).await;
+    let (connection, response) = match sent {
+        Ok(sent) => sent,
+        Err(AttemptEnd::Lost) => return without_response(RelayEnd::Lost),
+        Err(_) => return without_response(RelayEnd::Unreachable),
+    };
+    let (mut head, body) = response.into_parts();
+    let Some(body) = backend::read_body(body).await else {
+        return without_response(RelayEnd::Lost);
+    };
+    backend::keep_connection(&shared, address, connection, &head.headers);
+    let Some(outcome) = head.headers.remove(RELAY) else {
+        return without_response(RelayEnd::Lost);
+    };
+    let is = |end: RelayEnd| outcome.as_bytes() == end.name().as_bytes();
+    if is(RelayEnd::Unable) {
+        return without_response(RelayEnd::Unable);
+    }
+    if is(RelayEnd::Refused(None)) {
+        return without_response(RelayEnd::Refused(retry_after(&head.headers)));
+    }
+    if !is(RelayEnd::Answered) {
+        return without_response(RelayEnd::Lost);
+    }
+    let end = match backend::classify(head.status, &head.headers, &attempt_id) {
+        AttemptEnd::Answered => RelayEnd::Answered,
+        AttemptEnd::ServerError => RelayEnd::ServerError,
+        _ => return without_response(RelayEnd::Lost),
+    };
+    let response = ServerResponse { status: head.status, headers: head.headers, body };
+    RelayResult { end, response: Some(response) }
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Millis> {
+    let seconds: f64 = headers.get(header::RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
+    (seconds >= 0.0).then_some(Millis((seconds * 1e3) as u64))
+}
+
+/// Returns how a refusal of this gateway is told to another one.
+pub(crate) fn end_of(shared: &Shared, refusal: &Refusal) -> RelayEnd {
+    shared.with_core(|core, _| core.relay_end_of(refusal))
+}
--- a/components/gateway/src/entry/shared.rs
+++ b/components/gateway/src/entry/shared.rs
@@ -7,7 +7,7 @@
 };
 
 use admin::Clock;
-use gateway_core::{Event, Gateway, GatewayConfig, ServerNotice};
+use gateway_core::{Event, Gateway, GatewayConfig, PathOutcome, ServerNotice};
 use ids::{FastMap, HostId, Incarnation, RequestId, Timestamp};
 use platform::{configuration, headers::NoticeHeaders};
 use registry::unpack_text;
@@ -149,6 +149,21 @@
         self.core.borrow().may_send(self.clock.now(), address, incarnation, has_permit)
     }
 
+    /// Records what happened on a new connection to a server.
+    pub(crate) fn record_path(
+        &self,
+        address: SocketAddr,
+        incarnation: Incarnation,
+        outcome: PathOutcome,
+    ) {
+        self.with_core(|core, now| core.on_path_outcome(now, address, incarnation, outcome));
+    }
+
+    /// Returns whether an address is that of another gateway.
+    pub(crate) fn is_gateway(&self, address: SocketAddr) -> bool {
+        peers::hosts_of(&[address]).iter().any(|it| self.core.borrow().is_entry_host(*it))
+    }
+
     /// Returns whether an idle connection to a server may be kept.
     pub(crate) fn may_keep_connection(
         &self,
--- a/components/gateway/src/http.rs
+++ b/components/gateway/src/http.rs
@@ -30,6 +30,10 @@
 /// Delay after an `accept` error, which usually means that no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
+/// The address that a request comes from, as an extension of the request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Sender(pub(crate) SocketAddr);
+
 /// A response whose body is held in memory.
 pub(crate) type Reply = Response<Full<Bytes>>;
 
@@ -52,8 +56,8 @@
 {
     let handle = Rc::new(handle);
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(e) => {
                 log::warn!(error:% = e; "cannot accept a connection");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -65,7 +69,8 @@
             log::debug!(error:% = e; "responses may be delayed");
         }
         let handle = handle.clone();
-        let service = service_fn(move |req| {
+        let service = service_fn(move |mut req: Request<Incoming>| {
+            req.extensions_mut().insert(Sender(address));
             let reply = handle(req);
             async move { Ok::<_, Infallible>(reply.await) }
         });
--- a/components/gateway_core/src/entry_hosts.rs
+++ b/components/gateway_core/src/entry_hosts.rs
@@ -13,6 +13,8 @@
     sync::{EntryHostRecord, EntryHostState, HostsRevision, HostsUpdate},
 };
 
+use crate::settings::GatewaySettings;
+
 /// Maximum number of addresses in a directory answer.
 const MAX_ADDRESSES: usize = 64;
 
@@ -87,6 +89,28 @@
         self.hosts.values().filter(|it| it.data_centre == *data_centre).map(|it| it.host)
     }
 
+    /// Returns the other serving hosts and their distances: 0 in the same data centre, 1 in the same
+    /// region, 2 elsewhere.
+    pub(crate) fn relays_for<'a>(
+        &'a self,
+        own: &'a GatewaySettings,
+    ) -> impl Iterator<Item = (u8, HostId)> + 'a {
+        let serving = self.hosts.values().filter(|it| it.state == EntryHostState::Serving);
+        serving.filter(|it| it.host != own.host).map(|it| {
+            let distance = match () {
+                () if it.data_centre == own.data_centre => 0,
+                () if it.region == own.region => 1,
+                () => 2,
+            };
+            (distance, it.host)
+        })
+    }
+
+    /// Returns the address at which a host accepts callers.
+    pub(crate) fn caller_address(&self, host: HostId) -> Option<SocketAddr> {
+        self.hosts.get(&host).map(|it| it.caller_address)
+    }
+
     /// Returns the serving host that grants permits for a server: one in the server's data centre if
     /// there is one. All hosts that know the same hosts pick the same one.
     pub(crate) fn grantor_for(
--- a/components/gateway_core/src/events.rs
+++ b/components/gateway_core/src/events.rs
@@ -7,6 +7,8 @@
     ServiceName,
 };
 
+use crate::requests::AttemptTarget;
+
 /// A gateway's part of the retry budget of a service in the current window.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RetryUsage {
@@ -113,6 +115,23 @@
         /// The control host.
         host: HostId,
     },
+    /// This gateway can't reach the backend servers.
+    PathsDown {
+        /// Number of servers in a row that it did not reach.
+        servers: usize,
+    },
+    /// This gateway reaches backend servers again.
+    PathsUp {
+        /// Time since the paths were found to be down.
+        after: Millis,
+    },
+    /// A request that was passed on to another gateway has ended there.
+    RelayEnded {
+        /// The other gateway.
+        host: HostId,
+        /// How it ended.
+        end: &'static str,
+    },
     /// A retry was sent.
     RetrySent {
         /// Service of the request.
@@ -136,8 +155,8 @@
     pub route: String,
     /// Service that was chosen for the request.
     pub service: ServiceName,
-    /// Servers that the request was sent to, in order, and how each attempt ended.
-    pub attempts: Vec<(ServerId, &'static str)>,
+    /// Where the request was sent, in order, and how each attempt ended.
+    pub attempts: Vec<(AttemptTarget, &'static str)>,
     /// Time until the first attempt was sent, or until the end if there was none.
     pub waited: Millis,
     /// Time since the request was received.
--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -7,9 +7,10 @@
 use crate::{
     configuration::Idempotency,
     events::Event,
+    paths::PathOutcome,
     requests::{
-        AttemptEnd, AttemptStart, Finish, InFlightAttempt, Refusal, RefusalReason, Request,
-        RunStatus, Step,
+        AttemptEnd, AttemptStart, AttemptTarget, Finish, InFlightAttempt, InFlightTarget, Refusal,
+        RefusalReason, Request, RunStatus, Step,
     },
     retry_budget::RetryDecision,
     server_limits::PermitDecision,
@@ -23,6 +24,14 @@
 /// Maximum number of attempts per request that don't reach a server.
 const MAX_UNREACHABLE_ATTEMPTS: usize = 6;
 
+/// Maximum number of attempts that don't reach a server, for a request that another gateway has
+/// passed on and can pass on to others.
+const MAX_UNREACHABLE_RELAYED: usize = 2;
+
+/// Time after which an idempotent request that was sent to a server is passed on as well while the
+/// paths are down, in milliseconds.
+const TEST_PATIENCE: Millis = Millis(300);
+
 /// Multiple of the average latency after which an idempotent request is hedged.
 const HEDGE_LATENCY_FACTOR: f64 = 3.0;
 
@@ -37,7 +46,7 @@
 const MAX_PERMIT_ASKS: u32 = 4;
 
 /// Retry-After for requests that found no server or ran out of attempts, in milliseconds.
-const NO_SERVER_RETRY_AFTER: Millis = Millis(500);
+pub(super) const NO_SERVER_RETRY_AFTER: Millis = Millis(500);
 
 impl Gateway {
     /// Returns what to do next for a request.
@@ -74,12 +83,9 @@
         end: AttemptEnd,
         size: ByteSize,
     ) {
+        let ended = self.remove_in_flight(id, attempt, end.name());
+        let Some((InFlightTarget::Server(key), started)) = ended else { return };
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(position) = request.in_flight.iter().position(|it| it.number == attempt) else {
-            return;
-        };
-        let ended = request.in_flight.remove(position);
-        request.attempt_log[attempt.0 as usize].1 = end.name();
         request.run = request.run.max(end.run_status());
         request.arrived_attempts += u32::from(end.reached_server());
         match end {
@@ -87,8 +93,10 @@
             AttemptEnd::ServerError => request.server_error = Some(attempt),
             // The server may still take the request once it has a permit.
             AttemptEnd::Withheld => {
-                let (server, _) = &request.attempt_log[attempt.0 as usize];
-                request.tried.retain(|it| it != server);
+                if let (AttemptTarget::Server(server), _) = &request.attempt_log[attempt.0 as usize]
+                {
+                    request.tried.retain(|it| it != server);
+                }
             }
             _ => {}
         }
@@ -96,7 +104,7 @@
         let route = request.route.key();
         let event = match end {
             AttemptEnd::Answered => {
-                let millis = now.since(ended.started).0;
+                let millis = now.since(started).0;
                 LoadEvent::Answered(Answered {
                     latency_ms: u32::try_from(millis).unwrap_or(u32::MAX),
                     route: route.0,
@@ -111,16 +119,30 @@
             }
         };
         if end == AttemptEnd::Misplaced {
-            self.servers.mark_misplaced(ended.key);
+            self.servers.mark_misplaced(key);
         }
         if end == AttemptEnd::Answered {
             self.quarantine.clear(fingerprint);
             self.servers.record_size(route, size);
         }
         if end == AttemptEnd::Lost {
-            self.record_lost(now, Some(id), fingerprint, ended.key);
+            self.record_lost(now, Some(id), fingerprint, key);
         }
-        self.report_end(now, ended.key, event);
+        self.report_end(now, key, event);
+    }
+
+    /// Removes an attempt that has ended; returns where it was sent and when.
+    pub(super) fn remove_in_flight(
+        &mut self,
+        id: RequestId,
+        attempt: AttemptNumber,
+        end: &'static str,
+    ) -> Option<(InFlightTarget, Timestamp)> {
+        let request = self.requests.get_mut(&id)?;
+        let position = request.in_flight.iter().position(|it| it.number == attempt)?;
+        let ended = request.in_flight.remove(position);
+        request.attempt_log[attempt.0 as usize].1 = end;
+        Some((ended.target, ended.started))
     }
 
     /// Reports the end of all attempts that are still in flight when the request finishes or its
@@ -128,12 +150,13 @@
     pub(super) fn end_in_flight(&mut self, now: Timestamp, request: &Request) {
         let overdue_after = self.servers.overdue_latency(&request.route);
         for attempt in &request.in_flight {
+            let InFlightTarget::Server(key) = attempt.target else { continue };
             let is_overdue = now.since(attempt.started).0 as f64 >= overdue_after;
             let event = match is_overdue && !attempt.is_reported_overdue {
                 true => LoadEvent::Overdue,
                 false => LoadEvent::Cancelled,
             };
-            self.report_end(now, attempt.key, event);
+            self.report_end(now, key, event);
         }
     }
 
@@ -159,19 +182,25 @@
         let hedge_after =
             Millis((avg_latency * HEDGE_LATENCY_FACTOR).max(target_latency * HEDGE_TARGET_SHARE)
                 as u64);
-        let last_started = request.in_flight.last().expect("an attempt is in flight").started;
-        let hedge_at = last_started + hedge_after;
-        let may_hedge =
-            request.route.idempotency == Idempotency::Idempotent && request.in_flight.len() == 1;
+        let last = request.in_flight.last().expect("an attempt is in flight");
+        let hedge_after =
+            if self.paths.are_down() { hedge_after.min(TEST_PATIENCE) } else { hedge_after };
+        let hedge_at = last.started + hedge_after;
+        let may_hedge = request.route.idempotency == Idempotency::Idempotent
+            && request.in_flight.len() == 1
+            && matches!(last.target, InFlightTarget::Server(_));
         if may_hedge
             && now >= hedge_at
-            && let Some(start) = self.hedge(now, id)
+            && let Some(step) = self.hedge(now, id)
         {
-            return Step::Send(start);
+            return step;
         }
         self.report_overdue(now, id, overdue_after);
         let request = &self.requests[&id];
-        let pending = request.in_flight.iter().filter(|it| !it.is_reported_overdue);
+        let pending = request
+            .in_flight
+            .iter()
+            .filter(|it| !it.is_reported_overdue && matches!(it.target, InFlightTarget::Server(_)));
         let mut wakeup = request.deadline;
         for attempt in pending {
             wakeup = wakeup.min(attempt.started + overdue_after);
@@ -186,40 +215,57 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let mut overdue = Vec::new();
         for attempt in &mut request.in_flight {
+            let InFlightTarget::Server(key) = attempt.target else { continue };
             if !attempt.is_reported_overdue && now >= attempt.started + overdue_after {
                 attempt.is_reported_overdue = true;
-                overdue.push(attempt.key);
+                overdue.push(key);
             }
         }
         for key in overdue {
+            self.record_path(now, key, PathOutcome::Broken);
             self.report_event(now, key, LoadEvent::Overdue);
         }
     }
 
     /// Starts a second attempt in parallel if the retry budget and the servers allow it.
-    fn hedge(&mut self, now: Timestamp, id: RequestId) -> Option<AttemptStart> {
+    fn hedge(&mut self, now: Timestamp, id: RequestId) -> Option<Step> {
         let request = &self.requests[&id];
-        if request.counted_attempts() >= request.route.max_attempts {
+        if request.counted_attempts() >= request.max_attempts {
             return None;
         }
+        if self.paths.are_down() && request.head.relayed.is_none() {
+            let host = self.choose_relay(now, id)?;
+            return match self.decide_retry(now, id) {
+                RetryDecision::Send => self.start_relay(now, id, host).map(Step::Relay),
+                RetryDecision::AwaitLoan(_) | RetryDecision::Deny => None,
+            };
+        }
         let Placement::Server(server) = self.place(now, id, false) else { return None };
         match self.decide_retry(now, id) {
-            RetryDecision::Send => self.start_attempt(now, id, server),
+            RetryDecision::Send => self.start_attempt(now, id, server).map(Step::Send),
             RetryDecision::AwaitLoan(_) | RetryDecision::Deny => None,
         }
     }
 
     fn send_or_wait(&mut self, now: Timestamp, id: RequestId) -> Step {
         let request = &self.requests[&id];
-        let unreachable = request.attempt_log.len() - request.arrived_attempts as usize;
-        let is_exhausted = request.arrived_attempts >= request.route.max_attempts
-            || unreachable >= MAX_UNREACHABLE_ATTEMPTS;
+        let unreachable =
+            request.attempt_log.len().saturating_sub(request.arrived_attempts as usize);
+        let max_unreachable = match request.head.relayed {
+            Some(_) => MAX_UNREACHABLE_RELAYED,
+            None => MAX_UNREACHABLE_ATTEMPTS,
+        };
+        let is_exhausted =
+            request.arrived_attempts >= request.max_attempts || unreachable >= max_unreachable;
         if is_exhausted {
             return self.give_up(now, id, RefusalReason::NoAnswer, Some(NO_SERVER_RETRY_AFTER));
         }
         if self.quarantine.is_quarantined(now, request.head.fingerprint) {
             return self.give_up(now, id, RefusalReason::Quarantined, Some(QUARANTINE_RETRY_AFTER));
         }
+        if let Some(step) = self.detour(now, id) {
+            return step;
+        }
         if let Some(step) = self.send_with_permit(now, id) {
             return step;
         }
@@ -357,7 +403,7 @@
     }
 
     /// Charges a retry to the retry budget, or asks other gateways for a loan.
-    fn decide_retry(&mut self, now: Timestamp, id: RequestId) -> RetryDecision {
+    pub(super) fn decide_retry(&mut self, now: Timestamp, id: RequestId) -> RetryDecision {
         let lenders = self.rotated_local_peers();
         let fleet_hosts = self.entry_hosts.len();
         let service = &self.requests[&id].service;
@@ -386,12 +432,12 @@
         let attempt = AttemptNumber(u32::try_from(request.attempt_log.len()).unwrap_or(u32::MAX));
         request.in_flight.push(InFlightAttempt {
             number: attempt,
-            key,
+            target: InFlightTarget::Server(key),
             started: now,
             is_reported_overdue: false,
         });
         request.tried.push(server.clone());
-        request.attempt_log.push((server.clone(), "in-flight"));
+        request.attempt_log.push((AttemptTarget::Server(server.clone()), "in-flight"));
         request.first_sent_at.get_or_insert(now);
         let start = AttemptStart {
             attempt,
@@ -400,7 +446,9 @@
             incarnation: announcement.incarnation,
             time_left: request.time_left(now),
             has_permit,
-            may_reuse_connection: request.route.idempotency == Idempotency::Idempotent,
+            // Only new connections show that the paths are up again.
+            may_reuse_connection: request.route.idempotency == Idempotency::Idempotent
+                && !self.paths.are_down(),
         };
         self.report_start(now, key, is_first);
         Some(start)
@@ -409,7 +457,7 @@
     /// Ends a request with the last error response of a server if there is one, otherwise with a
     /// refusal. While all servers of the service are closed, its Retry-After is not shorter than
     /// that.
-    fn give_up(
+    pub(super) fn give_up(
         &mut self,
         now: Timestamp,
         id: RequestId,
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The top-level state machine of a gateway.
 
 mod attempts;
+mod detours;
 mod limits;
 mod notices;
 mod registry;
@@ -20,6 +21,7 @@
     configuration::{CallerLimits, GatewayConfig, Route},
     entry_hosts::EntryHosts,
     events::{Event, RequestSummary},
+    paths::{Paths, relays::Relays},
     quarantine::Quarantine,
     registry_poller::RegistryPoller,
     requests::{QueueKey, Refusal, RefusalReason, Request, RequestHead, wait_queue::WaitQueues},
@@ -73,6 +75,8 @@
     wait_queues: WaitQueues,
     retry_budget: RetryBudget,
     server_limits: ServerLimits,
+    paths: Paths,
+    relays: Relays,
     quarantine: Quarantine,
     rng: Xoshiro256PlusPlus,
     next_request: RequestId,
@@ -103,6 +107,8 @@
             wait_queues: WaitQueues::default(),
             retry_budget: RetryBudget::new(settings.retry_budget, settings.started),
             server_limits: ServerLimits::new(settings.host),
+            paths: Paths::default(),
+            relays: Relays::default(),
             quarantine: Quarantine::default(),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             next_request: RequestId(1),
@@ -177,6 +183,11 @@
         self.entry_hosts.len()
     }
 
+    /// Returns whether a host is in the host list.
+    pub fn is_entry_host(&self, host: HostId) -> bool {
+        self.entry_hosts.incarnation(host).is_some()
+    }
+
     /// Accepts or refuses a request; [`Self::step`] then returns what to do with it.
     pub fn begin(&mut self, now: Timestamp, head: RequestHead) -> Result<RequestId, Refusal> {
         let route = self.find_route(&head)?;
@@ -184,9 +195,15 @@
             let retry_after = Some(QUARANTINE_RETRY_AFTER);
             return Err(Refusal::not_run(RefusalReason::Quarantined, retry_after));
         }
-        let service = self.choose_service(&route);
         let deadline = self.deadline(now, &route, head.caller_timeout)?;
-        self.retry_budget.record_request(now, &service);
+        let service = match &head.relayed {
+            Some(relayed) => self.accept_relayed(&route, relayed)?,
+            None => {
+                let service = self.choose_service(&route);
+                self.retry_budget.record_request(now, &service);
+                service
+            }
+        };
         let id = self.next_request;
         self.next_request = id.next();
         self.requests.insert(id, Request::new(now, head, route, service, deadline));
@@ -198,6 +215,9 @@
         let request = self.requests.remove(&id)?;
         self.wait_queues.remove(&request.service, queue_key(&request, id));
         self.server_limits.forget(id);
+        if request.head.relayed.is_some() {
+            self.relays.end_accepted();
+        }
         self.end_in_flight(now, &request);
         Some(RequestSummary {
             route: request.route.name.clone(),
--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -99,6 +99,7 @@
         if self.lifecycle != Lifecycle::Serving {
             self.entry_hosts.remove(self.settings.host);
         }
+        self.relays.retain(|it| self.entry_hosts.incarnation(it).is_some());
         // The requests of a gateway that has left or restarted have ended with its process.
         for (host, incarnation) in before {
             if self.entry_hosts.incarnation(host) != incarnation {
--- a/components/gateway_core/src/lib.rs
+++ b/components/gateway_core/src/lib.rs
@@ -8,6 +8,7 @@
 mod entry_hosts;
 mod events;
 mod gateway;
+mod paths;
 mod quarantine;
 mod registry_poller;
 mod requests;
@@ -24,9 +25,11 @@
     entry_hosts::DirectoryAnswer,
     events::{Event, RequestSummary, RetryUsage},
     gateway::{Gateway, OutgoingReport},
+    paths::{PathOutcome, relays::RelayEnd},
     registry_poller::{OutgoingPoll, POLL_TIMEOUT},
     requests::{
-        AttemptEnd, AttemptStart, Finish, Refusal, RefusalReason, RequestHead, RunStatus, Step,
+        AttemptEnd, AttemptStart, AttemptTarget, Finish, Refusal, RefusalReason, RelayStart,
+        RelayedHead, RequestHead, RunStatus, Step,
     },
     servers::{
         Distance, Server, ServerTable,
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -5,7 +5,8 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use ids::{
-    AttemptNumber, Fingerprint, Incarnation, Millis, RequestId, ServerId, ServiceName, Timestamp,
+    AttemptNumber, Fingerprint, HostId, Incarnation, Millis, RequestId, ServerId, ServiceName,
+    Timestamp,
 };
 
 use crate::{
@@ -35,6 +36,8 @@
     pub fingerprint: Fingerprint,
     /// Time that the caller still waits, if it says so.
     pub caller_timeout: Option<Millis>,
+    /// Set if another gateway has passed the request on.
+    pub relayed: Option<RelayedHead>,
 }
 
 /// An attempt to be sent to a backend server.
@@ -56,6 +59,41 @@
     pub may_reuse_connection: bool,
 }
 
+/// A request that another gateway has passed on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RelayedHead {
+    /// The service that the other gateway has chosen.
+    pub service: ServiceName,
+    /// Number of servers that the request may still reach.
+    pub max_attempts: u32,
+}
+
+/// A request to be passed on to another gateway.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RelayStart {
+    /// Number of the attempt within its request.
+    pub attempt: AttemptNumber,
+    /// The other gateway.
+    pub host: HostId,
+    /// Address at which it accepts callers.
+    pub address: SocketAddr,
+    /// What it is told of the request.
+    pub head: RelayedHead,
+    /// Time left for the other gateway.
+    pub time_left: Millis,
+    /// Whether a pooled connection may be used.
+    pub may_reuse_connection: bool,
+}
+
+/// Where an attempt was sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AttemptTarget {
+    /// To a backend server.
+    Server(ServerId),
+    /// To another gateway.
+    Relay(HostId),
+}
+
 /// How an attempt ended.
 ///
 /// `Shed`: the server refused the request without running it. `Misplaced`: a different server
@@ -138,6 +176,12 @@
     RetryBudgetSpent,
     /// this gateway stops
     Stopping,
+    /// this gateway can't reach the backend servers
+    PathsDown,
+    /// this gateway already works on too many requests of others
+    TooManyRelayed,
+    /// the gateways that reach the backend servers refuse the request
+    RelayRefused,
 }
 
 impl RefusalReason {
@@ -155,6 +199,9 @@
             Self::NoAnswer => "no-answer",
             Self::RetryBudgetSpent => "retry-budget-spent",
             Self::Stopping => "stopping",
+            Self::PathsDown => "paths-down",
+            Self::TooManyRelayed => "too-many-relayed",
+            Self::RelayRefused => "relay-refused",
         }
     }
 }
@@ -190,17 +237,26 @@
 pub enum Step {
     /// Send this attempt to a server, then step again.
     Send(AttemptStart),
+    /// Pass the request on to another gateway, then step again.
+    Relay(RelayStart),
     /// Step again when an attempt ends, when the request is woken, or at this time.
     Wait(Timestamp),
     /// Respond to the caller and forget the request.
     Finish(Finish),
 }
 
+/// Where an attempt in flight was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum InFlightTarget {
+    Server(ServerKey),
+    Relay(HostId),
+}
+
 /// An attempt in flight.
 #[derive(Debug, Clone)]
 pub(crate) struct InFlightAttempt {
     pub(crate) number: AttemptNumber,
-    pub(crate) key: ServerKey,
+    pub(crate) target: InFlightTarget,
     pub(crate) started: Timestamp,
     pub(crate) is_reported_overdue: bool,
 }
@@ -216,7 +272,7 @@
     pub(crate) deadline: Timestamp,
     pub(crate) tried: Vec<ServerId>,
     /// All attempts in the order of sending, and how each ended.
-    pub(crate) attempt_log: Vec<(ServerId, &'static str)>,
+    pub(crate) attempt_log: Vec<(AttemptTarget, &'static str)>,
     pub(crate) in_flight: Vec<InFlightAttempt>,
     pub(crate) run: RunStatus,
     /// Number of ended attempts that reached a server.
@@ -227,6 +283,10 @@
     pub(crate) first_sent_at: Option<Timestamp>,
     /// Number of permits that were denied.
     pub(crate) permit_asks: u32,
+    /// Maximum number of servers that it may reach.
+    pub(crate) max_attempts: u32,
+    /// The `Retry-After` of another gateway's refusal.
+    pub(crate) relay_refusal: Option<Option<Millis>>,
 }
 
 impl Request {
@@ -237,10 +297,14 @@
         service: ServiceName,
         deadline: Timestamp,
     ) -> Self {
+        let allowed = head.relayed.as_ref().map_or(u32::MAX, |it| it.max_attempts);
+        let max_attempts = route.max_attempts.min(allowed);
         Self {
             head,
             route,
             service,
+            max_attempts,
+            relay_refusal: None,
             received: now,
             deadline,
             tried: Vec::new(),
@@ -271,6 +335,24 @@
         self.arrived_attempts + u32::try_from(self.in_flight.len()).unwrap_or(u32::MAX)
     }
 
+    /// Returns the gateways that the request was passed on to.
+    pub(crate) fn tried_relays(&self) -> Vec<HostId> {
+        let relays = self.attempt_log.iter().filter_map(|(target, _)| match target {
+            AttemptTarget::Relay(host) => Some(*host),
+            AttemptTarget::Server(_) => None,
+        });
+        relays.collect()
+    }
+
+    /// Returns the number of attempts that could not be sent to a server.
+    pub(crate) fn unsent_attempts(&self) -> usize {
+        let is_unsent = |(target, end): &&(AttemptTarget, &str)| {
+            matches!(target, AttemptTarget::Server(_))
+                && [AttemptEnd::Unreachable.name(), AttemptEnd::NotSent.name()].contains(end)
+        };
+        self.attempt_log.iter().filter(is_unsent).count()
+    }
+
     pub(crate) fn time_left(&self, now: Timestamp) -> Millis {
         self.deadline.since(now)
     }
--- a/components/gateway_core/src/servers/health.rs
+++ b/components/gateway_core/src/servers/health.rs
@@ -142,6 +142,12 @@
         self.unreachable_until = now + Millis(UNREACHABLE_BACKOFF.0 << doublings);
     }
 
+    /// Forgets the failed connections.
+    pub(crate) fn forget_unreachable(&mut self) {
+        self.failed_connections = 0;
+        self.unreachable_until = Timestamp::default();
+    }
+
     /// Records that the server shed a request.
     pub fn record_shed(&mut self, now: Timestamp) {
         self.full_until = now + FULL_BACKOFF;
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -495,6 +495,13 @@
         false
     }
 
+    /// Forgets which servers this gateway could not connect to.
+    pub(crate) fn forget_unreachable(&mut self) {
+        for server in self.servers.values_mut() {
+            server.health.forget_unreachable();
+        }
+    }
+
     /// Marks that a different server responded at this server's address.
     pub(crate) fn mark_misplaced(&mut self, key: ServerKey) {
         if let Some(server) = self.by_key_mut(key) {
--- a/components/gateway_core/tests/common/mod.rs
+++ b/components/gateway_core/tests/common/mod.rs
@@ -253,5 +253,6 @@
         path: path.to_owned(),
         fingerprint: Fingerprint::of(path.as_bytes()),
         caller_timeout: Some(Millis(4_000)),
+        relayed: None,
     }
 }
--- a/components/gateway_core/tests/notices.rs
+++ b/components/gateway_core/tests/notices.rs
@@ -325,6 +325,7 @@
                     self.in_flight.push((i, id, start, now));
                 }
                 Step::Wait(due) => return self.waiting.push((i, id, due)),
+                Step::Relay(start) => panic!("passed on: {start:?}"),
                 Step::Finish(_) => {
                     self.gateways[i].forget(at(now), id);
                     return;
--- a/components/gateway_core/tests/requests.rs
+++ b/components/gateway_core/tests/requests.rs
@@ -4,11 +4,13 @@
 mod common;
 
 use arbtest::arbitrary::{self, Unstructured};
-use common::{Harness, at, config, entry_host, head, route, server};
+use common::{Harness, at, config, entry_host, head, route, server, service};
 use gateway_core::{
-    AttemptEnd, Finish, Idempotency, Refusal, RefusalReason, RequestHead, RunStatus, Step,
+    AttemptEnd, Finish, Idempotency, PathOutcome, Refusal, RefusalReason, RelayEnd, RelayedHead,
+    RequestHead, RunStatus, Step,
 };
-use ids::{ByteSize, Millis, RequestId, Timestamp};
+use ids::{AttemptNumber, ByteSize, Millis, RequestId, Timestamp};
+use schema::announcement::Announcement;
 
 const ENDS: [AttemptEnd; 8] = [
     AttemptEnd::Answered,
@@ -21,15 +23,20 @@
     AttemptEnd::Lost,
 ];
 
+const RELAY_ENDS: [RelayEnd; 6] = [
+    RelayEnd::Answered,
+    RelayEnd::ServerError,
+    RelayEnd::Refused(None),
+    RelayEnd::Unable,
+    RelayEnd::Unreachable,
+    RelayEnd::Lost,
+];
+
 fn harness() -> Harness {
     let routes =
         vec![route("pay", Idempotency::NonIdempotent), route("look", Idempotency::Idempotent)];
     let servers = (1..=6).map(|i| server(i, if i < 4 { "north-a" } else { "south-a" }));
-    Harness::new(
-        routes,
-        servers.collect(),
-        vec![entry_host(1, "north-a"), entry_host(2, "north-a")],
-    )
+    Harness::new(routes, servers.collect(), (1..=4).map(|it| entry_host(it, "north-a")).collect())
 }
 
 fn refusal(step: Step) -> Refusal {
@@ -168,8 +175,33 @@
     id: RequestId,
     idempotency: Idempotency,
     may_have_run: bool,
+    is_relayed: bool,
+    /// Number of servers that it may reach.
+    max_attempts: u32,
     arrived_attempts: u32,
-    in_flight: Vec<ids::AttemptNumber>,
+    in_flight: Vec<InFlight>,
+}
+
+/// An attempt in flight, and the number of servers that it may reach.
+struct InFlight {
+    attempt: AttemptNumber,
+    servers: u32,
+    is_relay: bool,
+}
+
+impl TrackedRequest {
+    fn assert_may_be_sent(&self) {
+        if self.idempotency == Idempotency::NonIdempotent {
+            assert!(!self.may_have_run, "sent again after it may have run");
+            assert!(self.in_flight.is_empty(), "sent while another attempt is in flight");
+        }
+    }
+
+    fn assert_within_attempts(&self) {
+        let in_flight: u32 = self.in_flight.iter().map(|it| it.servers).sum();
+        let sent = self.arrived_attempts + in_flight;
+        assert!(sent <= self.max_attempts, "sent to more servers than the route allows");
+    }
 }
 
 #[test]
@@ -199,9 +231,19 @@
                 if u.ratio(1, 2)? { Idempotency::Idempotent } else { Idempotency::NonIdempotent };
             let name = if idempotency == Idempotency::Idempotent { "look" } else { "pay" };
             let path = format!("/{name}/{}", u.int_in_range(0..=1_000)?);
-            if let Ok(id) = harness.gateway.begin(now, head(&path)) {
+            let relayed = match u.ratio(1, 4)? {
+                true => {
+                    Some(RelayedHead { service: service(), max_attempts: u.int_in_range(1..=2)? })
+                }
+                false => None,
+            };
+            let is_relayed = relayed.is_some();
+            let max_attempts = relayed.as_ref().map_or(2, |it| it.max_attempts);
+            if let Ok(id) = harness.gateway.begin(now, RequestHead { relayed, ..head(&path) }) {
                 requests.push(TrackedRequest {
                     id,
+                    is_relayed,
+                    max_attempts,
                     idempotency,
                     may_have_run: false,
                     arrived_attempts: 0,
@@ -209,6 +251,12 @@
                 });
             }
         }
+        if u.ratio(1, 6)? {
+            let outcomes = [PathOutcome::Reached, PathOutcome::Unreachable, PathOutcome::Connected];
+            let Announcement { address, incarnation, .. } =
+                server(u.int_in_range(1..=6)?, "north-a");
+            harness.gateway.on_path_outcome(now, address, incarnation, *u.choose(&outcomes)?);
+        }
         if requests.is_empty() {
             continue;
         }
@@ -230,7 +278,17 @@
     now: Timestamp,
     tracked: &mut TrackedRequest,
 ) -> arbitrary::Result<()> {
-    let attempt = tracked.in_flight.remove(u.choose_index(tracked.in_flight.len())?);
+    let InFlight { attempt, servers, is_relay } =
+        tracked.in_flight.remove(u.choose_index(tracked.in_flight.len())?);
+    if is_relay {
+        let end = *u.choose(&RELAY_ENDS)?;
+        let may_have_run =
+            matches!(end, RelayEnd::Answered | RelayEnd::ServerError | RelayEnd::Lost);
+        tracked.may_have_run |= may_have_run;
+        tracked.arrived_attempts += if may_have_run { servers } else { 0 };
+        harness.gateway.relay_ended(now, tracked.id, attempt, end);
+        return Ok(());
+    }
     let end = *u.choose(&ENDS)?;
     tracked.may_have_run |= end.run_status() == RunStatus::MayHaveRun;
     let is_sent =
@@ -244,13 +302,19 @@
 fn step(harness: &mut Harness, now: Timestamp, tracked: &mut TrackedRequest) -> bool {
     match harness.gateway.step(now, tracked.id) {
         Step::Send(start) => {
-            if tracked.idempotency == Idempotency::NonIdempotent {
-                assert!(!tracked.may_have_run, "sent again after it may have run");
-                assert!(tracked.in_flight.is_empty(), "sent while another attempt is in flight");
-            }
-            tracked.in_flight.push(start.attempt);
-            let sent = tracked.arrived_attempts as usize + tracked.in_flight.len();
-            assert!(sent <= 2, "sent to more servers than the route allows");
+            tracked.assert_may_be_sent();
+            let in_flight = InFlight { attempt: start.attempt, servers: 1, is_relay: false };
+            tracked.in_flight.push(in_flight);
+            tracked.assert_within_attempts();
+            false
+        }
+        Step::Relay(start) => {
+            assert!(!tracked.is_relayed, "passed on a second time");
+            tracked.assert_may_be_sent();
+            let servers = start.head.max_attempts;
+            let in_flight = InFlight { attempt: start.attempt, servers, is_relay: true };
+            tracked.in_flight.push(in_flight);
+            tracked.assert_within_attempts();
             false
         }
         Step::Wait(until) => {
--- a/components/gateway_core/tests/retry_budget.rs
+++ b/components/gateway_core/tests/retry_budget.rs
@@ -130,6 +130,7 @@
                     gateway.attempt_ended(clock, id, start.attempt, end, ByteSize(100));
                 }
                 Step::Wait(due) => return self.waiting.push((i, id, due)),
+                Step::Relay(start) => panic!("passed on: {start:?}"),
                 Step::Finish(_) => {
                     gateway.forget(clock, id);
                     return;
--- a/components/gateway_core/tests/server_limits.rs
+++ b/components/gateway_core/tests/server_limits.rs
@@ -265,6 +265,7 @@
             match self.gateways[i].step(at(now), id) {
                 Step::Send(start) => self.arrive(i, id, start, now),
                 Step::Wait(due) => return self.waiting.push((i, incarnation, id, due)),
+                Step::Relay(start) => panic!("passed on: {start:?}"),
                 Step::Finish(finish) => {
                     self.gateways[i].forget(at(now), id);
                     if let Some((sent, route)) = self.begun.remove(&(i, incarnation, id.0)) {
--- a/components/gateway_core/tests/shared_budget.rs
+++ b/components/gateway_core/tests/shared_budget.rs
@@ -75,6 +75,7 @@
                     exchange_loans(now, &mut harness, &mut peer);
                     assert_eq!(harness.gateway.take_wakeups(), [id]);
                 }
+                Step::Relay(start) => panic!("passed on: {start:?}"),
                 Step::Finish(_) => break,
             }
         }
