Don't tell others that servers are slow while this gateway's own paths are doubtful

Now overdue requests and failed connections are not told once two servers in a row have failed here, and lost requests not while the paths are down. Before that, losses are told as ever, since a request that crashes servers looks the same.

The tests failed before: 8 reports of overdue requests at four servers, now 2 for the first one.

--- a/components/gateway_core/src/gateway/reports.rs
+++ b/components/gateway_core/src/gateway/reports.rs
@@ -63,6 +63,7 @@
     pub(super) fn report_end(&mut self, now: Timestamp, key: ServerKey, event: LoadEvent) {
         let in_flight = self.servers.record_own_end(key);
         self.record_event(now, self.settings.host, key, &event);
+        let event = if self.may_be_own_fault(now, &event) { LoadEvent::Cancelled } else { event };
         self.report(key, in_flight, event);
         self.wake_next(key);
     }
@@ -71,7 +72,20 @@
     pub(super) fn report_event(&mut self, now: Timestamp, key: ServerKey, event: LoadEvent) {
         let in_flight = self.servers.own_in_flight(key);
         self.record_event(now, self.settings.host, key, &event);
-        self.report(key, in_flight, event);
+        if !self.may_be_own_fault(now, &event) {
+            self.report(key, in_flight, event);
+        }
+    }
+
+    /// Returns whether an event is as likely due to this gateway's paths as to the server, so that
+    /// others should not avoid the server for it. Losses of requests that crash servers must be told
+    /// as long as the paths are up.
+    fn may_be_own_fault(&self, now: Timestamp, event: &LoadEvent) -> bool {
+        match event {
+            LoadEvent::Overdue | LoadEvent::Unreachable => self.paths.are_doubtful(now),
+            LoadEvent::Lost(_) => self.paths.are_down(),
+            _ => false,
+        }
     }
 
     fn record_event(&mut self, now: Timestamp, seen_by: HostId, key: ServerKey, event: &LoadEvent) {
--- a/components/gateway_core/src/paths/mod.rs
+++ b/components/gateway_core/src/paths/mod.rs
@@ -30,6 +30,9 @@
 /// Sum of the weights of different servers from which the paths are down.
 const DOWN_WEIGHT: u32 = 9;
 
+/// Number of different servers that failed from which the paths are doubtful.
+const DOUBTFUL_SERVERS: usize = 2;
+
 /// Age at which a failure is no evidence any more.
 const EVIDENCE_LIFETIME: Millis = Millis(5_000);
 
@@ -112,9 +115,8 @@
     }
 
     /// Returns whether failures may be due to this gateway's paths rather than to the servers.
-    #[expect(dead_code)]
     pub(crate) fn are_doubtful(&self, now: Timestamp) -> bool {
-        self.are_down() || self.failures(now).1 >= DOWN_WEIGHT / 2
+        self.are_down() || self.failures(now).0 >= DOUBTFUL_SERVERS
     }
 
     /// Records what happened on a new connection.
--- a/components/gateway_core/tests/detours.rs
+++ b/components/gateway_core/tests/detours.rs
@@ -9,7 +9,7 @@
     RelayStart, RelayedHead, RequestHead, RunStatus, Step,
 };
 use ids::{HostId, Millis, RequestId, Timestamp};
-use schema::announcement::Announcement;
+use schema::{announcement::Announcement, server_load::LoadEvent};
 
 const NEAR: HostId = HostId(2);
 const FAR: HostId = HostId(3);
@@ -302,3 +302,33 @@
     }
     assert!(answered * 10 >= sent * 9, "{answered} of {sent} requests are answered");
 }
+
+/// Sends requests to one server after the other that get no response; returns how many of them other
+/// gateways are told to be overdue there, each by two reports.
+fn overdue_told(harness: &mut Harness, count: u64) -> usize {
+    let requests: Vec<_> =
+        (0..count).map(|it| harness.send(at(it * 10), &format!("/pay/{it}"))).collect();
+    for (id, _) in requests {
+        harness.gateway.step(at(1_900), id);
+    }
+    let reports = harness.gateway.take_reports();
+    reports.iter().filter(|it| it.report.event == LoadEvent::Overdue).count()
+}
+
+#[test]
+fn a_gateway_with_overdue_requests_at_one_server_after_the_other_does_not_blame_the_servers() {
+    assert_eq!(overdue_told(&mut harness(), 1), 2);
+    // The first one is told to the near gateway and to one in the other data centre.
+    assert_eq!(overdue_told(&mut harness(), 4), 2);
+}
+
+#[test]
+fn a_gateway_whose_paths_are_down_does_not_blame_servers() {
+    let mut harness = harness();
+    let (id, _) = harness.send(at(0), "/pay/1");
+    (1..=3).for_each(|it| record_path(&mut harness, at(10), it, PathOutcome::Unreachable));
+    harness.gateway.step(at(1_900), id);
+
+    let reports = harness.gateway.take_reports();
+    assert!(reports.iter().all(|it| it.report.event != LoadEvent::Overdue));
+}
