List gateways that reach no backend server last in the directory

Callers of a gateway whose paths are down are served through another one, a hop more for each request, as long as the directory sends them there. Such a gateway now announces that it is detoured, at once, and the directory lists it after all others, nearer or farther; when all are detoured they are listed as before. It stays ready: what callers get there is served.

Tests: three in gateway_core/tests/detours.rs; the first two fail without the change.

--- a/components/gateway_core/src/entry_hosts.rs
+++ b/components/gateway_core/src/entry_hosts.rs
@@ -143,14 +143,17 @@
     }
 
     /// Returns addresses of serving hosts for a caller: those in its data centre, and farther ones
-    /// if there are too few.
+    /// if there are too few. Hosts that reach no backend server come last.
     pub(crate) fn addresses_for(
         &self,
         region: Option<&RegionName>,
         data_centre: Option<&DataCentreName>,
     ) -> Vec<SocketAddr> {
-        let is_serving = |it: &&EntryHostRecord| it.state == EntryHostState::Serving;
+        let is_serving = |it: &&EntryHostRecord| {
+            matches!(it.state, EntryHostState::Serving | EntryHostState::Detoured)
+        };
         let distance = |it: &EntryHostRecord| match () {
+            () if it.state == EntryHostState::Detoured => 3,
             () if Some(&it.data_centre) == data_centre => 0,
             () if Some(&it.region) == region => 1,
             () => 2,
--- a/components/gateway_core/src/gateway/detours.rs
+++ b/components/gateway_core/src/gateway/detours.rs
@@ -47,11 +47,13 @@
         match self.paths.record(now, key, outcome) {
             Some(PathChange::Down(servers)) => {
                 self.events.push(Event::PathsDown { servers });
+                self.registry_poller.poll_now();
                 // Idempotent requests in flight may now be passed on.
                 self.wakeups.extend(self.requests.keys().copied());
             }
             Some(PathChange::Up(after)) => {
                 self.events.push(Event::PathsUp { after });
+                self.registry_poller.poll_now();
                 self.servers.forget_unreachable();
             }
             None => {}
--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -81,6 +81,7 @@
             caller_address: settings.caller_address,
             state: match self.lifecycle {
                 Lifecycle::Joining => EntryHostState::Joining,
+                Lifecycle::Serving if self.paths.are_down() => EntryHostState::Detoured,
                 Lifecycle::Serving => EntryHostState::Serving,
                 Lifecycle::Draining { .. } => EntryHostState::Draining,
             },
--- a/components/gateway_core/tests/detours.rs
+++ b/components/gateway_core/tests/detours.rs
@@ -3,13 +3,21 @@
 
 mod common;
 
-use common::{Harness, OWN_HOST, at, entry_host, head, route, server, service};
+use std::net::SocketAddr;
+
+use common::{
+    Harness, OWN_HOST, at, data_centre, entry_host, head, region, route, server, service,
+};
 use gateway_core::{
     AttemptEnd, Event, Finish, Idempotency, PathOutcome, Refusal, RefusalReason, RelayEnd,
     RelayStart, RelayedHead, RequestHead, RunStatus, Step,
 };
 use ids::{HostId, Millis, RequestId, Timestamp};
-use schema::{announcement::Announcement, server_load::LoadEvent};
+use schema::{
+    announcement::Announcement,
+    server_load::LoadEvent,
+    sync::{EntryHostRecord, EntryHostState, Presence},
+};
 
 const NEAR: HostId = HostId(2);
 const FAR: HostId = HostId(3);
@@ -332,3 +340,43 @@
     let reports = harness.gateway.take_reports();
     assert!(reports.iter().all(|it| it.report.event != LoadEvent::Overdue));
 }
+
+fn detoured(host: HostId, data_centre: &str) -> EntryHostRecord {
+    EntryHostRecord { state: EntryHostState::Detoured, ..entry_host(host.0, data_centre) }
+}
+
+fn directory(harness: &Harness) -> Vec<SocketAddr> {
+    let (region, data_centre) = (region("north-a"), data_centre("north-a"));
+    harness.gateway.directory(Some(&region), Some(&data_centre)).addresses
+}
+
+#[test]
+fn callers_are_told_to_use_gateways_that_reach_the_servers_first() {
+    let mut harness = harness();
+    let near: Vec<_> = (4..=6).map(|it| entry_host(it, "north-a")).collect();
+    let addresses: Vec<_> = near.iter().map(|it| it.caller_address).collect();
+    harness.update(at(2_000), Vec::new(), [vec![detoured(NEAR, "north-a")], near].concat());
+
+    assert_eq!(
+        directory(&harness),
+        [vec![entry_host(1, "north-a").caller_address], addresses].concat()
+    );
+}
+
+#[test]
+fn callers_are_told_to_use_some_gateway_when_none_reaches_the_servers() {
+    let mut harness = harness();
+    let hosts =
+        vec![detoured(OWN_HOST, "north-a"), detoured(NEAR, "north-a"), detoured(FAR, "south-a")];
+    harness.update(at(2_000), Vec::new(), hosts);
+
+    assert_eq!(directory(&harness).len(), 3);
+}
+
+#[test]
+fn a_gateway_that_reaches_no_server_announces_that_at_once() {
+    let mut harness = cut_off();
+    let poll = harness.gateway.poll(at(10)).expect("a poll is due");
+    let Presence::Entry(record) = poll.poll.presence else { panic!("not an entry host") };
+    assert_eq!(record.state, EntryHostState::Detoured);
+}
