--- a/components/gateway_core/tests/server_limits.rs
+++ b/components/gateway_core/tests/server_limits.rs
@@ -11,7 +11,7 @@
 };
 use gateway_core::{
     AttemptEnd, AttemptStart, Finish, Gateway, GatewaySettings, Idempotency, LimitNotice,
-    RefusalReason, Route, ServerNotice, Step,
+    PathOutcome, RefusalReason, Route, ServerNotice, Step,
 };
 use ids::{ByteSize, HostId, Incarnation, LimitRate, Millis, RequestId, Timestamp};
 use registry::LimitLeases;
@@ -241,6 +241,7 @@
             let notice = ServerNotice { limit: response.limit, ..ServerNotice::default() };
             let gateway = &mut self.gateways[i];
             gateway.on_server_notice(at(now), address, incarnation, at(response.sent_at), notice);
+            gateway.on_path_outcome(at(now), address, incarnation, PathOutcome::Reached);
             let end = AttemptEnd::Answered;
             gateway.attempt_ended(at(now), response.request, attempt, end, ByteSize(100));
             self.waiting.retain(|(gateway, _, id, _)| (*gateway, *id) != (i, response.request));
