--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -24,7 +24,7 @@
 
 pub use self::{
     http::{HttpResponse, call, receive, send},
-    server::{Cut, Server},
+    server::{Cut, Pour, Server},
 };
 
 /// Longest wait for a condition; it only ends tests that hang, and no check depends on its length.
@@ -154,6 +154,14 @@
         self.processes.insert(self.ip(host), process);
     }
 
+    /// Returns the most memory that a process has used, in kilobytes.
+    pub fn peak_memory(&self, host: u8) -> u64 {
+        let id = self.processes[&self.ip(host)].id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+        let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:")).unwrap();
+        line.split_whitespace().next().unwrap().parse().unwrap()
+    }
+
     pub fn signal(&self, host: u8, name: &str) {
         let id = self.processes[&self.ip(host)].id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -40,6 +40,8 @@
     pub turns_away: Mutex<Option<String>>,
     /// The limit on the requests of all gateways that the responses name.
     pub limit: Mutex<Option<String>>,
+    /// Whether the server sends bytes without end instead of responses.
+    pub pours: Mutex<Option<Pour>>,
     /// Gateways that are cut off from the server, and how.
     pub cuts: Mutex<BTreeMap<Ipv4Addr, Cut>>,
     /// The gateways that the attempts came from, by id.
@@ -50,6 +52,17 @@
     pub connections: Mutex<usize>,
 }
 
+/// Where a server sends bytes without end.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Pour {
+    /// In the head of a response.
+    Head,
+    /// In a chunked body.
+    Body,
+    /// After a whole response.
+    AfterResponse,
+}
+
 /// How a gateway is cut off from a server.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Cut {
@@ -147,6 +160,10 @@
         if behaviour.drops_connections.load(Ordering::Relaxed) {
             return;
         }
+        let pour = *behaviour.pours.lock().unwrap();
+        if let Some(pour) = pour {
+            return pour_bytes(&mut stream, pour, &attempt.attempt_id);
+        }
         let target = head.split_whitespace().nth(1).unwrap_or_default().to_owned();
         if target.ends_with("hang") {
             // The gateway sends nothing more, so the read returns when it closes the connection.
@@ -185,3 +202,25 @@
         }
     }
 }
+
+/// Sends bytes until the gateway closes the connection.
+fn pour_bytes(stream: &mut TcpStream, pour: Pour, attempt_id: &str) {
+    let mut headers = HeaderMap::new();
+    stand_in::sign_response(&mut headers, attempt_id);
+    let mut head = "HTTP/1.1 200 OK\r\n".to_owned();
+    for (name, value) in &headers {
+        head += &format!("{name}: {}\r\n", value.to_str().unwrap());
+    }
+    let (begin, bytes) = match pour {
+        Pour::Head => (head, "x-filler: ".to_owned() + &"a".repeat(4_096) + "\r\n"),
+        Pour::Body => {
+            let begin = head + "transfer-encoding: chunked\r\n\r\n";
+            (begin, format!("1000\r\n{}\r\n", "a".repeat(4_096)))
+        }
+        Pour::AfterResponse => (head + "content-length: 0\r\n\r\n", "a".repeat(4_096)),
+    };
+    let mut is_open = stream.write_all(begin.as_bytes()).is_ok();
+    while is_open {
+        is_open = stream.write_all(bytes.as_bytes()).is_ok();
+    }
+}
