--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -4,6 +4,7 @@
     collections::BTreeMap,
     io::{Read, Write},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    ops::Range,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -46,6 +47,12 @@
     pub cuts: Mutex<BTreeMap<Ipv4Addr, Cut>>,
     /// The gateways that the attempts came from, by id.
     pub sources: Mutex<BTreeMap<String, Ipv4Addr>>,
+    /// Ids of the attempts that have run.
+    pub runs: Mutex<Vec<String>>,
+    /// When attempts arrived, and from which gateways.
+    pub sources_at: Mutex<Vec<(Instant, Ipv4Addr)>>,
+    /// When which gateways were told of a limit.
+    told: Mutex<Vec<(Instant, Ipv4Addr)>>,
     /// When the gateway closed the connections of requests to paths that end with `hang`.
     pub closed_at: Mutex<Vec<Instant>>,
     /// Number of open connections.
@@ -53,7 +60,7 @@
 }
 
 /// Where a server sends bytes without end.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Pour {
     /// In the head of a response.
     Head,
@@ -64,7 +71,7 @@
 }
 
 /// How a gateway is cut off from a server.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cut {
     /// Its connections are reset.
     Reset,
@@ -75,6 +82,12 @@
 }
 
 impl Behaviour {
+    /// Returns when a gateway was first told of a limit in a time.
+    pub fn told_at(&self, gateway: Ipv4Addr, time: Range<Instant>) -> Option<Instant> {
+        let told = self.told.lock().unwrap();
+        told.iter().find(|(at, ip)| *ip == gateway && time.contains(at)).map(|(at, _)| *at)
+    }
+
     fn cut(&self, gateway: Ipv4Addr) -> Option<Cut> {
         self.cuts.lock().unwrap().get(&gateway).copied()
     }
@@ -157,6 +170,11 @@
         }
         behaviour.arrivals.lock().unwrap().push((attempt.attempt_id.clone(), Instant::now()));
         behaviour.sources.lock().unwrap().insert(attempt.attempt_id.clone(), gateway);
+        behaviour.sources_at.lock().unwrap().push((Instant::now(), gateway));
+        let retry_after = behaviour.turns_away.lock().unwrap().clone();
+        if retry_after.is_none() {
+            behaviour.runs.lock().unwrap().push(attempt.attempt_id.clone());
+        }
         if behaviour.drops_connections.load(Ordering::Relaxed) {
             return;
         }
@@ -182,8 +200,8 @@
         }
         if let Some(limit) = &*behaviour.limit.lock().unwrap() {
             stand_in::name_limit(&mut headers, limit);
+            behaviour.told.lock().unwrap().push((Instant::now(), gateway));
         }
-        let retry_after = behaviour.turns_away.lock().unwrap().clone();
         let status = match &retry_after {
             Some(value) => {
                 stand_in::mark_not_run(&mut headers);
