End a limit at a gateway whose grantor knows that it has ended, and keep test fleets apart

A gateway that received a late response with a limit could ask its grantor for a permit again and again until the request's time was over: the grantor knew that the limit had ended, and the asker compared that with when it had last heard of the limit, instead of when the request behind it was sent. Found by reading; the test a_gateway_whose_grantor_knows_that_the_limit_has_ended_sends_without_a_permit failed before.

Test fleets lock their loopback subnet: two soaks at once had used the same one, and a gateway could not listen.

--- a/components/gateway_core/src/gateway/limits.rs
+++ b/components/gateway_core/src/gateway/limits.rs
@@ -24,8 +24,10 @@
             ServerLimitMessage::PermitAnswer(answer) => {
                 let asked = self.server_limits.record_outcome(now, answer.number, &answer.outcome);
                 let Some((request, key)) = asked else { return };
-                if let PermitOutcome::Unlimited(age) = answer.outcome {
-                    self.record_limit(now, from, key, LimitNotice::Unlimited, now - age);
+                if let PermitOutcome::Unlimited(age) = answer.outcome
+                    && self.servers.record_unlimited_by_grantor(key, now - age)
+                {
+                    self.on_limit_changed(from, key);
                 }
                 self.wakeups.push(request);
             }
@@ -103,19 +105,21 @@
             LimitNotice::Unlimited => self.servers.record_unlimited(key, sent_at),
             LimitNotice::Unknown => false,
         };
-        if !is_new {
-            return false;
+        if is_new {
+            self.on_limit_changed(seen_by, key);
         }
+        is_new
+    }
+
+    fn on_limit_changed(&mut self, seen_by: HostId, key: ServerKey) {
         let limit = self.servers.limit(key).map(|it| it.rate);
-        if let Some(server) = self.servers.by_key_mut(key) {
-            let announcement = &server.announcement;
-            let (server, service) = (announcement.server.clone(), announcement.service.clone());
-            self.events.push(Event::ServerLimitChanged { server, limit, seen_by });
-            if limit.is_none() {
-                self.wakeups.extend(self.wait_queues.first(&service));
-            }
+        let Some(server) = self.servers.by_key_mut(key) else { return };
+        let announcement = &server.announcement;
+        let (server, service) = (announcement.server.clone(), announcement.service.clone());
+        self.events.push(Event::ServerLimitChanged { server, limit, seen_by });
+        if limit.is_none() {
+            self.wakeups.extend(self.wait_queues.first(&service));
         }
-        true
     }
 
     /// Decides whether a request may be sent to a server; always if it names no limit.
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -311,6 +311,15 @@
         self.notices.record_unlimited(key, sent_at)
     }
 
+    /// Records that a server's grantor knows that the limit has ended; returns whether that is new.
+    pub(crate) fn record_unlimited_by_grantor(
+        &mut self,
+        key: ServerKey,
+        sent_at: Timestamp,
+    ) -> bool {
+        self.notices.record_unlimited_by_grantor(key, sent_at)
+    }
+
     /// Records that no permit for a server is free for a while.
     pub(crate) fn record_no_permit(&mut self, key: ServerKey, until: Timestamp) {
         self.notices.record_no_permit(key, until);
--- a/components/gateway_core/src/servers/notices.rs
+++ b/components/gateway_core/src/servers/notices.rs
@@ -177,14 +177,33 @@
     /// Records a response without a limit to a request sent at `sent_at`; returns whether a limit
     /// has ended. Only a request that was sent after the limit was last named shows that.
     pub(super) fn record_unlimited(&mut self, key: ServerKey, sent_at: Timestamp) -> bool {
-        let Some(state) = self.states.get_mut(&key) else { return false };
-        if state.limit.is_none_or(|it| sent_at < it.named_at) {
-            return false;
+        let is_later = self.limit(key).is_some_and(|it| sent_at >= it.named_at);
+        if is_later {
+            self.end_limit(key, sent_at);
         }
+        is_later
+    }
+
+    /// Records that a server's grantor knows of a response without a limit to a request sent at
+    /// `sent_at`; returns whether the limit has ended. The grantor has compared it with what this
+    /// gateway knows.
+    pub(super) fn record_unlimited_by_grantor(
+        &mut self,
+        key: ServerKey,
+        sent_at: Timestamp,
+    ) -> bool {
+        let is_later = self.limit(key).is_some_and(|it| sent_at >= it.sent_at);
+        if is_later {
+            self.end_limit(key, sent_at);
+        }
+        is_later
+    }
+
+    fn end_limit(&mut self, key: ServerKey, sent_at: Timestamp) {
+        let state = self.state_mut(key);
         state.limit = None;
         state.limit_ended = Some(sent_at);
         state.no_permit_until = Timestamp::default();
-        true
     }
 
     /// Records that no permit for the server is free for a while.
--- a/components/gateway_core/tests/server_limits.rs
+++ b/components/gateway_core/tests/server_limits.rs
@@ -17,7 +17,7 @@
 use registry::LimitLeases;
 use schema::{
     announcement::{Announcement, ServerState},
-    server_limit::{LimitLeaseAnswer, ServerLimitMessage},
+    server_limit::{LimitLeaseAnswer, PermitAnswer, PermitOutcome, ServerLimitMessage},
     server_load::LoadReport,
 };
 
@@ -578,3 +578,31 @@
 
     assert!(matches!(harness.gateway.step(at(1_001), id), Step::Wait(_)));
 }
+
+#[test]
+fn a_gateway_whose_grantor_knows_that_the_limit_has_ended_sends_without_a_permit() {
+    let routes = vec![route("look", Idempotency::Idempotent)];
+    let hosts = vec![entry_host(1, "north-a"), entry_host(2, "north-a")];
+    for number in 1..=6 {
+        let Announcement { address, incarnation, .. } = server(number, "north-a");
+        let mut harness =
+            Harness::new(routes.clone(), vec![server(number, "north-a")], hosts.clone());
+        let notice = |limit| ServerNotice { limit, ..ServerNotice::default() };
+        let limited = LimitNotice::Limited(LimitRate(2_000));
+        // The response that named the limit is late.
+        harness.gateway.on_server_notice(at(1_500), address, incarnation, at(900), notice(limited));
+        let id = harness.begin(at(1_600), "/look/1");
+        harness.gateway.step(at(1_600), id);
+        let messages = harness.gateway.take_limit_messages();
+        let [(HostId(2), ServerLimitMessage::PermitAsk(ask))] = &messages[..] else { continue };
+        let outcome = PermitOutcome::Unlimited(Millis(400));
+        let answer = PermitAnswer { number: ask.number, outcome };
+
+        let answer = ServerLimitMessage::PermitAnswer(answer);
+        harness.gateway.on_server_limit(at(1_610), HostId(2), &answer);
+
+        assert!(matches!(harness.gateway.step(at(1_610), id), Step::Send(_)));
+        return;
+    }
+    panic!("host 2 grants permits of no server");
+}
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -30,6 +30,9 @@
 /// Longest wait for a condition; it only ends tests that hang, and no check depends on its length.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Port that a fleet listens on at the last address of its subnet.
+const SUBNET_LOCK_PORT: u16 = 9_999;
+
 /// Number of the next fleet of this process, from which its loopback addresses are derived.
 static NEXT_FLEET: AtomicU64 = AtomicU64::new(0);
 
@@ -52,6 +55,8 @@
     /// Third byte of the addresses `127.77.SUBNET.HOST`.
     pub subnet: u8,
     pub processes: BTreeMap<Ipv4Addr, Child>,
+    /// Keeps other test processes from using the subnet.
+    _subnet_lock: TcpListener,
 }
 
 impl Drop for Fleet {
@@ -71,14 +76,14 @@
 
     /// Starts the control hosts 1 to 3, and gateways from host 11 on.
     pub fn start_with(gateways: u8) -> Self {
-        let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
-        let subnet = 20 + u8::try_from((u64::from(process::id()) + number) % 200).unwrap();
+        let (subnet, subnet_lock) = lock_subnet();
         let ports = free_ports(subnet);
         let mut fleet = Self {
             ports,
             folder: tempfile::tempdir().unwrap(),
             subnet,
             processes: BTreeMap::new(),
+            _subnet_lock: subnet_lock,
         };
         for i in 1..=3 {
             fleet.start_control(i, true);
@@ -254,6 +259,18 @@
     current_exe.ancestors().nth(2).unwrap().join("daisypaddle-gateway")
 }
 
+/// Chooses a subnet that no other fleet uses.
+fn lock_subnet() -> (u8, TcpListener) {
+    loop {
+        let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
+        let subnet = 20 + u8::try_from((u64::from(process::id()) + number) % 200).unwrap();
+        let address = (Ipv4Addr::new(127, 77, subnet, 254), SUBNET_LOCK_PORT);
+        if let Ok(listener) = TcpListener::bind(address) {
+            return (subnet, listener);
+        }
+    }
+}
+
 /// Chooses ports that are free for both TCP and UDP.
 fn free_ports(subnet: u8) -> Ports {
     let sockets: Vec<(TcpListener, UdpSocket)> = (0..6)
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -178,11 +178,11 @@
         if behaviour.drops_connections.load(Ordering::Relaxed) {
             return;
         }
+        let target = head.split_whitespace().nth(1).unwrap_or_default().to_owned();
         let pour = *behaviour.pours.lock().unwrap();
         if let Some(pour) = pour {
-            return pour_bytes(&mut stream, pour, &attempt.attempt_id);
+            return pour_bytes(&mut stream, pour, &attempt.attempt_id, &format!("{name} {target}"));
         }
-        let target = head.split_whitespace().nth(1).unwrap_or_default().to_owned();
         if target.ends_with("hang") {
             // The gateway sends nothing more, so the read returns when it closes the connection.
             let ended = stream.read(&mut [0]).map_or(true, |it| it == 0);
@@ -222,7 +222,7 @@
 }
 
 /// Sends bytes until the gateway closes the connection.
-fn pour_bytes(stream: &mut TcpStream, pour: Pour, attempt_id: &str) {
+fn pour_bytes(stream: &mut TcpStream, pour: Pour, attempt_id: &str, body: &str) {
     let mut headers = HeaderMap::new();
     stand_in::sign_response(&mut headers, attempt_id);
     let mut head = "HTTP/1.1 200 OK\r\n".to_owned();
@@ -235,7 +235,10 @@
             let begin = head + "transfer-encoding: chunked\r\n\r\n";
             (begin, format!("1000\r\n{}\r\n", "a".repeat(4_096)))
         }
-        Pour::AfterResponse => (head + "content-length: 0\r\n\r\n", "a".repeat(4_096)),
+        Pour::AfterResponse => {
+            let begin = format!("{head}content-length: {}\r\n\r\n{body}", body.len());
+            (begin, "a".repeat(4_096))
+        }
     };
     let mut is_open = stream.write_all(begin.as_bytes()).is_ok();
     while is_open {
