Name the wait for a permit by its state, and drop a check of a test that could not fail

limits_that_are_not_numbers_close_no_server asserted that a flag of the stand-in server which nothing sets was not set; the responses are checked as before.

--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -317,7 +317,7 @@
 
     /// Goes on with a request that has asked for a permit; returns `None` if it needs a server.
     fn send_with_permit(&mut self, now: Timestamp, id: RequestId) -> Option<Step> {
-        let key = self.server_limits.claimed_server(now, id)?;
+        let key = self.server_limits.pending_server(now, id)?;
         let is_open = self.servers.closed(now, key, true).is_none();
         let server = self.servers.by_key_mut(key).filter(|it| is_open && it.accepts_requests());
         let Some(server) = server.map(|it| it.announcement.server.clone()) else {
--- a/components/gateway_core/src/server_limits/mod.rs
+++ b/components/gateway_core/src/server_limits/mod.rs
@@ -59,7 +59,7 @@
     Denied(Timestamp),
 }
 
-/// A permit for one request, or a place in the queue for one.
+/// A permit for one request; it may be for a later time.
 #[derive(Debug, Clone, Copy)]
 struct Permit {
     key: ServerKey,
@@ -75,9 +75,9 @@
     sent_at: Timestamp,
 }
 
-/// What a request has of a limited server.
+/// How far a request has got in its wait for a permit.
 #[derive(Debug, Clone, Copy)]
-enum Claim {
+enum PermitState {
     Asked(Ask),
     Granted(Permit),
     Denied(ServerKey, Timestamp),
@@ -98,7 +98,7 @@
 #[derive(Debug)]
 pub(crate) struct ServerLimits {
     own_host: HostId,
-    claims: FastMap<RequestId, Claim>,
+    states: FastMap<RequestId, PermitState>,
     next_number: PermitNumber,
     grantor: Grantor,
     /// When the next refused caller of a service is told to return.
@@ -110,7 +110,7 @@
     pub(crate) fn new(own_host: HostId) -> Self {
         Self {
             own_host,
-            claims: FastMap::default(),
+            states: FastMap::default(),
             next_number: PermitNumber(1),
             grantor: Grantor::default(),
             next_return: FastMap::default(),
@@ -130,33 +130,35 @@
     }
 
     /// Returns the server for which a request has asked, as long as that matters.
-    pub(crate) fn claimed_server(&self, now: Timestamp, request: RequestId) -> Option<ServerKey> {
-        match self.claims.get(&request)? {
-            Claim::Asked(it) => Some(it.key),
-            Claim::Granted(it) => (now < it.usable_until).then_some(it.key),
-            Claim::Denied(key, _) => Some(*key),
+    pub(crate) fn pending_server(&self, now: Timestamp, request: RequestId) -> Option<ServerKey> {
+        match self.states.get(&request)? {
+            PermitState::Asked(it) => Some(it.key),
+            PermitState::Granted(it) => (now < it.usable_until).then_some(it.key),
+            PermitState::Denied(key, _) => Some(*key),
         }
     }
 
     /// Decides whether a request may be sent to a limited server.
     pub(crate) fn decide(&mut self, now: Timestamp, needed: &PermitRequest) -> PermitDecision {
-        let claim = self.claims.get(&needed.request).copied();
-        match claim.filter(|it| it.key() == needed.key) {
-            Some(Claim::Granted(it)) if now < it.usable_from => {
+        let state = self.states.get(&needed.request).copied();
+        match state.filter(|it| it.key() == needed.key) {
+            Some(PermitState::Granted(it)) if now < it.usable_from => {
                 return PermitDecision::Wait(it.usable_from);
             }
-            Some(Claim::Granted(it)) if now < it.usable_until => return PermitDecision::Ready,
-            Some(Claim::Granted(_)) => {}
-            Some(Claim::Denied(_, until)) => {
-                self.claims.remove(&needed.request);
+            Some(PermitState::Granted(it)) if now < it.usable_until => {
+                return PermitDecision::Ready;
+            }
+            Some(PermitState::Granted(_)) => {}
+            Some(PermitState::Denied(_, until)) => {
+                self.states.remove(&needed.request);
                 return PermitDecision::Denied(until);
             }
-            Some(Claim::Asked(it)) => {
+            Some(PermitState::Asked(it)) => {
                 let timeout = it.sent_at + ASK_TIMEOUT;
                 if now < timeout {
                     return PermitDecision::Wait(timeout);
                 }
-                self.claims.remove(&needed.request);
+                self.states.remove(&needed.request);
                 return PermitDecision::Denied(now + NO_ANSWER_BACKOFF);
             }
             None => {}
@@ -168,7 +170,7 @@
         let number = self.next_number;
         self.next_number = number.next();
         let ask = Ask { number, key: needed.key, sent_at: now };
-        self.claims.insert(needed.request, Claim::Asked(ask));
+        self.states.insert(needed.request, PermitState::Asked(ask));
         if needed.grantor == self.own_host {
             let rate = needed.limit.rate;
             let outcome = self.grant(now, needed.key, rate, needed.max_wait);
@@ -190,10 +192,10 @@
         request: RequestId,
         key: ServerKey,
     ) -> bool {
-        match self.claims.get(&request) {
-            Some(Claim::Granted(it)) if it.key == key => {
+        match self.states.get(&request) {
+            Some(PermitState::Granted(it)) if it.key == key => {
                 let is_usable = it.usable_from <= now && now < it.usable_until;
-                self.claims.remove(&request);
+                self.states.remove(&request);
                 is_usable
             }
             _ => false,
@@ -202,7 +204,7 @@
 
     /// Forgets a request that has ended; a permit that it holds is wasted.
     pub(crate) fn forget(&mut self, request: RequestId) {
-        self.claims.remove(&request);
+        self.states.remove(&request);
     }
 
     /// Grants a permit for a server or denies it.
@@ -230,20 +232,21 @@
         number: PermitNumber,
         outcome: &PermitOutcome,
     ) -> Option<(RequestId, ServerKey)> {
-        let is_asked = |it: &Claim| matches!(it, Claim::Asked(ask) if ask.number == number);
-        let (request, claim) = self.claims.iter_mut().find(|(_, it)| is_asked(it))?;
-        let (request, key) = (*request, claim.key());
-        let Claim::Asked(ask) = *claim else { return None };
+        let is_asked =
+            |it: &PermitState| matches!(it, PermitState::Asked(ask) if ask.number == number);
+        let (request, state) = self.states.iter_mut().find(|(_, it)| is_asked(it))?;
+        let (request, key) = (*request, state.key());
+        let PermitState::Asked(ask) = *state else { return None };
         match outcome {
             PermitOutcome::Granted(usable_in) => {
                 // Counted from the ask: the permit must not outlive the pace that allowed it.
                 let usable_until = ask.sent_at + Millis(usable_in.0 + PERMIT_LIFETIME.0);
                 let usable_from = now + *usable_in;
-                *claim = Claim::Granted(Permit { key, usable_from, usable_until });
+                *state = PermitState::Granted(Permit { key, usable_from, usable_until });
             }
-            PermitOutcome::Denied(free_in) => *claim = Claim::Denied(key, now + *free_in),
+            PermitOutcome::Denied(free_in) => *state = PermitState::Denied(key, now + *free_in),
             PermitOutcome::Unlimited(_) => {
-                self.claims.remove(&request);
+                self.states.remove(&request);
             }
         }
         Some((request, key))
@@ -286,7 +289,7 @@
     }
 }
 
-impl Claim {
+impl PermitState {
     fn key(&self) -> ServerKey {
         match self {
             Self::Asked(it) => it.key,
--- a/tests/gateway_limits.rs
+++ b/tests/gateway_limits.rs
@@ -5,7 +5,6 @@
 
 use std::{
     ops::Range,
-    sync::atomic::Ordering,
     thread,
     time::{Duration, Instant},
 };
@@ -158,5 +157,4 @@
             assert_eq!(response.status, 200, "with the limit {limit:?}");
         }
     }
-    assert!(!servers[0].drops_connections.load(Ordering::Relaxed));
 }
