--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -30,6 +30,9 @@
 /// Longest wait for a condition; it only ends tests that hang, and no check depends on its length.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Highest number of a host.
+const MAX_HOST: u8 = 60;
+
 /// Port that a fleet listens on at the last address of its subnet.
 const SUBNET_LOCK_PORT: u16 = 9_999;
 
@@ -277,7 +280,14 @@
         .map(|_| {
             loop {
                 let tcp = TcpListener::bind((Ipv4Addr::new(127, 77, subnet, 1), 0)).unwrap();
-                if let Ok(udp) = UdpSocket::bind(tcp.local_addr().unwrap()) {
+                let port = tcp.local_addr().unwrap().port();
+                // Closed connections of an earlier fleet may still hold the port of a host.
+                let is_free = |host: u8| {
+                    TcpListener::bind((Ipv4Addr::new(127, 77, subnet, host), port)).is_ok()
+                };
+                if let Ok(udp) = UdpSocket::bind(tcp.local_addr().unwrap())
+                    && (2..=MAX_HOST).all(is_free)
+                {
                     break (tcp, udp);
                 }
             }
