End a server's limit though other gateways ask for permits meanwhile

Cause: a response without a limit ends the limit only if its request was sent after the limit was last named. Each permit ask set that time to the present at the grantor. All gateways ask when the next permit becomes free, so that asks arrive while the grantor's own request is under way, and its response was ignored; a report of another gateway likewise.

Messages now carry how long ago a response last named the limit.

The new test fails without the change.

--- a/components/gateway_core/src/gateway/limits.rs
+++ b/components/gateway_core/src/gateway/limits.rs
@@ -3,7 +3,7 @@
 use ids::{HostId, LimitRate, Millis, RequestId, ServerId, ServiceName, Timestamp};
 use schema::{
     server_limit::{PermitAsk, PermitOutcome, ServerLimitMessage},
-    server_load::{LimitNamed, LoadEvent},
+    server_load::LoadEvent,
 };
 
 use super::{Gateway, PAUSE_RETURN_SPREAD};
@@ -12,7 +12,7 @@
     server_limits::{PermitDecision, PermitRequest, ServerLimits},
     servers::{
         ServerKey,
-        notices::{Closed, LimitNotice},
+        notices::{Closed, KnownLimit, LimitNotice},
     },
 };
 
@@ -56,12 +56,12 @@
 
     fn on_permit_ask(&mut self, now: Timestamp, from: HostId, ask: &PermitAsk) {
         let key = ServerKey { address: ask.address, incarnation: ask.incarnation };
-        let LimitNamed { rate, age_ms } = ask.limit;
-        self.record_limit(now, from, key, LimitNotice::Limited(rate), now - age_ms);
+        let named = KnownLimit::from_message(now, &ask.limit);
+        self.record_limit(from, key, named);
         let outcome = match (self.servers.limit(key), self.servers.limit_ended(key)) {
             (Some(limit), _) => self.server_limits.grant(now, key, limit.rate, ask.max_wait_ms),
             (None, Some(ended)) => PermitOutcome::Unlimited(now.since(ended)),
-            (None, None) => self.server_limits.grant(now, key, rate, ask.max_wait_ms),
+            (None, None) => self.server_limits.grant(now, key, named.rate, ask.max_wait_ms),
         };
         self.server_limits.answer(from, ask.number, outcome);
     }
@@ -74,43 +74,53 @@
         notice: LimitNotice,
         sent_at: Timestamp,
     ) {
-        let is_new = self.record_limit(now, self.settings.host, key, notice, sent_at);
-        let age_ms = now.since(sent_at);
         match notice {
             LimitNotice::Limited(rate) => {
+                let named = KnownLimit { rate, sent_at, named_at: now };
+                let is_new = self.record_limit(self.settings.host, key, named);
                 let is_due = self.servers.should_tell_limit(now, key);
                 if is_new || is_due {
-                    let named = LimitNamed { rate, age_ms };
-                    self.report_event(now, key, LoadEvent::Limited(named));
+                    self.report_event(now, key, LoadEvent::Limited(named.to_message(now)));
                 }
             }
-            LimitNotice::Unlimited if is_new => {
-                self.report_event(now, key, LoadEvent::Unlimited(age_ms));
+            LimitNotice::Unlimited => {
+                if self.record_unlimited(self.settings.host, key, sent_at) {
+                    self.report_event(now, key, LoadEvent::Unlimited(now.since(sent_at)));
+                }
             }
-            LimitNotice::Unlimited | LimitNotice::Unknown => {}
+            LimitNotice::Unknown => {}
         }
     }
 
-    /// Records what a response to a gateway says of the server's limit; returns whether it is new.
+    /// Records a limit that a gateway knows of; returns whether it is new.
     pub(super) fn record_limit(
         &mut self,
-        now: Timestamp,
         seen_by: HostId,
         key: ServerKey,
-        notice: LimitNotice,
-        sent_at: Timestamp,
+        named: KnownLimit,
     ) -> bool {
-        let is_new = match notice {
-            LimitNotice::Limited(rate) => self.servers.record_limit(now, key, rate, sent_at),
-            LimitNotice::Unlimited => self.servers.record_unlimited(key, sent_at),
-            LimitNotice::Unknown => false,
-        };
+        let is_new = self.servers.record_limit(key, named);
         if is_new {
             self.on_limit_changed(seen_by, key);
         }
         is_new
     }
 
+    /// Records a response without a limit that a gateway has received; returns whether a limit has
+    /// ended.
+    pub(super) fn record_unlimited(
+        &mut self,
+        seen_by: HostId,
+        key: ServerKey,
+        sent_at: Timestamp,
+    ) -> bool {
+        let has_ended = self.servers.record_unlimited(key, sent_at);
+        if has_ended {
+            self.on_limit_changed(seen_by, key);
+        }
+        has_ended
+    }
+
     fn on_limit_changed(&mut self, seen_by: HostId, key: ServerKey) {
         let limit = self.servers.limit(key).map(|it| it.rate);
         let Some(server) = self.servers.by_key_mut(key) else { return };
--- a/components/gateway_core/src/gateway/reports.rs
+++ b/components/gateway_core/src/gateway/reports.rs
@@ -4,13 +4,13 @@
 use rand_xoshiro::rand_core::RngCore;
 use schema::{
     retry_loan::RetryLoanMessage,
-    server_load::{LimitNamed, LoadEvent, LoadReport, ReportScope},
+    server_load::{LoadEvent, LoadReport, ReportScope},
 };
 
 use super::{Gateway, OutgoingReport};
 use crate::{
     events::Event,
-    servers::{ServerKey, notices::LimitNotice},
+    servers::{ServerKey, notices::KnownLimit},
 };
 
 impl Gateway {
@@ -29,12 +29,12 @@
             LoadEvent::Leaving => {
                 self.record_leaving(from, key);
             }
-            LoadEvent::Limited(LimitNamed { rate, age_ms }) => {
+            LoadEvent::Limited(ref named) => {
                 self.servers.record_limit_told(now, key);
-                self.record_limit(now, from, key, LimitNotice::Limited(rate), now - age_ms);
+                self.record_limit(from, key, KnownLimit::from_message(now, named));
             }
             LoadEvent::Unlimited(age) => {
-                self.record_limit(now, from, key, LimitNotice::Unlimited, now - age);
+                self.record_unlimited(from, key, now - age);
             }
             _ => {}
         }
--- a/components/gateway_core/src/server_limits/mod.rs
+++ b/components/gateway_core/src/server_limits/mod.rs
@@ -17,9 +17,8 @@
 mod grantor;
 
 use ids::{FastMap, HostId, LimitRate, Millis, PermitNumber, RequestId, ServiceName, Timestamp};
-use schema::{
-    server_limit::{LimitLeaseAnswer, PermitAnswer, PermitAsk, PermitOutcome, ServerLimitMessage},
-    server_load::LimitNamed,
+use schema::server_limit::{
+    LimitLeaseAnswer, PermitAnswer, PermitAsk, PermitOutcome, ServerLimitMessage,
 };
 
 use crate::servers::{ServerKey, notices::KnownLimit};
@@ -178,7 +177,7 @@
             return self.decide(now, needed);
         }
         let ServerKey { address, incarnation } = needed.key;
-        let limit = LimitNamed { rate: needed.limit.rate, age_ms: now.since(needed.limit.sent_at) };
+        let limit = needed.limit.to_message(now);
         let max_wait_ms = needed.max_wait;
         let ask = PermitAsk { number, address, incarnation, limit, max_wait_ms };
         self.messages.push((needed.grantor, ServerLimitMessage::PermitAsk(ask)));
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -296,14 +296,8 @@
     }
 
     /// Records a limit that a server named; returns whether it is new.
-    pub(crate) fn record_limit(
-        &mut self,
-        now: Timestamp,
-        key: ServerKey,
-        rate: LimitRate,
-        sent_at: Timestamp,
-    ) -> bool {
-        self.notices.record_limit(now, key, rate, sent_at)
+    pub(crate) fn record_limit(&mut self, key: ServerKey, named: KnownLimit) -> bool {
+        self.notices.record_limit(key, named)
     }
 
     /// Records a response that names no limit; returns whether a limit has ended.
--- a/components/gateway_core/src/servers/notices.rs
+++ b/components/gateway_core/src/servers/notices.rs
@@ -13,6 +13,7 @@
 use std::collections::VecDeque;
 
 use ids::{FastMap, LimitRate, Millis, Timestamp};
+use schema::server_load::LimitNamed;
 
 use super::ServerKey;
 
@@ -75,7 +76,21 @@
     /// When the request was sent whose response named the limit.
     pub(crate) sent_at: Timestamp,
     /// When a response last named a limit.
-    named_at: Timestamp,
+    pub(crate) named_at: Timestamp,
+}
+
+impl KnownLimit {
+    /// Reads a limit in a message of another gateway.
+    pub(crate) fn from_message(now: Timestamp, named: &LimitNamed) -> Self {
+        let LimitNamed { rate, age_ms, named_age_ms } = *named;
+        Self { rate, sent_at: now - age_ms, named_at: now - named_age_ms }
+    }
+
+    /// Returns the limit for a message to another gateway.
+    pub(crate) fn to_message(self, now: Timestamp) -> LimitNamed {
+        let Self { rate, sent_at, named_at } = self;
+        LimitNamed { rate, age_ms: now.since(sent_at), named_age_ms: now.since(named_at) }
+    }
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -150,27 +165,22 @@
         self.states.get(&key)?.limit_ended
     }
 
-    /// Records a limit in the response to a request sent at `sent_at`; returns whether it is new.
+    /// Records a limit that a response has named; returns whether it is new.
     ///
     /// Responses arrive out of order. One to an earlier request than the response that has changed
     /// the limit says nothing new.
-    pub(super) fn record_limit(
-        &mut self,
-        now: Timestamp,
-        key: ServerKey,
-        rate: LimitRate,
-        sent_at: Timestamp,
-    ) -> bool {
+    pub(super) fn record_limit(&mut self, key: ServerKey, named: KnownLimit) -> bool {
+        let KnownLimit { rate, sent_at, named_at } = named;
         let state = self.state_mut(key);
         if state.limit_ended.is_some_and(|it| sent_at < it) {
             return false;
         }
         let before = state.limit;
-        let limit = state.limit.get_or_insert(KnownLimit { rate, sent_at, named_at: now });
+        let limit = state.limit.get_or_insert(named);
         if sent_at >= limit.sent_at {
             *limit = KnownLimit { rate, sent_at, ..*limit };
         }
-        limit.named_at = now;
+        limit.named_at = limit.named_at.max(named_at);
         before.map(|it| it.rate) != state.limit.map(|it| it.rate)
     }
 
--- a/components/gateway_core/tests/server_limits.rs
+++ b/components/gateway_core/tests/server_limits.rs
@@ -13,12 +13,12 @@
     AttemptEnd, AttemptStart, Finish, Gateway, GatewaySettings, Idempotency, LimitNotice,
     PathOutcome, RefusalReason, Route, ServerNotice, Step,
 };
-use ids::{ByteSize, HostId, Incarnation, LimitRate, Millis, RequestId, Timestamp};
+use ids::{ByteSize, HostId, Incarnation, LimitRate, Millis, PermitNumber, RequestId, Timestamp};
 use registry::LimitLeases;
 use schema::{
     announcement::{Announcement, ServerState},
-    server_limit::{LimitLeaseAnswer, PermitAnswer, PermitOutcome, ServerLimitMessage},
-    server_load::LoadReport,
+    server_limit::{LimitLeaseAnswer, PermitAnswer, PermitAsk, PermitOutcome, ServerLimitMessage},
+    server_load::{LimitNamed, LoadReport},
 };
 
 /// Number of gateways, half of them in each of two data centres.
@@ -509,6 +509,26 @@
     assert_eq!(limit(&harness), None);
 }
 
+#[test]
+fn a_limit_ends_though_other_gateways_that_know_it_keep_asking_for_permits() {
+    let mut harness = limited_gateway();
+    let Announcement { address, incarnation, .. } = server(1, "north-a");
+    for now in (1_100..3_000).step_by(100) {
+        let limit = LimitNamed {
+            rate: LimitRate(2_000),
+            age_ms: Millis(now - 900),
+            named_age_ms: Millis(now - 1_000),
+        };
+        let number = PermitNumber(now);
+        let ask = PermitAsk { number, address, incarnation, limit, max_wait_ms: Millis(0) };
+        harness.gateway.on_server_limit(at(now), HostId(2), &ServerLimitMessage::PermitAsk(ask));
+    }
+
+    notify(&mut harness, (2_910, 2_890), LimitNotice::Unlimited);
+
+    assert_eq!(limit(&harness), None);
+}
+
 #[test]
 fn a_late_response_does_not_bring_an_old_limit_back() {
     let mut harness = limited_gateway();
