Let a restarted gateway go on with the retry budget of its earlier process

A new process did not know what the previous one had spent, and spent what its new requests entitle to besides. Class: a limit that many processes share, enforced by each from what it remembers.

Each gateway reports its requests and charges, by slices of the window, to the three control hosts nearest to it; its next process asks them. Until two of them have answered that have run for a whole window, it uses a fifth of its part, which all others leave unused. Control hosts of a new fleet know that there was nothing before. RetryLoanMessage is now RetryBudgetMessage.

Two more tests restart all gateways at any time of a burst, twice, or together with the control hosts; one holds that a restarted gateway still may retry; one plays it with real processes.

--- a/components/entry_core/src/peers.rs
+++ b/components/entry_core/src/peers.rs
@@ -53,7 +53,7 @@
             // Only gateways poll a registry, and share server loads and retries.
             PeerMessage::Sync(_)
             | PeerMessage::ServerLoad(_)
-            | PeerMessage::RetryLoan(_)
+            | PeerMessage::RetryBudget(_)
             | PeerMessage::ServerLimit(_) => {}
         }
     }
--- a/components/fleet_core/src/control_host.rs
+++ b/components/fleet_core/src/control_host.rs
@@ -160,7 +160,7 @@
             | PeerMessage::Limits(_)
             | PeerMessage::Sync(_)
             | PeerMessage::ServerLoad(_)
-            | PeerMessage::RetryLoan(_)
+            | PeerMessage::RetryBudget(_)
             | PeerMessage::ServerLimit(_) => Vec::new(),
         }
     }
--- a/components/gateway/src/entry/events.rs
+++ b/components/gateway/src/entry/events.rs
@@ -57,6 +57,9 @@
         Event::PermitDenied { server, free_in } => {
             log::debug!(server:% = server, free_in_ms = free_in.0; "no permit for the server");
         }
+        Event::EarlierRetriesKnown { charged } => {
+            log::info!(charged_milli = charged.0; "retries of earlier processes known");
+        }
         Event::ControlHostLost { host, cause } => {
             log::warn!(
                 host:% = peers::address_of(*host, 0).ip(),
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -132,8 +132,9 @@
             PeerMessage::ServerLoad(report) => {
                 shared.with_core(|core, now| core.on_report(now, frame.from, &report));
             }
-            PeerMessage::RetryLoan(message) => {
-                shared.with_core(|core, now| core.on_retry_loan(now, frame.from, &message));
+            PeerMessage::RetryBudget(message) => {
+                shared
+                    .with_core(|core, now| core.on_retry_budget_message(now, frame.from, &message));
             }
             PeerMessage::ServerLimit(message) => {
                 shared.with_core(|core, now| core.on_server_limit(now, frame.from, &message));
--- a/components/gateway/src/entry/shared.rs
+++ b/components/gateway/src/entry/shared.rs
@@ -67,7 +67,7 @@
         let mut core = self.core.borrow_mut();
         let result = f(&mut core, now);
         let (reports, loans, limit_messages) =
-            (core.take_reports(), core.take_retry_loans(), core.take_limit_messages());
+            (core.take_reports(), core.take_retry_budget_messages(), core.take_limit_messages());
         let (events, wakeups) = (core.take_events(), core.take_wakeups());
         drop(core);
         for outgoing in reports {
@@ -76,7 +76,7 @@
             }
         }
         for (to, message) in loans {
-            self.send(to, PeerMessage::RetryLoan(message));
+            self.send(to, PeerMessage::RetryBudget(message));
         }
         for (to, message) in limit_messages {
             self.send(to, PeerMessage::ServerLimit(message));
--- a/components/gateway_core/src/events.rs
+++ b/components/gateway_core/src/events.rs
@@ -103,6 +103,11 @@
         /// Time until a permit may be free.
         free_in: Millis,
     },
+    /// Control hosts have told what earlier processes of this gateway have spent of the retry budgets.
+    EarlierRetriesKnown {
+        /// What they have spent in the window.
+        charged: RetryCredit,
+    },
     /// A control host stopped answering, or reported that it is not current.
     ControlHostLost {
         /// The control host.
--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -38,6 +38,8 @@
         if update.current {
             self.registry_poller.set_control_hosts(&update.control_hosts);
             self.server_limits.set_control_hosts(self.registry_poller.control_hosts());
+            let nearest = self.registry_poller.control_hosts_by_rank(self.settings.host);
+            self.retry_budget.set_control_hosts(now, nearest);
             self.apply_hosts(update.hosts);
         }
         let config = match update.registry {
--- a/components/gateway_core/src/gateway/reports.rs
+++ b/components/gateway_core/src/gateway/reports.rs
@@ -3,7 +3,7 @@
 use ids::{HostId, Timestamp};
 use rand_xoshiro::rand_core::RngCore;
 use schema::{
-    retry_loan::RetryLoanMessage,
+    retry_budget::RetryBudgetMessage,
     server_load::{LoadEvent, LoadReport, ReportScope},
 };
 
@@ -42,15 +42,25 @@
         self.wake_next(key);
     }
 
-    /// Processes a message about a loan of retries from another gateway.
-    pub fn on_retry_loan(&mut self, now: Timestamp, from: HostId, message: &RetryLoanMessage) {
+    /// Processes a message about retry budgets from another gateway or a control host.
+    pub fn on_retry_budget_message(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        message: &RetryBudgetMessage,
+    ) {
         let fleet_hosts = self.entry_hosts.len();
+        let knew_earlier = self.retry_budget.knows_earlier();
         let ready = self.retry_budget.on_message(now, from, message, fleet_hosts);
         self.wakeups.extend(ready);
+        if !knew_earlier && self.retry_budget.knows_earlier() {
+            let charged = self.retry_budget.earlier_charges(now);
+            self.events.push(Event::EarlierRetriesKnown { charged });
+        }
     }
 
-    /// Takes the pending messages about loans of retries.
-    pub fn take_retry_loans(&mut self) -> Vec<(HostId, RetryLoanMessage)> {
+    /// Takes the pending messages about retry budgets.
+    pub fn take_retry_budget_messages(&mut self) -> Vec<(HostId, RetryBudgetMessage)> {
         self.retry_budget.take_messages()
     }
 
--- a/components/gateway_core/src/registry_poller.rs
+++ b/components/gateway_core/src/registry_poller.rs
@@ -196,6 +196,14 @@
         self.candidates.iter().map(|it| it.host).collect()
     }
 
+    /// Returns all known control hosts, the nearest first; equally near ones in an order that all
+    /// processes of `host` share.
+    pub(crate) fn control_hosts_by_rank(&self, host: HostId) -> Vec<HostId> {
+        let mut candidates: Vec<_> = self.candidates.iter().collect();
+        candidates.sort_by_key(|it| (it.distance, spread_hash(it.host, u64::from(host.0))));
+        candidates.into_iter().map(|it| it.host).collect()
+    }
+
     /// Adds control hosts from the settings.
     pub(crate) fn add_seeds(&mut self, seeds: &[HostId]) {
         for &host in seeds {
@@ -248,8 +256,7 @@
         let rank = |it: &Candidate| {
             let retry_at = it.retry_at.filter(|at| now < *at);
             let is_target = self.target == Some(it.host);
-            let hash = (u64::from(it.host.0) ^ self.spread_seed).wrapping_mul(HASH_MULTIPLIER);
-            (retry_at, it.distance, !is_target, hash)
+            (retry_at, it.distance, !is_target, spread_hash(it.host, self.spread_seed))
         };
         let best = self.candidates.iter().min_by_key(|it| rank(it))?.host;
         if self.target != Some(best) {
@@ -263,3 +270,7 @@
 /// Mixes host ids and seeds: the golden ratio as a 64-bit fraction, the multiplier of Fibonacci
 /// hashing.
 const HASH_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+
+fn spread_hash(control_host: HostId, seed: u64) -> u64 {
+    (u64::from(control_host.0) ^ seed).wrapping_mul(HASH_MULTIPLIER)
+}
--- a/components/gateway_core/src/retry_budget/loans.rs
+++ b/components/gateway_core/src/retry_budget/loans.rs
@@ -5,7 +5,7 @@
 //! lost or expires is wasted, but never spent twice.
 
 use ids::{HostId, LoanNumber, Millis, RequestId, RetryCredit, Timestamp};
-use schema::retry_loan::LoanAnswer;
+use schema::retry_budget::LoanAnswer;
 
 /// Time after an ask for which its loans may be used.
 pub(super) const LOAN_LIFETIME: Millis = Millis(1_000);
--- a/components/gateway_core/src/retry_budget/mod.rs
+++ b/components/gateway_core/src/retry_budget/mod.rs
@@ -12,14 +12,18 @@
 //! - *All servers shed while gateways are frozen, cut off or overloaded*, so that reports between
 //!   them are late or lost. None of them needs to know what the others have spent.
 
+mod earlier;
 mod loans;
 
 use std::collections::BTreeMap;
 
 use ids::{FastMap, HostId, LoanNumber, RequestId, RetryCredit, ServiceName, Timestamp};
-use schema::retry_loan::{LoanAnswer, LoanAsk, RetryLoanMessage};
+use schema::retry_budget::{
+    EarlierRetryCharges, LoanAnswer, LoanAsk, RetryBudgetMessage, RetryCharges, RetrySlice,
+};
 
 use crate::{events::RetryUsage, settings::RetryBudgetSettings};
+use earlier::{EarlierKnown, RECORDERS, Reported};
 use loans::{Loans, MIN_LOAN};
 
 /// Minimum number of entry hosts assumed, so that the budget isn't exceeded while few are known.
@@ -30,9 +34,9 @@
 /// but may not be part of the budget.
 const USABLE_SHARE_MILLI: u64 = 800;
 
-/// Fraction of the fixed allowance that is used at the start of a process, in thousandths. It rises
-/// to [`USABLE_SHARE_MILLI`] within a window, as what the previous process has spent expires.
-const INITIAL_FIXED_SHARE_MILLI: u64 = 1_000 - USABLE_SHARE_MILLI;
+/// Fraction of the budget that a process uses as long as it doesn't know what earlier ones have spent
+/// in the window, in thousandths.
+const RESERVE_MILLI: u64 = 1_000 - USABLE_SHARE_MILLI;
 
 /// Number of slices of the window; the oldest slice expires as a whole.
 const WINDOW_SLICES: u64 = 20;
@@ -59,11 +63,21 @@
     charged: u64,
 }
 
+impl Slice {
+    fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.charged += other.charged;
+    }
+}
+
 /// This gateway's part of the budget of one service.
 #[derive(Debug, Default)]
 struct Account {
     /// Slices by index; loans are charged to later slices than that of the present.
     slices: BTreeMap<u64, Slice>,
+    /// Slices of earlier processes, by index.
+    earlier: BTreeMap<u64, Slice>,
+    reported: Reported,
     loans: Loans,
 }
 
@@ -73,9 +87,12 @@
     settings: RetryBudgetSettings,
     /// When this process started.
     started: Timestamp,
+    earlier_known: EarlierKnown,
+    /// The control hosts that record the charges of this gateway.
+    recorders: Vec<HostId>,
     accounts: FastMap<ServiceName, Account>,
     next_loan: LoanNumber,
-    messages: Vec<(HostId, RetryLoanMessage)>,
+    messages: Vec<(HostId, RetryBudgetMessage)>,
 }
 
 impl RetryBudget {
@@ -83,12 +100,25 @@
         Self {
             settings,
             started,
+            earlier_known: EarlierKnown::default(),
+            recorders: Vec::new(),
             accounts: FastMap::default(),
             next_loan: LoanNumber(1),
             messages: Vec::new(),
         }
     }
 
+    /// Sets the control hosts, the most suitable first, of which some record the charges of this
+    /// gateway, and asks them for those of earlier processes.
+    pub(crate) fn set_control_hosts(&mut self, now: Timestamp, mut control_hosts: Vec<HostId>) {
+        control_hosts.truncate(RECORDERS);
+        self.recorders = control_hosts;
+        if self.earlier_known.should_ask(now) {
+            let asks = self.recorders.iter();
+            self.messages.extend(asks.map(|it| (*it, RetryBudgetMessage::EarlierChargesWanted)));
+        }
+    }
+
     /// Records a request of a caller, whether or not it will be sent.
     pub(crate) fn record_request(&mut self, now: Timestamp, service: &ServiceName) {
         let index = self.slice_index(now);
@@ -97,6 +127,7 @@
         while account.slices.first_key_value().is_some_and(|(it, _)| it + WINDOW_SLICES < index) {
             account.slices.pop_first();
         }
+        self.report_charges(now, service, RetryCredit(u64::MAX));
     }
 
     /// Returns what this gateway may still spend in the window, and what it has spent.
@@ -108,29 +139,40 @@
         service: &ServiceName,
         fleet_hosts: usize,
     ) -> RetryUsage {
-        let mut usage = RetryUsage::default();
-        let oldest = self.slice_index(now).saturating_sub(WINDOW_SLICES);
-        if let Some(account) = self.accounts.get(service) {
-            for slice in account.slices.range(oldest..).map(|(_, it)| it) {
-                usage.requests += slice.requests;
-                usage.charged.0 += slice.charged;
-            }
-            usage.borrowed = account.loans.available(now);
-        }
+        let account = self.accounts.get(service);
+        let Slice { requests, charged } =
+            account.map(|it| self.sum_of_window(now, it)).unwrap_or_default();
+        let charged = RetryCredit(charged);
+        let borrowed = account.map(|it| it.loans.available(now)).unwrap_or_default();
         let fleet_hosts = (fleet_hosts as u64).max(MIN_ASSUMED_HOSTS);
-        let share = usage.requests.saturating_mul(self.settings.share_milli);
-        let share = share.saturating_mul(USABLE_SHARE_MILLI) / 1_000;
+        let share = requests.saturating_mul(self.settings.share_milli);
         let fixed = self.settings.slack_milli / fleet_hosts;
-        let fixed = fixed.saturating_mul(self.usable_fixed_milli(now)) / 1_000;
-        usage.allowed = RetryCredit(share.saturating_add(fixed));
-        usage
+        let budget = share.saturating_add(fixed);
+        let usable = if self.knows_window(now) { USABLE_SHARE_MILLI } else { RESERVE_MILLI };
+        let allowed = RetryCredit(budget.saturating_mul(usable) / 1_000);
+        RetryUsage { requests, charged, borrowed, allowed }
+    }
+
+    /// Returns the sum of the window's slices, those of earlier processes included.
+    fn sum_of_window(&self, now: Timestamp, account: &Account) -> Slice {
+        let mut sum = Slice::default();
+        self.slices_of_window(now, account).for_each(|(_, it)| sum.add(it));
+        sum
     }
 
-    fn usable_fixed_milli(&self, now: Timestamp) -> u64 {
-        let window = self.settings.window.0.max(1);
-        let age = now.since(self.started).0.min(window);
-        let rise = (USABLE_SHARE_MILLI - INITIAL_FIXED_SHARE_MILLI) * age / window;
-        INITIAL_FIXED_SHARE_MILLI + rise
+    fn slices_of_window<'a>(
+        &self,
+        now: Timestamp,
+        account: &'a Account,
+    ) -> impl Iterator<Item = (u64, &'a Slice)> {
+        let oldest = self.slice_index(now).saturating_sub(WINDOW_SLICES);
+        let slices = account.earlier.range(oldest..).chain(account.slices.range(oldest..));
+        slices.map(|(index, it)| (*index, it))
+    }
+
+    /// Returns whether this process knows all charges of the window.
+    fn knows_window(&self, now: Timestamp) -> bool {
+        self.earlier_known.is_known() || now.since(self.started) >= self.settings.window
     }
 
     /// Charges a retry of `request`, or asks some of `lenders` for what is missing.
@@ -147,7 +189,8 @@
         if usage.available() >= RETRY {
             let account = self.account(service);
             let borrowed = account.loans.spend(now, RETRY);
-            account.slices.entry(index).or_default().charged += RETRY.0 - borrowed.0;
+            let charged = RetryCredit(RETRY.0 - borrowed.0);
+            self.charge(now, service, index, charged, fleet_hosts);
             return RetryDecision::Send;
         }
         let number = self.next_loan;
@@ -162,7 +205,7 @@
         self.next_loan = number.next();
         for to in ask.lenders {
             let ask = LoanAsk { number, service: service.clone(), amount: ask.amount };
-            self.messages.push((to, RetryLoanMessage::Ask(ask)));
+            self.messages.push((to, RetryBudgetMessage::LoanAsk(ask)));
         }
         RetryDecision::AwaitLoan(ask.until)
     }
@@ -172,20 +215,38 @@
         &mut self,
         now: Timestamp,
         from: HostId,
-        message: &RetryLoanMessage,
+        message: &RetryBudgetMessage,
         fleet_hosts: usize,
     ) -> Vec<RequestId> {
         match message {
-            RetryLoanMessage::Ask(ask) => {
+            RetryBudgetMessage::LoanAsk(ask) => {
                 self.lend(now, from, ask, fleet_hosts);
                 Vec::new()
             }
-            RetryLoanMessage::Answer(answer) => self.receive(now, from, answer, fleet_hosts),
+            RetryBudgetMessage::LoanAnswer(answer) => self.receive(now, from, answer, fleet_hosts),
+            RetryBudgetMessage::EarlierCharges(earlier) => {
+                self.record_earlier(now, from, earlier);
+                Vec::new()
+            }
+            // Messages to control hosts.
+            RetryBudgetMessage::Charges(_) | RetryBudgetMessage::EarlierChargesWanted => Vec::new(),
         }
     }
 
-    /// Takes the pending messages for other gateways.
-    pub(crate) fn take_messages(&mut self) -> Vec<(HostId, RetryLoanMessage)> {
+    /// Returns whether control hosts have told what earlier processes have charged.
+    pub(crate) fn knows_earlier(&self) -> bool {
+        self.earlier_known.is_known()
+    }
+
+    /// Returns what earlier processes are known to have charged in the window, for all services.
+    pub(crate) fn earlier_charges(&self, now: Timestamp) -> RetryCredit {
+        let oldest = self.slice_index(now).saturating_sub(WINDOW_SLICES);
+        let earlier = self.accounts.values().flat_map(|it| it.earlier.range(oldest..));
+        RetryCredit(earlier.map(|(_, it)| it.charged).sum())
+    }
+
+    /// Takes the pending messages for other gateways and control hosts.
+    pub(crate) fn take_messages(&mut self) -> Vec<(HostId, RetryBudgetMessage)> {
         std::mem::take(&mut self.messages)
     }
 
@@ -197,10 +258,66 @@
         let amount = if amount < MIN_LOAN { RetryCredit(0) } else { amount };
         if amount > RetryCredit(0) {
             let index = self.slice_index(now + loans::LOAN_LIFETIME);
-            self.account(&ask.service).slices.entry(index).or_default().charged += amount.0;
+            self.charge(now, &ask.service, index, amount, fleet_hosts);
         }
         let answer = LoanAnswer { number: ask.number, service: ask.service.clone(), amount };
-        self.messages.push((to, RetryLoanMessage::Answer(answer)));
+        self.messages.push((to, RetryBudgetMessage::LoanAnswer(answer)));
+    }
+
+    /// Charges an amount to a slice of the window, and reports the charges if that is due.
+    fn charge(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        index: u64,
+        amount: RetryCredit,
+        fleet_hosts: usize,
+    ) {
+        let account = self.account(service);
+        account.slices.entry(index).or_default().charged += amount.0;
+        account.reported.record_charge(amount);
+        let allowed = self.usage(now, service, fleet_hosts).allowed;
+        self.report_charges(now, service, allowed);
+    }
+
+    /// Reports the charges of the window if that is due. A report replaces that of the process before,
+    /// so it has to include the charges of that one.
+    fn report_charges(&mut self, now: Timestamp, service: &ServiceName, allowed: RetryCredit) {
+        let Some(account) = self.accounts.get(service) else { return };
+        if !account.reported.is_due(now, allowed) || !self.knows_window(now) {
+            return;
+        }
+        let slices = self.slices_of_window(now, account).map(|(index, it)| RetrySlice {
+            age_ms: now.since(self.slice_start(index)),
+            requests: it.requests,
+            charged: RetryCredit(it.charged),
+        });
+        let charges = RetryCharges { service: service.clone(), slices: slices.collect() };
+        self.account(service).reported.record_report(now);
+        let message = RetryBudgetMessage::Charges(charges);
+        self.messages.extend(self.recorders.iter().map(|it| (*it, message.clone())));
+    }
+
+    /// Records what a control host knows of the charges of earlier processes.
+    fn record_earlier(&mut self, now: Timestamp, from: HostId, earlier: &EarlierRetryCharges) {
+        for aged in &earlier.services {
+            let RetryCharges { service, slices } = &aged.charges;
+            let mut earlier: BTreeMap<u64, Slice> = BTreeMap::new();
+            for slice in slices {
+                let index = self.slice_index(now - aged.age_ms - slice.age_ms);
+                let slice = Slice { requests: slice.requests, charged: slice.charged.0 };
+                earlier.entry(index).or_default().add(&slice);
+            }
+            // A control host may have missed reports.
+            let charged = |it: &BTreeMap<u64, Slice>| it.values().map(|it| it.charged).sum::<u64>();
+            let account = self.account(service);
+            if charged(&earlier) >= charged(&account.earlier) {
+                account.earlier = earlier;
+            }
+        }
+        if earlier.known_for_ms >= self.settings.window {
+            self.earlier_known.record_answer(from, &self.recorders);
+        }
     }
 
     fn receive(
@@ -226,6 +343,14 @@
     }
 
     fn slice_index(&self, now: Timestamp) -> u64 {
-        now.0 / (self.settings.window.0 * 1_000 / WINDOW_SLICES).max(1)
+        now.0 / self.slice_micros()
+    }
+
+    fn slice_start(&self, index: u64) -> Timestamp {
+        Timestamp(index * self.slice_micros())
+    }
+
+    fn slice_micros(&self) -> u64 {
+        (self.settings.window.0 * 1_000 / WINDOW_SLICES).max(1)
     }
 }
--- a/components/gateway_core/tests/common/mod.rs
+++ b/components/gateway_core/tests/common/mod.rs
@@ -243,6 +243,17 @@
     }
 }
 
+/// An update without changes, which answers the poll with this number.
+pub fn unchanged_update(sequence: u64, control_hosts: impl IntoIterator<Item = HostId>) -> Update {
+    Update {
+        sequence,
+        current: true,
+        control_hosts: control_hosts.into_iter().map(control_host).collect(),
+        registry: RegistryUpdate::Unchanged,
+        hosts: HostsUpdate::Unchanged,
+    }
+}
+
 fn control_host(host: HostId) -> ControlHostRecord {
     ControlHostRecord { host, place: KnownPlace::Unknown }
 }
--- a/components/gateway_core/tests/retry_budget.rs
+++ b/components/gateway_core/tests/retry_budget.rs
@@ -5,10 +5,11 @@
 
 use std::ops::Range;
 
-use common::{at, entry_host, gateway_with, head, route, server, settings};
+use common::{at, entry_host, gateway_of_fleet, head, route, server, settings, unchanged_update};
 use gateway_core::{AttemptEnd, Gateway, GatewaySettings, Idempotency, Step};
-use ids::{ByteSize, HostId, RequestId, Timestamp};
-use schema::{retry_loan::RetryLoanMessage, server_load::LoadReport};
+use ids::{ByteSize, HostId, Incarnation, RequestId, Timestamp};
+use registry::RetryChargeRecords;
+use schema::{retry_budget::RetryBudgetMessage, server_load::LoadReport};
 
 /// Number of gateways in the data centre, which is half of the fleet.
 const GATEWAYS: u32 = 12;
@@ -23,9 +24,19 @@
 /// Milliseconds per simulation step; messages arrive in the next step.
 const STEP: u64 = 5;
 
+/// Ids of the control hosts.
+const CONTROL_HOSTS: Range<u32> = 200..205;
+
+/// Milliseconds between two updates that a gateway gets from a control host.
+const UPDATE_INTERVAL: u64 = 500;
+
 /// Gateways of one data centre.
 struct DataCentre {
     gateways: Vec<Gateway>,
+    /// Incarnation of each gateway's process.
+    incarnations: Vec<u64>,
+    /// What the control hosts know of the charges.
+    records: Vec<RetryChargeRecords>,
     /// How attempts end.
     attempt_end: AttemptEnd,
     /// Milliseconds between two requests of a gateway.
@@ -33,7 +44,7 @@
     /// How long each gateway has been frozen, in milliseconds: its clock stops with it.
     frozen_for: Vec<u64>,
     reports: Vec<(HostId, HostId, LoadReport)>,
-    loans: Vec<(HostId, HostId, RetryLoanMessage)>,
+    messages: Vec<(HostId, HostId, RetryBudgetMessage)>,
     waiting: Vec<(usize, RequestId, Timestamp)>,
     /// When callers sent requests, also to frozen gateways, and when retries were sent.
     requests: Vec<u64>,
@@ -45,11 +56,13 @@
         let gateways = (1..=GATEWAYS).map(|it| start_gateway(settings(HostId(it))));
         Self {
             gateways: gateways.collect(),
+            incarnations: vec![1; GATEWAYS as usize],
+            records: CONTROL_HOSTS.map(|_| RetryChargeRecords::new(at(0), false)).collect(),
             attempt_end: AttemptEnd::Lost,
             request_interval,
             frozen_for: vec![0; GATEWAYS as usize],
             reports: Vec::new(),
-            loans: Vec::new(),
+            messages: Vec::new(),
             waiting: Vec::new(),
             requests: Vec::new(),
             retries: Vec::new(),
@@ -75,11 +88,17 @@
                     self.gateways[i].on_report(clock, from, &report);
                 }
             }
-            for (from, to, message) in std::mem::take(&mut self.loans) {
+            for (from, to, message) in std::mem::take(&mut self.messages) {
+                if CONTROL_HOSTS.contains(&to.0) {
+                    if !is_lost(from, to) {
+                        self.call_control_host(now, from, to, &message);
+                    }
+                    continue;
+                }
                 let i = to.0 as usize - 1;
                 if !is_frozen(i) && !is_lost(from, to) {
                     let clock = self.clock(i, now);
-                    self.gateways[i].on_retry_loan(clock, from, &message);
+                    self.gateways[i].on_retry_budget_message(clock, from, &message);
                 }
             }
             let wakeups: Vec<Vec<RequestId>> =
@@ -93,6 +112,9 @@
             }
             for i in 0..self.gateways.len() {
                 let offset = i as u64 * self.request_interval / u64::from(GATEWAYS) / STEP * STEP;
+                if now % UPDATE_INTERVAL == 0 && !is_frozen(i) {
+                    self.update(i, now);
+                }
                 if now % self.request_interval == offset {
                     self.requests.push(now);
                     if !is_frozen(i) {
@@ -139,25 +161,61 @@
         }
     }
 
+    /// Handles a message at a control host.
+    fn call_control_host(
+        &mut self,
+        now: u64,
+        from: HostId,
+        to: HostId,
+        message: &RetryBudgetMessage,
+    ) {
+        let records = &mut self.records[(to.0 - CONTROL_HOSTS.start) as usize];
+        let process = (from, Incarnation(self.incarnations[from.0 as usize - 1]));
+        match message {
+            RetryBudgetMessage::Charges(charges) => records.record(at(now), process, charges),
+            RetryBudgetMessage::EarlierChargesWanted => {
+                let earlier = records.before(at(now), process);
+                self.messages.push((to, from, RetryBudgetMessage::EarlierCharges(earlier)));
+            }
+            message => panic!("sent to a control host: {message:?}"),
+        }
+    }
+
+    /// Passes an update without changes to a gateway.
+    fn update(&mut self, i: usize, now: u64) {
+        let clock = self.clock(i, now);
+        if let Some(poll) = self.gateways[i].poll(clock) {
+            let update = unchanged_update(poll.poll.sequence, CONTROL_HOSTS.map(HostId));
+            self.gateways[i].on_update(clock, poll.to, update);
+        }
+    }
+
     /// Replaces all gateways by new processes.
     fn restart(&mut self, now: u64) {
         for i in 0..self.gateways.len() {
             self.frozen_for[i] = 0;
+            self.incarnations[i] += 1;
             let host = HostId(i as u32 + 1);
             let settings = GatewaySettings { started: at(now), ..settings(host) };
             self.gateways[i] = start_gateway(settings);
         }
+        self.messages.clear();
         self.waiting.clear();
     }
 
+    /// Replaces the control hosts by new processes.
+    fn restart_control_hosts(&mut self, now: u64) {
+        self.records.iter_mut().for_each(|it| *it = RetryChargeRecords::new(at(now), false));
+    }
+
     fn collect(&mut self, i: usize) {
         let from = HostId(i as u32 + 1);
         for outgoing in self.gateways[i].take_reports() {
             let to = outgoing.to.into_iter().filter(|it| it.0 <= GATEWAYS);
             self.reports.extend(to.map(|it| (from, it, outgoing.report.clone())));
         }
-        let loans = self.gateways[i].take_retry_loans().into_iter();
-        self.loans.extend(loans.map(|(to, message)| (from, to, message)));
+        let messages = self.gateways[i].take_retry_budget_messages().into_iter();
+        self.messages.extend(messages.map(|(to, message)| (from, to, message)));
     }
 
     /// Asserts the budget for each window; its requests are those of that window, the one before it
@@ -181,7 +239,8 @@
     let here = (1..=GATEWAYS).map(|it| entry_host(it, "north-a"));
     let elsewhere = (1..=GATEWAYS).map(|it| entry_host(100 + it, "south-a"));
     let routes = vec![route("look", Idempotency::Idempotent)];
-    gateway_with(settings, routes, servers, here.chain(elsewhere).collect())
+    let control_hosts = CONTROL_HOSTS.map(HostId).collect();
+    gateway_of_fleet(settings, routes, servers, here.chain(elsewhere).collect(), control_hosts)
 }
 
 fn count_in_window(times: &[u64], start: u64) -> usize {
@@ -234,6 +293,56 @@
     data_centre.assert_within_budget();
 }
 
+#[test]
+fn gateways_that_restart_at_any_time_of_a_burst_do_not_spend_the_retry_budget_again() {
+    for restart_at in (12_100..17_000).step_by(300) {
+        let mut data_centre = DataCentre::new(100);
+        data_centre.attempt_end = AttemptEnd::Answered;
+        data_centre.run(0..12_000, |_| false, |_, _| false);
+        data_centre.attempt_end = AttemptEnd::Lost;
+        data_centre.run(12_000..restart_at, |_| false, |_, _| false);
+        data_centre.restart(restart_at);
+        data_centre.run(restart_at..restart_at + 700, |_| false, |_, _| false);
+        data_centre.restart(restart_at + 700);
+        data_centre.run(restart_at + 700..35_000, |_| false, |_, _| false);
+
+        data_centre.assert_within_budget();
+    }
+}
+
+#[test]
+fn gateways_that_restart_together_with_the_control_hosts_keep_to_the_retry_budget() {
+    for restart_at in (12_100..17_000).step_by(300) {
+        let mut data_centre = DataCentre::new(100);
+        data_centre.attempt_end = AttemptEnd::Answered;
+        data_centre.run(0..12_000, |_| false, |_, _| false);
+        data_centre.attempt_end = AttemptEnd::Lost;
+        data_centre.run(12_000..restart_at, |_| false, |_, _| false);
+        data_centre.restart_control_hosts(restart_at);
+        data_centre.restart(restart_at);
+        data_centre.run(restart_at..35_000, |_| false, |_, _| false);
+
+        data_centre.assert_within_budget();
+    }
+}
+
+#[test]
+fn a_gateway_that_restarts_goes_on_with_the_retry_budget_of_its_earlier_process() {
+    let mut data_centre = DataCentre::new(100);
+    data_centre.attempt_end = AttemptEnd::Answered;
+    data_centre.run(0..12_000, |_| false, |_, _| false);
+    data_centre.attempt_end = AttemptEnd::Lost;
+    data_centre.run(12_000..12_100, |_| false, |_, _| false);
+    data_centre.restart(12_100);
+    data_centre.attempt_end = AttemptEnd::Answered;
+    data_centre.run(12_100..12_800, |_| false, |_, _| false);
+    data_centre.attempt_end = AttemptEnd::Lost;
+    data_centre.run(12_800..14_000, |_| false, |_, _| false);
+
+    let retries = count_in_window(&data_centre.retries, 10_000);
+    assert!(retries >= 130, "{retries} of the 264 retries that are allowed");
+}
+
 #[test]
 fn gateways_that_hear_each_other_use_most_of_the_retry_budget() {
     let mut data_centre = DataCentre::new(50);
@@ -261,7 +370,7 @@
                 data_centre.run(
                     phase * 2_500..(phase + 1) * 2_500,
                     |it| frozen >> it & 1 == 1,
-                    |from, to| (deaf >> to.0 | deaf >> from.0) & 1 == 1,
+                    |from, to| [from, to].into_iter().any(|it| it.0 < 16 && deaf >> it.0 & 1 == 1),
                 );
             }
             data_centre.assert_within_budget();
--- a/components/gateway_core/tests/shared_budget.rs
+++ b/components/gateway_core/tests/shared_budget.rs
@@ -7,7 +7,7 @@
 use ids::{HostId, LoanNumber, RetryCredit, Timestamp};
 use schema::{
     announcement::Announcement,
-    retry_loan::{LoanAsk, RetryLoanMessage},
+    retry_budget::{LoanAsk, RetryBudgetMessage},
     sync::EntryHostRecord,
 };
 
@@ -35,11 +35,13 @@
 
 /// Delivers the messages about loans between the two gateways.
 fn exchange_loans(now: Timestamp, harness: &mut Harness, peer: &mut Gateway) {
-    for (_, message) in harness.gateway.take_retry_loans() {
-        peer.on_retry_loan(now, OWN_HOST, &message);
+    let to_peer = |(to, _): &(HostId, RetryBudgetMessage)| *to == PEER;
+    for (_, message) in harness.gateway.take_retry_budget_messages().into_iter().filter(to_peer) {
+        peer.on_retry_budget_message(now, OWN_HOST, &message);
     }
-    for (_, message) in peer.take_retry_loans() {
-        harness.gateway.on_retry_loan(now, PEER, &message);
+    let to_own = |(to, _): &(HostId, RetryBudgetMessage)| *to == OWN_HOST;
+    for (_, message) in peer.take_retry_budget_messages().into_iter().filter(to_own) {
+        harness.gateway.on_retry_budget_message(now, PEER, &message);
     }
 }
 
@@ -109,10 +111,12 @@
     let amount = RetryCredit(1_000 * SLACK as u64);
     let ask = LoanAsk { number: LoanNumber(1), service: service(), amount };
 
-    harness.gateway.on_retry_loan(at(0), PEER, &RetryLoanMessage::Ask(ask));
+    harness.gateway.on_retry_budget_message(at(0), PEER, &RetryBudgetMessage::LoanAsk(ask));
 
-    let [(PEER, RetryLoanMessage::Answer(answer))] = &harness.gateway.take_retry_loans()[..] else {
-        panic!("the ask is not answered");
+    let mut messages = harness.gateway.take_retry_budget_messages();
+    messages.retain(|(to, _)| *to == PEER);
+    let [(PEER, RetryBudgetMessage::LoanAnswer(answer))] = &messages[..] else {
+        panic!("the ask is not answered: {messages:?}");
     };
     assert!(answer.amount > RetryCredit(0));
     assert!(answer.amount <= RetryCredit(1_000 * SLACK as u64 / 2), "half of the slack is its own");
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -14,6 +14,7 @@
     operator::Role,
     peer::PeerMessage,
     registry::{ConfigDocument, Leave, RegistryCommand},
+    retry_budget::RetryBudgetMessage,
     server_limit::{LimitLeaseAnswer, LimitLeaseAsk, ServerLimitMessage},
     storage::Persisted,
     sync::{
@@ -29,6 +30,7 @@
     long_polls::{LongPolls, PendingPoll, RegistryHead},
     pending_requests::{OnCommit, PendingRequest, PendingRequests},
     places::Places,
+    retry_charges::RetryChargeRecords,
     state::{ANY_INCARNATION, Freshness, Registry},
 };
 
@@ -107,6 +109,7 @@
     long_polls: LongPolls,
     entry_hosts: EntryHosts,
     limit_leases: LimitLeases,
+    retry_charges: RetryChargeRecords,
     seeds: Vec<HostId>,
     /// Control hosts named in answers to discovery polls.
     discovered: BTreeSet<HostId>,
@@ -142,6 +145,7 @@
             long_polls: LongPolls::default(),
             entry_hosts: EntryHosts::new(own_id, incarnation, now, is_new_fleet),
             limit_leases: LimitLeases::new(now),
+            retry_charges: RetryChargeRecords::new(now, is_new_fleet),
             seeds,
             discovered: BTreeSet::new(),
             places: Places::new(own_id, place, regions),
@@ -278,6 +282,14 @@
             PeerMessage::ServerLimit(ServerLimitMessage::LeaseRelease(release)) => {
                 self.limit_leases.release((from, incarnation), &release);
             }
+            PeerMessage::RetryBudget(RetryBudgetMessage::Charges(charges)) => {
+                self.retry_charges.record(now, (from, incarnation), &charges);
+            }
+            PeerMessage::RetryBudget(RetryBudgetMessage::EarlierChargesWanted) => {
+                let earlier = self.retry_charges.before(now, (from, incarnation));
+                let message = RetryBudgetMessage::EarlierCharges(earlier);
+                self.send(from, PeerMessage::RetryBudget(message));
+            }
             // Discovery polls have no timeout that a large answer could exceed.
             PeerMessage::Sync(SyncMessage::UpdateBegins(_)) => {}
             // Messages to components that do not run on control hosts.
@@ -288,7 +300,7 @@
             | PeerMessage::Limits(_)
             | PeerMessage::ClaimReport(_)
             | PeerMessage::ServerLoad(_)
-            | PeerMessage::RetryLoan(_)
+            | PeerMessage::RetryBudget(_)
             | PeerMessage::ServerLimit(_) => {}
         }
     }
--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -12,6 +12,7 @@
 mod packed_text;
 mod pending_requests;
 mod places;
+mod retry_charges;
 mod state;
 
 pub use crate::{
@@ -20,5 +21,6 @@
     limit_leases::LimitLeases,
     long_polls::{MAX_POLL_WAIT, MIN_HOST_UPDATE_INTERVAL},
     packed_text::{MAX_CONFIG_BYTES, UnpackError, pack_text, unpack_text},
+    retry_charges::RetryChargeRecords,
     state::{Freshness, Registry},
 };
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -127,7 +127,7 @@
             message,
             PeerMessage::Membership(_)
                 | PeerMessage::ServerLoad(_)
-                | PeerMessage::RetryLoan(_)
+                | PeerMessage::RetryBudget(_)
                 | PeerMessage::ServerLimit(_)
         );
         let frame = PeerFrame { from: self.host, to, incarnation: self.incarnation, message };
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -161,6 +161,37 @@
     wait_for("still more bytes", || sent_bytes().filter(|it| *it > later));
 }
 
+/// Returns what a gateway's processes were told that earlier ones had spent, in thousandths of a retry.
+fn earlier_retries(fleet: &Fleet, host: u8) -> Vec<u64> {
+    let log = fs::read_to_string(fleet.log_file(host)).unwrap();
+    let lines = log.lines().filter(|it| it.contains("retries of earlier processes known"));
+    let charged =
+        |line| serde_json::from_str::<serde_json::Value>(line).ok()?["charged_milli"].as_u64();
+    lines.filter_map(charged).collect()
+}
+
+#[test]
+fn a_gateway_that_was_killed_knows_the_retries_of_its_earlier_process() {
+    let mut fleet = Fleet::start();
+    let servers = [Server::start(1, "queue"), Server::start(2, "queue")];
+    fleet.put_config(1, "queue");
+    servers.iter().for_each(|it| fleet.announce(it, 1, ServerState::Serving));
+    fleet.wait_until_ready();
+    wait_for("the first answer", || (earlier_retries(&fleet, 11) == [0]).then_some(()));
+
+    servers.iter().for_each(|it| it.drops_connections.store(true, Ordering::Relaxed));
+    for i in 0..5 {
+        let id = format!("lost-{i}");
+        fleet.request(11, &id, &format!("/look/{id}"));
+    }
+    fleet.kill(11);
+    fleet.start_gateway(11);
+
+    wait_for("the second answer", || {
+        matches!(earlier_retries(&fleet, 11)[..], [0, charged] if charged >= 1_000).then_some(())
+    });
+}
+
 #[test]
 fn a_settings_reload_cuts_off_no_request_and_is_logged() {
     let (fleet, _server) = serving_fleet();
