Send requests to servers that only work on old ones

Traced earlier: 10 of 19 servers without a new request still worked on requests sent before. A server with a request in flight never counted as idle, however long ago it had got the last one; the requests of frozen gateways count as in flight until these leave the list.

Now a server that has got no request for two seconds is tried, whether or not it still works on one. The bonus for servers without any work, which goes first, is unchanged.

--- a/components/gateway_core/src/servers/placement.rs
+++ b/components/gateway_core/src/servers/placement.rs
@@ -14,7 +14,8 @@
 //!   stay fresh. Idempotent requests are sent to it first.
 //! - *Many servers that break at once*, or hosts that go down with requests in flight. Servers that
 //!   recovered seconds before must have part in the work by then, so each idle server is tried
-//!   within two seconds whatever is believed of it, but not sooner than three after a loss.
+//!   within two seconds whatever is believed of it, but not sooner than three after a loss. A server
+//!   that works on old requests counts as idle here, also on those of gateways that are frozen.
 //! - *Servers that name limits* get requests only with a permit, and rather few while others do as well.
 //! - *Servers that break connections for a few seconds.* See [`super::health`]; the risk weighs
 //!   more for non-idempotent requests.
@@ -202,6 +203,8 @@
     failure_probability: f64,
     /// Time for which this data centre has left the server idle, in milliseconds.
     idle_millis: f64,
+    /// Time for which this data centre has sent the server no request, in milliseconds.
+    unused_millis: f64,
     /// Probability that the server is broken.
     broken_probability: f64,
     /// Time since a request was lost at the server, in milliseconds; infinite if none was.
@@ -233,6 +236,7 @@
             is_unreachable: server.health.is_unreachable(now),
             failure_probability: server.health.failure_probability(now, prior),
             idle_millis: idle_millis(now, server),
+            unused_millis: unused_millis(now, server),
             broken_probability: server.health.broken_probability(now, prior),
             millis_since_lost: server
                 .health
@@ -280,7 +284,7 @@
         let (from, to) = LONG_IDLE_RAMP;
         let (lost_from, lost_to) = LONG_IDLE_LOST_RAMP;
         LONG_IDLE_BONUS
-            * self.idle_ramp(from, to)
+            * ramp(self.unused_millis, from, to)
             * ramp(self.millis_since_lost, lost_from, lost_to)
     }
 
@@ -293,9 +297,15 @@
 /// Returns how long a server of this data centre has been idle, or infinity if it was never used.
 /// Returns 0 for servers that are busy, unreachable or in another data centre.
 fn idle_millis(now: Timestamp, server: &Server) -> f64 {
+    match server.in_flight(now) {
+        0 => unused_millis(now, server),
+        _ => 0.0,
+    }
+}
+
+fn unused_millis(now: Timestamp, server: &Server) -> f64 {
     let is_near = server.distance == Distance::SameDataCentre;
-    let is_busy = server.in_flight(now) > 0;
-    if !is_near || is_busy || server.health.is_unreachable(now) {
+    if !is_near || server.health.is_unreachable(now) {
         return 0.0;
     }
     server.idle(now).map_or(f64::INFINITY, |it| it.0 as f64)
--- a/components/gateway_core/tests/placement.rs
+++ b/components/gateway_core/tests/placement.rs
@@ -232,6 +232,27 @@
     assert!(used.contains(&server_id(2)));
 }
 
+/// Sends requests for 3 s to two servers, of which the second works on an old request, while a
+/// neighbour reports on it now and then; returns how many the second gets.
+fn requests_at_busy_server(reported: Option<LoadEvent>) -> usize {
+    let servers = vec![server(1, "north-a"), server(2, "north-a")];
+    let hosts = vec![entry_host(1, "north-a"), entry_host(2, "north-a")];
+    let mut harness = Harness::new(idempotent_routes(), servers, hosts);
+    harness.gateway.on_report(at(900), HostId(2), &report(2, 1, LoadEvent::Started));
+    let sent = (1_000..4_000).step_by(20).map(|now| {
+        if let Some(event) = reported.as_ref().filter(|_| now % 300 == 0) {
+            harness.gateway.on_report(at(now), HostId(2), &report(2, 1, event.clone()));
+        }
+        harness.run(at(now), at(now + 10), &format!("/look/{now}"), AttemptEnd::Answered)
+    });
+    sent.filter(|it| *it == server_id(2)).count()
+}
+
+#[test]
+fn a_server_that_works_on_an_old_request_still_gets_new_ones() {
+    assert!(requests_at_busy_server(None) >= 1);
+}
+
 #[test]
 fn each_sound_server_keeps_part_in_the_work_of_requests_that_must_not_repeat() {
     let servers: Vec<_> = (1..=8).map(|it| server(it, "north-a")).collect();
