Count only the start of a request as use of a server

Any report on a server with requests in flight, also that one of them had ended, was late or was cancelled, counted as if the server had just got a request. So a server that only finished old ones was not tried.

--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -432,9 +432,6 @@
         if server.in_flight(now) == 0 {
             server.last_progress_at = now;
         }
-        if in_flight > 0 {
-            server.last_used_at = Some(now);
-        }
         match in_flight {
             0 => server.peer_in_flight.remove(&from),
             _ => server.peer_in_flight.insert(from, (in_flight, now)),
@@ -466,9 +463,8 @@
         }
         let prior = self.broken_priors.get_mut(service).expect("was just inserted");
         match event {
-            LoadEvent::Started
-            | LoadEvent::Repeated
-            | LoadEvent::Cancelled
+            LoadEvent::Started | LoadEvent::Repeated => server.last_used_at = Some(now),
+            LoadEvent::Cancelled
             | LoadEvent::Leaving
             | LoadEvent::Limited(_)
             | LoadEvent::Unlimited(_) => {}
--- a/components/gateway_core/tests/placement.rs
+++ b/components/gateway_core/tests/placement.rs
@@ -253,6 +253,11 @@
     assert!(requests_at_busy_server(None) >= 1);
 }
 
+#[test]
+fn reports_on_old_requests_do_not_count_as_new_ones() {
+    assert!(requests_at_busy_server(Some(LoadEvent::Cancelled)) >= 1);
+}
+
 #[test]
 fn each_sound_server_keeps_part_in_the_work_of_requests_that_must_not_repeat() {
     let servers: Vec<_> = (1..=8).map(|it| server(it, "north-a")).collect();
