Count bytes between hosts by what they are for

Counters by purpose in the metrics of each host, and a line of them at a planned stop. By distance: not yet.

Control hosts also no longer take the setting bootstrap alone as proof that nothing was charged to the retry budgets before.

--- a/components/admin/src/transport_metrics.rs
+++ b/components/admin/src/transport_metrics.rs
@@ -2,8 +2,17 @@
 
 use std::sync::atomic::Ordering;
 
-use prometheus_client::{metrics::counter::Counter, registry::Registry};
-use transport::StatsSnapshot;
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family},
+    registry::Registry,
+};
+use transport::{Purpose, StatsSnapshot};
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PurposeLabels {
+    purpose: &'static str,
+}
 
 /// Counters of the transport.
 #[derive(Debug, Clone, Default)]
@@ -15,6 +24,7 @@
     dropped: Counter,
     bad_mac: Counter,
     malformed: Counter,
+    queued_bytes: Family<PurposeLabels, Counter>,
 }
 
 impl TransportMetrics {
@@ -33,6 +43,11 @@
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
+        registry.register(
+            "peer_queued_bytes",
+            "Bytes to be sent to other hosts, by what they are for",
+            metrics.queued_bytes.clone(),
+        );
         metrics
     }
 
@@ -45,6 +60,10 @@
         set_counter(&self.dropped, stats.dropped);
         set_counter(&self.bad_mac, stats.bad_mac);
         set_counter(&self.malformed, stats.malformed);
+        for (purpose, bytes) in Purpose::ALL.iter().zip(stats.queued_bytes) {
+            let labels = PurposeLabels { purpose: purpose.name() };
+            set_counter(&self.queued_bytes.get_or_create(&labels), bytes);
+        }
     }
 }
 
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -59,6 +59,7 @@
     };
     let (transport, mut frames) =
         peers::bind_transport(settings.ip, settings.peer_port.get(), incarnation).await?;
+    let transport = Arc::new(transport);
     let regions = settings.data_centres.iter().map(|it| (it.name.clone(), it.region.clone()));
     let host_settings = RegistryHostSettings {
         consensus: consensus_settings(&settings, incarnation.0),
@@ -72,7 +73,7 @@
     let driver = Driver::new(
         host,
         opened.storage,
-        Arc::new(transport),
+        transport.clone(),
         clock,
         settings.peer_port.get(),
         metrics.clone(),
@@ -113,7 +114,11 @@
         () = http::serve(request_listener, move |req| request_handler.clone().handle(req)) => {}
         () = http::serve(metrics_listener, move |req| metrics::handle(metrics.clone(), req)) => {}
     }
-    log::info!(host:% = settings.ip; "control host stops");
+    log::info!(
+        host:% = settings.ip,
+        queued_bytes:% = transport.stats().bytes_by_purpose();
+        "control host stops"
+    );
     // The driver may have stopped already.
     let _ = tx.send(DriverEvent::Host(HostEvent::Stop)).await;
     tokio::time::sleep(STOP_DELAY).await;
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -205,5 +205,9 @@
     }
     // Leaves time to deliver the last responses.
     sleep(DRAIN_CHECK_INTERVAL).await;
-    log::info!(in_flight = shared.in_flight(); "planned stop is complete");
+    log::info!(
+        in_flight = shared.in_flight(),
+        queued_bytes:% = shared.transport_stats().bytes_by_purpose();
+        "planned stop is complete"
+    );
 }
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -135,6 +135,8 @@
         let seeds = consensus.voters.clone();
         let registry = Registry::restore(&persisted.snapshot.data);
         let applied = persisted.snapshot.index;
+        // The setting alone doesn't tell: it may have been left as it was at the first start.
+        let has_no_past = is_new_fleet && persisted.entries.is_empty() && applied == LogIndex(0);
         Self {
             own_id,
             consensus: Consensus::restore(consensus.clone(), persisted, now),
@@ -145,7 +147,7 @@
             long_polls: LongPolls::default(),
             entry_hosts: EntryHosts::new(own_id, incarnation, now, is_new_fleet),
             limit_leases: LimitLeases::new(now),
-            retry_charges: RetryChargeRecords::new(now, is_new_fleet),
+            retry_charges: RetryChargeRecords::new(now, has_no_past),
             seeds,
             discovered: BTreeSet::new(),
             places: Places::new(own_id, place, regions),
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod datagram;
 mod keys;
+mod purpose;
 mod queue;
 mod seal;
 mod stats;
@@ -24,6 +25,7 @@
 
 pub use crate::{
     keys::{FleetKeys, KeyError},
+    purpose::Purpose,
     seal::{OpenError, open, seal},
     stats::{Stats, StatsSnapshot},
 };
@@ -131,7 +133,9 @@
                 | PeerMessage::ServerLimit(_)
         );
         let frame = PeerFrame { from: self.host, to, incarnation: self.incarnation, message };
+        let purpose = Purpose::of(&frame.message);
         let sealed = seal(&self.keys, &frame);
+        self.stats.count_queued(purpose, sealed.len());
         if allows_datagram && sealed.len() <= MAX_DATAGRAM_BYTES {
             self.send_datagram(address, sealed);
         } else {
--- a/components/transport/src/stats.rs
+++ b/components/transport/src/stats.rs
@@ -2,6 +2,8 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use crate::Purpose;
+
 /// The counters of a transport.
 #[derive(Debug, Default)]
 pub struct Stats {
@@ -13,6 +15,7 @@
     bad_mac: AtomicU64,
     malformed: AtomicU64,
     misdirected: AtomicU64,
+    queued_bytes: [AtomicU64; Purpose::ALL.len()],
 }
 
 /// The values of all counters, each since the start of the process.
@@ -34,6 +37,8 @@
     pub malformed: u64,
     /// Messages with a valid MAC that were addressed to another host.
     pub misdirected: u64,
+    /// Size of the messages to be sent, in bytes, by [`Purpose::ALL`].
+    pub queued_bytes: [u64; Purpose::ALL.len()],
 }
 
 impl Stats {
@@ -42,6 +47,10 @@
         self.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
+    pub(crate) fn count_queued(&self, purpose: Purpose, bytes: usize) {
+        self.queued_bytes[purpose as usize].fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
     pub(crate) fn count_received(&self, bytes: usize) {
         self.received.fetch_add(1, Ordering::Relaxed);
         self.received_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
@@ -74,6 +83,16 @@
             bad_mac: self.bad_mac.load(Ordering::Relaxed),
             malformed: self.malformed.load(Ordering::Relaxed),
             misdirected: self.misdirected.load(Ordering::Relaxed),
+            queued_bytes: self.queued_bytes.each_ref().map(|it| it.load(Ordering::Relaxed)),
         }
     }
 }
+
+impl StatsSnapshot {
+    /// Returns the purposes and the bytes to be sent for each, as text.
+    pub fn bytes_by_purpose(&self) -> String {
+        let bytes = Purpose::ALL.iter().zip(self.queued_bytes).filter(|(_, it)| *it > 0);
+        let texts: Vec<String> = bytes.map(|(it, n)| format!("{} {n}", it.name())).collect();
+        texts.join(", ")
+    }
+}
--- a/components/transport/tests/transport.rs
+++ b/components/transport/tests/transport.rs
@@ -15,7 +15,9 @@
     sync::mpsc,
     time::timeout,
 };
-use transport::{FleetKeys, KeyError, OpenError, Transport, TransportSettings, open, seal};
+use transport::{
+    FleetKeys, KeyError, OpenError, Purpose, Transport, TransportSettings, open, seal,
+};
 
 /// Returns keys made of two hexadecimal digits each, repeated.
 fn keys(digits: &[&str]) -> FleetKeys {
@@ -112,6 +114,21 @@
     }
 }
 
+#[tokio::test]
+async fn bytes_are_counted_by_what_they_are_for() {
+    let (sender, _rx) = bind_host(1, keys(&["ab"])).await;
+    let (receiver, _rx) = bind_host(2, keys(&["ab"])).await;
+
+    sender.send(HostId(2), receiver.local_address(), large_message(1_000));
+    sender.send(HostId(2), receiver.local_address(), stream_message());
+
+    let bytes = sender.stats().queued_bytes;
+    assert!(bytes[Purpose::Registry as usize] > 1_000);
+    assert!((1..1_000).contains(&bytes[Purpose::Other as usize]));
+    let of_both = bytes[Purpose::Registry as usize] + bytes[Purpose::Other as usize];
+    assert_eq!(bytes.iter().sum::<u64>(), of_both);
+}
+
 #[tokio::test]
 async fn invalid_messages_are_counted_and_dropped() {
     let (sender, _rx) = bind_host(1, keys(&["ab"])).await;
