Count the retries of earlier processes in their own slices of the window

A process's clock starts at zero, so that all slices of earlier processes fell to its start: their requests counted for up to a window too long, and 400 retries were sent of 264 allowed after a restart of all gateways. The tests hid it, since their clocks went on after a restart; they start at zero now, and three fail before the change.

Slices are counted from a window before zero.

--- a/components/gateway_core/src/retry_budget/mod.rs
+++ b/components/gateway_core/src/retry_budget/mod.rs
@@ -17,7 +17,7 @@
 
 use std::collections::BTreeMap;
 
-use ids::{FastMap, HostId, LoanNumber, RequestId, RetryCredit, ServiceName, Timestamp};
+use ids::{FastMap, HostId, LoanNumber, Millis, RequestId, RetryCredit, ServiceName, Timestamp};
 use schema::retry_budget::{
     EarlierRetryCharges, LoanAnswer, LoanAsk, RetryBudgetMessage, RetryCharges, RetrySlice,
 };
@@ -288,7 +288,7 @@
             return;
         }
         let slices = self.slices_of_window(now, account).map(|(index, it)| RetrySlice {
-            age_ms: now.since(self.slice_start(index)),
+            age_ms: self.slice_age(now, index),
             requests: it.requests,
             charged: RetryCredit(it.charged),
         });
@@ -304,7 +304,8 @@
             let RetryCharges { service, slices } = &aged.charges;
             let mut earlier: BTreeMap<u64, Slice> = BTreeMap::new();
             for slice in slices {
-                let index = self.slice_index(now - aged.age_ms - slice.age_ms);
+                let index = self
+                    .slice_index_before(now, Millis(aged.age_ms.0.saturating_add(slice.age_ms.0)));
                 let slice = Slice { requests: slice.requests, charged: slice.charged.0 };
                 earlier.entry(index).or_default().add(&slice);
             }
@@ -343,14 +344,27 @@
     }
 
     fn slice_index(&self, now: Timestamp) -> u64 {
-        now.0 / self.slice_micros()
+        self.slice_index_before(now, Millis(0))
     }
 
-    fn slice_start(&self, index: u64) -> Timestamp {
-        Timestamp(index * self.slice_micros())
+    /// Returns the index of the slice of some time before. Slices are counted from a window before the
+    /// clock's zero, since earlier processes ended before this one started.
+    fn slice_index_before(&self, now: Timestamp, age: Millis) -> u64 {
+        let micros = self.micros_since_first_slice(now);
+        micros.saturating_sub(age.0.saturating_mul(1_000)) / self.slice_micros()
+    }
+
+    /// Returns the time since the start of a slice.
+    fn slice_age(&self, now: Timestamp, index: u64) -> Millis {
+        let start = index.saturating_mul(self.slice_micros());
+        Millis(self.micros_since_first_slice(now).saturating_sub(start) / 1_000)
+    }
+
+    fn micros_since_first_slice(&self, now: Timestamp) -> u64 {
+        now.0.saturating_add(self.settings.window.0.saturating_mul(1_000))
     }
 
     fn slice_micros(&self) -> u64 {
-        (self.settings.window.0 * 1_000 / WINDOW_SLICES).max(1)
+        (self.settings.window.0.saturating_mul(1_000) / WINDOW_SLICES).max(1)
     }
 }
--- a/components/gateway_core/tests/common/mod.rs
+++ b/components/gateway_core/tests/common/mod.rs
@@ -147,6 +147,18 @@
     control_hosts: Vec<HostId>,
 ) -> Gateway {
     let now = settings.started.max(at(0));
+    gateway_at(now, settings, routes, servers, hosts, control_hosts)
+}
+
+/// Creates a gateway like [`gateway_of_fleet`], which gets its first update at this time.
+pub fn gateway_at(
+    now: Timestamp,
+    settings: GatewaySettings,
+    routes: Vec<Route>,
+    servers: Vec<Announcement>,
+    hosts: Vec<EntryHostRecord>,
+    control_hosts: Vec<HostId>,
+) -> Gateway {
     let mut harness = Harness { gateway: Gateway::new(settings), next_index: 1, control_hosts };
     harness.gateway.set_config(config(1, routes));
     harness.update(now, servers, hosts);
--- a/components/gateway_core/tests/retry_budget.rs
+++ b/components/gateway_core/tests/retry_budget.rs
@@ -5,8 +5,8 @@
 
 use std::ops::Range;
 
-use common::{at, entry_host, gateway_of_fleet, head, route, server, settings, unchanged_update};
-use gateway_core::{AttemptEnd, Gateway, GatewaySettings, Idempotency, Step};
+use common::{at, entry_host, gateway_at, head, route, server, settings, unchanged_update};
+use gateway_core::{AttemptEnd, Gateway, Idempotency, Step};
 use ids::{ByteSize, HostId, Incarnation, RequestId, Timestamp};
 use registry::RetryChargeRecords;
 use schema::{retry_budget::RetryBudgetMessage, server_load::LoadReport};
@@ -43,6 +43,8 @@
     request_interval: u64,
     /// How long each gateway has been frozen, in milliseconds: its clock stops with it.
     frozen_for: Vec<u64>,
+    /// When each gateway's process started, if it is not the first one; its clock starts at zero then.
+    restarted_at: Vec<Option<u64>>,
     reports: Vec<(HostId, HostId, LoadReport)>,
     messages: Vec<(HostId, HostId, RetryBudgetMessage)>,
     waiting: Vec<(usize, RequestId, Timestamp)>,
@@ -53,7 +55,7 @@
 
 impl DataCentre {
     fn new(request_interval: u64) -> Self {
-        let gateways = (1..=GATEWAYS).map(|it| start_gateway(settings(HostId(it))));
+        let gateways = (1..=GATEWAYS).map(|it| start_gateway(at(0), HostId(it)));
         Self {
             gateways: gateways.collect(),
             incarnations: vec![1; GATEWAYS as usize],
@@ -61,6 +63,7 @@
             attempt_end: AttemptEnd::Lost,
             request_interval,
             frozen_for: vec![0; GATEWAYS as usize],
+            restarted_at: vec![None; GATEWAYS as usize],
             reports: Vec::new(),
             messages: Vec::new(),
             waiting: Vec::new(),
@@ -128,7 +131,10 @@
 
     /// Returns the time that gateway `i` reads from its own clock.
     fn clock(&self, i: usize, now: u64) -> Timestamp {
-        at(now - self.frozen_for[i])
+        match self.restarted_at[i] {
+            Some(restarted_at) => Timestamp::from_millis(now - restarted_at - self.frozen_for[i]),
+            None => at(now - self.frozen_for[i]),
+        }
     }
 
     fn request(&mut self, i: usize, now: u64) {
@@ -196,8 +202,8 @@
             self.frozen_for[i] = 0;
             self.incarnations[i] += 1;
             let host = HostId(i as u32 + 1);
-            let settings = GatewaySettings { started: at(now), ..settings(host) };
-            self.gateways[i] = start_gateway(settings);
+            self.restarted_at[i] = Some(now);
+            self.gateways[i] = start_gateway(Timestamp::default(), host);
         }
         self.messages.clear();
         self.waiting.clear();
@@ -234,13 +240,15 @@
     }
 }
 
-fn start_gateway(settings: GatewaySettings) -> Gateway {
+/// Starts a gateway whose clock shows this time; its process has started at zero.
+fn start_gateway(now: Timestamp, host: HostId) -> Gateway {
     let servers = (1..=8).map(|it| server(it, "north-a")).collect();
     let here = (1..=GATEWAYS).map(|it| entry_host(it, "north-a"));
     let elsewhere = (1..=GATEWAYS).map(|it| entry_host(100 + it, "south-a"));
     let routes = vec![route("look", Idempotency::Idempotent)];
     let control_hosts = CONTROL_HOSTS.map(HostId).collect();
-    gateway_of_fleet(settings, routes, servers, here.chain(elsewhere).collect(), control_hosts)
+    let hosts = here.chain(elsewhere).collect();
+    gateway_at(now, settings(host), routes, servers, hosts, control_hosts)
 }
 
 fn count_in_window(times: &[u64], start: u64) -> usize {
@@ -310,6 +318,22 @@
     }
 }
 
+#[test]
+fn requests_before_a_restart_do_not_count_for_longer_than_the_window() {
+    let mut data_centre = DataCentre::new(100);
+    data_centre.attempt_end = AttemptEnd::Answered;
+    data_centre.run(0..11_000, |_| false, |_, _| false);
+    data_centre.attempt_end = AttemptEnd::Lost;
+    data_centre.run(11_000..11_100, |_| false, |_, _| false);
+    data_centre.attempt_end = AttemptEnd::Answered;
+    data_centre.restart(11_100);
+    data_centre.run(11_100..15_000, |_| false, |_, _| false);
+    data_centre.attempt_end = AttemptEnd::Lost;
+    data_centre.run(15_000..35_000, |_| false, |_, _| false);
+
+    data_centre.assert_within_budget();
+}
+
 #[test]
 fn gateways_that_restart_together_with_the_control_hosts_keep_to_the_retry_budget() {
     for restart_at in (12_100..17_000).step_by(300) {
