--- a/components/gateway_core/tests/whole_fleet/control.rs
+++ b/components/gateway_core/tests/whole_fleet/control.rs
@@ -19,6 +19,7 @@
     disk: Persisted,
     is_disk_full: bool,
     process: Option<RegistryHost>,
+    started_at: u64,
     starts: u64,
     next_request: u64,
     announced: Vec<(RequestId, Announcement)>,
@@ -46,6 +47,7 @@
             disk,
             is_disk_full: false,
             process: None,
+            started_at: now,
             starts: 0,
             next_request: 0,
             announced: Vec::new(),
@@ -69,6 +71,7 @@
             return;
         }
         self.starts += 1;
+        self.started_at = now;
         self.announced.clear();
         let regions = ["north-a", "north-b", "south-a"];
         let settings = RegistryHostSettings {
@@ -86,14 +89,14 @@
             incarnation: self.incarnation(),
             is_new_fleet: self.starts == 1,
         };
-        let now = clock(self.host, now);
+        let now = clock(self.host, self.started_at, now);
         self.process = Some(RegistryHost::restore(settings, self.disk.clone(), now));
     }
 
     /// Fills the disk or makes room on it; returns the messages that the process sends then.
     pub fn set_disk_full(&mut self, now: u64, is_full: bool) -> Vec<(HostId, PeerMessage)> {
         let had_no_room = std::mem::replace(&mut self.is_disk_full, is_full);
-        let now = clock(self.host, now);
+        let now = clock(self.host, self.started_at, now);
         let Some(process) = self.process.as_mut() else { return Vec::new() };
         if is_full || !had_no_room || !process.status(now).is_read_only {
             return Vec::new();
@@ -132,7 +135,7 @@
     }
 
     fn handle(&mut self, now: u64, event: HostEvent) -> Vec<(HostId, PeerMessage)> {
-        let now = clock(self.host, now);
+        let now = clock(self.host, self.started_at, now);
         let Some(process) = self.process.as_mut() else { return Vec::new() };
         let actions = process.handle(now, event);
         self.execute(now, actions)
--- a/components/gateway_core/tests/whole_fleet/mod.rs
+++ b/components/gateway_core/tests/whole_fleet/mod.rs
@@ -33,15 +33,10 @@
 /// Milliseconds between two requests to a gateway.
 const REQUEST_INTERVAL: u64 = 20;
 
-/// Microseconds at which the clocks of the hosts start, and how they differ from each other.
-const CLOCK_START: u64 = 1_000_000_000;
-const CLOCK_STEP: u64 = 777_777_777;
-
-/// The clock of a host, which may be up to a hundredth too fast or too slow.
-pub fn clock(host: HostId, now: u64) -> Timestamp {
+/// The clock of a host's process, which starts at zero and may be up to a hundredth too fast or too slow.
+pub fn clock(host: HostId, started_at: u64, now: u64) -> Timestamp {
     let drift = u64::from(host.0 % 3) * 10;
-    let start = CLOCK_START + u64::from(host.0) * CLOCK_STEP;
-    Timestamp(start + now * (990 + drift))
+    Timestamp(now.saturating_sub(started_at) * (990 + drift))
 }
 
 pub fn place(host: HostId) -> Place {
@@ -88,11 +83,18 @@
     pub gateway: Gateway,
     /// Requests that wait for an event or a time.
     waiting: BTreeMap<RequestId, Timestamp>,
+    started_at: u64,
     pub requests: BTreeMap<RequestId, Sent>,
     /// When it last continued after a freeze.
     pub resumed_at: u64,
 }
 
+impl Process {
+    fn clock(&self, now: u64) -> Timestamp {
+        clock(self.host, self.started_at, now)
+    }
+}
+
 pub struct Fleet {
     pub now: u64,
     pub gateways: BTreeMap<HostId, Process>,
@@ -132,7 +134,6 @@
         let Place { region, data_centre } = place(host);
         let incarnation = Incarnation(self.starts);
         let settings = GatewaySettings {
-            started: clock(host, self.now),
             region,
             data_centre,
             incarnation,
@@ -147,6 +148,7 @@
             incarnation,
             gateway,
             waiting: BTreeMap::new(),
+            started_at: self.now,
             requests: BTreeMap::new(),
             resumed_at: self.now,
         };
@@ -211,7 +213,6 @@
             if self.faults.cut_links.contains(&(it.from, it.to)) || !self.is_active(it.to) {
                 continue;
             }
-            let at = clock(it.to, now);
             if let Some(control) = self.control.get_mut(&it.to) {
                 let sent = control.on_message(now, it.from, it.incarnation, it.message);
                 let incarnation = control.incarnation();
@@ -219,6 +220,7 @@
                 continue;
             }
             let Some(process) = self.gateways.get_mut(&it.to) else { continue };
+            let at = process.clock(now);
             let gateway = &mut process.gateway;
             match it.message {
                 PeerMessage::ServerLoad(report) => gateway.on_report(at, it.from, &report),
@@ -260,8 +262,8 @@
 
     fn tick_gateway(&mut self, host: HostId) {
         let now = self.now;
-        let at = clock(host, now);
         let Some(process) = self.gateways.get_mut(&host) else { return };
+        let at = process.clock(now);
         if let Some(poll) = process.gateway.poll(at) {
             let message = PeerMessage::Sync(SyncMessage::Poll(poll.poll));
             let sent = vec![(poll.to, message)];
@@ -292,8 +294,9 @@
             _ => Idempotency::NonIdempotent,
         };
         let name = if idempotency == Idempotency::Idempotent { "look" } else { "pay" };
-        let (now, at) = (self.now, clock(host, self.now));
+        let now = self.now;
         let process = self.gateways.get_mut(&host).expect("an active gateway runs");
+        let at = process.clock(now);
         self.checks.record_request(now, host);
         let Ok(id) = process.gateway.begin(at, head(&format!("/{name}/{number}"))) else { return };
         process.requests.insert(id, Sent { number, at: now, idempotency });
@@ -302,8 +305,9 @@
 
     /// Performs the steps of a request until it waits or ends.
     fn step(&mut self, host: HostId, id: RequestId) {
-        let (now, at) = (self.now, clock(host, self.now));
+        let now = self.now;
         let Some(process) = self.gateways.get_mut(&host) else { return };
+        let at = process.clock(now);
         process.waiting.remove(&id);
         let Some(sent) = process.requests.get(&id).copied() else { return };
         loop {
@@ -340,11 +344,11 @@
         for response in self.servers.take_responses(now, |host| self.faults.frozen.contains(&host))
         {
             let Response { origin: (host, incarnation), request, start, .. } = &response;
-            let at = clock(*host, now);
             let is_same = |it: &&mut Process| it.incarnation == *incarnation;
             let Some(process) = self.gateways.get_mut(host).filter(is_same) else { continue };
+            let at = process.clock(now);
             let key = (start.address, start.incarnation);
-            let sent_at = clock(*host, response.sent_at);
+            let sent_at = process.clock(response.sent_at);
             process.gateway.on_server_notice(at, key.0, key.1, sent_at, response.notice);
             process.gateway.on_path_outcome(at, key.0, key.1, PathOutcome::Reached);
             self.checks.record_notice(now, response.origin, start.incarnation, &response.notice);
