--- a/components/gateway_core/src/retry_budget/mod.rs
+++ b/components/gateway_core/src/retry_budget/mod.rs
@@ -11,6 +11,8 @@
 //!   a second. It borrows from other gateways of its data centre; see [`loans`].
 //! - *All servers shed while gateways are frozen, cut off or overloaded*, so that reports between
 //!   them are late or lost. None of them needs to know what the others have spent.
+//! - *Many gateways are killed right after a burst of retries.* Their next processes go on with what
+//!   control hosts have recorded of them; see [`earlier`].
 
 mod earlier;
 mod loans;
--- a/components/gateway_core/tests/retry_budget.rs
+++ b/components/gateway_core/tests/retry_budget.rs
@@ -251,6 +251,15 @@
     gateway_at(now, settings(host), routes, servers, hosts, control_hosts)
 }
 
+/// A data centre in which all servers begin to lose requests after a calm time.
+fn outbreak_after(calm_millis: u64) -> DataCentre {
+    let mut data_centre = DataCentre::new(100);
+    data_centre.attempt_end = AttemptEnd::Answered;
+    data_centre.run(0..calm_millis, |_| false, |_, _| false);
+    data_centre.attempt_end = AttemptEnd::Lost;
+    data_centre
+}
+
 fn count_in_window(times: &[u64], start: u64) -> usize {
     times.iter().filter(|it| (start..start + WINDOW).contains(it)).count()
 }
@@ -290,10 +299,7 @@
 
 #[test]
 fn gateways_that_restart_after_a_burst_of_retries_do_not_spend_the_retry_budget_again() {
-    let mut data_centre = DataCentre::new(100);
-    data_centre.attempt_end = AttemptEnd::Answered;
-    data_centre.run(0..12_000, |_| false, |_, _| false);
-    data_centre.attempt_end = AttemptEnd::Lost;
+    let mut data_centre = outbreak_after(12_000);
     data_centre.run(12_000..14_000, |_| false, |_, _| false);
     data_centre.restart(14_000);
     data_centre.run(14_000..40_000, |_| false, |_, _| false);
@@ -304,10 +310,7 @@
 #[test]
 fn gateways_that_restart_at_any_time_of_a_burst_do_not_spend_the_retry_budget_again() {
     for restart_at in (12_100..17_000).step_by(300) {
-        let mut data_centre = DataCentre::new(100);
-        data_centre.attempt_end = AttemptEnd::Answered;
-        data_centre.run(0..12_000, |_| false, |_, _| false);
-        data_centre.attempt_end = AttemptEnd::Lost;
+        let mut data_centre = outbreak_after(12_000);
         data_centre.run(12_000..restart_at, |_| false, |_, _| false);
         data_centre.restart(restart_at);
         data_centre.run(restart_at..restart_at + 700, |_| false, |_, _| false);
@@ -320,10 +323,7 @@
 
 #[test]
 fn requests_before_a_restart_do_not_count_for_longer_than_the_window() {
-    let mut data_centre = DataCentre::new(100);
-    data_centre.attempt_end = AttemptEnd::Answered;
-    data_centre.run(0..11_000, |_| false, |_, _| false);
-    data_centre.attempt_end = AttemptEnd::Lost;
+    let mut data_centre = outbreak_after(11_000);
     data_centre.run(11_000..11_100, |_| false, |_, _| false);
     data_centre.attempt_end = AttemptEnd::Answered;
     data_centre.restart(11_100);
@@ -337,10 +337,7 @@
 #[test]
 fn gateways_that_restart_together_with_the_control_hosts_keep_to_the_retry_budget() {
     for restart_at in (12_100..17_000).step_by(300) {
-        let mut data_centre = DataCentre::new(100);
-        data_centre.attempt_end = AttemptEnd::Answered;
-        data_centre.run(0..12_000, |_| false, |_, _| false);
-        data_centre.attempt_end = AttemptEnd::Lost;
+        let mut data_centre = outbreak_after(12_000);
         data_centre.run(12_000..restart_at, |_| false, |_, _| false);
         data_centre.restart_control_hosts(restart_at);
         data_centre.restart(restart_at);
@@ -352,10 +349,7 @@
 
 #[test]
 fn a_gateway_that_restarts_goes_on_with_the_retry_budget_of_its_earlier_process() {
-    let mut data_centre = DataCentre::new(100);
-    data_centre.attempt_end = AttemptEnd::Answered;
-    data_centre.run(0..12_000, |_| false, |_, _| false);
-    data_centre.attempt_end = AttemptEnd::Lost;
+    let mut data_centre = outbreak_after(12_000);
     data_centre.run(12_000..12_100, |_| false, |_, _| false);
     data_centre.restart(12_100);
     data_centre.attempt_end = AttemptEnd::Answered;
--- a/components/gateway_core/tests/whole_fleet/mod.rs
+++ b/components/gateway_core/tests/whole_fleet/mod.rs
@@ -7,9 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use gateway_core::{
-    AttemptEnd, Finish, Gateway, GatewaySettings, Idempotency, PathOutcome, RelayEnd, Step,
-};
+use gateway_core::{Finish, Gateway, GatewaySettings, Idempotency, PathOutcome, RelayEnd, Step};
 use ids::{ByteSize, HostId, Incarnation, RequestId, Timestamp};
 use schema::{
     peer::PeerMessage,
@@ -391,6 +389,3 @@
     };
     messages.into_iter().map(envelope).collect()
 }
-
-/// How an attempt ends that the server refused without running it.
-pub const REFUSED: AttemptEnd = AttemptEnd::Shed;
--- a/components/gateway_core/tests/whole_fleet/servers.rs
+++ b/components/gateway_core/tests/whole_fleet/servers.rs
@@ -14,6 +14,9 @@
 /// Milliseconds that a pausing server asks for.
 pub const PAUSE: u64 = 2_000;
 
+/// How an attempt ends that the server refused without running it.
+const REFUSED: AttemptEnd = AttemptEnd::Shed;
+
 /// A gateway's process.
 pub type Origin = (HostId, Incarnation);
 
@@ -148,13 +151,13 @@
             }
             Mode::Pausing => {
                 let pause = Some(Millis(PAUSE));
-                (5, ServerNotice { pause, ..unlimited }, super::REFUSED)
+                (5, ServerNotice { pause, ..unlimited }, REFUSED)
             }
             Mode::Losing => (20, ServerNotice::default(), AttemptEnd::Lost),
             Mode::Slow => (1_000, unlimited, AttemptEnd::Answered),
             Mode::Down => unreachable!("handled above"),
         };
-        if end != super::REFUSED {
+        if end != REFUSED {
             checks.record_run(now, sent);
         }
         let start = start.clone();
