Let the test of a killed gateway's retries wait until it has sent one

Trace: the gateway's log had no "retry sent"; it was killed before the servers' announcements had reached it, so that there was nothing to know. The test now waits until both servers are used, and repeats kills until a process knows a retry, since a report that was just queued may die with its process.

--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -340,7 +340,7 @@
 }
 
 /// Polls `check` until it returns a value; panics after [`WAIT_TIMEOUT`].
-pub fn wait_for<T>(expected: &str, check: impl Fn() -> Option<T>) -> T {
+pub fn wait_for<T>(expected: &str, mut check: impl FnMut() -> Option<T>) -> T {
     let start = Instant::now();
     loop {
         if let Some(value) = check() {
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -177,18 +177,20 @@
     fleet.put_config(1, "queue");
     servers.iter().for_each(|it| fleet.announce(it, 1, ServerState::Serving));
     fleet.wait_until_ready();
+    fleet.wait_until_used(11, &servers);
     wait_for("the first answer", || (earlier_retries(&fleet, 11) == [0]).then_some(()));
 
-    servers.iter().for_each(|it| it.drops_connections.store(true, Ordering::Relaxed));
-    for i in 0..5 {
-        let id = format!("lost-{i}");
-        fleet.request(11, &id, &format!("/look/{id}"));
-    }
-    fleet.kill(11);
-    fleet.start_gateway(11);
-
-    wait_for("the second answer", || {
-        matches!(earlier_retries(&fleet, 11)[..], [0, charged] if charged >= 1_000).then_some(())
+    // A report that a process has just queued may be lost with it.
+    wait_for("a process that knows the retries of the one before", || {
+        servers.iter().for_each(|it| it.drops_connections.store(true, Ordering::Relaxed));
+        fleet.request(11, "lost", "/look/lost");
+        servers.iter().for_each(|it| it.drops_connections.store(false, Ordering::Relaxed));
+        let known = earlier_retries(&fleet, 11).len();
+        fleet.kill(11);
+        fleet.start_gateway(11);
+        wait_for("the next answer", || (earlier_retries(&fleet, 11).len() > known).then_some(()));
+        fleet.wait_until_served(11, "/look/again");
+        earlier_retries(&fleet, 11).last().filter(|it| **it >= 1_000).map(|_| ())
     });
 }
 
