Name the requests that are open at the end of a process, and those that a planned stop cuts off

The log could not tell apart a request whose caller's time was over, one whose deadline a planned stop had moved, and one that was open on a connection when the process ended: 'planned stop is complete' counted the requests of the decision logic only, and 'time-limit' stood for two causes.

Each connection now has a record of what it is busy with. At the end of a process the log names each request that may have no complete response yet, with the stage that it was in, and the outcome 'stop-reached' tells the cut of a planned stop from 'time-limit'. What is served, refused and cut is unchanged.

--- /dev/null
+++ b/components/gateway/src/connections.rs
@@ -0,0 +1,95 @@
+//! The open connections of callers and other clients, and what happens on each.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::{Rc, Weak},
+};
+
+/// What a connection is busy with.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub(crate) enum Stage {
+    /// awaits-request
+    AwaitsRequest,
+    /// reads-body
+    ReadsBody,
+    /// in-work
+    InWork,
+    /// writes-response
+    WritesResponse,
+}
+
+/// A connection and the latest request on it.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    peer: SocketAddr,
+    stage: Cell<Stage>,
+    /// Id of the request if it has one, otherwise its path.
+    request: RefCell<Rc<str>>,
+}
+
+impl Exchange {
+    /// Returns the address of the client.
+    pub(crate) fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Records that the head of a request was received.
+    pub(crate) fn begin(&self, path: &str) {
+        self.stage.set(Stage::ReadsBody);
+        self.name(path.into());
+    }
+
+    /// Names the request by its id.
+    pub(crate) fn name(&self, request: Rc<str>) {
+        *self.request.borrow_mut() = request;
+    }
+
+    pub(crate) fn enter(&self, stage: Stage) {
+        self.stage.set(stage);
+    }
+}
+
+/// The open connections of a process.
+#[derive(Debug, Default)]
+pub(crate) struct Connections {
+    exchanges: RefCell<Vec<Weak<Exchange>>>,
+}
+
+impl Connections {
+    /// Records a new connection, which is open as long as its exchange is held.
+    pub(crate) fn open(&self, peer: SocketAddr) -> Rc<Exchange> {
+        let exchange = Rc::new(Exchange {
+            peer,
+            stage: Cell::new(Stage::AwaitsRequest),
+            request: RefCell::new("".into()),
+        });
+        let mut exchanges = self.exchanges.borrow_mut();
+        // Amortizes the removal of closed connections.
+        if exchanges.len() == exchanges.capacity() {
+            exchanges.retain(|it| it.strong_count() > 0);
+        }
+        exchanges.push(Rc::downgrade(&exchange));
+        exchange
+    }
+
+    /// Returns the number of open connections.
+    pub(crate) fn count(&self) -> usize {
+        self.exchanges.borrow().iter().filter(|it| it.strong_count() > 0).count()
+    }
+
+    /// Logs the open connections whose requests may have no complete response yet.
+    pub(crate) fn log_unfinished(&self) {
+        for exchange in self.exchanges.borrow().iter().filter_map(Weak::upgrade) {
+            if exchange.stage.get() == Stage::AwaitsRequest {
+                continue;
+            }
+            log::warn!(
+                request:% = exchange.request.borrow(),
+                peer:% = exchange.peer,
+                stage:% = exchange.stage.get();
+                "connection is open at the end of the process"
+            );
+        }
+    }
+}
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -21,6 +21,7 @@
 use tokio::{sync::mpsc, time::MissedTickBehavior};
 
 use crate::{
+    connections::Connections,
     http,
     peers::{self, StartError},
     seeds::SettingsWatch,
@@ -84,6 +85,7 @@
     let metrics_listener = http::listen(metrics_address)?;
     let request_handler = Rc::new(RequestHandler::new(&settings, tx.clone()));
     let request_listener = http::listen(settings.request_address)?;
+    let connections = Rc::new(Connections::default());
     log::info!(
         host:% = settings.ip,
         bootstrap = settings.bootstrap,
@@ -111,8 +113,12 @@
                 }
             }
         } => {}
-        () = http::serve(request_listener, move |req| request_handler.clone().handle(req)) => {}
-        () = http::serve(metrics_listener, move |req| metrics::handle(metrics.clone(), req)) => {}
+        () = http::serve(request_listener, connections.clone(), move |req, _| {
+            request_handler.clone().handle(req)
+        }) => {}
+        () = http::serve(metrics_listener, connections.clone(), move |req, _| {
+            metrics::handle(metrics.clone(), req)
+        }) => {}
     }
     log::info!(
         host:% = settings.ip,
@@ -122,6 +128,7 @@
     // The driver may have stopped already.
     let _ = tx.send(DriverEvent::Host(HostEvent::Stop)).await;
     tokio::time::sleep(STOP_DELAY).await;
+    connections.log_unfinished();
     Ok(())
 }
 
--- a/components/gateway/src/entry/callers.rs
+++ b/components/gateway/src/entry/callers.rs
@@ -20,7 +20,10 @@
     relay,
     shared::Shared,
 };
-use crate::http::{self, Reply, Sender};
+use crate::{
+    connections::{Exchange, Stage},
+    http::{self, Reply},
+};
 
 /// Maximum size of a request body while there is no configuration, in bytes.
 const DEFAULT_MAX_BODY_BYTES: u64 = 1024 * 1024;
@@ -40,8 +43,12 @@
 const RELEASE_SPREAD: Millis = Millis(200);
 
 /// Handles one request of a caller.
-pub(crate) async fn handle(shared: Rc<Shared>, req: Request<Incoming>) -> Reply {
-    let mut reply = respond(&shared, req).await;
+pub(crate) async fn handle(
+    shared: Rc<Shared>,
+    req: Request<Incoming>,
+    exchange: Rc<Exchange>,
+) -> Reply {
+    let mut reply = respond(&shared, req, &exchange).await;
     let lifecycle = shared.with_core(|core, _| core.lifecycle());
     if matches!(lifecycle, Lifecycle::Draining { .. }) {
         reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -49,10 +56,9 @@
     reply
 }
 
-async fn respond(shared: &Rc<Shared>, req: Request<Incoming>) -> Reply {
+async fn respond(shared: &Rc<Shared>, req: Request<Incoming>, exchange: &Exchange) -> Reply {
     let (mut head, body) = req.into_parts();
-    let sender = head.extensions.get::<Sender>().expect("the server sets the sender").0;
-    let Ok(relayed) = relay::take_head(shared, &mut head.headers, sender) else {
+    let Ok(relayed) = relay::take_head(shared, &mut head.headers, exchange.peer()) else {
         let mut reply =
             http::text(StatusCode::SERVICE_UNAVAILABLE, "the relay header is not valid\n");
         relay::mark_reply(&mut reply, RelayEnd::Unable);
@@ -60,6 +66,7 @@
     };
     let caller = headers::read_caller(&head.headers);
     let attempt_id: Rc<str> = caller.attempt_id.as_str().into();
+    exchange.name(attempt_id.clone());
     wait_for_config(shared, &attempt_id).await;
     let body = match read_body(shared, body).await {
         Ok(body) => body,
@@ -72,6 +79,7 @@
             return http::text(status, "the request body could not be read\n");
         }
     };
+    exchange.enter(Stage::InWork);
     let request_head = RequestHead {
         host: host_of(&head.headers, &head.uri),
         path: head.uri.path().to_owned(),
@@ -155,7 +163,9 @@
     let status = match (refusal.reason, refusal.run) {
         (RefusalReason::UnknownRoute, _) => StatusCode::NOT_FOUND,
         (_, RunStatus::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
-        (RefusalReason::TimeLimit, RunStatus::MayHaveRun) => StatusCode::GATEWAY_TIMEOUT,
+        (RefusalReason::TimeLimit | RefusalReason::StopReached, RunStatus::MayHaveRun) => {
+            StatusCode::GATEWAY_TIMEOUT
+        }
         (_, RunStatus::MayHaveRun) => StatusCode::BAD_GATEWAY,
     };
     let mut reply = http::text(status, format!("{}\n", refusal.reason));
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -24,6 +24,7 @@
 use tokio::{sync::mpsc, time::sleep};
 
 use crate::{
+    connections::Connections,
     http,
     peers::{self, StartError},
     seeds::SettingsWatch,
@@ -67,7 +68,8 @@
         (settings.ip, settings.peer_port.get()),
         Metrics::new(),
     ));
-    spawn_listeners(&settings, &shared)?;
+    let connections = Rc::new(Connections::default());
+    spawn_listeners(&settings, &shared, &connections)?;
     tokio::task::spawn_local(feed_frames(shared.clone(), frames));
     tokio::task::spawn_local(poll_registry(shared.clone()));
     tokio::task::spawn_local(feed_seeds(shared.clone(), watch));
@@ -79,7 +81,7 @@
         "gateway started"
     );
     stop.await;
-    drain(&settings, &shared).await;
+    drain(&settings, &shared, &connections).await;
     Ok(())
 }
 
@@ -106,22 +108,34 @@
 }
 
 /// Starts all HTTP listeners; requests of callers wait there for the first configuration.
-fn spawn_listeners(settings: &GatewaySettings, shared: &Rc<Shared>) -> Result<(), StartError> {
+fn spawn_listeners(
+    settings: &GatewaySettings,
+    shared: &Rc<Shared>,
+    connections: &Rc<Connections>,
+) -> Result<(), StartError> {
     let callers = http::listen(settings.caller_address)?;
     let cx = shared.clone();
-    let serve = http::serve(callers, move |req| callers::handle(cx.clone(), req));
+    let serve = http::serve(callers, connections.clone(), move |req, exchange| {
+        callers::handle(cx.clone(), req, exchange)
+    });
     tokio::task::spawn_local(serve);
     let readiness = http::listen(settings.readiness_address)?;
     let directory = http::listen(settings.directory_address)?;
     let metrics = http::listen((settings.ip, settings.metrics_port.get()).into())?;
     let cx = shared.clone();
-    let serve = http::serve(readiness, move |req| endpoints::readiness(cx.clone(), req));
+    let serve = http::serve(readiness, connections.clone(), move |req, _| {
+        endpoints::readiness(cx.clone(), req)
+    });
     tokio::task::spawn_local(serve);
     let cx = shared.clone();
-    let serve = http::serve(directory, move |req| endpoints::directory(cx.clone(), req));
+    let serve = http::serve(directory, connections.clone(), move |req, _| {
+        endpoints::directory(cx.clone(), req)
+    });
     tokio::task::spawn_local(serve);
     let cx = shared.clone();
-    let serve = http::serve(metrics, move |req| endpoints::metrics(cx.clone(), req));
+    let serve = http::serve(metrics, connections.clone(), move |req, _| {
+        endpoints::metrics(cx.clone(), req)
+    });
     tokio::task::spawn_local(serve);
     Ok(())
 }
@@ -186,7 +200,7 @@
 
 /// Withdraws this gateway from the directories, serves callers that still use its address, and
 /// waits for the requests in flight.
-async fn drain(settings: &GatewaySettings, shared: &Rc<Shared>) {
+async fn drain(settings: &GatewaySettings, shared: &Rc<Shared>, connections: &Connections) {
     let limit = Millis(settings.stop_within_s.0.0.saturating_sub(EXIT_RESERVE.0));
     let cache_time = settings.directory_keep_s.0.0 * MAX_CACHED_ANSWERS + PROPAGATION_TIME.0;
     let (deadline, earliest_end) = shared.with_core(|core, now| {
@@ -194,7 +208,12 @@
         (now + limit, now + Millis(cache_time.min(limit.0)))
     });
     shared.poll_due.notify_one();
-    log::info!(in_flight = shared.in_flight(), limit_ms = limit.0; "planned stop begins");
+    log::info!(
+        in_flight = shared.in_flight(),
+        connections = connections.count(),
+        limit_ms = limit.0;
+        "planned stop begins"
+    );
     loop {
         let now = shared.clock.now();
         let is_done = now >= earliest_end && shared.in_flight() == 0;
@@ -205,8 +224,10 @@
     }
     // Leaves time to deliver the last responses.
     sleep(DRAIN_CHECK_INTERVAL).await;
+    connections.log_unfinished();
     log::info!(
         in_flight = shared.in_flight(),
+        connections = connections.count(),
         queued_bytes:% = shared.transport_stats().bytes_by_purpose();
         "planned stop is complete"
     );
--- a/components/gateway/src/http.rs
+++ b/components/gateway/src/http.rs
@@ -14,7 +14,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpSocket};
 
-use crate::peers::StartError;
+use crate::{
+    connections::{Connections, Exchange, Stage},
+    peers::StartError,
+};
 
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 512;
@@ -30,10 +33,6 @@
 /// Delay after an `accept` error, which usually means that no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
-/// The address that a request comes from, as an extension of the request.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Sender(pub(crate) SocketAddr);
-
 /// A response whose body is held in memory.
 pub(crate) type Reply = Response<Full<Bytes>>;
 
@@ -49,9 +48,9 @@
 }
 
 /// Accepts connections and calls `handle` for each request, until the future is dropped.
-pub(crate) async fn serve<F, R>(listener: TcpListener, handle: F)
+pub(crate) async fn serve<F, R>(listener: TcpListener, connections: Rc<Connections>, handle: F)
 where
-    F: Fn(Request<Incoming>) -> R + Clone + 'static,
+    F: Fn(Request<Incoming>, Rc<Exchange>) -> R + Clone + 'static,
     R: Future<Output = Reply> + 'static,
 {
     let handle = Rc::new(handle);
@@ -69,10 +68,17 @@
             log::debug!(error:% = e; "responses may be delayed");
         }
         let handle = handle.clone();
-        let service = service_fn(move |mut req: Request<Incoming>| {
-            req.extensions_mut().insert(Sender(address));
-            let reply = handle(req);
-            async move { Ok::<_, Infallible>(reply.await) }
+        let exchange = connections.open(address);
+        let service_exchange = exchange.clone();
+        let service = service_fn(move |req: Request<Incoming>| {
+            let exchange = service_exchange.clone();
+            exchange.begin(req.uri().path());
+            let reply = handle(req, exchange.clone());
+            async move {
+                let reply = reply.await;
+                exchange.enter(Stage::WritesResponse);
+                Ok::<_, Infallible>(reply)
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -84,6 +90,7 @@
             if let Err(e) = connection.await {
                 log::debug!(error:% = e; "connection of a client failed");
             }
+            drop(exchange);
         });
     }
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod control;
 pub mod entry;
 
+mod connections;
 mod http;
 mod peers;
 mod seeds;
--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -63,7 +63,11 @@
             return Step::Finish(Finish::Answer(attempt));
         }
         if now >= request.deadline {
-            return self.give_up(now, id, RefusalReason::TimeLimit, None);
+            let reason = match request.ends_with_stop {
+                true => RefusalReason::StopReached,
+                false => RefusalReason::TimeLimit,
+            };
+            return self.give_up(now, id, reason, None);
         }
         if !request.in_flight.is_empty() {
             return self.check_in_flight(now, id);
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -270,23 +270,26 @@
         route.targets[0].service.clone()
     }
 
-    /// Returns the deadline of a new request. A draining gateway refuses requests that it can't
-    /// finish in time.
+    /// Returns the deadline of a new request, and whether a planned stop sets it. A draining gateway
+    /// refuses requests that it can't finish in time.
     fn deadline(
         &self,
         now: Timestamp,
         route: &Route,
         caller_timeout: Option<Millis>,
-    ) -> Result<Timestamp, Refusal> {
+    ) -> Result<(Timestamp, bool), Refusal> {
         let limit = caller_timeout.map_or(route.time_limit, |it| it.min(route.time_limit));
         let deadline = now + limit;
-        let Lifecycle::Draining { until: stop_at } = self.lifecycle else { return Ok(deadline) };
+        let Lifecycle::Draining { until: stop_at } = self.lifecycle else {
+            return Ok((deadline, false));
+        };
         let min_time = self.servers.average_latency(route) * STOP_LATENCY_FACTOR;
         if (stop_at.since(now).0 as f64) < min_time {
             let retry_after = Some(STOPPING_RETRY_AFTER);
             return Err(Refusal::not_run(RefusalReason::Stopping, retry_after));
         }
-        Ok(deadline.min(stop_at - STOP_MARGIN))
+        let last_deadline = stop_at - STOP_MARGIN;
+        Ok((deadline.min(last_deadline), last_deadline < deadline))
     }
 
     fn random_unit(rng: &mut Xoshiro256PlusPlus) -> f64 {
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -176,6 +176,8 @@
     RetryBudgetSpent,
     /// this gateway stops
     Stopping,
+    /// this gateway stops before the backend server has answered
+    StopReached,
     /// this gateway can't reach the backend servers
     PathsDown,
     /// this gateway already works on too many requests of others
@@ -199,6 +201,7 @@
             Self::NoAnswer => "no-answer",
             Self::RetryBudgetSpent => "retry-budget-spent",
             Self::Stopping => "stopping",
+            Self::StopReached => "stop-reached",
             Self::PathsDown => "paths-down",
             Self::TooManyRelayed => "too-many-relayed",
             Self::RelayRefused => "relay-refused",
@@ -270,6 +273,8 @@
     pub(crate) received: Timestamp,
     /// When the caller must have its response.
     pub(crate) deadline: Timestamp,
+    /// Whether a planned stop sets the deadline.
+    pub(crate) ends_with_stop: bool,
     pub(crate) tried: Vec<ServerId>,
     /// All attempts in the order of sending, and how each ended.
     pub(crate) attempt_log: Vec<(AttemptTarget, &'static str)>,
@@ -295,7 +300,7 @@
         head: RequestHead,
         route: Arc<Route>,
         service: ServiceName,
-        deadline: Timestamp,
+        (deadline, ends_with_stop): (Timestamp, bool),
     ) -> Self {
         let allowed = head.relayed.as_ref().map_or(u32::MAX, |it| it.max_attempts);
         let max_attempts = route.max_attempts.min(allowed);
@@ -307,6 +312,7 @@
             relay_refusal: None,
             received: now,
             deadline,
+            ends_with_stop,
             tried: Vec::new(),
             attempt_log: Vec::new(),
             in_flight: Vec::new(),
