Fail tests at once when a host of their fleet ends, and print the logs

A test whose control host could not start waited 60 s and failed with "timed out waiting for /-/config/put"; the reason stood among the output of other tests, and the logs were deleted with the fleet.

The harness now keeps what hosts write to standard error in their log files. `wait_for` and the end of a fleet fail when a process has ended that no test ended, with the end of its log, and a test that fails prints the last 40 lines of each host of its fleet.

a_wait_ends_with_the_log_of_a_host_that_has_ended_on_its_own, in which the port of a host is occupied, ended after 60 s with "timed out" before.

--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -1,8 +1,9 @@
 //! Test harness: a gateway fleet of real processes on loopback addresses.
 
-#![allow(dead_code, unused_imports)]
+#![allow(dead_code, unused_imports, clippy::print_stderr)]
 
 mod http;
+mod processes;
 mod server;
 
 use std::{
@@ -22,6 +23,8 @@
 use schema::announcement::{Announcement, ServerState};
 use tempfile::TempDir;
 
+use self::processes::{Watch, check_processes};
+
 pub use self::{
     http::{HttpResponse, call, receive, send},
     server::{Cut, Pour, Server},
@@ -58,16 +61,23 @@
     /// Third byte of the addresses `127.77.SUBNET.HOST`.
     pub subnet: u8,
     pub processes: BTreeMap<Ipv4Addr, Child>,
+    watch: Watch,
     /// Keeps other test processes from using the subnet.
     _subnet_lock: TcpListener,
 }
 
 impl Drop for Fleet {
     fn drop(&mut self) {
+        let ended = self.watch.find_ended();
         for process in self.processes.values_mut() {
             let _ = process.kill();
             let _ = process.wait();
         }
+        if thread::panicking() {
+            self.watch.print_logs();
+        } else if let Some(message) = ended {
+            panic!("{message}");
+        }
     }
 }
 
@@ -79,15 +89,7 @@
 
     /// Starts the control hosts 1 to 3, and gateways from host 11 on.
     pub fn start_with(gateways: u8) -> Self {
-        let (subnet, subnet_lock) = lock_subnet();
-        let ports = free_ports(subnet);
-        let mut fleet = Self {
-            ports,
-            folder: tempfile::tempdir().unwrap(),
-            subnet,
-            processes: BTreeMap::new(),
-            _subnet_lock: subnet_lock,
-        };
+        let mut fleet = Self::without_hosts();
         for i in 1..=3 {
             fleet.start_control(i, true);
         }
@@ -97,6 +99,19 @@
         fleet
     }
 
+    /// Prepares a fleet whose hosts the test starts.
+    pub fn without_hosts() -> Self {
+        let (subnet, subnet_lock) = lock_subnet();
+        Self {
+            ports: free_ports(subnet),
+            folder: tempfile::tempdir().unwrap(),
+            subnet,
+            processes: BTreeMap::new(),
+            watch: Watch::start(),
+            _subnet_lock: subnet_lock,
+        }
+    }
+
     pub fn ip(&self, host: u8) -> Ipv4Addr {
         Ipv4Addr::new(127, 77, self.subnet, host)
     }
@@ -151,14 +166,16 @@
     pub fn spawn(&mut self, role: &str, host: u8, settings: &str) {
         let path = self.folder.path().join(format!("{host}.yaml"));
         fs::write(&path, settings).unwrap();
-        let log = fs::OpenOptions::new().create(true).append(true).open(self.log_file(host));
+        let log =
+            fs::OpenOptions::new().create(true).append(true).open(self.log_file(host)).unwrap();
         let process = Command::new(gateway_binary())
             .args([role, "--settings"])
             .arg(&path)
-            .stdout(Stdio::from(log.unwrap()))
-            .stderr(Stdio::inherit())
+            .stdout(Stdio::from(log.try_clone().unwrap()))
+            .stderr(Stdio::from(log))
             .spawn()
             .unwrap();
+        self.watch.add(self.ip(host), process.id(), self.log_file(host));
         self.processes.insert(self.ip(host), process);
     }
 
@@ -172,10 +189,14 @@
 
     pub fn signal(&self, host: u8, name: &str) {
         let id = self.processes[&self.ip(host)].id().to_string();
+        if !["-STOP", "-CONT", "-HUP"].contains(&name) {
+            self.watch.expect_end(self.ip(host));
+        }
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
 
     pub fn kill(&mut self, host: u8) {
+        self.watch.expect_end(self.ip(host));
         let process = self.processes.get_mut(&self.ip(host)).unwrap();
         process.kill().unwrap();
         process.wait().unwrap();
@@ -339,13 +360,15 @@
     }
 }
 
-/// Polls `check` until it returns a value; panics after [`WAIT_TIMEOUT`].
+/// Polls `check` until it returns a value; panics after [`WAIT_TIMEOUT`], and when a process of a
+/// fleet of this thread has ended on its own.
 pub fn wait_for<T>(expected: &str, mut check: impl FnMut() -> Option<T>) -> T {
     let start = Instant::now();
     loop {
         if let Some(value) = check() {
             return value;
         }
+        check_processes();
         assert!(start.elapsed() < WAIT_TIMEOUT, "timed out waiting for {expected}");
         thread::sleep(Duration::from_millis(20));
     }
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -4,7 +4,8 @@
 
 use std::{
     fs,
-    net::{Ipv4Addr, TcpStream},
+    net::{Ipv4Addr, TcpListener, TcpStream},
+    panic::{self, AssertUnwindSafe},
     sync::atomic::Ordering,
     thread,
     time::{Duration, Instant},
@@ -212,3 +213,21 @@
         });
     }
 }
+
+#[test]
+fn a_wait_ends_with_the_log_of_a_host_that_has_ended_on_its_own() {
+    let mut fleet = Fleet::start_with(0);
+    let _occupied = TcpListener::bind(fleet.address(9, fleet.ports.peer)).unwrap();
+    let start = Instant::now();
+
+    fleet.start_control(9, false);
+    let wait = AssertUnwindSafe(|| wait_for("nothing", || None::<()>));
+    let payload = panic::catch_unwind(wait).unwrap_err();
+
+    let message = payload.downcast_ref::<String>().unwrap();
+    assert!(start.elapsed() < WAIT_TIMEOUT / 2, "{message}");
+    let ip = fleet.ip(9);
+    assert!(message.contains(&format!("host {ip} has ended")), "{message}");
+    assert!(message.contains("cannot listen on"), "{message}");
+    fleet.kill(9);
+}
