Give the hosts of test fleets fixed ports that nothing else can hold

Tests of gateway fleets failed now and then with "timed out waiting for /-/config/put": control host 1 had ended with "cannot listen on 127.77.127.1:37475: Address already in use", and a new fleet accepts nothing until all its seeds take part.

The harness bound sockets on host 1 to choose free ports. While another thread starts a process, the child holds copies of these sockets between fork and exec, so that the ports may still be bound when the host starts.

The ports are now fixed, below that range, and never bound by the harness; the lock of the subnet keeps other fleets away. A subnet on which hosts of a test that was killed still run is passed over.

--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -9,7 +9,7 @@
 use std::{
     collections::BTreeMap,
     env, fs,
-    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::{self, Child, Command, Stdio},
     sync::atomic::{AtomicU64, Ordering},
@@ -42,6 +42,18 @@
 /// Number of the next fleet of this process, from which its loopback addresses are derived.
 static NEXT_FLEET: AtomicU64 = AtomicU64::new(0);
 
+/// The ports of all hosts, each on its own address. The kernel gives outgoing connections higher
+/// ones, and none is bound to try whether it is free: a process that is being started by another
+/// thread holds copies of this process's sockets for a moment.
+const PORTS: Ports = Ports {
+    peer: 9_981,
+    metrics: 9_982,
+    requests: 9_983,
+    callers: 9_984,
+    readiness: 9_985,
+    directory: 9_986,
+};
+
 /// The ports that all hosts of a fleet use, each host on its own address.
 #[derive(Clone, Copy)]
 pub struct Ports {
@@ -103,7 +115,7 @@
     pub fn without_hosts() -> Self {
         let (subnet, subnet_lock) = lock_subnet();
         Self {
-            ports: free_ports(subnet),
+            ports: PORTS,
             folder: tempfile::tempdir().unwrap(),
             subnet,
             processes: BTreeMap::new(),
@@ -289,40 +301,21 @@
         let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
         let subnet = 20 + u8::try_from((u64::from(process::id()) + number) % 200).unwrap();
         let address = (Ipv4Addr::new(127, 77, subnet, 254), SUBNET_LOCK_PORT);
-        if let Ok(listener) = TcpListener::bind(address) {
+        if let Ok(listener) = TcpListener::bind(address)
+            && !has_running_hosts(subnet)
+        {
             return (subnet, listener);
         }
     }
 }
 
-/// Chooses ports that are free for both TCP and UDP.
-fn free_ports(subnet: u8) -> Ports {
-    let sockets: Vec<(TcpListener, UdpSocket)> = (0..6)
-        .map(|_| {
-            loop {
-                let tcp = TcpListener::bind((Ipv4Addr::new(127, 77, subnet, 1), 0)).unwrap();
-                let port = tcp.local_addr().unwrap().port();
-                // Closed connections of an earlier fleet may still hold the port of a host.
-                let is_free = |host: u8| {
-                    TcpListener::bind((Ipv4Addr::new(127, 77, subnet, host), port)).is_ok()
-                };
-                if let Ok(udp) = UdpSocket::bind(tcp.local_addr().unwrap())
-                    && (2..=MAX_HOST).all(is_free)
-                {
-                    break (tcp, udp);
-                }
-            }
-        })
-        .collect();
-    let port = |i: usize| sockets[i].0.local_addr().unwrap().port();
-    Ports {
-        peer: port(0),
-        metrics: port(1),
-        requests: port(2),
-        callers: port(3),
-        readiness: port(4),
-        directory: port(5),
-    }
+/// Returns whether hosts of a test process that was killed still run.
+fn has_running_hosts(subnet: u8) -> bool {
+    let is_running = |host: u8| {
+        let address = (Ipv4Addr::new(127, 77, subnet, host), PORTS.metrics);
+        TcpStream::connect(address).is_ok()
+    };
+    (1..=MAX_HOST).any(is_running)
 }
 
 /// Returns a configuration in which `service` serves the routes `look` (idempotent) and `pay`
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -6,7 +6,8 @@
     fs,
     net::{Ipv4Addr, TcpListener, TcpStream},
     panic::{self, AssertUnwindSafe},
-    sync::atomic::Ordering,
+    process::Command,
+    sync::atomic::{AtomicBool, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -214,6 +215,47 @@
     }
 }
 
+#[test]
+fn hosts_listen_outside_the_range_of_ports_of_outgoing_connections() {
+    let range = fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").unwrap();
+    let range: Vec<u16> = range.split_whitespace().map(|it| it.parse().unwrap()).collect();
+
+    let ports = Fleet::start_with(0).ports;
+
+    let all = [
+        ports.peer,
+        ports.metrics,
+        ports.requests,
+        ports.callers,
+        ports.readiness,
+        ports.directory,
+    ];
+    assert!(all.iter().all(|it| !(range[0]..=range[1]).contains(it)), "{all:?} in {range:?}");
+}
+
+#[test]
+fn ports_of_a_fleet_are_free_while_other_threads_start_processes() {
+    let is_done = AtomicBool::new(false);
+    let mut taken = Vec::new();
+    thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                while !is_done.load(Ordering::Relaxed) {
+                    let _ = Command::new("true").status();
+                }
+            });
+        }
+        for _ in 0..20 {
+            let fleet = Fleet::without_hosts();
+            let address = fleet.address(1, fleet.ports.peer);
+            taken.extend(TcpListener::bind(address).is_err().then_some(address));
+        }
+        is_done.store(true, Ordering::Relaxed);
+    });
+
+    assert_eq!(taken, []);
+}
+
 #[test]
 fn a_wait_ends_with_the_log_of_a_host_that_has_ended_on_its_own() {
     let mut fleet = Fleet::start_with(0);
