Take the addresses of servers behind test proxies from an unused loopback address

A port that is free on 127.0.0.1 when it is chosen can be taken by an outgoing connection before the server binds it, since 127.0.0.1 is the source of connections that are not bound. Hosts of these fleets already use addresses from which no connection comes. Found by reading; no failure was seen.

--- a/tests/requests_under_faults.rs
+++ b/tests/requests_under_faults.rs
@@ -7,7 +7,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::{Ipv4Addr, SocketAddr},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -16,7 +16,7 @@
 use ids::Millis;
 use schema::caller::DirectoryAnswer;
 use stand_in::{HttpAnswer, HttpError};
-use support::{Fleet, SPAWN_LOCK, get, post, wait_for};
+use support::{Fleet, SPAWN_LOCK, get, post, unused_ip, wait_for};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -123,7 +123,7 @@
     for name in ["queue-1", "queue-2", "deposit-1", "deposit-2"] {
         let target = {
             let _guard = SPAWN_LOCK.lock().unwrap();
-            free_addresses(Ipv4Addr::LOCALHOST, 1).unwrap()[0]
+            free_addresses(unused_ip(), 1).unwrap()[0]
         };
         let proxy = FaultProxy::start(target, 11).await.unwrap();
         let service = name.split('-').next().unwrap();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -321,9 +321,9 @@
     }
 }
 
-/// Returns a loopback address that no other fleet uses, so that no other fleet takes the port of a
-/// host that restarts.
-fn unused_ip() -> Ipv4Addr {
+/// Returns a loopback address that no other fleet uses and from which no connection comes, so that
+/// nothing else takes the port of a host that starts.
+pub fn unused_ip() -> Ipv4Addr {
     static NEXT_FLEET: AtomicU8 = AtomicU8::new(1);
     let [_, _, high, low] = std::process::id().to_be_bytes();
     Ipv4Addr::new(127, high | 0x80, low, NEXT_FLEET.fetch_add(1, Ordering::Relaxed))
