Log which control hosts are missing while the log waits for its bootstrap

A new fleet of which one seed didn't come answered "no leader of the replicated log is known", and no log said why. Each initial voter now keeps when it last heard that the others take part, and names those unheard for 2 s in a warning every 5 s, on gateway fleets by address and in daisypaddle-control by id.

--- a/components/consensus/src/bootstrap.rs
+++ b/components/consensus/src/bootstrap.rs
@@ -5,7 +5,7 @@
 //! entry. Each voter promises to follow only the coordinator's newest disk, so that a delayed
 //! message cannot bootstrap the cluster a second time.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ids::{HostId, Incarnation, LogIndex, Term, Timestamp};
 use schema::{
@@ -18,7 +18,7 @@
     members::is_voter,
     message::Received,
     replica::Replica,
-    settings::{HELLO_INTERVAL, MembershipPolicy},
+    settings::{HELLO_INTERVAL, MISSING_AFTER, MembershipPolicy},
 };
 
 /// The state of a host during the bootstrap.
@@ -29,12 +29,22 @@
     promised: Incarnation,
     /// On the coordinator, the voters that have promised to follow its disk.
     ready: Vec<Member>,
+    /// When each other initial voter last announced that it takes part.
+    heard: BTreeMap<HostId, Timestamp>,
+    started_at: Timestamp,
     next_hello: Timestamp,
 }
 
 impl Bootstrap {
-    pub(crate) fn new(is_requested: bool, promised: Incarnation) -> Self {
-        Self { is_requested, promised, ready: Vec::new(), next_hello: Timestamp::default() }
+    pub(crate) fn new(is_requested: bool, promised: Incarnation, now: Timestamp) -> Self {
+        Self {
+            is_requested,
+            promised,
+            ready: Vec::new(),
+            heard: BTreeMap::new(),
+            started_at: now,
+            next_hello: Timestamp::default(),
+        }
     }
 }
 
@@ -92,6 +102,19 @@
     replica.bootstrap.is_requested && replica.log.is_empty()
 }
 
+/// Returns the initial voters without which the cluster is not bootstrapped and that have not
+/// announced recently that they take part.
+pub(crate) fn missing_voters(replica: &Replica, now: Timestamp) -> Vec<HostId> {
+    let voters = &replica.settings.voters;
+    if !is_bootstrapping(replica) || !voters.contains(&replica.me.host) {
+        return Vec::new();
+    }
+    let Bootstrap { heard, started_at, .. } = &replica.bootstrap;
+    let is_missing = |host: &HostId| now >= *heard.get(host).unwrap_or(started_at) + MISSING_AFTER;
+    let others = voters.iter().filter(|it| **it != replica.me.host);
+    others.filter(|it| is_missing(it)).copied().collect()
+}
+
 fn coordinator(replica: &Replica) -> Option<HostId> {
     replica.settings.voters.iter().min().copied()
 }
@@ -105,6 +128,9 @@
         promise(replica, from.disk);
     }
     let is_initial_voter = replica.settings.voters.contains(&from.host);
+    if is_initial_voter {
+        replica.bootstrap.heard.insert(from.host, replica.now);
+    }
     if !is_coordinator(replica) || !is_initial_voter || hello.promised != replica.disk() {
         return;
     }
--- a/components/consensus/src/consensus.rs
+++ b/components/consensus/src/consensus.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     action::{Action, ProposeError, Proposed, ReadError},
+    bootstrap,
     members::is_voter,
     message::Received,
     replica::{DiskState, Replica},
@@ -194,6 +195,12 @@
         self.replica.is_voter()
     }
 
+    /// Returns the initial voters for which this host waits to bootstrap the cluster; empty if it
+    /// takes part in no bootstrap, or if all have been heard recently.
+    pub fn missing_initial_voters(&self, now: Timestamp) -> Vec<HostId> {
+        bootstrap::missing_voters(&self.replica, now)
+    }
+
     /// Returns the replication status of the other members; empty unless this host is the leader.
     pub fn peers(&self, now: Timestamp) -> Vec<VoterStatus> {
         let State::Leader { leadership } = self.role.state() else {
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -76,7 +76,7 @@
             leader_commit: LogIndex(0),
             contacts: Vec::new(),
             election_deadline: now,
-            bootstrap: Bootstrap::new(identity.bootstrap, persisted.promised),
+            bootstrap: Bootstrap::new(identity.bootstrap, persisted.promised, now),
             incoming_snapshot: None,
             disk_state: DiskState::Writable,
             now,
--- a/components/consensus/src/settings.rs
+++ b/components/consensus/src/settings.rs
@@ -23,6 +23,10 @@
 /// Interval between a host's announcements (`Hello` messages), in milliseconds.
 pub const HELLO_INTERVAL: Millis = Millis(500);
 
+/// Time without a `Hello` after which an initial voter counts as missing from the bootstrap, in
+/// milliseconds: several intervals, so that lost messages have no effect.
+pub(crate) const MISSING_AFTER: Millis = Millis(2_000);
+
 /// Largest size of a command, in bytes.
 pub const MAX_ENTRY_BYTES: usize = 3_500_000;
 
--- a/components/consensus/tests/messages.rs
+++ b/components/consensus/tests/messages.rs
@@ -211,6 +211,31 @@
     assert_eq!(coordinator.last_index(), LogIndex(1));
 }
 
+#[test]
+fn a_host_that_waits_for_the_bootstrap_knows_the_missing_voters() {
+    let second = START + Millis(1_000);
+    let fifth = START + Millis(5_000);
+    let mut waiting = start(Vec::new());
+    assert_eq!(waiting.missing_initial_voters(second), [], "it has just started");
+
+    waiting.handle(fifth, OTHER, hello(2, 10));
+
+    assert_eq!(waiting.missing_initial_voters(fifth), [HostId(3)]);
+    let later = fifth + Millis(5_000);
+    assert_eq!(waiting.missing_initial_voters(later), [OTHER, HostId(3)]);
+}
+
+#[test]
+fn a_host_that_takes_part_in_no_bootstrap_waits_for_no_voter() {
+    let later = START + Millis(60_000);
+    let mut bootstrapped = start(Vec::new());
+    bootstrapped.handle(START, OTHER, hello(2, 10));
+    bootstrapped.handle(START, HostId(3), hello(3, 10));
+
+    assert_eq!(bootstrapped.missing_initial_voters(later), []);
+    assert_eq!(start(vec![first_entry()]).missing_initial_voters(later), []);
+}
+
 #[test]
 fn a_voter_bootstraps_only_with_the_promised_disk_of_the_coordinator() {
     let settings = Settings {
--- a/components/control/src/driver.rs
+++ b/components/control/src/driver.rs
@@ -4,7 +4,7 @@
 
 use admin::Clock;
 use fleet_core::{ControlHost, ControlHostAction, ControlHostEvent};
-use ids::{ConfigVersion, FastMap, RequestId};
+use ids::{ConfigVersion, FastMap, Millis, RequestId, Timestamp};
 use membership::MemberRole;
 use schema::{
     fleet_status::{FleetStatus, HostStatus, HostStatusRole},
@@ -17,6 +17,9 @@
 /// Number of ticks between two updates of the shared status.
 const STATUS_INTERVAL_TICKS: u64 = 10;
 
+/// Interval at which the control hosts are logged without which the log is not bootstrapped.
+const MISSING_LOG_INTERVAL: Millis = Millis(5_000);
+
 /// Input of the driver.
 pub(crate) enum DriverEvent {
     /// Event for the state machine.
@@ -46,6 +49,7 @@
     last_request: RequestId,
     ticks: u64,
     logged_role: Option<Role>,
+    next_missing_log: Timestamp,
 }
 
 impl Driver {
@@ -66,6 +70,7 @@
             last_request: RequestId(0),
             ticks: 0,
             logged_role: None,
+            next_missing_log: Timestamp::default(),
         }
     }
 
@@ -130,6 +135,7 @@
 
     fn after_tick(&mut self) {
         self.log_role_change();
+        self.log_missing_voters(self.clock.now());
         self.ticks += 1;
         if self.ticks % STATUS_INTERVAL_TICKS == 1 {
             let status = self.shared_status();
@@ -146,6 +152,22 @@
         }
     }
 
+    fn log_missing_voters(&mut self, now: Timestamp) {
+        if now < self.next_missing_log {
+            return;
+        }
+        let missing = self.host.core().consensus().missing_initial_voters(now);
+        if missing.is_empty() {
+            return;
+        }
+        self.next_missing_log = now + MISSING_LOG_INTERVAL;
+        let missing: Vec<_> = missing.iter().map(ToString::to_string).collect();
+        log::warn!(
+            missing:% = missing.join(",");
+            "waiting for control hosts to bootstrap the log"
+        );
+    }
+
     fn shared_status(&self) -> SharedStatus {
         let core = self.host.core();
         let fleet = self.host.fleet();
--- a/components/gateway/src/control/driver.rs
+++ b/components/gateway/src/control/driver.rs
@@ -15,6 +15,9 @@
 /// Interval at which a failed disk is tried again.
 const DISK_RETRY_INTERVAL: Millis = Millis(250);
 
+/// Interval at which the control hosts are logged without which the log is not bootstrapped.
+const MISSING_LOG_INTERVAL: Millis = Millis(5_000);
+
 /// An event for the driver.
 pub(crate) enum DriverEvent {
     /// An event for the decision logic.
@@ -36,6 +39,7 @@
     last_status: Option<RegistryStatus>,
     /// When a failed disk is tried again; `None` while the disk takes writes.
     retry_disk_at: Option<Timestamp>,
+    next_missing_log: Timestamp,
 }
 
 impl Driver {
@@ -58,6 +62,7 @@
             next_request: RequestId(0),
             last_status: None,
             retry_disk_at: None,
+            next_missing_log: Timestamp::default(),
         }
     }
 
@@ -71,10 +76,28 @@
                 self.continue_without_disk(&e)?;
             }
             self.report_status();
+            self.log_missing_voters(self.clock.now());
         }
         Ok(())
     }
 
+    fn log_missing_voters(&mut self, now: Timestamp) {
+        if now < self.next_missing_log {
+            return;
+        }
+        let missing = self.host.missing_initial_voters(now);
+        if missing.is_empty() {
+            return;
+        }
+        self.next_missing_log = now + MISSING_LOG_INTERVAL;
+        let missing: Vec<_> =
+            missing.iter().map(|it| peers::address_of(*it, 0).ip().to_string()).collect();
+        log::warn!(
+            missing:% = missing.join(",");
+            "waiting for control hosts to bootstrap the log"
+        );
+    }
+
     /// Continues in memory after a failed write. The remaining actions of the failed event are
     /// dropped, since they may tell others of what is not on disk.
     fn continue_without_disk(&mut self, cause: &StorageError) -> Result<(), StorageError> {
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -239,6 +239,11 @@
         }
     }
 
+    /// Returns the initial voters for which this host waits to bootstrap the replicated log.
+    pub fn missing_initial_voters(&self, now: Timestamp) -> Vec<HostId> {
+        self.consensus.missing_initial_voters(now)
+    }
+
     fn tick(&mut self, now: Timestamp) {
         let actions = self.consensus.tick(now);
         self.handle_consensus_actions(now, actions);
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -335,3 +335,21 @@
     fleet.wait_for_version(ConfigVersion(1)).await;
     monitor.finish().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn control_hosts_that_wait_for_the_bootstrap_log_which_one_is_missing() {
+    let mut fleet = Fleet::prepare(CONTROL_HOSTS, 0).await;
+    let missing = fleet.control[2].id;
+    let line = format!("waiting for control hosts to bootstrap the log missing={missing}");
+
+    (0..2).for_each(|it| fleet.start_control(it, true));
+    for index in 0..2 {
+        wait_for("the log line", async || {
+            fleet.control[index].process.log().contains(&line).then_some(())
+        })
+        .await;
+    }
+    fleet.start_control(2, true);
+
+    accepted(fleet.submit(&text_for(1)).await, &text_for(1));
+}
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -273,3 +273,34 @@
     assert!(message.contains("cannot listen on"), "{message}");
     fleet.kill(9);
 }
+
+#[test]
+fn control_hosts_that_wait_for_the_bootstrap_log_which_one_is_missing() {
+    let mut fleet = Fleet::without_hosts();
+    let lines_of = |fleet: &Fleet, host: u8| {
+        let log = fs::read_to_string(fleet.log_file(host)).unwrap();
+        let line = "waiting for control hosts to bootstrap the log";
+        let lines = log.lines().filter(|it| it.contains(line));
+        let missing = |it| {
+            serde_json::from_str::<serde_json::Value>(it).ok()?["missing"]
+                .as_str()
+                .map(str::to_owned)
+        };
+        lines.filter_map(missing).collect::<Vec<String>>()
+    };
+    let missing = fleet.ip(3).to_string();
+
+    (1..=2).for_each(|it| fleet.start_control(it, true));
+    for host in 1..=2 {
+        wait_for("a second line", || (lines_of(&fleet, host).len() >= 2).then_some(()));
+        let lines = lines_of(&fleet, host);
+        assert!(lines.iter().all(|it| *it == missing), "{lines:?}");
+    }
+    fleet.start_control(3, true);
+    fleet.put_config(1, "queue");
+
+    let lines = lines_of(&fleet, 1).len();
+    thread::sleep(Duration::from_millis(5_500));
+    assert_eq!(lines_of(&fleet, 1).len(), lines, "the bootstrapped log waits for no host");
+    assert_eq!(lines_of(&fleet, 3), [] as [String; 0]);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -111,6 +111,14 @@
 
     /// Starts control and entry hosts without a configuration.
     pub async fn start_empty(control: usize, entries: usize) -> Self {
+        let mut fleet = Self::prepare(control, entries).await;
+        (0..control).for_each(|i| fleet.start_control(i, true));
+        (0..entries).for_each(|i| fleet.start_entry(i));
+        fleet
+    }
+
+    /// Prepares control and entry hosts that the test starts.
+    pub async fn prepare(control: usize, entries: usize) -> Self {
         let folder = TempDir::new().unwrap();
         fs::write(folder.path().join("fleet.key"), FLEET_KEY).unwrap();
         fs::write(folder.path().join("operators"), format!("tester {OPERATOR_TOKEN}\n")).unwrap();
@@ -138,8 +146,6 @@
                 false => fleet.entries.push(host),
             }
         }
-        (0..control).for_each(|i| fleet.start_control(i, true));
-        (0..entries).for_each(|i| fleet.start_entry(i));
         fleet
     }
 
