--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, unused_imports, clippy::print_stderr)]
 
+pub mod callers;
 mod http;
 mod processes;
 mod server;
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -149,7 +149,8 @@
 }
 
 /// Serves requests on one connection; paths that end with `slow` take two seconds, and paths that
-/// end with `hang` get no response.
+/// end with `hang` get no response. A segment `work-MS` sets the time that a request takes, and
+/// `size-BYTES` the size of the response's body.
 fn serve(mut stream: TcpStream, gateway: Ipv4Addr, name: &str, behaviour: &Behaviour) {
     if matches!(behaviour.cut(gateway), Some(Cut::Reset | Cut::NewRefused)) {
         return;
@@ -199,6 +200,9 @@
         if target.ends_with("slow") {
             thread::sleep(Duration::from_secs(2));
         }
+        if let Some(time) = path_number(&target, "work-") {
+            thread::sleep(Duration::from_millis(time));
+        }
         let mut headers = HeaderMap::new();
         stand_in::sign_response(&mut headers, &attempt.attempt_id);
         if behaviour.is_leaving.load(Ordering::Relaxed) {
@@ -216,7 +220,11 @@
             }
             None => "200 OK",
         };
-        let body = format!("{name} {target}");
+        let mut body = format!("{name} {target}");
+        if let Some(size) = path_number(&target, "size-") {
+            let missing = usize::try_from(size).unwrap().saturating_sub(body.len());
+            body += &" ".repeat(missing);
+        }
         let mut response = format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n", body.len());
         for (name, value) in &headers {
             response += &format!("{name}: {}\r\n", value.to_str().unwrap());
@@ -227,6 +235,11 @@
     }
 }
 
+/// Returns the number in the path segment that starts with `prefix`.
+fn path_number(path: &str, prefix: &str) -> Option<u64> {
+    path.split('/').find_map(|it| it.strip_prefix(prefix)?.parse().ok())
+}
+
 /// Sends bytes until the gateway closes the connection.
 fn pour_bytes(stream: &mut TcpStream, pour: Pour, attempt_id: &str, body: &str) {
     let mut headers = HeaderMap::new();
--- /dev/null
+++ b/tests/gateway_planned_stops.rs
@@ -0,0 +1,489 @@
+//! Tests with real processes that planned stops of gateways cost callers no response.
+
+mod gateway;
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    sync::atomic::{AtomicBool, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use gateway::{
+    Fleet, Server, call,
+    callers::{Ask, Sent, Stops, broken_promises, connect},
+    receive, send, wait_for,
+};
+use ids::Millis;
+use platform::stand_in;
+use rand_xoshiro::{
+    Xoshiro256PlusPlus,
+    rand_core::{RngCore, SeedableRng},
+};
+use schema::announcement::ServerState;
+
+/// Host number of the first gateway.
+const FIRST: u8 = 11;
+
+/// Time that most requests take.
+const WORK: Duration = Duration::from_millis(230);
+
+/// Time limit of requests that a gateway can promise to answer even late in a stop.
+const SHORT_LIMIT: Millis = Millis(1_500);
+
+/// Starts a fleet whose gateways all serve from all of four servers.
+fn start(gateways: u8) -> (Fleet, Vec<Server>) {
+    let fleet = Fleet::start_with(gateways);
+    let servers: Vec<Server> = (1..=4)
+        .map(|i| {
+            let mut server = Server::start(i, "queue");
+            server.announcement.slots = 64;
+            server
+        })
+        .collect();
+    fleet.put_config(1, "queue");
+    servers.iter().for_each(|it| fleet.announce(it, 1, ServerState::Serving));
+    let hosts = FIRST..FIRST + gateways;
+    wait_for("ready gateways", || hosts.clone().all(|it| fleet.is_ready(it)).then_some(()));
+    hosts.for_each(|it| fleet.wait_until_used(it, &servers));
+    (fleet, servers)
+}
+
+/// Opens connections that each have served a request.
+fn open_kept(gateway: SocketAddr, count: usize) -> VecDeque<TcpStream> {
+    let open = |i| {
+        let mut stream = connect(gateway).unwrap();
+        let ask = Ask::new(format!("open-{gateway}-{i}"), Duration::ZERO);
+        assert_eq!(ask.send_on(gateway, &mut stream).status(), 200);
+        stream
+    };
+    (0..count).map(open).collect()
+}
+
+fn sleep_until(at: Instant) {
+    thread::sleep(at.saturating_duration_since(Instant::now()));
+}
+
+/// Sends requests to a gateway at an interval on kept and new connections in turn, each at its time
+/// even if others are in flight, from `begin` until `end` or until connections are refused.
+fn send_at_interval(
+    gateway: SocketAddr,
+    mut kept: VecDeque<TcpStream>,
+    (begin, end): (Instant, Instant),
+    interval: Duration,
+    ask: impl Fn(u32) -> Ask,
+) -> Vec<Sent> {
+    let is_refused = AtomicBool::new(false);
+    thread::scope(|scope| {
+        let mut callers = Vec::new();
+        for i in 0.. {
+            let at = begin + interval * i;
+            if at >= end || is_refused.load(Ordering::Relaxed) {
+                break;
+            }
+            sleep_until(at);
+            let ask = ask(i);
+            let stream = if i % 2 == 0 { kept.pop_front() } else { None };
+            let is_refused = &is_refused;
+            callers.push(scope.spawn(move || {
+                if let Some(mut stream) = stream {
+                    return Some(ask.send_on(gateway, &mut stream));
+                }
+                let sent = ask.send_to(gateway);
+                is_refused.fetch_or(sent.is_none(), Ordering::Relaxed);
+                sent
+            }));
+        }
+        callers.into_iter().filter_map(|it| it.join().unwrap()).collect()
+    })
+}
+
+/// Sends one request after the other to a gateway, with pauses, until connections are refused.
+fn send_in_turn(
+    gateway: SocketAddr,
+    mut kept: VecDeque<TcpStream>,
+    begin: Instant,
+    pause: Duration,
+) -> Vec<Sent> {
+    sleep_until(begin);
+    let mut sent = Vec::new();
+    loop {
+        let ask = Ask {
+            time_limit: SHORT_LIMIT,
+            ..Ask::new(format!("turn-{gateway}-{}", sent.len()), WORK)
+        };
+        let stream = if sent.len() % 2 == 0 { kept.pop_front() } else { None };
+        let Some(mut stream) = stream.or_else(|| connect(gateway)) else { return sent };
+        sent.push(ask.send_on(gateway, &mut stream));
+        thread::sleep(pause);
+    }
+}
+
+fn assert_kept(fleet: &Fleet, sent: &[Sent], servers: &[Server], stops: &Stops) {
+    let broken = broken_promises(sent, servers, stops);
+    let mut logs = fleet.stop_logs();
+    // Connections that were opened ahead and have carried no request of the test.
+    logs.retain(|it| !it.contains("\"open-"));
+    assert!(
+        broken.is_empty(),
+        "{} of {} requests:\n{}\n{}",
+        broken.len(),
+        sent.len(),
+        broken.join("\n"),
+        logs.join("\n")
+    );
+}
+
+#[test]
+fn a_request_read_by_a_gateway_that_is_about_to_end_gets_its_answer() {
+    // Shorter than the time that a gateway may need to see that no request is in flight and to end.
+    const PAUSE: Duration = Duration::from_millis(40);
+    const GATEWAYS: u8 = 6;
+    let (mut fleet, servers) = start(GATEWAYS);
+    let gateways: Vec<_> = (FIRST..FIRST + GATEWAYS).map(|it| fleet.callers(it)).collect();
+    let mut kept: Vec<_> = gateways.iter().map(|it| open_kept(*it, 40)).collect();
+
+    let stops: Stops =
+        (FIRST..FIRST + GATEWAYS).map(|it| (fleet.callers(it), fleet.stop(it))).collect();
+    let sent: Vec<Sent> = thread::scope(|scope| {
+        let callers: Vec<_> = stops
+            .iter()
+            .zip(kept.drain(..))
+            .enumerate()
+            .map(|(i, ((gateway, signalled), kept))| {
+                scope.spawn(move || {
+                    let begin = *signalled + Duration::from_millis(3_200);
+                    if i % 2 == 0 {
+                        return send_in_turn(*gateway, kept, begin, PAUSE);
+                    }
+                    let time = (begin, *signalled + Duration::from_secs(6));
+                    send_at_interval(*gateway, kept, time, Duration::from_millis(10), |i| {
+                        let ask = Ask::new(format!("dense-{gateway}-{i}"), WORK);
+                        Ask { time_limit: SHORT_LIMIT, ..ask }
+                    })
+                })
+            })
+            .collect();
+        for (host, (_, signalled)) in (FIRST..FIRST + GATEWAYS).zip(&stops) {
+            fleet.expect_exit(host, *signalled);
+        }
+        callers.into_iter().flat_map(|it| it.join().unwrap()).collect()
+    });
+
+    assert_kept(&fleet, &sent, &servers, &stops);
+}
+
+#[test]
+fn a_request_is_not_answered_by_a_stopping_gateway_while_its_server_works() {
+    let (mut fleet, servers) = start(2);
+    let gateway = fleet.callers(FIRST);
+    let ask = |name: &str, i: u32, work_ms| {
+        let route = if (i / 2).is_multiple_of(2) { "look" } else { "pay" };
+        let time_limit = if (i / 4).is_multiple_of(2) { SHORT_LIMIT } else { Millis(3_000) };
+        let ask = Ask::new(format!("{name}-{i}"), Duration::from_millis(work_ms));
+        Ask { route, time_limit, ..ask }
+    };
+    let quick = |i| ask("quick", i, 10);
+    let slow = |i| ask("slow", i, 1_200);
+    let (quick_kept, slow_kept) = (open_kept(gateway, 40), open_kept(gateway, 20));
+    let begin = Instant::now();
+    let signalled = begin + Duration::from_secs(1);
+    let end = signalled + Duration::from_secs(6);
+
+    let sent: Vec<Sent> = thread::scope(|scope| {
+        let quick = scope.spawn(|| {
+            send_at_interval(gateway, quick_kept, (begin, end), Duration::from_millis(10), quick)
+        });
+        let slow = scope.spawn(|| {
+            let time = (signalled, end);
+            send_at_interval(gateway, slow_kept, time, Duration::from_millis(100), slow)
+        });
+        sleep_until(signalled);
+        fleet.stop(FIRST);
+        fleet.expect_exit(FIRST, signalled);
+        [quick, slow].into_iter().flat_map(|it| it.join().unwrap()).collect()
+    });
+
+    assert_kept(&fleet, &sent, &servers, &vec![(gateway, signalled)]);
+    let served = sent.iter().filter(|it| it.ask.id.starts_with("slow") && it.status() == 200);
+    assert!(served.count() >= 10, "requests are served while callers can't know of the stop");
+}
+
+#[test]
+fn an_answer_that_its_caller_reads_slowly_is_not_cut_by_a_planned_stop() {
+    let (mut fleet, servers) = start(2);
+    let gateway = fleet.callers(FIRST);
+    let large = |i| Ask {
+        size: 8_000_000,
+        time_limit: SHORT_LIMIT,
+        read_delay: Duration::from_millis(600),
+        ..Ask::new(format!("large-{i}"), Duration::from_millis(50))
+    };
+    let kept = open_kept(gateway, 20);
+
+    let signalled = fleet.stop(FIRST);
+    let begin = signalled + Duration::from_millis(1_000);
+    let time = (begin, signalled + Duration::from_millis(4_700));
+    let sent = thread::scope(|scope| {
+        let callers = scope
+            .spawn(|| send_at_interval(gateway, kept, time, Duration::from_millis(150), large));
+        fleet.expect_exit(FIRST, signalled);
+        callers.join().unwrap()
+    });
+
+    assert_kept(&fleet, &sent, &servers, &vec![(gateway, signalled)]);
+    let served = sent.iter().filter(|it| it.status() == 200);
+    assert!(served.count() >= 5, "answers are delivered in the stop");
+    fleet.expect_exit(FIRST, signalled);
+}
+
+/// A caller that asks directories for gateways and uses each answer for a while.
+struct Client {
+    number: u64,
+    rng: Xoshiro256PlusPlus,
+    directories: Vec<SocketAddr>,
+    addresses: Vec<SocketAddr>,
+    /// When the answer of the directory runs out.
+    valid_until: Instant,
+    keep_time: Duration,
+    /// Connections that are kept between requests, if the client keeps any.
+    kept: Option<BTreeMap<SocketAddr, TcpStream>>,
+}
+
+impl Client {
+    fn new(seed: u64, number: u64, directories: Vec<SocketAddr>) -> Self {
+        Self {
+            number,
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed * 1_000 + number),
+            directories,
+            addresses: Vec::new(),
+            valid_until: Instant::now(),
+            keep_time: Duration::from_secs(if number % 4 == 3 { 3 } else { 1 }),
+            kept: (number % 2 == 1).then(BTreeMap::new),
+        }
+    }
+
+    fn index(&mut self, len: usize) -> usize {
+        (self.rng.next_u64() % len as u64) as usize
+    }
+
+    /// Asks directories until one lists gateways; connections to gateways that left are dropped.
+    fn ask_directory(&mut self) {
+        let path = stand_in::directory_path("north", "north-a");
+        for _ in 0..self.directories.len() {
+            let i = self.index(self.directories.len());
+            let response = call(self.directories[i], "GET", &path, &[], b"");
+            let listed = response.map(|it| stand_in::read_addresses(&it.body)).unwrap_or_default();
+            let listed: Vec<_> = listed.iter().filter_map(|it| it.parse().ok()).collect();
+            if !listed.is_empty() {
+                if let Some(kept) = &mut self.kept {
+                    kept.retain(|it, _| listed.contains(it));
+                }
+                self.addresses = listed;
+                self.valid_until = Instant::now() + self.keep_time;
+                return;
+            }
+        }
+    }
+
+    /// Sends requests one after the other until `end`.
+    fn run(mut self, end: Instant) -> Vec<Sent> {
+        let mut sent: Vec<Sent> = Vec::new();
+        while Instant::now() < end {
+            if self.valid_until <= Instant::now() {
+                self.ask_directory();
+            }
+            thread::sleep(Duration::from_millis(self.rng.next_u64() % 120));
+            if self.addresses.is_empty() {
+                continue;
+            }
+            let i = self.index(self.addresses.len());
+            let gateway = self.addresses[i];
+            let is_slow = self.rng.next_u64().is_multiple_of(30);
+            let ask = Ask {
+                route: if self.rng.next_u64().is_multiple_of(2) { "look" } else { "pay" },
+                ..Ask::new(
+                    format!("client-{}-{}", self.number, sent.len()),
+                    if is_slow { WORK * 5 } else { WORK },
+                )
+            };
+            let stream = self.kept.as_mut().and_then(|it| it.remove(&gateway));
+            let Some(mut stream) = stream.or_else(|| connect(gateway)) else { continue };
+            let request = ask.send_on(gateway, &mut stream);
+            let keeps = request
+                .response
+                .as_ref()
+                .is_some_and(|it| !it.head.to_ascii_lowercase().contains("connection: close"));
+            if let Some(kept) = self.kept.as_mut().filter(|_| keeps) {
+                kept.insert(gateway, stream);
+            }
+            sent.push(request);
+        }
+        sent
+    }
+}
+
+#[test]
+fn stopping_all_gateways_in_turn_breaks_no_promise() {
+    const GATEWAYS: u8 = 8;
+    const SEED: u64 = 31;
+    const STOP_INTERVAL: Duration = Duration::from_millis(3_500);
+    let (mut fleet, servers) = start(GATEWAYS);
+    let hosts = FIRST..FIRST + GATEWAYS;
+    let directories: Vec<_> =
+        hosts.clone().map(|it| fleet.address(it, fleet.ports.directory)).collect();
+    let begin = Instant::now();
+    let last_stop = begin + STOP_INTERVAL * u32::from(GATEWAYS - 1);
+    let end = last_stop + Duration::from_secs(6);
+    let mut stops = Stops::new();
+    let mut stopping = Vec::new();
+
+    let sent: Vec<Sent> = thread::scope(|scope| {
+        let callers: Vec<_> = (0..32)
+            .map(|it| {
+                let client = Client::new(SEED, it, directories.clone());
+                scope.spawn(move || client.run(end))
+            })
+            .collect();
+        let mut next = 0;
+        while next < GATEWAYS || !stopping.is_empty() {
+            if next < GATEWAYS && begin + STOP_INTERVAL * u32::from(next) <= Instant::now() {
+                stops.push((fleet.callers(FIRST + next), fleet.stop(FIRST + next)));
+                stopping.push(FIRST + next);
+                next += 1;
+            }
+            stopping.retain(|host| {
+                let Some(status) = fleet.exit_status(*host) else { return true };
+                assert!(status.success(), "{status}");
+                fleet.start_gateway(*host);
+                false
+            });
+            thread::sleep(Duration::from_millis(20));
+        }
+        callers.into_iter().flat_map(|it| it.join().unwrap()).collect()
+    });
+
+    assert_kept(&fleet, &sent, &servers, &stops);
+    let served = sent.iter().filter(|it| it.status() == 200).count();
+    assert!(served * 10 >= sent.len() * 9, "{served} of {} were served", sent.len());
+}
+
+#[test]
+fn a_second_sigterm_cuts_off_no_request() {
+    let (mut fleet, servers) = start(2);
+    let gateway = fleet.callers(FIRST);
+    let slow = |i| Ask::new(format!("slow-{i}"), Duration::from_millis(1_200));
+
+    let signalled = fleet.stop(FIRST);
+    let time = (signalled, signalled + Duration::from_millis(800));
+    let sent = thread::scope(|scope| {
+        let callers = scope.spawn(|| {
+            send_at_interval(gateway, VecDeque::new(), time, Duration::from_millis(100), slow)
+        });
+        sleep_until(signalled + Duration::from_millis(500));
+        fleet.stop(FIRST);
+        callers.join().unwrap()
+    });
+
+    assert_kept(&fleet, &sent, &servers, &vec![(gateway, signalled)]);
+    assert!(sent.iter().all(|it| it.status() == 200));
+    fleet.expect_exit(FIRST, signalled);
+}
+
+#[test]
+fn a_sigterm_right_after_a_sighup_cuts_off_no_request() {
+    let (mut fleet, servers) = start(2);
+    let gateway = fleet.callers(FIRST);
+    let slow = |i| Ask::new(format!("slow-{i}"), Duration::from_millis(1_200));
+    let begin = Instant::now();
+    let time = (begin, begin + Duration::from_millis(800));
+
+    let (sent, signalled) = thread::scope(|scope| {
+        let callers = scope.spawn(|| {
+            send_at_interval(gateway, VecDeque::new(), time, Duration::from_millis(50), slow)
+        });
+        sleep_until(begin + Duration::from_millis(400));
+        fleet.signal(FIRST, "-HUP");
+        let signalled = fleet.stop(FIRST);
+        (callers.join().unwrap(), signalled)
+    });
+
+    assert_kept(&fleet, &sent, &servers, &vec![(gateway, signalled)]);
+    assert!(sent.iter().all(|it| it.status() == 200));
+    fleet.expect_exit(FIRST, signalled);
+}
+
+#[test]
+fn a_gateway_stopped_before_its_first_configuration_answers_and_ends_in_time() {
+    let mut fleet = Fleet::start();
+    let gateway = fleet.callers(FIRST);
+    let mut stream = wait_for("a listening gateway", || connect(gateway));
+    let headers = stand_in::caller_headers("early", Millis(3_000));
+    send(&mut stream, "GET", "/look/1", &headers, b"").unwrap();
+
+    let signalled = fleet.stop(FIRST);
+
+    let response = receive(&mut stream).expect("a response");
+    assert_eq!(response.status, 503);
+    assert!(response.retry_after().is_some());
+    fleet.expect_exit(FIRST, signalled);
+}
+
+#[test]
+fn a_request_whose_body_is_sent_around_a_sigterm_is_answered() {
+    let (mut fleet, _servers) = start(2);
+    let mut stream = connect(fleet.callers(FIRST)).unwrap();
+    let headers = stand_in::caller_headers("body", Millis(3_000));
+    let headers: String =
+        headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
+    let head = format!(
+        "POST /look/1 HTTP/1.1\r\nhost: shop.example\r\ncontent-length: 1000\r\n{headers}\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(&[b'a'; 500]).unwrap();
+
+    let signalled = fleet.stop(FIRST);
+    sleep_until(signalled + Duration::from_secs(1));
+    stream.write_all(&[b'a'; 500]).unwrap();
+
+    assert_eq!(receive(&mut stream).expect("a response").status, 200);
+    fleet.expect_exit(FIRST, signalled);
+}
+
+#[test]
+fn a_half_sent_head_does_not_keep_a_gateway_from_its_end() {
+    let (mut fleet, _servers) = start(2);
+    let mut stream = connect(fleet.callers(FIRST)).unwrap();
+    stream.write_all(b"GET /look/1 HTTP/1.1\r\nhost: shop").unwrap();
+
+    let signalled = fleet.stop(FIRST);
+
+    fleet.expect_exit(FIRST, signalled);
+}
+
+#[test]
+fn a_pipelined_request_around_a_sigterm_is_answered_or_not_passed_on() {
+    let (mut fleet, servers) = start(2);
+    let mut stream = connect(fleet.callers(FIRST)).unwrap();
+    let path = "/look/1/work-1200";
+    for id in ["first", "second"] {
+        let headers = stand_in::caller_headers(id, Millis(3_000));
+        send(&mut stream, "GET", path, &headers, b"").unwrap();
+    }
+    let has_arrived =
+        |id: &str| servers.iter().any(|it| it.attempt_ids().iter().any(|it| it == id));
+    wait_for("the first request", || has_arrived("first").then_some(()));
+
+    let signalled = fleet.stop(FIRST);
+    let mut responses = Vec::new();
+    // A connection that is closed before all of its requests are read may be reset.
+    let _ = stream.read_to_end(&mut responses);
+
+    let responses = String::from_utf8_lossy(&responses);
+    let answered = responses.matches(&format!(" {path}")).count();
+    let expected = 1 + usize::from(has_arrived("second"));
+    assert_eq!(answered, expected, "{responses}");
+    fleet.expect_exit(FIRST, signalled);
+}
