Take during a planned stop only what ends in time, and give up what doesn't by a reason of its own

Callers got a 504 of a stopping gateway while a server worked on their request: sent 4.4 to 5.4 s after the signal, 504 at 5.5 s. A request was taken if three times the average latency was left, which says little of one request, and its deadline was cut to 100 ms before the end.

Now a request is taken if its whole time limit ends before requests are given up (41/48 of the time limit of the stop, in the last sixth), or, in the first half of that time, if it most likely ends by then: within the time after which a response is overdue, twice that if it can't be sent again. Others are refused at once with 503 and a Retry-After that sends their callers elsewhere; so is one that has waited until a server would work on it in vain. What another gateway passes on has to end for sure, since its caller didn't choose this one. Requests in flight at the signal end with the stop as well, and are named stop-reached, not time-limit.

--- a/components/gateway/src/entry/callers.rs
+++ b/components/gateway/src/entry/callers.rs
@@ -50,7 +50,7 @@
 ) -> Reply {
     let mut reply = respond(&shared, req, &exchange).await;
     let lifecycle = shared.with_core(|core, _| core.lifecycle());
-    if matches!(lifecycle, Lifecycle::Draining { .. }) {
+    if matches!(lifecycle, Lifecycle::Draining(_)) {
         reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     reply
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -14,8 +14,8 @@
 use std::{path::PathBuf, rc::Rc, time::Duration};
 
 use admin::Clock;
-use gateway_core::{Gateway, GatewaySettings as CoreSettings, RetryBudgetSettings};
-use ids::{Millis, Timestamp};
+use gateway_core::{Gateway, GatewaySettings as CoreSettings, RetryBudgetSettings, StopSchedule};
+use ids::Timestamp;
 use schema::{
     gateway_settings::GatewaySettings,
     peer::{PeerFrame, PeerMessage},
@@ -32,17 +32,6 @@
 use metrics::Metrics;
 use shared::Shared;
 
-/// Part of the time limit of a planned stop that is reserved for the exit of the process, in
-/// milliseconds.
-const EXIT_RESERVE: Millis = Millis(400);
-
-/// Maximum number of consecutive directory answers that callers cache before they notice that a
-/// host has left.
-const MAX_CACHED_ANSWERS: u64 = 3;
-
-/// Time until a planned stop is known to all directories, in milliseconds.
-const PROPAGATION_TIME: Millis = Millis(500);
-
 /// Interval at which a planned stop checks whether the last requests have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -201,23 +190,23 @@
 /// Withdraws this gateway from the directories, serves callers that still use its address, and
 /// waits for the requests in flight.
 async fn drain(settings: &GatewaySettings, shared: &Rc<Shared>, connections: &Connections) {
-    let limit = Millis(settings.stop_within_s.0.0.saturating_sub(EXIT_RESERVE.0));
-    let cache_time = settings.directory_keep_s.0.0 * MAX_CACHED_ANSWERS + PROPAGATION_TIME.0;
-    let (deadline, earliest_end) = shared.with_core(|core, now| {
-        core.drain(now + limit);
-        (now + limit, now + Millis(cache_time.min(limit.0)))
+    let (time_limit, directory_ttl) = (settings.stop_within_s.0, settings.directory_keep_s.0);
+    let schedule = shared.with_core(|core, now| {
+        let schedule = StopSchedule::new(now, time_limit, directory_ttl);
+        core.drain(schedule);
+        schedule
     });
     shared.poll_due.notify_one();
     log::info!(
         in_flight = shared.in_flight(),
         connections = connections.count(),
-        limit_ms = limit.0;
+        limit_ms = time_limit.0;
         "planned stop begins"
     );
     loop {
         let now = shared.clock.now();
-        let is_done = now >= earliest_end && shared.in_flight() == 0;
-        if is_done || now >= deadline {
+        let is_done = now >= schedule.close_at && shared.in_flight() == 0;
+        if is_done || now >= schedule.leave_at {
             break;
         }
         sleep(DRAIN_CHECK_INTERVAL).await;
--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -3,7 +3,7 @@
 use ids::{AttemptNumber, ByteSize, Millis, RequestId, ServerId, Timestamp};
 use schema::server_load::{Answered, LoadEvent};
 
-use super::{Gateway, QUARANTINE_RETRY_AFTER, queue_key};
+use super::{Gateway, QUARANTINE_RETRY_AFTER, STOPPING_RETRY_AFTER, queue_key};
 use crate::{
     configuration::Idempotency,
     events::Event,
@@ -67,7 +67,8 @@
                 true => RefusalReason::StopReached,
                 false => RefusalReason::TimeLimit,
             };
-            return self.give_up(now, id, reason, None);
+            let retry_after = request.ends_with_stop.then_some(STOPPING_RETRY_AFTER);
+            return self.give_up(now, id, reason, retry_after);
         }
         if !request.in_flight.is_empty() {
             return self.check_in_flight(now, id);
@@ -75,6 +76,11 @@
         if !request.may_be_sent() {
             return self.give_up(now, id, RefusalReason::NoAnswer, None);
         }
+        // A server would most likely work on it in vain.
+        if request.ends_with_stop && request.deadline < now + self.likely_latency(&request.route) {
+            let retry_after = Some(STOPPING_RETRY_AFTER);
+            return self.give_up(now, id, RefusalReason::StopReached, retry_after);
+        }
         self.send_or_wait(now, id)
     }
 
--- a/components/gateway_core/src/gateway/detours.rs
+++ b/components/gateway_core/src/gateway/detours.rs
@@ -141,6 +141,7 @@
             RefusalReason::NoConfiguration
             | RefusalReason::UnknownRoute
             | RefusalReason::Stopping
+            | RefusalReason::StopReached
             | RefusalReason::PathsDown
             | RefusalReason::TooManyRelayed => RelayEnd::Unable,
             _ if self.paths.are_down() => RelayEnd::Unable,
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -18,10 +18,11 @@
 use schema::{server_load::LoadReport, sync::Place};
 
 use crate::{
-    configuration::{CallerLimits, GatewayConfig, Route},
+    configuration::{CallerLimits, GatewayConfig, Idempotency, Route},
     entry_hosts::EntryHosts,
     events::{Event, RequestSummary},
     paths::{Paths, relays::Relays},
+    planned_stop::StopSchedule,
     quarantine::Quarantine,
     registry_poller::RegistryPoller,
     requests::{QueueKey, Refusal, RefusalReason, Request, RequestHead, wait_queue::WaitQueues},
@@ -35,23 +36,19 @@
 const NO_CONFIG_RETRY_AFTER: Millis = Millis(500);
 
 /// Retry-After that sends callers of a draining gateway to another one, in milliseconds.
-const STOPPING_RETRY_AFTER: Millis = Millis(50);
+pub(crate) const STOPPING_RETRY_AFTER: Millis = Millis(50);
 
 /// Retry-After for requests that crash servers, in milliseconds.
 const QUARANTINE_RETRY_AFTER: Millis = Millis(30_000);
 
-/// Time before the stop that a draining gateway reserves for delivering a response, in
-/// milliseconds.
-const STOP_MARGIN: Millis = Millis(100);
+/// Multiple of the time after which a response is overdue that a stopping gateway allows requests that
+/// can't be sent again.
+const NON_IDEMPOTENT_LATENCY_FACTOR: f64 = 2.0;
 
 /// Maximum random extension of the Retry-After of a service whose servers are all closed, as
 /// a fraction of it, so that callers don't return at the same moment.
 const PAUSE_RETURN_SPREAD: f64 = 0.25;
 
-/// Multiple of the average latency that must remain before the stop for a draining gateway to
-/// accept a request.
-const STOP_LATENCY_FACTOR: f64 = 3.0;
-
 /// A load report to be sent to other gateways.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OutgoingReport {
@@ -157,10 +154,17 @@
         self.lifecycle
     }
 
-    /// Starts draining for a planned stop; the process ends at `until`.
-    pub fn drain(&mut self, until: Timestamp) {
-        self.lifecycle = Lifecycle::Draining { until };
+    /// Starts a planned stop; no request outlasts it.
+    pub fn drain(&mut self, schedule: StopSchedule) {
+        self.lifecycle = Lifecycle::Draining(schedule);
         self.registry_poller.poll_now();
+        for (id, request) in &mut self.requests {
+            if schedule.cut_at < request.deadline {
+                request.deadline = schedule.cut_at;
+                request.ends_with_stop = true;
+                self.wakeups.push(*id);
+            }
+        }
     }
 
     /// Returns the number of unfinished requests.
@@ -195,7 +199,7 @@
             let retry_after = Some(QUARANTINE_RETRY_AFTER);
             return Err(Refusal::not_run(RefusalReason::Quarantined, retry_after));
         }
-        let deadline = self.deadline(now, &route, head.caller_timeout)?;
+        let deadline = self.deadline(now, &route, &head)?;
         let service = match &head.relayed {
             Some(relayed) => self.accept_relayed(&route, relayed)?,
             None => {
@@ -271,25 +275,36 @@
     }
 
     /// Returns the deadline of a new request, and whether a planned stop sets it. A draining gateway
-    /// refuses requests that it can't finish in time.
+    /// refuses requests that it may not finish in time; those of other gateways too if that is
+    /// unlikely, since their callers don't choose this gateway.
     fn deadline(
         &self,
         now: Timestamp,
         route: &Route,
-        caller_timeout: Option<Millis>,
+        head: &RequestHead,
     ) -> Result<(Timestamp, bool), Refusal> {
-        let limit = caller_timeout.map_or(route.time_limit, |it| it.min(route.time_limit));
+        let limit = head.caller_timeout.map_or(route.time_limit, |it| it.min(route.time_limit));
         let deadline = now + limit;
-        let Lifecycle::Draining { until: stop_at } = self.lifecycle else {
-            return Ok((deadline, false));
+        let Lifecycle::Draining(schedule) = self.lifecycle else { return Ok((deadline, false)) };
+        let likely_end = match head.relayed {
+            Some(_) => deadline,
+            None => now + self.likely_latency(route),
         };
-        let min_time = self.servers.average_latency(route) * STOP_LATENCY_FACTOR;
-        if (stop_at.since(now).0 as f64) < min_time {
+        if !schedule.admits(now, deadline, likely_end) {
             let retry_after = Some(STOPPING_RETRY_AFTER);
             return Err(Refusal::not_run(RefusalReason::Stopping, retry_after));
         }
-        let last_deadline = stop_at - STOP_MARGIN;
-        Ok((deadline.min(last_deadline), last_deadline < deadline))
+        Ok((deadline.min(schedule.cut_at), schedule.cut_at < deadline))
+    }
+
+    /// Returns the time within which a request of a route most likely ends. One that can't be sent
+    /// again is lost if it doesn't.
+    fn likely_latency(&self, route: &Route) -> Millis {
+        let factor = match route.idempotency {
+            Idempotency::Idempotent => 1.0,
+            Idempotency::NonIdempotent => NON_IDEMPOTENT_LATENCY_FACTOR,
+        };
+        Millis((self.servers.overdue_latency(route) * factor) as u64)
     }
 
     fn random_unit(rng: &mut Xoshiro256PlusPlus) -> f64 {
--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -85,7 +85,7 @@
                 Lifecycle::Joining => EntryHostState::Joining,
                 Lifecycle::Serving if self.paths.are_down() => EntryHostState::Detoured,
                 Lifecycle::Serving => EntryHostState::Serving,
-                Lifecycle::Draining { .. } => EntryHostState::Draining,
+                Lifecycle::Draining(_) => EntryHostState::Draining,
             },
         }
     }
--- a/components/gateway_core/src/lib.rs
+++ b/components/gateway_core/src/lib.rs
@@ -9,6 +9,7 @@
 mod events;
 mod gateway;
 mod paths;
+mod planned_stop;
 mod quarantine;
 mod registry_poller;
 mod requests;
@@ -26,6 +27,7 @@
     events::{Event, RequestSummary, RetryUsage},
     gateway::{Gateway, OutgoingReport},
     paths::{PathOutcome, relays::RelayEnd},
+    planned_stop::StopSchedule,
     registry_poller::{OutgoingPoll, POLL_TIMEOUT},
     requests::{
         AttemptEnd, AttemptStart, AttemptTarget, Finish, Refusal, RefusalReason, RelayStart,
--- a/components/gateway_core/src/settings.rs
+++ b/components/gateway_core/src/settings.rs
@@ -4,6 +4,8 @@
 
 use ids::{DataCentreName, FastMap, HostId, Incarnation, Millis, RegionName, Timestamp};
 
+use crate::planned_stop::StopSchedule;
+
 /// Limits on the retries of all gateways together, for each service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RetryBudgetSettings {
@@ -50,8 +52,5 @@
     /// Serves callers.
     Serving,
     /// Serves callers that still use its address, and will stop soon.
-    Draining {
-        /// When the process ends; no request may outlast it.
-        until: Timestamp,
-    },
+    Draining(StopSchedule),
 }
--- a/components/gateway_core/tests/requests.rs
+++ b/components/gateway_core/tests/requests.rs
@@ -7,7 +7,7 @@
 use common::{Harness, at, config, entry_host, head, route, server, service};
 use gateway_core::{
     AttemptEnd, Finish, Idempotency, PathOutcome, Refusal, RefusalReason, RelayEnd, RelayedHead,
-    RequestHead, RunStatus, Step,
+    RequestHead, RunStatus, Step, StopSchedule,
 };
 use ids::{AttemptNumber, ByteSize, Millis, RequestId, Timestamp};
 use schema::announcement::Announcement;
@@ -162,7 +162,7 @@
 #[test]
 fn a_stopping_gateway_refuses_what_it_cannot_finish() {
     let mut harness = harness();
-    harness.gateway.drain(at(5_000));
+    harness.gateway.drain(StopSchedule::new(at(0), Millis(6_000), Millis(1_000)));
 
     assert!(harness.gateway.begin(at(0), head("/look/1")).is_ok());
     let refused = harness.gateway.begin(at(4_500), head("/look/1")).unwrap_err();
--- a/tests/gateway_planned_stops.rs
+++ b/tests/gateway_planned_stops.rs
@@ -100,6 +100,11 @@
     })
 }
 
+/// Returns a request with a time limit that ends before a stop that is about to close its connections.
+fn short_ask(id: String) -> Ask {
+    Ask { time_limit: Millis(1_000), ..Ask::new(id, WORK) }
+}
+
 /// Sends one request after the other to a gateway, with pauses, until connections are refused.
 fn send_in_turn(
     gateway: SocketAddr,
@@ -110,10 +115,7 @@
     sleep_until(begin);
     let mut sent = Vec::new();
     loop {
-        let ask = Ask {
-            time_limit: SHORT_LIMIT,
-            ..Ask::new(format!("turn-{gateway}-{}", sent.len()), WORK)
-        };
+        let ask = short_ask(format!("turn-{gateway}-{}", sent.len()));
         let stream = if sent.len() % 2 == 0 { kept.pop_front() } else { None };
         let Some(mut stream) = stream.or_else(|| connect(gateway)) else { return sent };
         sent.push(ask.send_on(gateway, &mut stream));
@@ -160,8 +162,7 @@
                     }
                     let time = (begin, *signalled + Duration::from_secs(6));
                     send_at_interval(*gateway, kept, time, Duration::from_millis(10), |i| {
-                        let ask = Ask::new(format!("dense-{gateway}-{i}"), WORK);
-                        Ask { time_limit: SHORT_LIMIT, ..ask }
+                        short_ask(format!("dense-{gateway}-{i}"))
                     })
                 })
             })
