End a stopping gateway when none of its connections owes a response

Callers whose requests were read in the last 20 to 75 ms of a process got no response, though a server had run them; responses of 8 MB that their callers began to read 0.6 s late were cut when the process ended.

The process ended by a counter: the number of requests in the decision logic, looked at every 50 ms, and then a wait of 50 ms. It doesn't cover a connection that was accepted, a request whose head or body is being read, nor a response that isn't written; and until the process was gone its listeners accepted and its kept connections were read.

Each listener and each connection now holds a receiver of one channel. At close_at, when no directory answer names the gateway any more, the channel is set: listeners take what has been opened before and close, idle connections close, and each other connection closes after it has delivered the response to the request that was read from it. The channel is closed when all receivers are gone, which ends the process; there is no counter to be wrong. Only the time limit of the stop ends it earlier, with a line for each open request.

--- a/components/gateway/src/connections.rs
+++ b/components/gateway/src/connections.rs
@@ -1,4 +1,4 @@
-//! The open connections of callers and other clients, and what happens on each.
+//! The open connections of callers and other clients, what happens on each, and their end.
 
 use std::{
     cell::{Cell, RefCell},
@@ -6,6 +6,8 @@
     rc::{Rc, Weak},
 };
 
+use tokio::sync::watch;
+
 /// What a connection is busy with.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
 pub(crate) enum Stage {
@@ -50,13 +52,38 @@
     }
 }
 
+/// Tells a listener or a connection when to close. As long as one is held, the process owes something.
+#[derive(Debug, Clone)]
+pub(crate) struct CloseSignal(watch::Receiver<bool>);
+
+impl CloseSignal {
+    /// Waits until the connections are to be closed.
+    pub(crate) async fn received(&mut self) {
+        // The sender is dropped only at the end of the process.
+        let _ = self.0.wait_for(|is_closing| *is_closing).await;
+    }
+}
+
 /// The open connections of a process.
 #[derive(Debug, Default)]
 pub(crate) struct Connections {
+    closing: watch::Sender<bool>,
     exchanges: RefCell<Vec<Weak<Exchange>>>,
 }
 
 impl Connections {
+    /// Returns a signal for a listener or a connection, which it holds until it has ended.
+    pub(crate) fn close_signal(&self) -> CloseSignal {
+        CloseSignal(self.closing.subscribe())
+    }
+
+    /// Closes the listeners, and each connection once it has delivered the response to the request
+    /// that was read from it; completes when all have ended.
+    pub(crate) async fn close(&self) {
+        self.closing.send_replace(true);
+        self.closing.closed().await;
+    }
+
     /// Records a new connection, which is open as long as its exchange is held.
     pub(crate) fn open(&self, peer: SocketAddr) -> Rc<Exchange> {
         let exchange = Rc::new(Exchange {
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -21,7 +21,10 @@
     peer::{PeerFrame, PeerMessage},
     sync::SyncMessage,
 };
-use tokio::{sync::mpsc, time::sleep};
+use tokio::{
+    sync::mpsc,
+    time::{sleep, timeout},
+};
 
 use crate::{
     connections::Connections,
@@ -32,9 +35,6 @@
 use metrics::Metrics;
 use shared::Shared;
 
-/// Interval at which a planned stop checks whether the last requests have ended.
-const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Maximum time between two checks whether a poll is due; an update may make it due earlier.
 const MAX_POLL_WAIT: Duration = Duration::from_secs(1);
 
@@ -187,8 +187,8 @@
     }
 }
 
-/// Withdraws this gateway from the directories, serves callers that still use its address, and
-/// waits for the requests in flight.
+/// Withdraws this gateway from the directories, serves callers that still use its address, then
+/// closes all connections after their responses.
 async fn drain(settings: &GatewaySettings, shared: &Rc<Shared>, connections: &Connections) {
     let (time_limit, directory_ttl) = (settings.stop_within_s.0, settings.directory_keep_s.0);
     let schedule = shared.with_core(|core, now| {
@@ -203,17 +203,16 @@
         limit_ms = time_limit.0;
         "planned stop begins"
     );
-    loop {
-        let now = shared.clock.now();
-        let is_done = now >= schedule.close_at && shared.in_flight() == 0;
-        if is_done || now >= schedule.leave_at {
-            break;
-        }
-        sleep(DRAIN_CHECK_INTERVAL).await;
+    let time_until = |at: Timestamp| Duration::from_micros(at.micros_since(shared.clock.now()));
+    sleep(time_until(schedule.close_at)).await;
+    log::info!(
+        in_flight = shared.in_flight(),
+        connections = connections.count();
+        "planned stop closes the connections"
+    );
+    if timeout(time_until(schedule.leave_at), connections.close()).await.is_err() {
+        connections.log_unfinished();
     }
-    // Leaves time to deliver the last responses.
-    sleep(DRAIN_CHECK_INTERVAL).await;
-    connections.log_unfinished();
     log::info!(
         in_flight = shared.in_flight(),
         connections = connections.count(),
--- a/components/gateway/src/http.rs
+++ b/components/gateway/src/http.rs
@@ -1,6 +1,6 @@
 //! The HTTP server used by all listeners of this crate.
 
-use std::{convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration};
+use std::{convert::Infallible, future::Future, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -9,13 +9,13 @@
     body::Incoming,
     header::{self, HeaderValue},
     server::conn::http1,
-    service::service_fn,
+    service::{HttpService, service_fn},
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::{
-    connections::{Connections, Exchange, Stage},
+    connections::{CloseSignal, Connections, Exchange, Stage},
     peers::StartError,
 };
 
@@ -47,20 +47,29 @@
     bind().map_err(|e| StartError::Listen(address, e))
 }
 
-/// Accepts connections and calls `handle` for each request, until the future is dropped.
+/// Accepts connections and calls `handle` for each request, until the connections are closed.
 pub(crate) async fn serve<F, R>(listener: TcpListener, connections: Rc<Connections>, handle: F)
 where
     F: Fn(Request<Incoming>, Rc<Exchange>) -> R + Clone + 'static,
     R: Future<Output = Reply> + 'static,
 {
     let handle = Rc::new(handle);
+    let mut close = connections.close_signal();
     loop {
-        let (stream, address) = match listener.accept().await {
+        let accepted = tokio::select! {
+            // Connections that were opened before the signal are not refused.
+            biased;
+            accepted = listener.accept() => accepted,
+            () = close.received() => return,
+        };
+        let (stream, address) = match accepted {
             Ok(accepted) => accepted,
             Err(e) => {
                 log::warn!(error:% = e; "cannot accept a connection");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
+                tokio::select! {
+                    () = tokio::time::sleep(ACCEPT_RETRY_DELAY) => continue,
+                    () = close.received() => return,
+                }
             }
         };
         // Otherwise Nagle's algorithm delays small responses until the client's next ACK.
@@ -85,9 +94,10 @@
             .header_read_timeout(IDLE_TIMEOUT)
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(stream), service);
+        let close = close.clone();
         tokio::task::spawn_local(async move {
             // A connection error affects only this client.
-            if let Err(e) = connection.await {
+            if let Err(e) = run_connection(connection, close).await {
                 log::debug!(error:% = e; "connection of a client failed");
             }
             drop(exchange);
@@ -95,6 +105,25 @@
     }
 }
 
+/// Serves a connection until its client closes it, or until the response after `close` is delivered.
+async fn run_connection<S>(
+    connection: http1::Connection<TokioIo<TcpStream>, S>,
+    mut close: CloseSignal,
+) -> hyper::Result<()>
+where
+    S: HttpService<Incoming, ResBody = Full<Bytes>, Error = Infallible>,
+{
+    let mut connection = pin!(connection);
+    tokio::select! {
+        // What has arrived is read before the connection is closed.
+        biased;
+        result = connection.as_mut() => return result,
+        () = close.received() => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    connection.await
+}
+
 /// Returns a plain text response.
 pub(crate) fn text(status: StatusCode, message: impl Into<Bytes>) -> Reply {
     let mut reply = Response::new(Full::new(message.into()));
