Close connections so that their clients receive the whole last response

A caller that sent more after its request lost a response of 8 MB: a socket that is closed with unread bytes is reset, which destroys what the client hasn't read yet. A stopping gateway closes each connection after its response, and reads nothing more, so that each caller that pipelines or sends on is at risk.

The connection now shuts down its own side first, then discards what arrives until the client closes, for half a second at most.

--- a/components/gateway/src/http.rs
+++ b/components/gateway/src/http.rs
@@ -12,10 +12,11 @@
     service::{HttpService, service_fn},
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket};
 
 use crate::{
     connections::{CloseSignal, Connections, Exchange, Stage},
+    lingering::LingeringStream,
     peers::StartError,
 };
 
@@ -93,7 +94,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE_TIMEOUT)
             .max_buf_size(MAX_HEAD_BYTES)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(LingeringStream::new(stream)), service);
         let close = close.clone();
         tokio::task::spawn_local(async move {
             // A connection error affects only this client.
@@ -107,7 +108,7 @@
 
 /// Serves a connection until its client closes it, or until the response after `close` is delivered.
 async fn run_connection<S>(
-    connection: http1::Connection<TokioIo<TcpStream>, S>,
+    connection: http1::Connection<TokioIo<LingeringStream>, S>,
     mut close: CloseSignal,
 ) -> hyper::Result<()>
 where
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod connections;
 mod http;
+mod lingering;
 mod peers;
 mod seeds;
 
--- a/tests/gateway_planned_stops.rs
+++ b/tests/gateway_planned_stops.rs
@@ -488,3 +488,23 @@
     assert_eq!(answered, expected, "{responses}");
     fleet.expect_exit(FIRST, signalled);
 }
+
+#[test]
+fn a_response_is_not_destroyed_by_what_its_caller_sends_after_the_request() {
+    let (mut fleet, _servers) = start(2);
+    let signalled = fleet.stop(FIRST);
+    let mut stream = connect(fleet.callers(FIRST)).unwrap();
+    let headers = stand_in::caller_headers("first", Millis(3_000));
+    send(&mut stream, "GET", "/look/1/size-8000000", &headers, b"").unwrap();
+
+    // The gateway closes the connection after its response, and reads no more requests.
+    let mut writer = stream.try_clone().unwrap();
+    let rest = thread::spawn(move || writer.write_all(&vec![b'a'; 4_000_000]));
+    thread::sleep(Duration::from_millis(600));
+    let response = receive(&mut stream);
+
+    assert_eq!(response.map(|it| (it.status, it.body.len())), Some((200, 8_000_000)));
+    drop(stream);
+    let _ = rest.join().unwrap();
+    fleet.expect_exit(FIRST, signalled);
+}
