Let a process deliver its queued messages before it ends

The end of a process dropped the messages to other hosts that were still queued for their TCP connections. Transport::flush waits until they are written or dropped.

--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -143,6 +143,13 @@
         }
     }
 
+    /// Waits until all messages that were queued for TCP connections are written or dropped.
+    ///
+    /// Messages that are queued meanwhile may be dropped.
+    pub async fn flush(&self) {
+        self.total_budget.all_returned().await;
+    }
+
     fn send_datagram(&self, address: SocketAddr, data: Vec<u8>) {
         if self.datagram_tx.try_send(datagram::Datagram { address, data }).is_err() {
             self.stats.count_dropped();
--- a/components/transport/src/queue.rs
+++ b/components/transport/src/queue.rs
@@ -25,6 +25,12 @@
         Self(Arc::new(Semaphore::new(MAX_QUEUED_BYTES)))
     }
 
+    /// Waits until no message holds a permit of the total budget.
+    pub(crate) async fn all_returned(&self) {
+        // The semaphore is never closed.
+        let _ = self.0.acquire_many(MAX_QUEUED_BYTES as u32).await;
+    }
+
     fn try_acquire(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
         let bytes = u32::try_from(bytes).ok()?;
         self.0.clone().try_acquire_many_owned(bytes).ok()
--- a/components/transport/tests/transport.rs
+++ b/components/transport/tests/transport.rs
@@ -299,3 +299,27 @@
     timeout(Duration::from_secs(10), reads).await.expect("the message is not dropped");
     assert!(received > 0);
 }
+
+#[tokio::test]
+async fn messages_that_were_flushed_arrive_though_the_process_ends() {
+    const MESSAGES: usize = 4;
+    let (receiver, mut rx) = bind_host(2, keys(&["ab"])).await;
+    let address = receiver.local_address();
+
+    // The end of a runtime ends its tasks, as the end of a process does.
+    let process = tokio::task::spawn_blocking(move || {
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        runtime.block_on(async {
+            let (sender, _rx) = bind_host(1, keys(&["ab"])).await;
+            (0..MESSAGES).for_each(|_| sender.send(HostId(2), address, large_message(1_000_000)));
+            sender.flush().await;
+        });
+        runtime.shutdown_background();
+    });
+
+    for _ in 0..MESSAGES {
+        let received = timeout(Duration::from_secs(10), rx.recv()).await;
+        assert!(received.is_ok_and(|it| it.is_some()), "a message was lost");
+    }
+    process.await.unwrap();
+}
