Answer the requests that a control host has read before it stops

Around the planned stop of a leader, operators and backend servers got no answer to changes, announcements and reads that the leader had read; some of these took effect after all. At SIGTERM the process dropped its listeners, ticks and incoming messages at once, so nothing in flight could be committed, while its connections went on reading requests; 200 ms later it ended without looking at them.

Now the driver, ticks and messages go on until no connection owes a response. The listeners close at the signal and each connection after its response. A body has half a second to arrive, then the request is answered 503. All of it takes two seconds at most; then the driver ends, and its last messages to other hosts are delivered within 200 ms. Without requests the process ends at once, so the election of a new leader begins sooner.

--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -16,9 +16,14 @@
 use consensus::{LeaseUse, MembershipPolicy};
 use ids::{HostId, Incarnation, Millis};
 use registry::{HostEvent, RegistryHost, RegistryHostSettings};
-use schema::{gateway_settings::RegistrySettings, sync::Place};
-use storage::{Opened, Storage};
-use tokio::{sync::mpsc, time::MissedTickBehavior};
+use schema::{gateway_settings::RegistrySettings, peer::PeerFrame, sync::Place};
+use storage::{Opened, Storage, StorageError};
+use tokio::{
+    sync::mpsc,
+    task::{JoinHandle, JoinSet},
+    time::{Instant, MissedTickBehavior, timeout, timeout_at},
+};
+use transport::Transport;
 
 use crate::{
     connections::Connections,
@@ -43,8 +48,12 @@
 /// Interval at which a start is tried again while the disk is full.
 const OPEN_RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time to deliver the last responses and messages before the process exits.
-const STOP_DELAY: Duration = Duration::from_millis(200);
+/// Maximum time from a stop signal until the last response is delivered: the rest of a request body,
+/// the commit of its change and the delivery of the response.
+const STOP_TIME_LIMIT: Duration = Duration::from_secs(2);
+
+/// Maximum time to deliver the last messages to other hosts before the process exits.
+const FLUSH_TIME_LIMIT: Duration = Duration::from_millis(200);
 
 /// Runs a control host until it receives a stop signal or its disk fails.
 pub async fn run(settings: RegistrySettings, settings_path: PathBuf) -> Result<(), StartError> {
@@ -58,7 +67,7 @@
         () = &mut stop => return Ok(()),
         opened = open_storage(&settings, host_id, incarnation) => opened?,
     };
-    let (transport, mut frames) =
+    let (transport, frames) =
         peers::bind_transport(settings.ip, settings.peer_port.get(), incarnation).await?;
     let transport = Arc::new(transport);
     let regions = settings.data_centres.iter().map(|it| (it.name.clone(), it.region.clone()));
@@ -81,11 +90,12 @@
     );
     let (tx, rx) = mpsc::channel(EVENT_QUEUE_LEN);
     let mut driver = tokio::task::spawn_blocking(move || driver.run(rx));
-    let metrics_address = (settings.ip, settings.metrics_port.get()).into();
-    let metrics_listener = http::listen(metrics_address)?;
-    let request_handler = Rc::new(RequestHandler::new(&settings, tx.clone()));
-    let request_listener = http::listen(settings.request_address)?;
     let connections = Rc::new(Connections::default());
+    spawn_listeners(&settings, &connections, &tx, metrics)?;
+    let mut inputs = JoinSet::new();
+    inputs.spawn_local(feed_ticks(tx.clone()));
+    inputs.spawn_local(feed_seeds(watch, tx.clone()));
+    inputs.spawn_local(feed_frames(frames, tx.clone()));
     log::info!(
         host:% = settings.ip,
         bootstrap = settings.bootstrap,
@@ -99,39 +109,74 @@
             let result = result.expect("the driver does not panic");
             return result.map_err(StartError::Storage);
         }
-        () = feed_ticks(tx.clone()) => {}
-        () = feed_seeds(watch, tx.clone()) => {}
-        () = async {
-            while let Some(frame) = frames.recv().await {
-                let event = HostEvent::Peer {
-                    from: frame.from,
-                    incarnation: frame.incarnation,
-                    message: frame.message,
-                };
-                if tx.send(DriverEvent::Host(event)).await.is_err() {
-                    return;
-                }
-            }
-        } => {}
-        () = http::serve(request_listener, connections.clone(), move |req, _| {
-            request_handler.clone().handle(req)
-        }) => {}
-        () = http::serve(metrics_listener, connections.clone(), move |req, _| {
-            metrics::handle(metrics.clone(), req)
-        }) => {}
     }
     log::info!(
         host:% = settings.ip,
+        connections = connections.count(),
+        queued_bytes:% = transport.stats().bytes_by_purpose();
+        "planned stop begins"
+    );
+    let result = finish(&connections, inputs, tx, driver, &transport).await;
+    log::info!(
+        host:% = settings.ip,
+        connections = connections.count(),
         queued_bytes:% = transport.stats().bytes_by_purpose();
         "control host stops"
     );
-    // The driver may have stopped already.
-    let _ = tx.send(DriverEvent::Host(HostEvent::Stop)).await;
-    tokio::time::sleep(STOP_DELAY).await;
-    connections.log_unfinished();
+    result.map_err(StartError::Storage)
+}
+
+/// Starts the listeners for requests and for metrics.
+fn spawn_listeners(
+    settings: &RegistrySettings,
+    connections: &Rc<Connections>,
+    tx: &mpsc::Sender<DriverEvent>,
+    metrics: Arc<Metrics>,
+) -> Result<(), StartError> {
+    let metrics_address = (settings.ip, settings.metrics_port.get()).into();
+    let metrics_listener = http::listen(metrics_address)?;
+    let request_listener = http::listen(settings.request_address)?;
+    let close = connections.close_signal();
+    let request_handler = Rc::new(RequestHandler::new(settings, tx.clone(), close));
+    let serve = http::serve(request_listener, connections.clone(), move |req, exchange| {
+        request_handler.clone().handle(req, exchange)
+    });
+    tokio::task::spawn_local(serve);
+    let serve = http::serve(metrics_listener, connections.clone(), move |req, _| {
+        metrics::handle(metrics.clone(), req)
+    });
+    tokio::task::spawn_local(serve);
     Ok(())
 }
 
+/// Completes a planned stop: answers the requests that were read, while the log is still replicated,
+/// then ends the driver and delivers its last messages.
+async fn finish(
+    connections: &Connections,
+    mut inputs: JoinSet<()>,
+    tx: mpsc::Sender<DriverEvent>,
+    driver: JoinHandle<Result<(), StorageError>>,
+    transport: &Transport,
+) -> Result<(), StorageError> {
+    let deadline = Instant::now() + STOP_TIME_LIMIT;
+    // The driver may have ended already, and its error is returned below; or a slow disk holds it up.
+    let _ = timeout_at(deadline, tx.send(DriverEvent::Host(HostEvent::Stop))).await;
+    if timeout_at(deadline, connections.close()).await.is_err() {
+        connections.log_unfinished();
+    }
+    inputs.shutdown().await;
+    drop(tx);
+    let result = match timeout_at(deadline, driver).await {
+        Ok(result) => result.expect("the driver does not panic"),
+        // A slow disk; what it has not stored was not acknowledged.
+        Err(_) => Ok(()),
+    };
+    if timeout(FLUSH_TIME_LIMIT, transport.flush()).await.is_err() {
+        log::warn!("not all messages to other hosts were sent");
+    }
+    result
+}
+
 /// Opens the data folder, and waits while its disk is full.
 async fn open_storage(
     settings: &RegistrySettings,
@@ -179,6 +224,16 @@
     }
 }
 
+async fn feed_frames(mut frames: mpsc::Receiver<PeerFrame>, tx: mpsc::Sender<DriverEvent>) {
+    while let Some(frame) = frames.recv().await {
+        let PeerFrame { from, incarnation, message, .. } = frame;
+        let event = HostEvent::Peer { from, incarnation, message };
+        if tx.send(DriverEvent::Host(event)).await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn feed_seeds(mut watch: SettingsWatch, tx: mpsc::Sender<DriverEvent>) {
     loop {
         watch.changed().await;
--- a/components/gateway/src/control/requests.rs
+++ b/components/gateway/src/control/requests.rs
@@ -1,6 +1,6 @@
 //! Handles HTTP requests of operators and backend servers.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use gateway_core::GatewayConfig;
@@ -14,36 +14,64 @@
 use platform::{announcements, calls::ControlCall, configuration};
 use registry::{Answer, MAX_CONFIG_BYTES, Request, pack_text, unpack_text};
 use schema::{gateway_settings::RegistrySettings, registry::ConfigDocument};
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::sleep,
+};
 
 use super::driver::DriverEvent;
 use crate::{
+    connections::{CloseSignal, Exchange, Stage},
     http::{self, Reply},
     peers,
 };
 
+/// Time that the rest of a request body may take during a planned stop.
+const BODY_TIME_AT_STOP: Duration = Duration::from_millis(500);
+
+/// Message of a response during a planned stop.
+const STOPPING: &str = "this control host stops";
+
 /// Handles HTTP requests by forwarding them to the driver.
 pub(crate) struct RequestHandler {
     tx: mpsc::Sender<DriverEvent>,
     /// Port of the request listener, which is the same on all control hosts.
     port: u16,
     announcement_lifetime: Millis,
+    close: CloseSignal,
 }
 
 impl RequestHandler {
-    pub(crate) fn new(settings: &RegistrySettings, tx: mpsc::Sender<DriverEvent>) -> Self {
+    pub(crate) fn new(
+        settings: &RegistrySettings,
+        tx: mpsc::Sender<DriverEvent>,
+        close: CloseSignal,
+    ) -> Self {
         let port = settings.request_address.port();
-        Self { tx, port, announcement_lifetime: settings.announcement_lifetime_ms }
+        Self { tx, port, announcement_lifetime: settings.announcement_lifetime_ms, close }
     }
 
     /// Handles one HTTP request.
-    pub(crate) async fn handle(self: Rc<Self>, req: HttpRequest<Incoming>) -> Reply {
+    pub(crate) async fn handle(
+        self: Rc<Self>,
+        req: HttpRequest<Incoming>,
+        exchange: Rc<Exchange>,
+    ) -> Reply {
         let (head, body) = req.into_parts();
         let path = head.uri.path();
         let Some(call) = ControlCall::of(&head.method, path) else {
             return http::text(StatusCode::NOT_FOUND, "no such call\n");
         };
-        let body = match Limited::new(body, MAX_CONFIG_BYTES).collect().await {
+        let body = tokio::select! {
+            biased;
+            body = Limited::new(body, MAX_CONFIG_BYTES).collect() => body,
+            () = self.body_time_over() => {
+                log::warn!(path:% = path; "the process stops before the request body is complete");
+                return unavailable(STOPPING);
+            }
+        };
+        exchange.enter(Stage::InWork);
+        let body = match body {
             Ok(body) => body.to_bytes(),
             Err(e) => {
                 log::warn!(path:% = path, error:% = e; "cannot read the request body");
@@ -66,6 +94,12 @@
         self.reply(call, path, answer)
     }
 
+    /// Completes when a planned stop no longer waits for request bodies.
+    async fn body_time_over(&self) {
+        self.close.clone().received().await;
+        sleep(BODY_TIME_AT_STOP).await;
+    }
+
     fn decode(&self, call: ControlCall<'_>, body: &Bytes) -> Result<Request, String> {
         match call {
             ControlCall::PutConfig => {
@@ -112,7 +146,7 @@
             Some(Answer::NoConfig) => unavailable("no configuration was put yet"),
             Some(Answer::AskLeader(leader)) => self.redirect(leader, path),
             Some(Answer::Unavailable(reason)) => unavailable(&reason.to_string()),
-            None => unavailable("this control host stops"),
+            None => unavailable(STOPPING),
         }
     }
 
