--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -51,7 +51,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn operators_whose_requests_wait_for_a_majority_at_a_planned_stop_get_an_answer() {
-    let mut fleet = Fleet::start(3, 1, 1).await;
+    let fleet = Fleet::start(3, 1, 1).await;
     let leader = fleet.leader().await;
     let address = fleet.control[leader].admin_address;
     let others: Vec<usize> = (0..3).filter(|it| *it != leader).collect();
