Take what most likely ends in time only in the first 2.8 s of a planned stop

With 10 s to stop and directory answers of 2 s or more, a request was taken 3.6 s after the signal because it most likely ended in time, and was given up at 8.6 s while its server worked on it: the time was bounded by half of the stop alone, and with answers of 1 s it had no margin for a signal that is handled late.

a_request_sent_late_in_a_long_stop_is_not_given_up_while_its_server_works failed before, as did the check of all limits once it looked at that time.

--- a/components/gateway_core/src/planned_stop.rs
+++ b/components/gateway_core/src/planned_stop.rs
@@ -13,14 +13,18 @@
 /// Time until a planned stop is known to all directories, in milliseconds.
 const PROPAGATION_TIME: Millis = Millis(500);
 
+/// Maximum time for which requests are taken that most likely end in time, in milliseconds. Servers
+/// may still work at the end on requests of the first 3 s, counted from when the signal was sent.
+const MAX_LIKELY_TIME: Millis = Millis(2_800);
+
 /// Number of parts into which the time limit of a stop is divided.
 const PARTS: u64 = 48;
 
 /// Latest start of closing the connections, in parts of the time limit.
 const CLOSE_PARTS: u64 = 36;
 
-/// When unfinished requests are given up, in parts of the time limit: the rest is for the delivery of
-/// responses.
+/// When unfinished requests are given up, in parts of the time limit: in its last sixth, the rest of
+/// which is for the delivery of responses.
 const CUT_PARTS: u64 = 41;
 
 /// When the process ends though responses are still being written, in parts of the time limit: the
@@ -30,9 +34,9 @@
 /// The times of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopSchedule {
-    /// Until then, callers may have this gateway's address from a valid directory answer, and
-    /// requests are taken that will most likely end in time.
-    pub handover_until: Timestamp,
+    /// Until then, requests are taken that most likely end in time: callers may have this gateway's
+    /// address from a valid directory answer. Later, only those whose time limit ends in time.
+    pub likely_until: Timestamp,
     /// When the listeners close, and each connection after its response.
     pub close_at: Timestamp,
     /// When requests without a response are given up.
@@ -49,7 +53,7 @@
         let cache_time = Millis(directory_ttl.0 * MAX_CACHED_ANSWERS);
         let close_after = Millis(cache_time.0 + PROPAGATION_TIME.0).min(part(CLOSE_PARTS));
         Self {
-            handover_until: now + cache_time.min(part(CUT_PARTS / 2)),
+            likely_until: now + cache_time.min(part(CUT_PARTS / 2)).min(MAX_LIKELY_TIME),
             close_at: now + close_after,
             cut_at: now + part(CUT_PARTS),
             leave_at: now + part(LEAVE_PARTS),
@@ -64,6 +68,6 @@
         deadline: Timestamp,
         likely_end: Timestamp,
     ) -> bool {
-        deadline <= self.cut_at || (now < self.handover_until && likely_end <= self.cut_at)
+        deadline <= self.cut_at || (now < self.likely_until && likely_end <= self.cut_at)
     }
 }
--- a/components/gateway_core/tests/planned_stop.rs
+++ b/components/gateway_core/tests/planned_stop.rs
@@ -303,11 +303,23 @@
         for directory_ttl in (0..=10).map(|it| Millis(it * 1_000)) {
             let it = StopSchedule::new(at(0), time_limit, directory_ttl);
 
-            let order = [it.handover_until, it.close_at, it.cut_at, it.leave_at];
+            let order = [it.likely_until, it.close_at, it.cut_at, it.leave_at];
 
             assert!(order.is_sorted() && it.leave_at < at(0) + time_limit, "{it:?}");
-            // Servers may still be at work only in the last sixth.
+            // Servers may still be at work only in the last sixth, on early requests.
             assert!(it.cut_at >= at(0) + Millis(time_limit.0 * 5 / 6), "{it:?}");
+            assert!(it.likely_until < at(EXCUSED_UNTIL), "{it:?}");
         }
     }
 }
+
+#[test]
+fn a_request_sent_late_in_a_long_stop_is_not_given_up_while_its_server_works() {
+    let mut harness = Replay::new(1).harness;
+    harness.gateway.drain(StopSchedule::new(at(0), Millis(10_000), Millis(5_000)));
+    let request = RequestHead { caller_timeout: Some(Millis(12_000)), ..head("/parts/1") };
+
+    let refusal = harness.gateway.begin(at(EXCUSED_UNTIL + 600), request).unwrap_err();
+
+    assert_eq!((refusal.reason, refusal.run), (RefusalReason::Stopping, RunStatus::NotRun));
+}
