Leave the own directory at the signal of a planned stop

A stopping gateway whose control hosts can't be reached went on naming itself in its directory until it ended, and its callers were then refused connections: it removed itself only when an update arrived.

--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -157,6 +157,8 @@
     /// Starts a planned stop; no request outlasts it.
     pub fn drain(&mut self, schedule: StopSchedule) {
         self.lifecycle = Lifecycle::Draining(schedule);
+        // Control hosts that can't be reached go on listing it.
+        self.entry_hosts.remove(self.settings.host);
         self.registry_poller.poll_now();
         for (id, request) in &mut self.requests {
             if schedule.cut_at < request.deadline {
--- a/components/gateway_core/tests/planned_stop.rs
+++ b/components/gateway_core/tests/planned_stop.rs
@@ -323,3 +323,17 @@
 
     assert_eq!((refusal.reason, refusal.run), (RefusalReason::Stopping, RunStatus::NotRun));
 }
+
+#[test]
+fn a_stopping_gateway_that_hears_no_control_host_sends_no_callers_to_itself() {
+    let mut harness = Replay::new(1).harness;
+    let (region, data_centre) = (common::region("north-a"), common::data_centre("north-a"));
+    let listed =
+        |harness: &Harness| harness.gateway.directory(Some(&region), Some(&data_centre)).addresses;
+    let own = entry_host(1, "north-a").caller_address;
+    assert!(listed(&harness).contains(&own));
+
+    harness.gateway.drain(StopSchedule::new(at(0), STOP_LIMIT, Millis(1_000)));
+
+    assert!(!listed(&harness).contains(&own));
+}
