Send no hedge to a server right before a planned stop gives its request up

Requests in flight were hedged up to the moment at which the stop gives them up, so that a second server worked on them in vain.

no_server_gets_a_hedge_right_before_a_stop_gives_its_request_up failed before: a second attempt was sent 15 ms before.

--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -76,14 +76,18 @@
         if !request.may_be_sent() {
             return self.give_up(now, id, RefusalReason::NoAnswer, None);
         }
-        // A server would most likely work on it in vain.
-        if request.ends_with_stop && request.deadline < now + self.likely_latency(&request.route) {
+        if self.would_work_in_vain(now, request) {
             let retry_after = Some(STOPPING_RETRY_AFTER);
             return self.give_up(now, id, RefusalReason::StopReached, retry_after);
         }
         self.send_or_wait(now, id)
     }
 
+    /// Returns whether a server would most likely not answer a request before the planned stop gives it up.
+    fn would_work_in_vain(&self, now: Timestamp, request: &Request) -> bool {
+        request.ends_with_stop && request.deadline < now + self.likely_latency(&request.route)
+    }
+
     /// Records the end of an attempt; `size` is that of the request and the response together.
     pub fn attempt_ended(
         &mut self,
@@ -198,7 +202,8 @@
         let hedge_at = last.started + hedge_after;
         let may_hedge = request.route.idempotency == Idempotency::Idempotent
             && request.in_flight.len() == 1
-            && matches!(last.target, InFlightTarget::Server(_));
+            && matches!(last.target, InFlightTarget::Server(_))
+            && !self.would_work_in_vain(now, request);
         if may_hedge
             && now >= hedge_at
             && let Some(step) = self.hedge(now, id)
--- a/components/gateway_core/tests/planned_stop.rs
+++ b/components/gateway_core/tests/planned_stop.rs
@@ -337,3 +337,20 @@
 
     assert!(!listed(&harness).contains(&own));
 }
+
+#[test]
+fn no_server_gets_a_hedge_right_before_a_stop_gives_its_request_up() {
+    let mut harness = Replay::new(1).harness;
+    for i in 0..200 {
+        harness.run(at(i * 10), at(i * 10 + 9), "/parts/1", AttemptEnd::Answered);
+    }
+    let request = RequestHead { caller_timeout: Some(Millis(12_000)), ..head("/parts/1") };
+    let id = harness.gateway.begin(at(3_000), request).unwrap();
+    assert!(matches!(harness.gateway.step(at(3_000), id), Step::Send(_)));
+    let schedule = StopSchedule::new(at(3_100), STOP_LIMIT, Millis(1_000));
+    harness.gateway.drain(schedule);
+
+    let step = harness.gateway.step(schedule.cut_at - Millis(15), id);
+
+    assert!(matches!(step, Step::Wait(_)), "{step:?}");
+}
