Read what has arrived before a gateway that was frozen closes its connections

A gateway that was frozen while its connections became due to close dropped all requests that had arrived meanwhile: when it goes on, the time is over before the event loop has seen the sockets, so that each connection looked idle. It now takes one more round of the loop first.

--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -35,6 +35,9 @@
 use metrics::Metrics;
 use shared::Shared;
 
+/// Time to read what has arrived before connections are closed: one round of the event loop.
+const READ_TIME: Duration = Duration::from_millis(1);
+
 /// Maximum time between two checks whether a poll is due; an update may make it due earlier.
 const MAX_POLL_WAIT: Duration = Duration::from_secs(1);
 
@@ -205,6 +208,8 @@
     );
     let time_until = |at: Timestamp| Duration::from_micros(at.micros_since(shared.clock.now()));
     sleep(time_until(schedule.close_at)).await;
+    // After a freeze the time is over before what has arrived meanwhile is read.
+    sleep(READ_TIME).await;
     log::info!(
         in_flight = shared.in_flight(),
         connections = connections.count();
--- a/tests/gateway_planned_stops.rs
+++ b/tests/gateway_planned_stops.rs
@@ -508,3 +508,37 @@
     let _ = rest.join().unwrap();
     fleet.expect_exit(FIRST, signalled);
 }
+
+#[test]
+fn requests_that_arrive_while_a_stopping_gateway_is_frozen_get_an_answer() {
+    let (mut fleet, servers) = start(2);
+    let gateway = fleet.callers(FIRST);
+    let mut kept = open_kept(gateway, 5);
+    let signalled = fleet.stop(FIRST);
+
+    // The connections are to be closed 3.5 s after the signal.
+    sleep_until(signalled + Duration::from_millis(3_250));
+    fleet.signal(FIRST, "-STOP");
+    sleep_until(signalled + Duration::from_millis(3_350));
+    let sent: Vec<Sent> = thread::scope(|scope| {
+        let callers: Vec<_> = (0..10)
+            .map(|i| {
+                let stream = if i % 2 == 0 { kept.pop_front() } else { None };
+                scope.spawn(move || {
+                    let mut stream = stream.or_else(|| connect(gateway)).unwrap();
+                    let ask = Ask::new(format!("frozen-{i}"), Duration::from_millis(10));
+                    Ask { time_limit: Millis(1_000), ..ask }.send_on(gateway, &mut stream)
+                })
+            })
+            .collect();
+        sleep_until(signalled + Duration::from_millis(3_700));
+        fleet.signal(FIRST, "-CONT");
+        callers.into_iter().map(|it| it.join().unwrap()).collect()
+    });
+
+    assert_kept(&fleet, &sent, &servers, &vec![(gateway, signalled)]);
+    let unanswered: Vec<_> =
+        sent.iter().filter(|it| it.status() == 0).map(|it| &it.ask.id).collect();
+    assert!(unanswered.is_empty(), "{unanswered:?}");
+    fleet.expect_exit(FIRST, signalled);
+}
