Bound the time that a request spends on permits in all

Callers waited up to 1.57 s for a refusal, while all servers of a service named limits and the machine was busy; 1.5 s are allowed.

Cause: a request could ask four times for a permit. Each ask takes up to 150 ms when the grantor answers late, and after each pair of denials it waited up to 0.3 s (0.6 s on the most urgent routes) until a server might have a permit again. After the fourth denial it waited once more, though no ask was to follow. Traced with two servers and answers after 140 ms:

0 asks, 140 asks, 280 waits until 490, 490 asks, 630 asks, 770 waits until 980, 980 refused

Now a request spends at most two thirds of the target latency on permits, or one wait if that is longer, and doesn't wait when no ask would follow. The time starts when only a permit lets it go on, and anew after a server was reached. A caller that is refused while a server is open is told its turn at the rate of the limits, not 500 ms like all others.

--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -42,9 +42,6 @@
 /// centres, whose load is not reported here, may have free slots by then.
 const RECHECK_INTERVAL: Millis = Millis(100);
 
-/// Maximum number of permits that a request asks for in vain.
-const MAX_PERMIT_ASKS: u32 = 4;
-
 /// Retry-After for requests that found no server or ran out of attempts, in milliseconds.
 pub(super) const NO_SERVER_RETRY_AFTER: Millis = Millis(500);
 
@@ -101,7 +98,10 @@
         let Some((InFlightTarget::Server(key), started)) = ended else { return };
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.run = request.run.max(end.run_status());
-        request.arrived_attempts += u32::from(end.reached_server());
+        if end.reached_server() {
+            request.arrived_attempts += 1;
+            request.permit_search_ends = None;
+        }
         match end {
             AttemptEnd::Answered => request.answered_by = Some(attempt),
             AttemptEnd::ServerError => request.server_error = Some(attempt),
@@ -293,7 +293,7 @@
             return self.wait(now, id, RECHECK_INTERVAL);
         }
         loop {
-            let may_ask = self.requests[&id].permit_asks < MAX_PERMIT_ASKS;
+            let may_ask = self.may_ask_for_permit(now, id);
             match self.place(now, id, may_ask) {
                 Placement::Server(server) => {
                     let step = self.send_if_permitted(now, id, server);
@@ -306,8 +306,12 @@
                     return self.give_up(now, id, RefusalReason::Busy, Some(retry_after));
                 }
                 Placement::NoServer if !may_ask => {
-                    let retry_after = Some(NO_SERVER_RETRY_AFTER);
-                    return self.give_up(now, id, RefusalReason::ServersAtLimit, retry_after);
+                    let service = self.requests[&id].service.clone();
+                    let retry_after = self
+                        .return_time_at_limit(now, &service, NO_SERVER_RETRY_AFTER)
+                        .unwrap_or(NO_SERVER_RETRY_AFTER);
+                    let reason = RefusalReason::ServersAtLimit;
+                    return self.give_up(now, id, reason, Some(retry_after));
                 }
                 Placement::NoServer => {
                     let retry_after = Some(NO_SERVER_RETRY_AFTER);
@@ -322,7 +326,11 @@
         let reason = match self.servers.all_closed_for(now, &self.requests[&id].service)? {
             Closed::Leaving => return None,
             Closed::Paused(_) => RefusalReason::ServersPaused,
-            Closed::AtLimit(free_in) if free_in <= self.max_permit_wait(now, id) => {
+            Closed::AtLimit(free_in)
+                if self.may_ask_for_permit(now + free_in, id)
+                    && free_in <= self.max_permit_wait(now, id) =>
+            {
+                self.begin_permit_search(now, id);
                 return Some(Step::Wait(now + free_in));
             }
             Closed::AtLimit(_) => RefusalReason::ServersAtLimit,
--- a/components/gateway_core/src/gateway/limits.rs
+++ b/components/gateway_core/src/gateway/limits.rs
@@ -8,6 +8,7 @@
 
 use super::{Gateway, PAUSE_RETURN_SPREAD};
 use crate::{
+    configuration::Route,
     events::Event,
     server_limits::{PermitDecision, PermitRequest, ServerLimits},
     servers::{
@@ -16,6 +17,9 @@
     },
 };
 
+/// Maximum number of permits that a request asks for in vain.
+const MAX_PERMIT_ASKS: u32 = 4;
+
 impl Gateway {
     /// Processes a message of another host about the limit of a server.
     pub fn on_server_limit(&mut self, now: Timestamp, from: HostId, message: &ServerLimitMessage) {
@@ -147,7 +151,10 @@
         });
         let max_wait = match has_alternative {
             true => Millis(0),
-            false => self.max_permit_wait(now, id),
+            false => {
+                self.begin_permit_search(now, id);
+                self.max_permit_wait(now, id)
+            }
         };
         let grantor = self.servers.by_key_mut(key).map(|it| it.announcement.data_centre.clone());
         let grantor = grantor
@@ -170,7 +177,24 @@
         let request = &self.requests[&id];
         let response_time = Millis(self.servers.average_latency(&request.route) as u64);
         let time_left = Millis(request.time_left(now).0.saturating_sub(response_time.0));
-        ServerLimits::max_wait(request.route.priority, time_left)
+        let search_left = request.permit_search_ends.map_or(time_left, |it| it.since(now));
+        ServerLimits::max_wait(request.route.priority, time_left.min(search_left))
+    }
+
+    /// Returns whether a request may still ask for a permit.
+    pub(super) fn may_ask_for_permit(&self, now: Timestamp, id: RequestId) -> bool {
+        let request = &self.requests[&id];
+        request.permit_asks < MAX_PERMIT_ASKS
+            && request.permit_search_ends.is_none_or(|it| now < it)
+    }
+
+    /// Records that only a permit lets a request go on. The time for that starts anew when a server
+    /// is reached.
+    pub(super) fn begin_permit_search(&mut self, now: Timestamp, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Route { priority, target_latency, .. } = *request.route;
+        let ends = now + ServerLimits::max_search(priority, target_latency);
+        request.permit_search_ends.get_or_insert(ends);
     }
 
     /// Returns when a caller of a service should return while all its servers are closed for a time.
@@ -183,11 +207,23 @@
             Closed::Leaving => return None,
             Closed::Paused(it) | Closed::AtLimit(it) => it,
         };
-        let Some(total) = self.servers.total_limit(service) else {
+        let return_time = self.return_time_at_limit(now, service, opens_in);
+        Some(return_time.unwrap_or_else(|| {
             let spread = opens_in.0 as f64 * PAUSE_RETURN_SPREAD;
-            return Some(Millis(opens_in.0 + (spread * Self::random_unit(&mut self.rng)) as u64));
-        };
+            Millis(opens_in.0 + (spread * Self::random_unit(&mut self.rng)) as u64)
+        }))
+    }
+
+    /// Returns when a caller that got no permit should return, not before `free_in`; `None` if
+    /// a server of the service names no limit.
+    pub(super) fn return_time_at_limit(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        free_in: Millis,
+    ) -> Option<Millis> {
+        let total = self.servers.total_limit(service)?;
         let gateways = self.entry_hosts.len();
-        Some(self.server_limits.return_time(now, service, opens_in, total, gateways))
+        Some(self.server_limits.return_time(now, service, free_in, total, gateways))
     }
 }
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -288,6 +288,9 @@
     pub(crate) first_sent_at: Option<Timestamp>,
     /// Number of permits that were denied.
     pub(crate) permit_asks: u32,
+    /// When the time for a permit ends, if the request has needed one to go on since it last
+    /// reached a server.
+    pub(crate) permit_search_ends: Option<Timestamp>,
     /// Maximum number of servers that it may reach.
     pub(crate) max_attempts: u32,
     /// The `Retry-After` of another gateway's refusal.
@@ -322,6 +325,7 @@
             server_error: None,
             first_sent_at: None,
             permit_asks: 0,
+            permit_search_ends: None,
         }
     }
 
--- a/components/gateway_core/src/server_limits/mod.rs
+++ b/components/gateway_core/src/server_limits/mod.rs
@@ -11,6 +11,8 @@
 //!   allows.
 //! - *All servers of a service name limits.* Requests wait for a permit if one is free soon. The others
 //!   are refused at once and told to return at the rate at which permits become free.
+//! - *Far more requests than the limits allow, and slow answers.* A request is denied one permit after
+//!   the other, since others were faster. The time that it spends on permits is limited in all.
 //! - *The grantor is gone, or no majority of the control hosts can be reached.* The server gets nothing
 //!   until there is a grantor again.
 
@@ -40,6 +42,10 @@
 const MAX_PERMIT_WAIT_URGENT: Millis = Millis(600);
 const MAX_PERMIT_WAIT: Millis = Millis(300);
 
+/// Part of the target latency that a request may spend on permits in all, if that is longer than one
+/// wait. The rest is for the last answer and the response.
+const PERMIT_SEARCH_SHARE: f64 = 2.0 / 3.0;
+
 /// Longest time after which refused callers are told to return.
 const MAX_RETURN_TIME: Millis = Millis(30_000);
 
@@ -123,6 +129,13 @@
         max_wait.min(time_left)
     }
 
+    /// Returns how long a request of a route with this priority and target latency may spend on
+    /// permits in all: asks, and waits for permits and for servers without any.
+    pub(crate) fn max_search(priority: u32, target_latency: Millis) -> Millis {
+        let share = Millis((target_latency.0 as f64 * PERMIT_SEARCH_SHARE) as u64);
+        share.max(Self::max_wait(priority, Millis(u64::MAX)))
+    }
+
     /// Sets the control hosts of which a majority grants leases.
     pub(crate) fn set_control_hosts(&mut self, control_hosts: Vec<HostId>) {
         self.grantor.set_control_hosts(control_hosts);
--- a/components/gateway_core/tests/server_limits.rs
+++ b/components/gateway_core/tests/server_limits.rs
@@ -79,6 +79,20 @@
     set >> i & 1 == 1
 }
 
+/// How a request ended; times are in milliseconds.
+struct Ended {
+    sent: u64,
+    took: u64,
+    route: String,
+    finish: Finish,
+}
+
+impl Ended {
+    fn is_answered(&self) -> bool {
+        matches!(self.finish, Finish::Answer(_))
+    }
+}
+
 /// Gateways, control hosts and servers.
 struct Fleet {
     gateways: Vec<Gateway>,
@@ -92,15 +106,17 @@
     request_interval: u64,
     /// Limits that servers name, by number.
     limits: BTreeMap<u64, LimitRate>,
-    messages: Vec<(HostId, HostId, Message)>,
+    /// Milliseconds that messages take, beyond the next step.
+    message_time: u64,
+    /// Messages on their way, and when they are due.
+    messages: Vec<(u64, HostId, HostId, Message)>,
     responses: Vec<Response>,
     waiting: Vec<(usize, u64, RequestId, Timestamp)>,
     /// When each gateway process first received the limit of a server.
     told_at: BTreeMap<(usize, u64, u64), u64>,
     /// Requests at each server: when, and whether the gateway had received its limit before.
     arrivals: BTreeMap<u64, Vec<(u64, bool)>>,
-    /// Ends of requests: when they were sent, their route, and how they ended.
-    ended: Vec<(u64, String, Finish)>,
+    ended: Vec<Ended>,
     begun: BTreeMap<(usize, u64, u64), (u64, String)>,
 }
 
@@ -119,6 +135,7 @@
             known_hosts: vec![(1..=GATEWAYS).collect(); GATEWAYS as usize],
             request_interval,
             limits: BTreeMap::new(),
+            message_time: 0,
             messages: Vec::new(),
             responses: Vec::new(),
             waiting: Vec::new(),
@@ -173,17 +190,17 @@
                 if now % self.request_interval == offset && !has(faults.frozen, i) {
                     self.request(i, now);
                 }
-                self.collect(i);
+                self.collect(i, now);
             }
         }
     }
 
     fn deliver(&mut self, now: u64, faults: Faults) {
-        for (from, to, message) in std::mem::take(&mut self.messages) {
+        for (due, from, to, message) in std::mem::take(&mut self.messages) {
             let gateway = |it: HostId| it.0 <= GATEWAYS;
             let i = to.0 as usize - 1;
-            if gateway(to) && has(faults.frozen, i) {
-                self.messages.push((from, to, message));
+            if due > now || gateway(to) && has(faults.frozen, i) {
+                self.messages.push((due, from, to, message));
                 continue;
             }
             let between_gateways = gateway(from) && gateway(to);
@@ -216,7 +233,7 @@
                 let is_granted = leases.grant(at(now), holder, ask);
                 let answer = LimitLeaseAnswer { number: ask.number, is_granted };
                 let answer = Message::Limit(ServerLimitMessage::LeaseAnswer(answer));
-                self.messages.push((to, from, answer));
+                self.messages.push((now + self.message_time, to, from, answer));
             }
             ServerLimitMessage::LeaseRelease(release) => leases.release(holder, release),
             _ => panic!("a message that is not for control hosts"),
@@ -270,7 +287,7 @@
                 Step::Finish(finish) => {
                     self.gateways[i].forget(at(now), id);
                     if let Some((sent, route)) = self.begun.remove(&(i, incarnation, id.0)) {
-                        self.ended.push((sent, route, finish));
+                        self.ended.push(Ended { sent, took: now - sent, route, finish });
                     }
                     return;
                 }
@@ -292,14 +309,15 @@
         self.responses.push(Response { due, gateway, incarnation, request, start, sent_at, limit });
     }
 
-    fn collect(&mut self, i: usize) {
+    fn collect(&mut self, i: usize, now: u64) {
         let from = HostId(i as u32 + 1);
+        let due = now + self.message_time;
         for outgoing in self.gateways[i].take_reports() {
-            let reports = outgoing.to.iter().map(|it| (from, *it, outgoing.report.clone()));
-            self.messages.extend(reports.map(|(from, to, it)| (from, to, Message::Report(it))));
+            let reports = outgoing.to.iter().map(|it| (*it, outgoing.report.clone()));
+            self.messages.extend(reports.map(|(to, it)| (due, from, to, Message::Report(it))));
         }
         let messages = self.gateways[i].take_limit_messages().into_iter();
-        self.messages.extend(messages.map(|(to, message)| (from, to, Message::Limit(message))));
+        self.messages.extend(messages.map(|(to, it)| (due, from, to, Message::Limit(it))));
     }
 
     /// Returns the most requests at a server in a window from `from` on, of gateways that had
@@ -360,8 +378,7 @@
         let arrived = fleet.arrived(number, 8_000..23_000);
         assert!(arrived >= 15 * limit / 2, "{arrived} requests in 15 s at server {number}");
     }
-    let is_answered = |it: &&(u64, String, Finish)| matches!(it.2, Finish::Answer(_));
-    assert_eq!(fleet.ended.iter().filter(is_answered).count(), fleet.ended.len());
+    assert_eq!(fleet.ended.iter().filter(|it| it.is_answered()).count(), fleet.ended.len());
 }
 
 #[test]
@@ -441,24 +458,52 @@
     fleet.run(3_000..30_000, NO_FAULTS);
 
     (1..=4).for_each(|it| fleet.assert_within_limit(it, 3_000 + SETTLING_TIME));
-    let settled = fleet.ended.iter().filter(|(sent, ..)| (8_000..28_000).contains(sent));
+    let settled = fleet.ended.iter().filter(|it| (8_000..28_000).contains(&it.sent));
     let served = |route: &str| {
-        let of_route: Vec<_> = settled.clone().filter(|(_, it, _)| it == route).collect();
-        let answered = of_route.iter().filter(|it| matches!(it.2, Finish::Answer(_))).count();
+        let of_route: Vec<_> = settled.clone().filter(|it| it.route == route).collect();
+        let answered = of_route.iter().filter(|it| it.is_answered()).count();
         answered as f64 / of_route.len() as f64
     };
     let (urgent, usual) = (served("pay"), served("look"));
     assert!(urgent >= usual, "{urgent} of the urgent requests are served, {usual} of the others");
     let capacity: usize = (1..=4).map(|it| fleet.arrived(it, 8_000..28_000)).sum();
     assert!(capacity >= 200, "{capacity} of the 320 requests that the limits allow");
-    for (_, _, finish) in settled {
-        if let Finish::Refuse(refusal) = finish {
+    for ended in settled {
+        if let Finish::Refuse(refusal) = ended.finish {
             assert_eq!(refusal.reason, RefusalReason::ServersAtLimit);
             assert!(refusal.retry_after.is_some());
         }
     }
 }
 
+/// Two servers that take 4 requests a second each, and gateways that hear each other after 50 ms.
+fn slow_fleet_with_two_servers(request_interval: u64) -> Fleet {
+    let mut fleet = limited(2, request_interval, &[(1, 4_000), (2, 4_000)]);
+    fleet.message_time = 50;
+    fleet.run(3_000..33_000, NO_FAULTS);
+    fleet.ended.retain(|it| (8_000..30_000).contains(&it.sent));
+    fleet
+}
+
+#[test]
+fn a_request_that_is_denied_one_permit_after_the_other_is_refused_within_its_target_latency() {
+    let fleet = slow_fleet_with_two_servers(120);
+
+    let (answered, refused): (Vec<_>, Vec<_>) = fleet.ended.iter().partition(|it| it.is_answered());
+    let longest = refused.iter().map(|it| it.took).max();
+    assert!(longest < Some(900), "refused after {longest:?} ms");
+    let in_time = answered.iter().filter(|it| it.took <= 900).count();
+    assert!(in_time >= 160, "{in_time} of the 176 requests that the limits allow have a response");
+}
+
+#[test]
+fn requests_below_the_limits_of_all_servers_are_served_though_gateways_hear_each_other_late() {
+    let fleet = slow_fleet_with_two_servers(1_700);
+
+    let refused = fleet.ended.iter().filter(|it| !it.is_answered()).count();
+    assert_eq!(refused, 0, "of {} requests", fleet.ended.len());
+}
+
 #[test]
 fn a_server_that_names_a_limit_of_zero_still_gets_some_requests() {
     let mut fleet = limited(2, 50, &[(1, 0)]);
@@ -585,6 +630,61 @@
     assert!(finish.retry_after.is_some());
 }
 
+/// Asks for permits, each of which is denied with `free_in` after 140 ms, until the request is
+/// refused; returns when, and what the gateway did.
+fn refused_after_denials(priority: u32, free_in: Millis) -> (u64, Vec<String>) {
+    let look = Route { priority, ..route("look", Idempotency::Idempotent) };
+    let servers = [1, 2].map(|it| server(it, "south-a"));
+    let hosts = vec![entry_host(1, "north-a"), entry_host(2, "south-a")];
+    let mut harness = Harness::new(vec![look], servers.to_vec(), hosts);
+    let notice =
+        ServerNotice { limit: LimitNotice::Limited(LimitRate(4_000)), ..ServerNotice::default() };
+    for Announcement { address, incarnation, .. } in servers {
+        harness.gateway.on_server_notice(at(1_000), address, incarnation, at(900), notice);
+    }
+    let id = harness.begin(at(2_000), "/look/1");
+    let mut answers = Vec::new();
+    let mut log = Vec::new();
+    for now in 0.. {
+        for (_, answer) in answers.extract_if(.., |(due, _)| *due == now) {
+            harness.gateway.on_server_limit(at(2_000 + now), HostId(2), &answer);
+        }
+        let step = harness.gateway.step(at(2_000 + now), id);
+        for (_, message) in harness.gateway.take_limit_messages() {
+            let ServerLimitMessage::PermitAsk(ask) = message else { continue };
+            log.push(format!("{now} asks for a permit of server {}", ask.incarnation.0));
+            let outcome = PermitOutcome::Denied(free_in);
+            let answer = PermitAnswer { number: ask.number, outcome };
+            answers.push((now + 140, ServerLimitMessage::PermitAnswer(answer)));
+        }
+        match step {
+            Step::Wait(until) if answers.is_empty() => {
+                let line = format!("waits for a server until {}", until.since(at(2_000)).0);
+                if !log.last().is_some_and(|it| it.ends_with(&line)) {
+                    log.push(format!("{now} {line}"));
+                }
+            }
+            Step::Wait(_) => {}
+            Step::Finish(Finish::Refuse(refusal)) => {
+                assert_eq!(refusal.reason, RefusalReason::ServersAtLimit);
+                assert!(refusal.retry_after.is_some());
+                return (now, log);
+            }
+            step => panic!("the request is sent: {step:?}"),
+        }
+    }
+    unreachable!("each request ends")
+}
+
+#[test]
+fn a_request_does_not_wait_for_permits_one_after_the_other_beyond_its_target_latency() {
+    for (priority, free_in) in [(1, 350), (0, 650), (1, 150), (0, 150)] {
+        let (refused_after, log) = refused_after_denials(priority, Millis(free_in));
+
+        assert!(refused_after < 900, "refused after {refused_after} ms: {log:#?}");
+    }
+}
+
 #[test]
 fn a_request_that_was_withheld_from_a_server_waits_for_its_permit() {
     let routes = vec![route("look", Idempotency::NonIdempotent)];
