Forget in-flight counts of other gateways once no attempt can last longer

Cause: gateways report the start and the end of attempts to each other by datagrams, and some reports don't arrive. Without the report of the end, a server looks as if it had a request in flight and had stopped responding. The response that is expected of it comes later and later. As it has just had a late or lost request, it isn't tried for 3 s; by then the expected response is later than the request's deadline, and the server is passed over until the count expires after 15 s. A test of idle servers doesn't help, as it only lowers the cost.

Now a count expires after the longest time limit of the service's routes: an attempt that it counted has ended by then. The test failed before: the server was used again at 16,000 ms, where 5,000 are allowed.

--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -132,6 +132,7 @@
             routes: config.routes.len(),
         });
         self.routes = routes;
+        self.servers.set_routes(&config.routes);
         self.config = Some(Arc::new(config));
         if self.lifecycle == Lifecycle::Joining {
             self.lifecycle = Lifecycle::Serving;
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -3,6 +3,9 @@
 //! Load pattern: each server has few slots, shared by many gateways with one or two requests in
 //! flight each. The counts of a single gateway say little, so the gateways of a data centre report
 //! each start and end of an attempt to each other, and each sums the requests in flight of all.
+//!
+//! Load pattern: some of these reports are lost. A request whose end was lost would make the server
+//! look as if it had stopped responding, so a count lasts no longer than an attempt can.
 
 pub mod health;
 mod latency;
@@ -27,9 +30,9 @@
 
 use crate::configuration::{Route, RouteKey};
 
-/// Age at which the in-flight count of another gateway expires, in milliseconds. It is longer than
-/// any attempt lasts on today's services, so that only the counts of unreachable gateways expire.
-const PEER_COUNT_TIMEOUT: Millis = Millis(15_000);
+/// Age at which the in-flight count of another gateway expires, in milliseconds, for services
+/// without a route.
+const DEFAULT_PEER_COUNT_TIMEOUT: Millis = Millis(15_000);
 
 /// Weight of a new size in the EWMA of a route.
 const SIZE_EWMA_WEIGHT: f64 = 0.2;
@@ -84,6 +87,8 @@
     own_in_flight: u32,
     /// In-flight counts reported by other gateways, and when they were reported.
     peer_in_flight: FastMap<HostId, (u32, Timestamp)>,
+    /// Age at which the count of another gateway expires: the longest time limit of the service.
+    peer_count_timeout: Millis,
     /// EWMA of the latency relative to the average of the route.
     slowdown: f64,
     slowdown_at: Timestamp,
@@ -96,13 +101,14 @@
 }
 
 impl Server {
-    fn new(announcement: Announcement, distance: Distance) -> Self {
+    fn new(announcement: Announcement, distance: Distance, peer_count_timeout: Millis) -> Self {
         Self {
             announcement,
             distance,
             health: ServerHealth::default(),
             own_in_flight: 0,
             peer_in_flight: FastMap::default(),
+            peer_count_timeout,
             slowdown: 1.0,
             slowdown_at: Timestamp::default(),
             last_progress_at: Timestamp::default(),
@@ -118,7 +124,7 @@
     /// Returns the number of requests in flight, as far as this data centre's gateways know.
     pub fn in_flight(&self, now: Timestamp) -> u32 {
         let fresh =
-            self.peer_in_flight.values().filter(|(_, at)| now.since(*at) < PEER_COUNT_TIMEOUT);
+            self.peer_in_flight.values().filter(|(_, at)| now.since(*at) < self.peer_count_timeout);
         self.own_in_flight + fresh.map(|(count, _)| count).sum::<u32>()
     }
 
@@ -173,6 +179,8 @@
     servers: BTreeMap<ServerId, Server>,
     by_address: FastMap<SocketAddr, ServerId>,
     by_service: FastMap<ServiceName, Vec<ServerId>>,
+    /// Longest time limit of the routes of each service.
+    time_limits: FastMap<ServiceName, Millis>,
     /// Prior probability of a broken server, by service.
     broken_priors: FastMap<ServiceName, BrokenPrior>,
     /// Latencies by route.
@@ -196,6 +204,7 @@
             servers: BTreeMap::new(),
             by_address: FastMap::default(),
             by_service: FastMap::default(),
+            time_limits: FastMap::default(),
             broken_priors: FastMap::default(),
             latencies: FastMap::default(),
             average_kilobytes: FastMap::default(),
@@ -219,6 +228,21 @@
         changed
     }
 
+    /// Sets the routes, whose time limits say how long an attempt can last.
+    pub(crate) fn set_routes(&mut self, routes: &[Route]) {
+        self.time_limits.clear();
+        for route in routes {
+            for target in &route.targets {
+                let limit = self.time_limits.entry(target.service.clone()).or_default();
+                *limit = route.time_limit.max(*limit);
+            }
+        }
+        for server in self.servers.values_mut() {
+            let limit = self.time_limits.get(&server.announcement.service);
+            server.peer_count_timeout = limit.copied().unwrap_or(DEFAULT_PEER_COUNT_TIMEOUT);
+        }
+    }
+
     /// Returns the server with this address and incarnation.
     pub(crate) fn by_key_mut(&mut self, key: ServerKey) -> Option<&mut Server> {
         let id = self.by_address.get(&key.address)?;
@@ -518,7 +542,9 @@
                 true
             }
             Some(_) | None => {
-                let server = Server::new(announcement.clone(), distance);
+                let time_limit = self.time_limits.get(&announcement.service).copied();
+                let timeout = time_limit.unwrap_or(DEFAULT_PEER_COUNT_TIMEOUT);
+                let server = Server::new(announcement.clone(), distance, timeout);
                 self.servers.insert(announcement.server.clone(), server);
                 true
             }
--- a/components/gateway_core/tests/placement.rs
+++ b/components/gateway_core/tests/placement.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 
 use common::{Harness, at, entry_host, route, server, server_id};
-use gateway_core::{AttemptEnd, AttemptStart, Idempotency, RefusalReason, Step};
-use ids::{HostId, Incarnation, RequestId, ServerId};
+use gateway_core::{AttemptEnd, AttemptStart, Idempotency, RefusalReason, Route, Step};
+use ids::{HostId, Incarnation, Millis, RequestId, ServerId};
 use schema::{
     announcement::ServerState,
     server_load::{Answered, LoadEvent, LoadReport, ReportScope},
@@ -258,6 +258,24 @@
     assert!(requests_at_busy_server(Some(LoadEvent::Cancelled)) >= 1);
 }
 
+#[test]
+fn a_server_is_used_again_though_the_report_that_its_late_request_has_ended_was_lost() {
+    let servers = vec![server(1, "north-a"), server(2, "north-a")];
+    let hosts = vec![entry_host(1, "north-a"), entry_host(2, "north-a")];
+    let look = Route { time_limit: Millis(1_500), ..route("look", Idempotency::Idempotent) };
+    let mut harness = Harness::new(vec![look], servers, hosts);
+    harness.gateway.on_report(at(500), HostId(2), &report(2, 1, LoadEvent::Started));
+    harness.gateway.on_report(at(1_000), HostId(2), &report(2, 1, LoadEvent::Overdue));
+
+    let used_again = (1_000..20_000).step_by(20).find(|now| {
+        let path = format!("/look/{now}");
+        harness.run(at(*now), at(now + 10), &path, AttemptEnd::Answered) == server_id(2)
+    });
+
+    // Two seconds after the failure it counts as healthy, and then has two seconds as well.
+    assert!(used_again.is_some_and(|it| it <= 5_000), "at {used_again:?} ms");
+}
+
 #[test]
 fn each_sound_server_keeps_part_in_the_work_of_requests_that_must_not_repeat() {
     let servers: Vec<_> = (1..=8).map(|it| server(it, "north-a")).collect();
