End the driver of a control host at a planned stop, whatever its connections hold

When the connections of a control host outlasted the time limit of its planned stop, each still held a sender of the driver's channel, so that the driver didn't end; its time was over as well, so that an error of its disk was dropped, and the last messages to other hosts were flushed before it had queued them.

The driver is told to end, and has half a second of its own. Found by a review, by reading; no run showed it. The operators of the test of leaders in turn now end when the test fails: it hung for ten minutes once.

--- a/components/gateway/src/control/driver.rs
+++ b/components/gateway/src/control/driver.rs
@@ -24,6 +24,8 @@
     Host(HostEvent),
     /// A request, and the channel for its answer.
     Request(Request, oneshot::Sender<Answer>),
+    /// Ends the driver, though connections may still hold senders of its channel.
+    End,
 }
 
 /// Owns the decision logic and the disk of a control host.
@@ -66,11 +68,15 @@
         }
     }
 
-    /// Runs until the channel is closed or the folder can't be read.
+    /// Runs until it is told to end, the channel is closed or the folder can't be read.
     pub(crate) fn run(mut self, mut rx: mpsc::Receiver<DriverEvent>) -> Result<(), StorageError> {
         while let Some(event) = rx.blocking_recv() {
             self.retry_disk()?;
-            let event = self.convert_event(event);
+            let event = match event {
+                DriverEvent::Host(event) => event,
+                DriverEvent::Request(request, tx) => self.accept(request, tx),
+                DriverEvent::End => break,
+            };
             let actions = self.host.handle(self.clock.now(), event);
             if let Err(e) = self.execute(actions) {
                 self.continue_without_disk(&e)?;
@@ -134,16 +140,12 @@
         }
     }
 
-    fn convert_event(&mut self, event: DriverEvent) -> HostEvent {
-        match event {
-            DriverEvent::Host(event) => event,
-            DriverEvent::Request(request, tx) => {
-                self.next_request = self.next_request.next();
-                let id = self.next_request;
-                self.pending_answers.insert(id, tx);
-                HostEvent::Request { id, request }
-            }
-        }
+    /// Returns the event for a request whose answer goes to a channel.
+    fn accept(&mut self, request: Request, tx: oneshot::Sender<Answer>) -> HostEvent {
+        self.next_request = self.next_request.next();
+        let id = self.next_request;
+        self.pending_answers.insert(id, tx);
+        HostEvent::Request { id, request }
     }
 
     fn execute(&mut self, actions: Vec<HostAction>) -> Result<(), StorageError> {
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -52,6 +52,9 @@
 /// the commit of its change and the delivery of the response.
 const STOP_TIME_LIMIT: Duration = Duration::from_secs(2);
 
+/// Maximum time until the driver ends after the last response.
+const DRIVER_TIME_LIMIT: Duration = Duration::from_millis(500);
+
 /// Maximum time to deliver the last messages to other hosts before the process exits.
 const FLUSH_TIME_LIMIT: Duration = Duration::from_millis(200);
 
@@ -165,11 +168,18 @@
         connections.log_unfinished();
     }
     inputs.shutdown().await;
-    drop(tx);
-    let result = match timeout_at(deadline, driver).await {
-        Ok(result) => result.expect("the driver does not panic"),
-        // A slow disk; what it has not stored was not acknowledged.
-        Err(_) => Ok(()),
+    let end = async {
+        // The driver may have ended already.
+        let _ = tx.send(DriverEvent::End).await;
+        driver.await.expect("the driver does not panic")
+    };
+    let result = match timeout(DRIVER_TIME_LIMIT, end).await {
+        Ok(result) => result,
+        Err(_) => {
+            // What a slow disk has not stored was not acknowledged.
+            log::warn!("the process ends before the driver");
+            Ok(())
+        }
     };
     if timeout(FLUSH_TIME_LIMIT, transport.flush()).await.is_err() {
         log::warn!("not all messages to other hosts were sent");
--- a/tests/gateway_control_stops.rs
+++ b/tests/gateway_control_stops.rs
@@ -183,6 +183,15 @@
     outdated: Vec<String>,
 }
 
+/// Ends the operators of a test, also when the test fails.
+struct SetOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for SetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 /// Sends changes and reads to all control hosts in turn until `is_done`, each on an open connection
 /// as long as there is one.
 fn operate(
@@ -250,6 +259,7 @@
                 })
             })
             .collect();
+        let done = SetOnDrop(&is_done);
         for _ in 0..4 {
             let before = known_version.load(Ordering::SeqCst);
             wait_for("a new version", || {
@@ -263,7 +273,7 @@
             assert!(status.success() && took < MAX_STOP_TIME, "{status} after {took:?}");
             fleet.start_control(leader, false);
         }
-        is_done.store(true, Ordering::SeqCst);
+        drop(done);
         operators.into_iter().map(|it| it.join().unwrap()).collect()
     });
 
