Don't take a few tens of milliseconds for a sign that a server is slow

Beside other tests a gateway refused a payment at once as busy, though the only server of the service was idle: 39 ms before it had answered a look in 37 ms, where 1 ms is usual. The answer counted as overdue from 8 ms on, and as 37 times the average; the server's slowdown of 12 was then applied to the payment route, which had no response so far and is assumed to take 333 ms, so that the server seemed to need longer than the request had.

Single latencies are now compared with an average of 50 ms at least, about a round trip between regions, and nothing is overdue before 100 ms.

a_service_of_one_quick_server_is_not_refused_after_a_response_of_some_tens_of_milliseconds failed before (busy, Retry-After 1.5 s).

--- a/components/gateway_core/src/servers/latency.rs
+++ b/components/gateway_core/src/servers/latency.rs
@@ -22,6 +22,10 @@
 /// Lower bound of the average, in milliseconds, so that ratios to it are meaningful.
 const MIN_AVERAGE_MS: f64 = 1.0;
 
+/// Lower bound of the average that single latencies are compared with, in milliseconds: a round trip
+/// between regions, or a process that isn't scheduled at once, says nothing of the server.
+const MIN_COMPARED_MS: f64 = 50.0;
+
 /// Standard deviation of the logarithm of the latency before any was measured.
 const ASSUMED_DEVIATION: f64 = 0.5;
 
@@ -70,10 +74,15 @@
         self.average
     }
 
+    /// Returns a latency as a multiple of the average; small latencies don't differ.
+    pub(crate) fn ratio(&self, millis: f64) -> f64 {
+        millis.max(MIN_COMPARED_MS) / self.average.max(MIN_COMPARED_MS)
+    }
+
     /// Returns the time after which a response is overdue, in milliseconds.
     pub(crate) fn overdue(&self) -> f64 {
         let (min, max) = OVERDUE_BOUNDS;
         let quantile = (self.log_average + self.log_variance.sqrt() * OVERDUE_DEVIATIONS).exp();
-        quantile.clamp(self.average * min, self.average * max)
+        quantile.clamp(self.average * min, self.average * max).max(MIN_COMPARED_MS * min)
     }
 }
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -157,10 +157,10 @@
         }
     }
 
-    fn record_latency(&mut self, now: Timestamp, latency: f64, avg_latency: f64) {
-        let current = self.slowdown(now, avg_latency);
+    fn record_latency(&mut self, now: Timestamp, millis: f64, latency: &RouteLatency) {
+        let current = self.slowdown(now, latency.average());
         let (min, max) = SLOWDOWN_RATIO_BOUNDS;
-        let ratio = (latency / avg_latency).clamp(min, max);
+        let ratio = latency.ratio(millis).clamp(min, max);
         self.slowdown = current + (ratio - current) * SLOWDOWN_EWMA_WEIGHT;
         self.slowdown_at = now;
     }
@@ -502,7 +502,7 @@
                     false => server.health.record_answered(now, prior),
                 }
                 if let Some(latency) = latency {
-                    server.record_latency(now, millis, latency.average());
+                    server.record_latency(now, millis, &latency);
                 }
                 self.record_latency(route, millis);
             }
--- a/components/gateway_core/tests/overdue.rs
+++ b/components/gateway_core/tests/overdue.rs
@@ -90,3 +90,26 @@
 
     assert!(used.contains(&slow.server), "{used:?}");
 }
+
+#[test]
+fn a_service_of_one_quick_server_is_not_refused_after_a_response_of_some_tens_of_milliseconds() {
+    let routes =
+        vec![route("look", Idempotency::Idempotent), route("pay", Idempotency::NonIdempotent)];
+    let hosts = vec![entry_host(1, "north-a")];
+    let mut harness = Harness::new(routes, vec![server(1, "north-a")], hosts);
+    for i in 0..3 {
+        harness.run(at(i * 100), at(i * 100 + 1), "/look/1", AttemptEnd::Answered);
+    }
+
+    let (id, start) = harness.send(at(500), "/look/1");
+    for age in 1..37 {
+        harness.gateway.step(at(500 + age), id);
+    }
+    harness.end(at(537), id, &start, AttemptEnd::Answered);
+    harness.gateway.step(at(537), id);
+    harness.gateway.forget(at(537), id);
+
+    let other = harness.begin(at(540), "/pay/1");
+    let step = harness.gateway.step(at(540), other);
+    assert!(matches!(step, Step::Send(_)), "{step:?}");
+}
