--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -38,6 +38,9 @@
 /// Time to read what has arrived before connections are closed: one round of the event loop.
 const READ_TIME: Duration = Duration::from_millis(1);
 
+/// Maximum time to deliver the last messages to other hosts before the process exits.
+const FLUSH_TIME_LIMIT: Duration = Duration::from_millis(100);
+
 /// Maximum time between two checks whether a poll is due; an update may make it due earlier.
 const MAX_POLL_WAIT: Duration = Duration::from_secs(1);
 
@@ -218,6 +221,9 @@
     if timeout(time_until(schedule.leave_at), connections.close()).await.is_err() {
         connections.log_unfinished();
     }
+    if timeout(FLUSH_TIME_LIMIT, shared.flush()).await.is_err() {
+        log::warn!("not all messages to other hosts were sent");
+    }
     log::info!(
         in_flight = shared.in_flight(),
         connections = connections.count(),
--- a/components/gateway/src/entry/shared.rs
+++ b/components/gateway/src/entry/shared.rs
@@ -188,6 +188,11 @@
         self.core.borrow().in_flight()
     }
 
+    /// Waits until the messages that were queued for other hosts are written or dropped.
+    pub(crate) async fn flush(&self) {
+        self.transport.flush().await;
+    }
+
     pub(crate) fn transport_stats(&self) -> transport::StatsSnapshot {
         self.transport.stats()
     }
