--- a/examples/daisypaddle-soak/main.rs
+++ b/examples/daisypaddle-soak/main.rs
@@ -15,12 +15,16 @@
 
 use std::{process::ExitCode, time::Duration};
 
+/// Highest number of gateways, bound by the addresses of a fleet's subnet.
+const MAX_GATEWAYS: u8 = 200;
+
 const HELP: &str = "\
-Usage: daisypaddle-soak [--seed N] [--seeds COUNT] [--seconds LENGTH]
+Usage: daisypaddle-soak [--seed N] [--seeds COUNT] [--seconds LENGTH] [--gateways COUNT]
 
   --seed N          the first seed (1)
   --seeds COUNT     how many seeds to run, one after the other (1)
   --seconds LENGTH  how long faults begin and end in each run (30)
+  --gateways COUNT  how many gateways run beside three control hosts, 2 to 200 (6)
 ";
 
 /// What to run.
@@ -28,6 +32,7 @@
     seed: u64,
     seeds: u64,
     length: Duration,
+    gateways: u8,
 }
 
 fn main() -> ExitCode {
@@ -45,7 +50,7 @@
     };
     let mut failed = Vec::new();
     for seed in options.seed..options.seed.saturating_add(options.seeds) {
-        let report = soak::run(seed, options.length);
+        let report = soak::run(seed, options.length, options.gateways);
         print!("{report}");
         if !report.findings.is_empty() {
             failed.push(report.seed);
@@ -64,9 +69,12 @@
     };
     let (seed, seeds, seconds) =
         (number("--seed", 1)?, number("--seeds", 1)?, number("--seconds", 30)?);
+    let gateways = number("--gateways", 6)?;
+    let gateways = u8::try_from(gateways).ok().filter(|it| (2..=MAX_GATEWAYS).contains(it));
+    let gateways = gateways.ok_or("--gateways takes 2 to 200")?;
     let rest = args.finish();
     match rest.first() {
         Some(unknown) => Err(format!("unknown argument {}", unknown.to_string_lossy())),
-        None => Ok(Options { seed, seeds, length: Duration::from_secs(seconds) }),
+        None => Ok(Options { seed, seeds, length: Duration::from_secs(seconds), gateways }),
     }
 }
--- a/tests/gateway/callers.rs
+++ b/tests/gateway/callers.rs
@@ -11,10 +11,14 @@
 
 use ids::Millis;
 use platform::stand_in;
+use rand_xoshiro::{
+    Xoshiro256PlusPlus,
+    rand_core::{RngCore, SeedableRng},
+};
 
 use super::{
     Fleet, Server, WAIT_TIMEOUT,
-    http::{HttpResponse, receive, send},
+    http::{HttpResponse, call, receive, send},
 };
 
 /// Time within which the gateways of the tests stop.
@@ -121,6 +125,92 @@
     }
 }
 
+/// Time that most requests of a [`Client`] take.
+const CLIENT_WORK: Duration = Duration::from_millis(230);
+
+/// A caller that asks directories for gateways and uses each answer for a while.
+pub struct Client {
+    number: u64,
+    rng: Xoshiro256PlusPlus,
+    directories: Vec<SocketAddr>,
+    addresses: Vec<SocketAddr>,
+    /// When the answer of the directory runs out.
+    valid_until: Instant,
+    keep_time: Duration,
+    /// Connections that are kept between requests, if the client keeps any.
+    kept: Option<BTreeMap<SocketAddr, TcpStream>>,
+}
+
+impl Client {
+    pub fn new(seed: u64, number: u64, directories: Vec<SocketAddr>) -> Self {
+        Self {
+            number,
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed * 1_000 + number),
+            directories,
+            addresses: Vec::new(),
+            valid_until: Instant::now(),
+            keep_time: Duration::from_secs(if number % 4 == 3 { 3 } else { 1 }),
+            kept: (number % 2 == 1).then(BTreeMap::new),
+        }
+    }
+
+    fn index(&mut self, len: usize) -> usize {
+        (self.rng.next_u64() % len as u64) as usize
+    }
+
+    /// Asks directories until one lists gateways; connections to gateways that left are dropped.
+    fn ask_directory(&mut self) {
+        let path = stand_in::directory_path("north", "north-a");
+        for _ in 0..self.directories.len() {
+            let i = self.index(self.directories.len());
+            let response = call(self.directories[i], "GET", &path, &[], b"");
+            let listed = response.map(|it| stand_in::read_addresses(&it.body)).unwrap_or_default();
+            let listed: Vec<_> = listed.iter().filter_map(|it| it.parse().ok()).collect();
+            if !listed.is_empty() {
+                if let Some(kept) = &mut self.kept {
+                    kept.retain(|it, _| listed.contains(it));
+                }
+                self.addresses = listed;
+                self.valid_until = Instant::now() + self.keep_time;
+                return;
+            }
+        }
+    }
+
+    /// Sends requests one after the other until `end`.
+    pub fn run(mut self, end: Instant) -> Vec<Sent> {
+        let mut sent: Vec<Sent> = Vec::new();
+        while Instant::now() < end {
+            if self.valid_until <= Instant::now() {
+                self.ask_directory();
+            }
+            thread::sleep(Duration::from_millis(self.rng.next_u64() % 120));
+            if self.addresses.is_empty() {
+                continue;
+            }
+            let i = self.index(self.addresses.len());
+            let gateway = self.addresses[i];
+            let is_slow = self.rng.next_u64().is_multiple_of(30);
+            let ask = Ask {
+                route: if self.rng.next_u64().is_multiple_of(2) { "look" } else { "pay" },
+                ..Ask::new(
+                    format!("client-{}-{}", self.number, sent.len()),
+                    if is_slow { CLIENT_WORK * 5 } else { CLIENT_WORK },
+                )
+            };
+            let stream = self.kept.as_mut().and_then(|it| it.remove(&gateway));
+            let Some(mut stream) = stream.or_else(|| connect(gateway)) else { continue };
+            let request = ask.send_on(gateway, &mut stream);
+            let keeps = request.response.as_ref().is_some_and(|it| !it.closes_connection());
+            if let Some(kept) = self.kept.as_mut().filter(|_| keeps) {
+                kept.insert(gateway, stream);
+            }
+            sent.push(request);
+        }
+        sent
+    }
+}
+
 /// The signals by which gateways were stopped.
 pub type Stops = Vec<(SocketAddr, Instant)>;
 
--- a/tests/gateway/http.rs
+++ b/tests/gateway/http.rs
@@ -22,6 +22,11 @@
         header_map(&self.head).get("retry-after")?.to_str().ok()?.parse().ok()
     }
 
+    /// Returns whether the sender closes the connection after the response.
+    pub fn closes_connection(&self) -> bool {
+        self.head.to_ascii_lowercase().contains("connection: close")
+    }
+
     /// Returns the address in the `location` header.
     pub fn redirect_address(&self) -> Option<SocketAddr> {
         let headers = header_map(&self.head);
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -35,7 +35,7 @@
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Highest number of a host.
-const MAX_HOST: u8 = 60;
+const MAX_HOST: u8 = 253;
 
 /// Port that a fleet listens on at the last address of its subnet.
 const SUBNET_LOCK_PORT: u16 = 9_999;
@@ -215,22 +215,23 @@
         process.wait().unwrap();
     }
 
+    pub fn is_running(&mut self, host: u8) -> bool {
+        self.exit_status(host).is_none()
+    }
+
     /// Calls the control hosts in turn, following redirects, until one responds with 200.
     pub fn call_control(&self, method: &str, path: &str, body: &[u8]) -> Vec<u8> {
-        wait_for(path, || {
-            (1..=3).find_map(|host| {
-                let mut address = self.address(host, self.ports.requests);
-                for _ in 0..3 {
-                    let response = call(address, method, path, &[], body)?;
-                    match response.status {
-                        200 => return Some(response.body),
-                        307 => address = response.redirect_address()?,
-                        _ => return None,
-                    }
-                }
-                None
-            })
-        })
+        let hosts = self.control_addresses();
+        wait_for(path, || call_any(&hosts, method, path, body))
+    }
+
+    pub fn control_addresses(&self) -> [SocketAddr; 3] {
+        [1, 2, 3].map(|it| self.address(it, self.ports.requests))
+    }
+
+    /// Returns a message on a process that has ended on its own, once.
+    pub fn take_ended(&self) -> Option<String> {
+        self.watch.take_ended()
     }
 
     pub fn put_config(&self, version: u64, service: &str) {
@@ -286,6 +287,22 @@
     }
 }
 
+/// Calls control hosts once in turn, following redirects; returns the body of the first 200.
+pub fn call_any(hosts: &[SocketAddr], method: &str, path: &str, body: &[u8]) -> Option<Vec<u8>> {
+    hosts.iter().find_map(|host| {
+        let mut address = *host;
+        for _ in 0..3 {
+            let response = call(address, method, path, &[], body)?;
+            match response.status {
+                200 => return Some(response.body),
+                307 => address = response.redirect_address()?,
+                _ => return None,
+            }
+        }
+        None
+    })
+}
+
 /// Returns the path of the gateway binary: examples, for which Cargo sets no variable, find it in
 /// the parent of their own folder.
 fn gateway_binary() -> PathBuf {
--- a/tests/gateway/processes.rs
+++ b/tests/gateway/processes.rs
@@ -55,6 +55,13 @@
         Some(format!("the process of host {ip} has ended; its log:\n{}", log_end(&ended.log)))
     }
 
+    /// Returns a message on a process that has ended although no test ended it, and expects its end.
+    pub fn take_ended(&self) -> Option<String> {
+        let message = self.find_ended();
+        self.lock().values_mut().filter(|it| is_zombie(it.id)).for_each(|it| it.may_end = true);
+        message
+    }
+
     /// Prints the ends of the logs of all hosts.
     pub fn print_logs(&self) {
         for (ip, process) in self.lock().iter() {
--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -5,12 +5,14 @@
 
 use std::time::Duration;
 
+const GATEWAYS: u8 = 6;
+
 const LENGTH: Duration = Duration::from_secs(20);
 
 #[test]
 fn promises_hold_through_a_schedule_of_overlapping_faults() {
     for seed in [1, 2] {
-        let report = soak::run(seed, LENGTH);
+        let report = soak::run(seed, LENGTH, GATEWAYS);
         assert!(report.findings.is_empty(), "{report}");
     }
 }
