Spread the requests of the soak's callers over their interval

All callers sent at the same moments, which in a fleet of 150 gateways are 1.6 s apart, so that few requests met the last moments of a process.

--- a/tests/soak/mod.rs
+++ b/tests/soak/mod.rs
@@ -218,6 +218,9 @@
     fn call_until(mut self, end: Instant) -> Vec<Sent> {
         let interval =
             REQUEST_INTERVAL * (self.addresses.len() as u32 / u32::from(USUAL_GATEWAYS)).max(1);
+        // Spreads the requests of all callers over the interval.
+        let callers = self.addresses.len() as u32 * u32::from(CALLERS);
+        thread::sleep(interval * u32::from(self.number) / callers);
         let mut sent = Vec::new();
         for i in 0.. {
             let at = Instant::now();
