--- a/components/gateway/src/connections.rs
+++ b/components/gateway/src/connections.rs
@@ -24,27 +24,27 @@
 
 /// What is known of a connection and of the latest request on it.
 #[derive(Debug)]
-pub(crate) struct Exchange {
+pub(crate) struct ConnectionState {
     peer: SocketAddr,
     stage: Cell<Stage>,
     /// Id of the request if it has one, otherwise its path.
     request: RefCell<Rc<str>>,
 }
 
-impl Exchange {
+impl ConnectionState {
     /// Returns the address of the client.
     pub(crate) fn peer(&self) -> SocketAddr {
         self.peer
     }
 
     /// Records that the head of a request was received.
-    pub(crate) fn begin(&self, path: &str) {
+    pub(crate) fn begin_request(&self, path: &str) {
         self.stage.set(Stage::ReadsBody);
-        self.name(path.into());
+        self.name_request(path.into());
     }
 
     /// Names the request by its id.
-    pub(crate) fn name(&self, request: Rc<str>) {
+    pub(crate) fn name_request(&self, request: Rc<str>) {
         *self.request.borrow_mut() = request;
     }
 
@@ -73,7 +73,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Connections {
     closing: watch::Sender<bool>,
-    exchanges: RefCell<Vec<Weak<Exchange>>>,
+    states: RefCell<Vec<Weak<ConnectionState>>>,
 }
 
 impl Connections {
@@ -89,37 +89,37 @@
         self.closing.closed().await;
     }
 
-    /// Records a new connection, which is open as long as its exchange is held.
-    pub(crate) fn open(&self, peer: SocketAddr) -> Rc<Exchange> {
-        let exchange = Rc::new(Exchange {
+    /// Records a new connection, which is open as long as its state is held.
+    pub(crate) fn open(&self, peer: SocketAddr) -> Rc<ConnectionState> {
+        let state = Rc::new(ConnectionState {
             peer,
             stage: Cell::new(Stage::AwaitsRequest),
             request: RefCell::new("".into()),
         });
-        let mut exchanges = self.exchanges.borrow_mut();
+        let mut states = self.states.borrow_mut();
         // Amortizes the removal of closed connections.
-        if exchanges.len() == exchanges.capacity() {
-            exchanges.retain(|it| it.strong_count() > 0);
+        if states.len() == states.capacity() {
+            states.retain(|it| it.strong_count() > 0);
         }
-        exchanges.push(Rc::downgrade(&exchange));
-        exchange
+        states.push(Rc::downgrade(&state));
+        state
     }
 
     /// Returns the number of open connections.
     pub(crate) fn count(&self) -> usize {
-        self.exchanges.borrow().iter().filter(|it| it.strong_count() > 0).count()
+        self.states.borrow().iter().filter(|it| it.strong_count() > 0).count()
     }
 
     /// Logs the open connections whose requests may have no complete response yet.
     pub(crate) fn log_unfinished(&self) {
-        for exchange in self.exchanges.borrow().iter().filter_map(Weak::upgrade) {
-            if exchange.stage.get() == Stage::AwaitsRequest {
+        for state in self.states.borrow().iter().filter_map(Weak::upgrade) {
+            if state.stage.get() == Stage::AwaitsRequest {
                 continue;
             }
             log::warn!(
-                request:% = exchange.request.borrow(),
-                peer:% = exchange.peer,
-                stage:% = exchange.stage.get();
+                request:% = state.request.borrow(),
+                peer:% = state.peer,
+                stage:% = state.stage.get();
                 "connection is open at the end of the process"
             );
         }
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -141,8 +141,8 @@
     let request_listener = http::listen(settings.request_address)?;
     let close = connections.close_signal();
     let request_handler = Rc::new(RequestHandler::new(settings, tx.clone(), close));
-    let serve = http::serve(request_listener, connections.clone(), move |req, exchange| {
-        request_handler.clone().handle(req, exchange)
+    let serve = http::serve(request_listener, connections.clone(), move |req, state| {
+        request_handler.clone().handle(req, state)
     });
     tokio::task::spawn_local(serve);
     let serve = http::serve(metrics_listener, connections.clone(), move |req, _| {
--- a/components/gateway/src/control/requests.rs
+++ b/components/gateway/src/control/requests.rs
@@ -21,7 +21,7 @@
 
 use super::driver::DriverEvent;
 use crate::{
-    connections::{CloseSignal, Exchange, Stage},
+    connections::{CloseSignal, ConnectionState, Stage},
     http::{self, Reply},
     peers,
 };
@@ -55,7 +55,7 @@
     pub(crate) async fn handle(
         self: Rc<Self>,
         req: HttpRequest<Incoming>,
-        exchange: Rc<Exchange>,
+        state: Rc<ConnectionState>,
     ) -> Reply {
         let (head, body) = req.into_parts();
         let path = head.uri.path();
@@ -70,7 +70,7 @@
                 return unavailable(STOPPING);
             }
         };
-        exchange.enter(Stage::InWork);
+        state.enter(Stage::InWork);
         let body = match body {
             Ok(body) => body.to_bytes(),
             Err(e) => {
--- a/components/gateway/src/entry/callers.rs
+++ b/components/gateway/src/entry/callers.rs
@@ -21,7 +21,7 @@
     shared::Shared,
 };
 use crate::{
-    connections::{Exchange, Stage},
+    connections::{ConnectionState, Stage},
     http::{self, Reply},
 };
 
@@ -46,9 +46,9 @@
 pub(crate) async fn handle(
     shared: Rc<Shared>,
     req: Request<Incoming>,
-    exchange: Rc<Exchange>,
+    state: Rc<ConnectionState>,
 ) -> Reply {
-    let mut reply = respond(&shared, req, &exchange).await;
+    let mut reply = respond(&shared, req, &state).await;
     let lifecycle = shared.with_core(|core, _| core.lifecycle());
     if matches!(lifecycle, Lifecycle::Draining(_)) {
         reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -56,9 +56,9 @@
     reply
 }
 
-async fn respond(shared: &Rc<Shared>, req: Request<Incoming>, exchange: &Exchange) -> Reply {
+async fn respond(shared: &Rc<Shared>, req: Request<Incoming>, state: &ConnectionState) -> Reply {
     let (mut head, body) = req.into_parts();
-    let Ok(relayed) = relay::take_head(shared, &mut head.headers, exchange.peer()) else {
+    let Ok(relayed) = relay::take_head(shared, &mut head.headers, state.peer()) else {
         let mut reply =
             http::text(StatusCode::SERVICE_UNAVAILABLE, "the relay header is not valid\n");
         relay::mark_reply(&mut reply, RelayEnd::Unable);
@@ -66,7 +66,7 @@
     };
     let caller = headers::read_caller(&head.headers);
     let attempt_id: Rc<str> = caller.attempt_id.as_str().into();
-    exchange.name(attempt_id.clone());
+    state.name_request(attempt_id.clone());
     wait_for_config(shared, &attempt_id).await;
     let body = match read_body(shared, body).await {
         Ok(body) => body,
@@ -79,7 +79,7 @@
             return http::text(status, "the request body could not be read\n");
         }
     };
-    exchange.enter(Stage::InWork);
+    state.enter(Stage::InWork);
     let request_head = RequestHead {
         host: host_of(&head.headers, &head.uri),
         path: head.uri.path().to_owned(),
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -110,8 +110,8 @@
 ) -> Result<(), StartError> {
     let callers = http::listen(settings.caller_address)?;
     let cx = shared.clone();
-    let serve = http::serve(callers, connections.clone(), move |req, exchange| {
-        callers::handle(cx.clone(), req, exchange)
+    let serve = http::serve(callers, connections.clone(), move |req, state| {
+        callers::handle(cx.clone(), req, state)
     });
     tokio::task::spawn_local(serve);
     let readiness = http::listen(settings.readiness_address)?;
--- a/components/gateway/src/http.rs
+++ b/components/gateway/src/http.rs
@@ -15,7 +15,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 
 use crate::{
-    connections::{CloseSignal, Connections, Exchange, Stage},
+    connections::{CloseSignal, ConnectionState, Connections, Stage},
     lingering::LingeringStream,
     peers::StartError,
 };
@@ -54,7 +54,7 @@
 /// Accepts connections and calls `handle` for each request, until the connections are closed.
 pub(crate) async fn serve<F, R>(listener: TcpListener, connections: Rc<Connections>, handle: F)
 where
-    F: Fn(Request<Incoming>, Rc<Exchange>) -> R + Clone + 'static,
+    F: Fn(Request<Incoming>, Rc<ConnectionState>) -> R + Clone + 'static,
     R: Future<Output = Reply> + 'static,
 {
     let handle = Rc::new(handle);
@@ -81,15 +81,15 @@
             log::debug!(error:% = e; "responses may be delayed");
         }
         let handle = handle.clone();
-        let exchange = connections.open(address);
-        let service_exchange = exchange.clone();
+        let state = connections.open(address);
+        let service_state = state.clone();
         let service = service_fn(move |req: Request<Incoming>| {
-            let exchange = service_exchange.clone();
-            exchange.begin(req.uri().path());
-            let reply = handle(req, exchange.clone());
+            let state = service_state.clone();
+            state.begin_request(req.uri().path());
+            let reply = handle(req, state.clone());
             async move {
                 let reply = reply.await;
-                exchange.enter(Stage::WritesResponse);
+                state.enter(Stage::WritesResponse);
                 Ok::<_, Infallible>(reply)
             }
         });
@@ -101,7 +101,7 @@
         let close = close.clone();
         tokio::task::spawn_local(async move {
             // A connection error affects only this client.
-            if let Err(e) = run_connection(connection, &exchange, close).await {
+            if let Err(e) = run_connection(connection, &state, close).await {
                 log::debug!(error:% = e; "connection of a client failed");
             }
         });
@@ -111,7 +111,7 @@
 /// Serves a connection until its client closes it, or until the response after `close` is delivered.
 async fn run_connection<S>(
     connection: http1::Connection<TokioIo<LingeringStream>, S>,
-    exchange: &Exchange,
+    state: &ConnectionState,
     mut close: CloseSignal,
 ) -> hyper::Result<()>
 where
@@ -130,7 +130,7 @@
         () = tokio::time::sleep(HEAD_TIME_AT_CLOSE) => {}
     }
     // Nothing is owed to a client that has sent no whole head.
-    if exchange.stage() == Stage::AwaitsRequest {
+    if state.stage() == Stage::AwaitsRequest {
         return Ok(());
     }
     connection.await
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -25,7 +25,9 @@
     planned_stop::StopSchedule,
     quarantine::Quarantine,
     registry_poller::RegistryPoller,
-    requests::{QueueKey, Refusal, RefusalReason, Request, RequestHead, wait_queue::WaitQueues},
+    requests::{
+        Deadline, QueueKey, Refusal, RefusalReason, Request, RequestHead, wait_queue::WaitQueues,
+    },
     retry_budget::RetryBudget,
     server_limits::ServerLimits,
     servers::{Server, ServerTable},
@@ -277,27 +279,29 @@
         route.targets[0].service.clone()
     }
 
-    /// Returns the deadline of a new request, and whether a planned stop sets it. A draining gateway
-    /// refuses requests that it may not finish in time; those of other gateways too if that is
-    /// unlikely, since their callers don't choose this gateway.
+    /// Returns the deadline of a new request. A draining gateway refuses requests that it may not finish
+    /// in time; of those of other gateways it takes only what ends in time for sure, since their callers
+    /// don't choose this gateway.
     fn deadline(
         &self,
         now: Timestamp,
         route: &Route,
         head: &RequestHead,
-    ) -> Result<(Timestamp, bool), Refusal> {
+    ) -> Result<Deadline, Refusal> {
         let limit = head.caller_timeout.map_or(route.time_limit, |it| it.min(route.time_limit));
-        let deadline = now + limit;
-        let Lifecycle::Draining(schedule) = self.lifecycle else { return Ok((deadline, false)) };
+        let at = now + limit;
+        let Lifecycle::Draining(schedule) = self.lifecycle else {
+            return Ok(Deadline { at, ends_with_stop: false });
+        };
         let likely_end = match head.relayed {
-            Some(_) => deadline,
+            Some(_) => at,
             None => now + self.likely_latency(route),
         };
-        if !schedule.admits(now, deadline, likely_end) {
+        if !schedule.admits(now, at, likely_end) {
             let retry_after = Some(STOPPING_RETRY_AFTER);
             return Err(Refusal::not_run(RefusalReason::Stopping, retry_after));
         }
-        Ok((deadline.min(schedule.cut_at), schedule.cut_at < deadline))
+        Ok(Deadline { at: at.min(schedule.cut_at), ends_with_stop: schedule.cut_at < at })
     }
 
     /// Returns the time within which a request of a route most likely ends. One that can't be sent
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -264,6 +264,14 @@
     pub(crate) is_reported_overdue: bool,
 }
 
+/// When a new request must have its response.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Deadline {
+    pub(crate) at: Timestamp,
+    /// Whether a planned stop sets it.
+    pub(crate) ends_with_stop: bool,
+}
+
 /// An unfinished request.
 #[derive(Debug)]
 pub(crate) struct Request {
@@ -303,7 +311,7 @@
         head: RequestHead,
         route: Arc<Route>,
         service: ServiceName,
-        (deadline, ends_with_stop): (Timestamp, bool),
+        deadline: Deadline,
     ) -> Self {
         let allowed = head.relayed.as_ref().map_or(u32::MAX, |it| it.max_attempts);
         let max_attempts = route.max_attempts.min(allowed);
@@ -314,8 +322,8 @@
             max_attempts,
             relay_refusal: None,
             received: now,
-            deadline,
-            ends_with_stop,
+            deadline: deadline.at,
+            ends_with_stop: deadline.ends_with_stop,
             tried: Vec::new(),
             attempt_log: Vec::new(),
             in_flight: Vec::new(),
