Know callers by the keys of their organisations

Gateways now look a key up by a hash under a secret of the process, refuse unknown, missing and malformed keys with 401, tell servers the organisation in place of the key, and refuse waiting requests whose key is withdrawn. An organisation's priority goes before the route's. Configurations without organisations are served as before.

--- a/components/gateway/src/entry/callers.rs
+++ b/components/gateway/src/entry/callers.rs
@@ -85,6 +85,7 @@
         path: head.uri.path().to_owned(),
         fingerprint: fingerprint_of(head.method.as_str(), &head.uri, &body),
         caller_timeout: caller.timeout,
+        credentials: caller.credentials,
         relayed: relayed.clone(),
     };
     entry::remove_hop_by_hop(&mut head.headers);
@@ -162,6 +163,8 @@
 fn refusal_reply(refusal: Refusal) -> Reply {
     let status = match (refusal.reason, refusal.run) {
         (RefusalReason::UnknownRoute, _) => StatusCode::NOT_FOUND,
+        (RefusalReason::UnknownKey, _) => StatusCode::UNAUTHORIZED,
+        (RefusalReason::OverLimit, RunStatus::NotRun) => StatusCode::TOO_MANY_REQUESTS,
         (_, RunStatus::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
         (RefusalReason::TimeLimit | RefusalReason::StopReached, RunStatus::MayHaveRun) => {
             StatusCode::GATEWAY_TIMEOUT
--- a/components/gateway/src/entry/forward.rs
+++ b/components/gateway/src/entry/forward.rs
@@ -115,6 +115,7 @@
 ) {
     let mut req = request.to_request();
     headers::write_attempt(req.headers_mut(), &start.server, start.time_left);
+    headers::write_caller(req.headers_mut(), &start.caller);
     let call = Call {
         address: start.address,
         incarnation: start.incarnation,
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -14,7 +14,9 @@
 use std::{path::PathBuf, rc::Rc, time::Duration};
 
 use admin::Clock;
-use gateway_core::{Gateway, GatewaySettings as CoreSettings, RetryBudgetSettings, StopSchedule};
+use gateway_core::{
+    Gateway, GatewaySettings as CoreSettings, KeySecret, RetryBudgetSettings, StopSchedule,
+};
 use ids::Timestamp;
 use schema::{
     gateway_settings::GatewaySettings,
@@ -55,7 +57,7 @@
     let incarnation = clock.incarnation();
     let (transport, frames) =
         peers::bind_transport(settings.ip, settings.peer_port.get(), incarnation).await?;
-    let core = Gateway::new(core_settings(&settings, incarnation));
+    let core = Gateway::new(core_settings(&settings, incarnation, key_secret()?));
     let shared = Rc::new(Shared::new(
         core,
         clock,
@@ -80,7 +82,18 @@
     Ok(())
 }
 
-fn core_settings(settings: &GatewaySettings, incarnation: ids::Incarnation) -> CoreSettings {
+/// Returns a random secret, under which the keys of callers are hashed.
+fn key_secret() -> Result<KeySecret, StartError> {
+    let mut secret = [0; 32];
+    getrandom::fill(&mut secret).map_err(|e| StartError::Io(e.into()))?;
+    Ok(KeySecret(secret))
+}
+
+fn core_settings(
+    settings: &GatewaySettings,
+    incarnation: ids::Incarnation,
+    key_secret: KeySecret,
+) -> CoreSettings {
     let budget = &settings.retry_budget;
     let regions = settings.data_centres.iter().map(|it| (it.name.clone(), it.region.clone()));
     CoreSettings {
@@ -99,6 +112,7 @@
         },
         directory_ttl: settings.directory_keep_s.0,
         seed: incarnation.0,
+        key_secret,
     }
 }
 
--- a/components/gateway_core/src/configuration.rs
+++ b/components/gateway_core/src/configuration.rs
@@ -5,6 +5,8 @@
 use ids::{ByteSize, ConfigVersion, Millis, ServiceName};
 use rustc_hash::FxHasher;
 
+use crate::organisations::Organisation;
+
 /// Whether a request may be executed more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Idempotency {
@@ -44,6 +46,8 @@
     pub priority: u32,
     /// Maximum number of servers that a request may reach.
     pub max_attempts: u32,
+    /// Whether its requests need no key.
+    pub is_public: bool,
 }
 
 /// Identifies a route in messages between gateways.
@@ -95,6 +99,8 @@
     pub routes: Vec<Route>,
     /// Limits on callers' requests.
     pub caller_limits: CallerLimits,
+    /// The organisations that callers belong to; `None` if callers need no keys.
+    pub organisations: Option<Vec<Organisation>>,
 }
 
 /// Excess of a route's target latency over its time limit from which the configuration is refused,
--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -73,6 +73,9 @@
         if !request.may_be_sent() {
             return self.give_up(now, id, RefusalReason::NoAnswer, None);
         }
+        if self.is_key_withdrawn(request) {
+            return self.give_up(now, id, RefusalReason::UnknownKey, None);
+        }
         if self.would_work_in_vain(now, request) {
             let retry_after = Some(STOPPING_RETRY_AFTER);
             return self.give_up(now, id, RefusalReason::StopReached, retry_after);
@@ -451,6 +454,7 @@
             return None;
         }
         let request = self.requests.get_mut(&id)?;
+        let caller = self.keys.note(request.identity.as_ref());
         let is_first = request.counted_attempts() == 0;
         let attempt = AttemptNumber(u32::try_from(request.attempt_log.len()).unwrap_or(u32::MAX));
         request.in_flight.push(InFlightAttempt {
@@ -472,6 +476,7 @@
             // Only new connections show that the paths are up again.
             may_reuse_connection: request.route.idempotency == Idempotency::Idempotent
                 && !self.paths.are_down(),
+            caller,
         };
         self.report_start(now, key, is_first);
         Some(start)
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -21,6 +21,7 @@
     configuration::{CallerLimits, GatewayConfig, Idempotency, Route},
     entry_hosts::EntryHosts,
     events::{Event, RequestSummary},
+    organisations::{CallerIdentity, KeyCheck, KeyTable},
     paths::{Paths, relays::Relays},
     planned_stop::StopSchedule,
     quarantine::Quarantine,
@@ -67,6 +68,7 @@
     lifecycle: Lifecycle,
     config: Option<Arc<GatewayConfig>>,
     routes: RouteTable<Arc<Route>>,
+    keys: KeyTable,
     servers: ServerTable,
     entry_hosts: EntryHosts,
     registry_poller: RegistryPoller,
@@ -99,6 +101,7 @@
             lifecycle: Lifecycle::Joining,
             config: None,
             routes: RouteTable::default(),
+            keys: KeyTable::new(settings.key_secret),
             servers,
             entry_hosts: EntryHosts::new(),
             registry_poller: RegistryPoller::new(place, &settings.seeds, seed),
@@ -119,7 +122,7 @@
     }
 
     /// Applies a configuration unless its version is not newer than the current one.
-    pub fn set_config(&mut self, config: GatewayConfig) {
+    pub fn set_config(&mut self, mut config: GatewayConfig) {
         let before = self.version();
         if config.version <= before {
             return;
@@ -135,6 +138,12 @@
         });
         self.routes = routes;
         self.servers.set_routes(&config.routes);
+        self.keys.set(config.organisations.as_deref());
+        // Keys are kept as hashes only.
+        config.organisations = None;
+        let withdrawn = self.requests.iter().filter(|(_, it)| self.is_key_withdrawn(it));
+        let withdrawn: Vec<RequestId> = withdrawn.map(|(id, _)| *id).collect();
+        self.wakeups.extend(withdrawn);
         self.config = Some(Arc::new(config));
         if self.lifecycle == Lifecycle::Joining {
             self.lifecycle = Lifecycle::Serving;
@@ -204,6 +213,7 @@
             let retry_after = Some(QUARANTINE_RETRY_AFTER);
             return Err(Refusal::not_run(RefusalReason::Quarantined, retry_after));
         }
+        let identity = self.identify(&head, &route)?;
         let deadline = self.deadline(now, &route, &head)?;
         let service = match &head.relayed {
             Some(relayed) => self.accept_relayed(&route, relayed)?,
@@ -215,7 +225,7 @@
         };
         let id = self.next_request;
         self.next_request = id.next();
-        self.requests.insert(id, Request::new(now, head, route, service, deadline));
+        self.requests.insert(id, Request::new(now, head, route, service, identity, deadline));
         Ok(id)
     }
 
@@ -254,6 +264,23 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Returns whether the key that a request came with is no longer valid.
+    fn is_key_withdrawn(&self, request: &Request) -> bool {
+        request.identity.as_ref().is_some_and(|it| !self.keys.is_valid(it))
+    }
+
+    fn identify(
+        &self,
+        head: &RequestHead,
+        route: &Route,
+    ) -> Result<Option<CallerIdentity>, Refusal> {
+        match self.keys.check(&head.credentials, route.is_public) {
+            KeyCheck::Known(identity) => Ok(Some(identity)),
+            KeyCheck::NotNeeded => Ok(None),
+            KeyCheck::Refused => Err(Refusal::not_run(RefusalReason::UnknownKey, None)),
+        }
+    }
+
     fn find_route(&self, head: &RequestHead) -> Result<Arc<Route>, Refusal> {
         if self.config.is_none() {
             let retry_after = Some(NO_CONFIG_RETRY_AFTER);
@@ -320,5 +347,5 @@
 }
 
 fn queue_key(request: &Request, id: RequestId) -> QueueKey {
-    (request.route.priority, id)
+    (request.urgency, id)
 }
--- a/components/gateway_core/src/lib.rs
+++ b/components/gateway_core/src/lib.rs
@@ -8,6 +8,7 @@
 mod entry_hosts;
 mod events;
 mod gateway;
+mod organisations;
 mod paths;
 mod planned_stop;
 mod quarantine;
@@ -26,12 +27,15 @@
     entry_hosts::DirectoryAnswer,
     events::{Event, RequestSummary, RetryUsage},
     gateway::{Gateway, OutgoingReport},
+    organisations::{
+        ApiKey, CallerIdentity, Credentials, KeySecret, Organisation, OrganisationLimit,
+    },
     paths::{PathOutcome, relays::RelayEnd},
     planned_stop::StopSchedule,
     registry_poller::{OutgoingPoll, POLL_TIMEOUT},
     requests::{
-        AttemptEnd, AttemptStart, AttemptTarget, Finish, Refusal, RefusalReason, RelayStart,
-        RelayedHead, RequestHead, RunStatus, Step,
+        AttemptEnd, AttemptStart, AttemptTarget, CallerNote, Finish, Refusal, RefusalReason,
+        RelayStart, RelayedHead, RequestHead, RunStatus, Step,
     },
     servers::{
         Distance, Server, ServerTable,
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -5,12 +5,13 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use ids::{
-    AttemptNumber, Fingerprint, HostId, Incarnation, Millis, RequestId, ServerId, ServiceName,
-    Timestamp,
+    AttemptNumber, Fingerprint, HostId, Incarnation, Millis, OrganisationName, RequestId, ServerId,
+    ServiceName, Timestamp,
 };
 
 use crate::{
     configuration::{Idempotency, Route},
+    organisations::{CallerIdentity, Credentials},
     servers::ServerKey,
 };
 
@@ -36,6 +37,8 @@
     pub fingerprint: Fingerprint,
     /// Time that the caller still waits, if it says so.
     pub caller_timeout: Option<Millis>,
+    /// What it says of its caller.
+    pub credentials: Credentials,
     /// Set if another gateway has passed the request on.
     pub relayed: Option<RelayedHead>,
 }
@@ -57,6 +60,19 @@
     pub has_permit: bool,
     /// Whether the attempt may use a pooled connection.
     pub may_reuse_connection: bool,
+    /// What the server is told of the caller.
+    pub caller: CallerNote,
+}
+
+/// What a backend server is told of the caller of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallerNote {
+    /// What the caller itself has sent.
+    AsReceived,
+    /// Neither a key nor an organisation.
+    Anonymous,
+    /// The organisation, but no key.
+    Organisation(OrganisationName),
 }
 
 /// A request that another gateway has passed on.
@@ -158,6 +174,10 @@
     NoConfiguration,
     /// no route leads there
     UnknownRoute,
+    /// the key is missing or not valid
+    UnknownKey,
+    /// the organisation asks for more than its limit
+    OverLimit,
     /// all backend servers of the service are busy
     Busy,
     /// no backend server of the service is known
@@ -192,6 +212,8 @@
         match self {
             Self::NoConfiguration => "no-configuration",
             Self::UnknownRoute => "unknown-route",
+            Self::UnknownKey => "unknown-key",
+            Self::OverLimit => "over-limit",
             Self::Busy => "busy",
             Self::NoServer => "no-server",
             Self::ServersPaused => "servers-paused",
@@ -278,6 +300,9 @@
     pub(crate) head: RequestHead,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
+    /// Its caller, if it is known by a key.
+    pub(crate) identity: Option<CallerIdentity>,
+    pub(crate) urgency: Urgency,
     pub(crate) received: Timestamp,
     /// When the caller must have its response.
     pub(crate) deadline: Timestamp,
@@ -311,14 +336,19 @@
         head: RequestHead,
         route: Arc<Route>,
         service: ServiceName,
+        identity: Option<CallerIdentity>,
         deadline: Deadline,
     ) -> Self {
+        let own_priority = identity.as_ref().and_then(|it| it.organisation.priority);
+        let urgency = Urgency(own_priority.unwrap_or(route.priority), route.priority);
         let allowed = head.relayed.as_ref().map_or(u32::MAX, |it| it.max_attempts);
         let max_attempts = route.max_attempts.min(allowed);
         Self {
             head,
             route,
             service,
+            identity,
+            urgency,
             max_attempts,
             relay_refusal: None,
             received: now,
@@ -376,5 +406,10 @@
     }
 }
 
-/// Priority and id of a queued request.
-pub(crate) type QueueKey = (u32, RequestId);
+/// Priority of a request among those of its service, then that of its route; 0 is the most urgent. An
+/// organisation's priority goes before the route's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Urgency(pub(crate) u32, pub(crate) u32);
+
+/// Urgency and id of a queued request.
+pub(crate) type QueueKey = (Urgency, RequestId);
--- a/components/gateway_core/src/settings.rs
+++ b/components/gateway_core/src/settings.rs
@@ -4,7 +4,7 @@
 
 use ids::{DataCentreName, FastMap, HostId, Incarnation, Millis, RegionName, Timestamp};
 
-use crate::planned_stop::StopSchedule;
+use crate::{organisations::KeySecret, planned_stop::StopSchedule};
 
 /// Limits on the retries of all gateways together, for each service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +42,8 @@
     pub directory_ttl: Millis,
     /// Seed of the random number generator.
     pub seed: u64,
+    /// Secret under which keys of callers are hashed.
+    pub key_secret: KeySecret,
 }
 
 /// Lifecycle state of a gateway.
--- a/components/gateway_core/tests/common/mod.rs
+++ b/components/gateway_core/tests/common/mod.rs
@@ -3,8 +3,9 @@
 #![allow(dead_code)]
 
 use gateway_core::{
-    AttemptEnd, AttemptStart, CallerLimits, Gateway, GatewayConfig, GatewaySettings, Idempotency,
-    RequestHead, RetryBudgetSettings, Route, RouteTarget, ServicePolicy, Step,
+    AttemptEnd, AttemptStart, CallerLimits, Credentials, Gateway, GatewayConfig, GatewaySettings,
+    Idempotency, KeySecret, RequestHead, RetryBudgetSettings, Route, RouteTarget, ServicePolicy,
+    Step,
 };
 use ids::{
     ByteSize, ConfigVersion, DataCentreName, Fingerprint, HostId, Incarnation, LogIndex, Millis,
@@ -49,6 +50,7 @@
         target_latency: Millis(900),
         priority: 1,
         max_attempts: 2,
+        is_public: false,
     }
 }
 
@@ -64,6 +66,7 @@
             head_timeout: Millis(3_000),
             idle_timeout: Millis(15_000),
         },
+        organisations: None,
     }
 }
 
@@ -115,6 +118,7 @@
         },
         directory_ttl: Millis(1_000),
         seed: 7,
+        key_secret: KeySecret([7; 32]),
     }
 }
 
@@ -276,6 +280,7 @@
         path: path.to_owned(),
         fingerprint: Fingerprint::of(path.as_bytes()),
         caller_timeout: Some(Millis(4_000)),
+        credentials: Credentials::None,
         relayed: None,
     }
 }
--- /dev/null
+++ b/components/gateway_core/tests/organisation_keys.rs
@@ -0,0 +1,89 @@
+//! Callers are known by keys; keys that an organisation doesn't hold, or no longer, run nothing.
+
+mod common;
+
+use common::{Harness, at, config, head, route, server};
+use gateway_core::{
+    ApiKey, CallerNote, Credentials, Finish, GatewayConfig, Idempotency, Organisation,
+    RefusalReason, RequestHead, RunStatus, Step,
+};
+
+fn organisation(name: &str, keys: &[&str]) -> Organisation {
+    Organisation {
+        name: name.parse().unwrap(),
+        keys: keys.iter().map(|it| ApiKey::new(it.as_bytes())).collect(),
+        priority: None,
+        limit: None,
+    }
+}
+
+fn config_with(version: u64, organisations: Vec<Organisation>) -> GatewayConfig {
+    let mut info = route("info", Idempotency::Idempotent);
+    info.is_public = true;
+    let routes = vec![route("pay", Idempotency::NonIdempotent), info];
+    GatewayConfig { organisations: Some(organisations), ..config(version, routes) }
+}
+
+fn harness(organisations: Vec<Organisation>) -> Harness {
+    let mut harness = Harness::new(Vec::new(), vec![server(1, "north-a")], Vec::new());
+    harness.gateway.set_config(config_with(2, organisations));
+    harness
+}
+
+fn with_key(path: &str, key: &str) -> RequestHead {
+    RequestHead { credentials: Credentials::Key(ApiKey::new(key.as_bytes())), ..head(path) }
+}
+
+#[test]
+fn requests_with_unknown_missing_or_malformed_keys_are_refused() {
+    let mut harness = harness(vec![organisation("acme", &["k1"])]);
+    let malformed = RequestHead { credentials: Credentials::Malformed, ..head("/pay/1") };
+
+    for request in [with_key("/pay/1", "k2"), head("/pay/1"), malformed] {
+        let refusal = harness.gateway.begin(at(0), request).unwrap_err();
+
+        assert_eq!((refusal.reason, refusal.run), (RefusalReason::UnknownKey, RunStatus::NotRun));
+    }
+}
+
+#[test]
+fn the_server_is_told_the_organisation_that_holds_the_key() {
+    let mut harness = harness(vec![organisation("acme", &["k1"]), organisation("best", &["k2"])]);
+
+    let id = harness.gateway.begin(at(0), with_key("/pay/1", "k2")).unwrap();
+
+    let Step::Send(start) = harness.gateway.step(at(0), id) else { panic!("not sent") };
+    assert_eq!(start.caller, CallerNote::Organisation("best".parse().unwrap()));
+}
+
+#[test]
+fn a_public_route_needs_no_key_and_passes_none_on() {
+    let mut harness = harness(vec![organisation("acme", &["k1"])]);
+
+    let id = harness.gateway.begin(at(0), with_key("/info/1", "k2")).unwrap();
+
+    let Step::Send(start) = harness.gateway.step(at(0), id) else { panic!("not sent") };
+    assert_eq!(start.caller, CallerNote::Anonymous);
+}
+
+#[test]
+fn a_request_that_waits_does_not_run_after_its_key_was_withdrawn() {
+    let mut harness = harness(vec![organisation("acme", &["k1"])]);
+    let id = harness.gateway.begin(at(0), with_key("/pay/1", "k1")).unwrap();
+    harness.gateway.set_config(config_with(3, vec![organisation("acme", &["k3"])]));
+
+    let step = harness.gateway.step(at(1), id);
+
+    assert_eq!(harness.gateway.take_wakeups(), [id]);
+    let Step::Finish(Finish::Refuse(refusal)) = step else { panic!("not refused: {step:?}") };
+    assert_eq!((refusal.reason, refusal.run), (RefusalReason::UnknownKey, RunStatus::NotRun));
+}
+
+#[test]
+fn a_key_that_is_given_back_works_again() {
+    let mut harness = harness(vec![organisation("acme", &["k1"])]);
+    harness.gateway.set_config(config_with(3, vec![organisation("acme", &[])]));
+    harness.gateway.set_config(config_with(4, vec![organisation("acme", &["k1"])]));
+
+    assert!(harness.gateway.begin(at(0), with_key("/pay/1", "k1")).is_ok());
+}
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -354,6 +354,7 @@
         target_latency: Millis(1_000),
         priority: 1,
         max_attempts: 2,
+        is_public: false,
     };
     GatewayConfig {
         version: ConfigVersion(version),
@@ -368,6 +369,7 @@
             head_timeout: Millis(3_000),
             idle_timeout: Millis(15_000),
         },
+        organisations: None,
     }
 }
 
