Judge unfinished requests again by the keys of a new configuration

A request in flight was hedged after its key was withdrawn: only requests without an attempt were checked. Waiting requests that began under a configuration without organisations ran whatever key they had, without the organisation's name; those of a public route got 401 when their key was withdrawn, and those whose key had gone to another organisation got 401 for a valid key. A new configuration now checks each unfinished request once, as if it had just come, and what it finds stops hedges, retries and detours. Keys are checked before the quarantine, so that unknown callers get 401 at once. Each test failed on the code before: hedged with the withdrawn key, sent though unknown, refused on the public route, refused for a valid key.

--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -73,7 +73,7 @@
         if !request.may_be_sent() {
             return self.give_up(now, id, RefusalReason::NoAnswer, None);
         }
-        if self.is_key_withdrawn(request) {
+        if request.is_key_refused {
             return self.give_up(now, id, RefusalReason::UnknownKey, None);
         }
         if self.would_work_in_vain(now, request) {
@@ -206,6 +206,7 @@
         let may_hedge = request.route.idempotency == Idempotency::Idempotent
             && request.in_flight.len() == 1
             && matches!(last.target, InFlightTarget::Server(_))
+            && !request.is_key_refused
             && !self.would_work_in_vain(now, request);
         if may_hedge
             && now >= hedge_at
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -141,9 +141,7 @@
         self.keys.set(config.organisations.as_deref());
         // Keys are kept as hashes only.
         config.organisations = None;
-        let withdrawn = self.requests.iter().filter(|(_, it)| self.is_key_withdrawn(it));
-        let withdrawn: Vec<RequestId> = withdrawn.map(|(id, _)| *id).collect();
-        self.wakeups.extend(withdrawn);
+        self.identify_again();
         self.config = Some(Arc::new(config));
         if self.lifecycle == Lifecycle::Joining {
             self.lifecycle = Lifecycle::Serving;
@@ -209,11 +207,11 @@
     /// Accepts or refuses a request; [`Self::step`] then returns what to do with it.
     pub fn begin(&mut self, now: Timestamp, head: RequestHead) -> Result<RequestId, Refusal> {
         let route = self.find_route(&head)?;
+        let identity = self.identify(&head, &route)?;
         if self.quarantine.is_quarantined(now, head.fingerprint) {
             let retry_after = Some(QUARANTINE_RETRY_AFTER);
             return Err(Refusal::not_run(RefusalReason::Quarantined, retry_after));
         }
-        let identity = self.identify(&head, &route)?;
         let deadline = self.deadline(now, &route, &head)?;
         let service = match &head.relayed {
             Some(relayed) => self.accept_relayed(&route, relayed)?,
@@ -264,9 +262,19 @@
         std::mem::take(&mut self.events)
     }
 
-    /// Returns whether the key that a request came with is no longer valid.
-    fn is_key_withdrawn(&self, request: &Request) -> bool {
-        request.identity.as_ref().is_some_and(|it| !self.keys.is_valid(it))
+    /// Judges unfinished requests by the keys of a new configuration.
+    fn identify_again(&mut self) {
+        for (id, request) in &mut self.requests {
+            request.is_key_refused = false;
+            match self.keys.check(&request.head.credentials, request.route.is_public) {
+                KeyCheck::Known(identity) => request.identity = Some(identity),
+                KeyCheck::NotNeeded => request.identity = None,
+                KeyCheck::Refused => {
+                    request.is_key_refused = true;
+                    self.wakeups.push(*id);
+                }
+            }
+        }
     }
 
     fn identify(
--- a/components/gateway_core/src/organisations/keys.rs
+++ b/components/gateway_core/src/organisations/keys.rs
@@ -34,7 +34,6 @@
 /// The caller of a request, if it is known by a key.
 #[derive(Debug, Clone)]
 pub struct CallerIdentity {
-    hash: KeyHash,
     pub(crate) organisation: Arc<KnownOrganisation>,
 }
 
@@ -102,8 +101,8 @@
         let Some(by_hash) = &self.by_hash else { return KeyCheck::NotNeeded };
         let found = match credentials {
             Credentials::Key(key) => {
-                let hash = self.hash(key);
-                by_hash.get(&hash).map(|it| CallerIdentity { hash, organisation: it.clone() })
+                let organisation = by_hash.get(&self.hash(key));
+                organisation.map(|it| CallerIdentity { organisation: it.clone() })
             }
             Credentials::None | Credentials::Malformed => None,
         };
@@ -114,12 +113,6 @@
         }
     }
 
-    /// Returns whether the key of a caller is still held by its organisation.
-    pub(crate) fn is_valid(&self, identity: &CallerIdentity) -> bool {
-        let Some(by_hash) = &self.by_hash else { return true };
-        by_hash.get(&identity.hash).is_some_and(|it| it.name == *identity.organisation())
-    }
-
     fn hash(&self, key: &ApiKey) -> KeyHash {
         *blake3::keyed_hash(&self.secret.0, key.as_bytes()).as_bytes()
     }
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -302,6 +302,8 @@
     pub(crate) service: ServiceName,
     /// Its caller, if it is known by a key.
     pub(crate) identity: Option<CallerIdentity>,
+    /// Whether the configuration in force refuses its key, or that it has none.
+    pub(crate) is_key_refused: bool,
     pub(crate) urgency: Urgency,
     pub(crate) received: Timestamp,
     /// When the caller must have its response.
@@ -348,6 +350,7 @@
             route,
             service,
             identity,
+            is_key_refused: false,
             urgency,
             max_attempts,
             relay_refusal: None,
