Leave a refusal for a key to the gateway that the caller asked

A gateway whose configuration didn't hold a key yet answered a request passed on with a refusal, which ended a valid caller's request with 503. It now says that it is unable to serve it, and the request goes to another gateway. The test failed with Refused(None).

--- a/components/gateway_core/src/gateway/detours.rs
+++ b/components/gateway_core/src/gateway/detours.rs
@@ -140,6 +140,8 @@
         match refusal.reason {
             RefusalReason::NoConfiguration
             | RefusalReason::UnknownRoute
+            // Its configuration may be older or newer; the gateway that the caller asked decides.
+            | RefusalReason::UnknownKey
             | RefusalReason::Stopping
             | RefusalReason::StopReached
             | RefusalReason::PathsDown
--- a/components/gateway_core/tests/organisation_keys.rs
+++ b/components/gateway_core/tests/organisation_keys.rs
@@ -5,7 +5,7 @@
 use common::{Harness, at, config, head, route, server};
 use gateway_core::{
     ApiKey, CallerNote, Credentials, Finish, GatewayConfig, Idempotency, Organisation,
-    RefusalReason, RequestHead, RunStatus, Step,
+    RefusalReason, RelayEnd, RequestHead, RunStatus, Step,
 };
 
 fn organisation(name: &str, keys: &[&str]) -> Organisation {
@@ -141,3 +141,12 @@
     let Step::Send(start) = harness.gateway.step(at(1), id) else { panic!("not sent") };
     assert_eq!(start.caller, CallerNote::Organisation("best".parse().unwrap()));
 }
+
+#[test]
+fn a_gateway_that_does_not_know_the_key_leaves_the_refusal_to_the_one_that_was_asked() {
+    let mut harness = harness(vec![organisation("acme", &["k1"])]);
+
+    let refusal = harness.gateway.begin(at(0), with_key("/pay/1", "k2")).unwrap_err();
+
+    assert_eq!(harness.gateway.relay_end_of(&refusal), RelayEnd::Unable);
+}
