Answer 401 only for requests that didn't run

A request that was sent and whose key was withdrawn before its retry got 401, which tells callers that it never ran. It now gets 502, like other requests that may have run. Found by reading; no test covers the status of a refusal.

--- a/components/gateway/src/entry/callers.rs
+++ b/components/gateway/src/entry/callers.rs
@@ -163,7 +163,7 @@
 fn refusal_reply(refusal: Refusal) -> Reply {
     let status = match (refusal.reason, refusal.run) {
         (RefusalReason::UnknownRoute, _) => StatusCode::NOT_FOUND,
-        (RefusalReason::UnknownKey, _) => StatusCode::UNAUTHORIZED,
+        (RefusalReason::UnknownKey, RunStatus::NotRun) => StatusCode::UNAUTHORIZED,
         (RefusalReason::OverLimit, RunStatus::NotRun) => StatusCode::TOO_MANY_REQUESTS,
         (_, RunStatus::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
         (RefusalReason::TimeLimit | RefusalReason::StopReached, RunStatus::MayHaveRun) => {
