Take no keys at a gateway that control doesn't reach, where withdrawals are strict

A gateway cut off from control took keys that were withdrawn since, for as long as it was cut off. Settings may now name the time within which a withdrawn key is out of use and whether that is strict. Where it is, a gateway whose knowledge is older than this time less 500 ms for requests under way refuses requests with keys (503, keys-outdated, not run), sends no waiting request, retry, hedge or detour of theirs, and isn't ready; what it knows counts from when the answered poll was sent.

--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -56,6 +56,13 @@
 /// Maximum time to live of a gateway's directory answers, in milliseconds.
 const MAX_DIRECTORY_TTL_MILLIS: u64 = 60_000;
 
+/// Minimum time until a withdrawn key is out of use if that is strict, in milliseconds: what a gateway
+/// knows is up to two polls old, each of which is held for a second.
+const MIN_STRICT_WITHDRAWAL_MILLIS: u64 = 3_000;
+
+/// Maximum time until a withdrawn key is out of use, in milliseconds: one day.
+const MAX_WITHDRAWAL_MILLIS: u64 = 86_400_000;
+
 /// Parses and validates the settings of a gateway.
 pub fn parse_gateway_settings(text: &str) -> Result<GatewaySettings, Vec<CheckError>> {
     let settings: GatewaySettings = yaml::parse(text).map_err(|e| vec![e])?;
@@ -68,6 +75,12 @@
     check_range(&mut problems, "stop_within_s", shutdown_millis, 1, MAX_SHUTDOWN_MILLIS);
     let ttl_millis = settings.directory_keep_s.0.0;
     check_range(&mut problems, "directory_keep_s", ttl_millis, 1, MAX_DIRECTORY_TTL_MILLIS);
+    if let Some(withdrawal) = &settings.key_withdrawal {
+        let path = NodePath::of("key_withdrawal").key("within_ms");
+        let min = if withdrawal.strict { MIN_STRICT_WITHDRAWAL_MILLIS } else { 1 };
+        let range = (min, MAX_WITHDRAWAL_MILLIS);
+        check_range_at(&mut problems, path, "within_ms", withdrawal.within_ms.0, range);
+    }
     finish(text, problems, settings)
 }
 
@@ -120,14 +133,19 @@
     value: u64,
     min: u64,
     max: u64,
+) {
+    check_range_at(problems, NodePath::of(name), name, value, (min, max));
+}
+
+fn check_range_at(
+    problems: &mut Vec<NodeProblem>,
+    path: NodePath,
+    name: &'static str,
+    value: u64,
+    (min, max): (u64, u64),
 ) {
     if (min..=max).contains(&value) {
         return;
     }
-    problems.push(NodePath::of(name).with_problem(CheckProblem::OutOfRange {
-        name,
-        value,
-        min,
-        max,
-    }));
+    problems.push(path.with_problem(CheckProblem::OutOfRange { name, value, min, max }));
 }
--- a/components/config/tests/gateway_settings.rs
+++ b/components/config/tests/gateway_settings.rs
@@ -97,3 +97,17 @@
         assert!(errors[0].to_string().contains(field), "{}", errors[0]);
     }
 }
+
+#[test]
+fn a_strict_withdrawal_shorter_than_two_polls_is_rejected_with_line_and_field() {
+    let text = |within: &str, strict: bool| {
+        let base = gateway_text("1", "10", "6");
+        format!("{base}key_withdrawal: {{ within_ms: {within}, strict: {strict} }}\n")
+    };
+
+    assert!(parse_gateway_settings(&text("5000.0", true)).is_ok());
+    assert!(parse_gateway_settings(&text("1500", false)).is_ok());
+    let errors = parse_gateway_settings(&text("2000", true)).unwrap_err();
+    assert_eq!(errors[0].line, 17, "{}", errors[0]);
+    assert!(errors[0].to_string().contains("within_ms"), "{}", errors[0]);
+}
--- a/components/gateway/src/entry/endpoints.rs
+++ b/components/gateway/src/entry/endpoints.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use gateway_core::Lifecycle;
 use hyper::{Request, StatusCode, body::Incoming};
 use platform::{calls, directory};
 
@@ -14,8 +13,7 @@
     if !calls::is_readiness_call(req.method(), req.uri().path()) {
         return http::text(StatusCode::NOT_FOUND, "no such page\n");
     }
-    let lifecycle = shared.with_core(|core, _| core.lifecycle());
-    match lifecycle == Lifecycle::Serving {
+    match shared.with_core(|core, now| core.is_ready(now)) {
         true => http::text(StatusCode::OK, "ready\n"),
         false => http::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
     }
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -15,7 +15,8 @@
 
 use admin::Clock;
 use gateway_core::{
-    Gateway, GatewaySettings as CoreSettings, KeySecret, RetryBudgetSettings, StopSchedule,
+    Gateway, GatewaySettings as CoreSettings, KeySecret, KeyWithdrawal, RetryBudgetSettings,
+    StopSchedule,
 };
 use ids::Timestamp;
 use schema::{
@@ -113,6 +114,10 @@
         directory_ttl: settings.directory_keep_s.0,
         seed: incarnation.0,
         key_secret,
+        key_withdrawal: settings
+            .key_withdrawal
+            .as_ref()
+            .map(|it| KeyWithdrawal { within: it.within_ms, is_strict: it.strict }),
     }
 }
 
--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -3,7 +3,9 @@
 use ids::{AttemptNumber, ByteSize, Millis, RequestId, ServerId, Timestamp};
 use schema::server_load::{Answered, LoadEvent};
 
-use super::{Gateway, QUARANTINE_RETRY_AFTER, STOPPING_RETRY_AFTER, queue_key};
+use super::{
+    Gateway, KEYS_OUTDATED_RETRY_AFTER, QUARANTINE_RETRY_AFTER, STOPPING_RETRY_AFTER, queue_key,
+};
 use crate::{
     configuration::Idempotency,
     events::Event,
@@ -76,6 +78,10 @@
         if request.is_key_refused {
             return self.give_up(now, id, RefusalReason::UnknownKey, None);
         }
+        if request.identity.is_some() && self.are_keys_outdated(now) {
+            let retry_after = Some(KEYS_OUTDATED_RETRY_AFTER);
+            return self.give_up(now, id, RefusalReason::KeysOutdated, retry_after);
+        }
         if self.would_work_in_vain(now, request) {
             let retry_after = Some(STOPPING_RETRY_AFTER);
             return self.give_up(now, id, RefusalReason::StopReached, retry_after);
@@ -207,6 +213,7 @@
             && request.in_flight.len() == 1
             && matches!(last.target, InFlightTarget::Server(_))
             && !request.is_key_refused
+            && (request.identity.is_none() || !self.are_keys_outdated(now))
             && !self.would_work_in_vain(now, request);
         if may_hedge
             && now >= hedge_at
--- a/components/gateway_core/src/gateway/detours.rs
+++ b/components/gateway_core/src/gateway/detours.rs
@@ -142,6 +142,7 @@
             | RefusalReason::UnknownRoute
             // Its configuration may be older or newer; the gateway that the caller asked decides.
             | RefusalReason::UnknownKey
+            | RefusalReason::KeysOutdated
             | RefusalReason::Stopping
             | RefusalReason::StopReached
             | RefusalReason::PathsDown
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -52,6 +52,13 @@
 /// a fraction of it, so that callers don't return at the same moment.
 const PAUSE_RETURN_SPREAD: f64 = 0.25;
 
+/// Time that is kept for a request to reach its server before a withdrawn key must be out of use, in
+/// milliseconds.
+const WITHDRAWAL_MARGIN: Millis = Millis(500);
+
+/// Retry-After that sends callers of a gateway with outdated keys to another one, in milliseconds.
+const KEYS_OUTDATED_RETRY_AFTER: Millis = Millis(100);
+
 /// A load report to be sent to other gateways.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OutgoingReport {
@@ -207,7 +214,7 @@
     /// Accepts or refuses a request; [`Self::step`] then returns what to do with it.
     pub fn begin(&mut self, now: Timestamp, head: RequestHead) -> Result<RequestId, Refusal> {
         let route = self.find_route(&head)?;
-        let identity = self.identify(&head, &route)?;
+        let identity = self.identify(now, &head, &route)?;
         if self.quarantine.is_quarantined(now, head.fingerprint) {
             let retry_after = Some(QUARANTINE_RETRY_AFTER);
             return Err(Refusal::not_run(RefusalReason::Quarantined, retry_after));
@@ -277,12 +284,32 @@
         }
     }
 
+    /// Returns whether this gateway may have missed that a key was withdrawn and must take none.
+    fn are_keys_outdated(&self, now: Timestamp) -> bool {
+        let Some(withdrawal) = self.settings.key_withdrawal.filter(|it| it.is_strict) else {
+            return false;
+        };
+        let max_age = Millis(withdrawal.within.0.saturating_sub(WITHDRAWAL_MARGIN.0));
+        let known = self.registry_poller.current_as_of();
+        self.keys.are_needed() && known.is_none_or(|it| now >= it + max_age)
+    }
+
+    /// Returns whether callers should be sent to this gateway.
+    pub fn is_ready(&self, now: Timestamp) -> bool {
+        self.lifecycle == Lifecycle::Serving && !self.are_keys_outdated(now)
+    }
+
     fn identify(
         &self,
+        now: Timestamp,
         head: &RequestHead,
         route: &Route,
     ) -> Result<Option<CallerIdentity>, Refusal> {
         match self.keys.check(&head.credentials, route.is_public) {
+            KeyCheck::Known(_) if self.are_keys_outdated(now) => {
+                let retry_after = Some(KEYS_OUTDATED_RETRY_AFTER);
+                Err(Refusal::not_run(RefusalReason::KeysOutdated, retry_after))
+            }
             KeyCheck::Known(identity) => Ok(Some(identity)),
             KeyCheck::NotNeeded => Ok(None),
             KeyCheck::Refused => Err(Refusal::not_run(RefusalReason::UnknownKey, None)),
--- a/components/gateway_core/src/lib.rs
+++ b/components/gateway_core/src/lib.rs
@@ -43,5 +43,5 @@
         notices::{LimitNotice, ServerNotice},
         placement::{Placement, PlacementRequest},
     },
-    settings::{GatewaySettings, Lifecycle, RetryBudgetSettings},
+    settings::{GatewaySettings, KeyWithdrawal, Lifecycle, RetryBudgetSettings},
 };
--- a/components/gateway_core/src/organisations/keys.rs
+++ b/components/gateway_core/src/organisations/keys.rs
@@ -87,6 +87,11 @@
         self.by_hash = Some(by_hash);
     }
 
+    /// Returns whether callers need keys.
+    pub(crate) fn are_needed(&self) -> bool {
+        self.by_hash.is_some()
+    }
+
     /// Returns what a server is told of a caller.
     pub(crate) fn note(&self, identity: Option<&CallerIdentity>) -> CallerNote {
         match identity {
--- a/components/gateway_core/src/registry_poller.rs
+++ b/components/gateway_core/src/registry_poller.rs
@@ -68,6 +68,9 @@
     is_target_current: bool,
     pub(crate) applied_index: LogIndex,
     pub(crate) last_current_at: Option<Timestamp>,
+    sent_at: Timestamp,
+    /// When the last poll that a current control host has answered was sent.
+    current_as_of: Option<Timestamp>,
 }
 
 impl RegistryPoller {
@@ -83,6 +86,8 @@
             is_target_current: false,
             applied_index: LogIndex(0),
             last_current_at: None,
+            sent_at: Timestamp::default(),
+            current_as_of: None,
         };
         registry_poller.add_seeds(seeds);
         registry_poller
@@ -110,6 +115,7 @@
         let to = self.choose_target(now)?;
         self.sequence += 1;
         self.is_in_flight = true;
+        self.sent_at = now;
         self.wakeup_at = now + self.poll_timeout();
         let poll = Poll {
             sequence: self.sequence,
@@ -160,6 +166,7 @@
     ) {
         if is_current {
             self.last_current_at = Some(now);
+            self.current_as_of = Some(self.sent_at);
             self.wakeup_at = now + MIN_POLL_INTERVAL;
             if let Some(host) = self.target.filter(|_| !self.is_target_current) {
                 self.is_target_current = true;
@@ -171,6 +178,11 @@
         self.wakeup_at = now + FAILOVER_DELAY;
     }
 
+    /// Returns a time up to which all changes are known here; `None` before the first update.
+    pub(crate) fn current_as_of(&self) -> Option<Timestamp> {
+        self.current_as_of
+    }
+
     /// Makes the next poll due at once, to announce a change of this host.
     pub(crate) fn poll_now(&mut self) {
         self.is_in_flight = false;
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -176,6 +176,8 @@
     UnknownRoute,
     /// the key is missing or not valid
     UnknownKey,
+    /// this gateway can't learn whether the key was withdrawn
+    KeysOutdated,
     /// the organisation asks for more than its limit
     OverLimit,
     /// all backend servers of the service are busy
@@ -213,6 +215,7 @@
             Self::NoConfiguration => "no-configuration",
             Self::UnknownRoute => "unknown-route",
             Self::UnknownKey => "unknown-key",
+            Self::KeysOutdated => "keys-outdated",
             Self::OverLimit => "over-limit",
             Self::Busy => "busy",
             Self::NoServer => "no-server",
--- a/components/gateway_core/src/settings.rs
+++ b/components/gateway_core/src/settings.rs
@@ -17,6 +17,15 @@
     pub window: Millis,
 }
 
+/// What becomes of keys that an operator withdraws.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeyWithdrawal {
+    /// Time after which no gateway takes a withdrawn key any more.
+    pub within: Millis,
+    /// Whether a gateway that no control host reaches takes no keys.
+    pub is_strict: bool,
+}
+
 /// Identity and settings of a gateway.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
@@ -44,6 +53,8 @@
     pub seed: u64,
     /// Secret under which keys of callers are hashed.
     pub key_secret: KeySecret,
+    /// What becomes of withdrawn keys, if the deployment says so.
+    pub key_withdrawal: Option<KeyWithdrawal>,
 }
 
 /// Lifecycle state of a gateway.
--- a/components/gateway_core/tests/common/mod.rs
+++ b/components/gateway_core/tests/common/mod.rs
@@ -119,6 +119,7 @@
         directory_ttl: Millis(1_000),
         seed: 7,
         key_secret: KeySecret([7; 32]),
+        key_withdrawal: None,
     }
 }
 
