Keep connections on which an unknown kind of message arrives

A host closed the TCP connection of a peer when a message with a valid MAC could not be decoded, and lost the messages behind it: with one newer build in the fleet, log entries and polls would have been lost at each new message. Such a message is dropped and counted; the connection stays. The test sends unknown messages between known ones; before, none of the later ones arrived.

--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -201,7 +201,8 @@
 impl Inbox {
     /// Verifies sealed data and queues its message if it is for this host.
     ///
-    /// Returns `false` when the data is invalid or the receive queue is closed.
+    /// Returns `false` when the connection should end: its sender has no key of the fleet, or the
+    /// receive queue is closed. A message that cannot be decoded is only dropped.
     async fn deliver(&self, data: &[u8]) -> bool {
         match open(&self.keys, data) {
             Ok(frame) if frame.to == self.host => {
@@ -216,7 +217,12 @@
                 self.stats.count_bad_mac();
                 false
             }
-            Err(OpenError::TooShort | OpenError::Decode(_)) => {
+            // A newer build may send kinds of messages that this one does not know.
+            Err(OpenError::Decode(_)) => {
+                self.stats.count_malformed();
+                true
+            }
+            Err(OpenError::TooShort) => {
                 self.stats.count_malformed();
                 false
             }
--- a/components/transport/tests/transport.rs
+++ b/components/transport/tests/transport.rs
@@ -152,6 +152,47 @@
     assert_eq!(receiver.stats().received, 1);
 }
 
+/// Returns a message of a kind that only a newer build knows, for host 2.
+fn sealed_unknown_message() -> Vec<u8> {
+    let frame = PeerFrame {
+        from: HostId(1),
+        to: HostId(2),
+        incarnation: Incarnation(1),
+        message: stream_message(),
+    };
+    let mut body = schema::encode(&frame);
+    // The number of the kind follows three ids of a byte each.
+    body[3] = 120;
+    let mac = blake3::keyed_hash(&[0xab; 32], &body);
+    [&mac.as_bytes()[..16], &body].concat()
+}
+
+#[tokio::test]
+async fn a_message_of_an_unknown_kind_costs_neither_the_connection_nor_what_follows_it() {
+    let keys = keys(&["ab"]);
+    let (receiver, mut rx) = bind_host(2, keys.clone()).await;
+    let known = PeerFrame {
+        from: HostId(1),
+        to: HostId(2),
+        incarnation: Incarnation(1),
+        message: stream_message(),
+    };
+    let unknown = sealed_unknown_message();
+    assert!(matches!(open(&keys, &unknown), Err(OpenError::Decode(_))));
+    let mut stream = TcpStream::connect(receiver.local_address()).await.unwrap();
+
+    for data in [&unknown, &seal(&keys, &known), &unknown, &seal(&keys, &known)] {
+        stream.write_all(&(data.len() as u32).to_le_bytes()).await.unwrap();
+        stream.write_all(data).await.unwrap();
+    }
+
+    for _ in 0..2 {
+        let frame = timeout(Duration::from_secs(10), rx.recv()).await.expect("it was lost");
+        assert_eq!(frame, Some(known.clone()));
+    }
+    assert_eq!(receiver.stats().malformed, 2);
+}
+
 #[tokio::test]
 async fn a_message_for_another_host_is_not_delivered() {
     let (sender, _rx) = bind_host(1, keys(&["ab"])).await;
