Let the soak replace all processes by those of another build

`--back` starts with the new build and ends with the older one. The seed picks control hosts first, gateways first or a mixed order. A replacement that wasn't begun is a finding.

--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -74,6 +74,8 @@
     /// Third byte of the addresses `127.77.SUBNET.HOST`.
     pub subnet: u8,
     pub processes: BTreeMap<Ipv4Addr, Child>,
+    /// Binaries of the hosts that run another build than the one under test.
+    pub other_builds: BTreeMap<u8, PathBuf>,
     watch: Watch,
     /// Keeps other test processes from using the subnet.
     _subnet_lock: TcpListener,
@@ -103,13 +105,18 @@
     /// Starts the control hosts 1 to 3, and gateways from host 11 on.
     pub fn start_with(gateways: u8) -> Self {
         let mut fleet = Self::without_hosts();
+        fleet.start_hosts(gateways);
+        fleet
+    }
+
+    /// Starts the control hosts 1 to 3, and gateways from host 11 on.
+    pub fn start_hosts(&mut self, gateways: u8) {
         for i in 1..=3 {
-            fleet.start_control(i, true);
+            self.start_control(i, true);
         }
         for i in 0..gateways {
-            fleet.start_gateway(11 + i);
+            self.start_gateway(11 + i);
         }
-        fleet
     }
 
     /// Prepares a fleet whose hosts the test starts.
@@ -120,6 +127,7 @@
             folder: tempfile::tempdir().unwrap(),
             subnet,
             processes: BTreeMap::new(),
+            other_builds: BTreeMap::new(),
             watch: Watch::start(),
             _subnet_lock: subnet_lock,
         }
@@ -181,7 +189,8 @@
         fs::write(&path, settings).unwrap();
         let log =
             fs::OpenOptions::new().create(true).append(true).open(self.log_file(host)).unwrap();
-        let process = Command::new(gateway_binary())
+        let binary = self.other_builds.get(&host).cloned().unwrap_or_else(gateway_binary);
+        let process = Command::new(binary)
             .args([role, "--settings"])
             .arg(&path)
             .stdout(Stdio::from(log.try_clone().unwrap()))
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -213,10 +213,20 @@
         }
     }
 
-    fn stop(&mut self, fleet: &Fleet, host: u8, kind: StopKind) {
-        let is_stopping =
-            self.stops.iter().any(|it| it.host == host && it.ended.is_none() && !it.is_killed);
-        if is_stopping || self.down.contains(&host) {
+    /// Returns whether a host is being stopped, or is killed and not yet started again.
+    pub fn is_leaving(&self, host: u8) -> bool {
+        let is_stopping = |it: &Stop| it.host == host && it.ended.is_none() && !it.is_killed;
+        self.stops.iter().any(is_stopping) || self.down.contains(&host)
+    }
+
+    /// Returns whether an unplanned fault of a host lasts.
+    pub fn disturbs(&self, host: u8) -> bool {
+        self.open.iter().any(|it| it.disturbs(host))
+    }
+
+    /// Tells a host to stop unless it is being stopped.
+    pub fn stop(&mut self, fleet: &Fleet, host: u8, kind: StopKind) {
+        if self.is_leaving(host) {
             return;
         }
         let port = if host < FIRST_GATEWAY { fleet.ports.requests } else { fleet.ports.readiness };
--- a/tests/soak/mod.rs
+++ b/tests/soak/mod.rs
@@ -2,6 +2,7 @@
 //! seed, checked from what callers and backend servers see.
 
 mod faults;
+mod roll;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -25,6 +26,9 @@
     config, wait_for,
 };
 use faults::{Fault, FaultKind, Schedule, Stop};
+use roll::Roll;
+
+pub use roll::{Direction, OldBuild};
 
 pub const CONTROL_HOSTS: Range<u8> = 1..4;
 pub const FIRST_GATEWAY: u8 = 11;
@@ -75,6 +79,8 @@
     /// Requests around planned stops that no other fault excuses.
     judged: usize,
     stops: usize,
+    /// Hosts that were replaced by another build.
+    replaced: usize,
     /// Configurations that were sent and acknowledged.
     configs: (u64, usize),
     /// Broken promises.
@@ -90,6 +96,9 @@
             "  {} stops, {} requests judged around them; {} of {} configurations acknowledged",
             self.stops, self.judged, self.configs.1, self.configs.0
         )?;
+        if self.replaced > 0 {
+            writeln!(f, "  {} replacements by another build", self.replaced)?;
+        }
         writeln!(f, "  statuses {:?}; p50, p99, max {:?}", self.statuses, self.latencies)?;
         for (second, (sent, served)) in self.seconds.iter().enumerate() {
             let bar = "#".repeat(served * 50 / sent.max(&1));
@@ -101,8 +110,9 @@
     }
 }
 
-/// Runs the schedule of a seed for a time, and a recovery after it.
-pub fn run(seed: u64, length: Duration, gateways: u8) -> Report {
+/// Runs the schedule of a seed for a time, and a recovery after it. With an older build, hosts are
+/// replaced by the other build meanwhile.
+pub fn run(seed: u64, length: Duration, gateways: u8, old_build: Option<&OldBuild>) -> Report {
     let servers: Vec<Server> = (1..=SERVERS)
         .map(|number| {
             let mut server = Server::start(number, "queue");
@@ -110,7 +120,10 @@
             server
         })
         .collect();
-    let mut fleet = Fleet::start_with(gateways);
+    let mut fleet = Fleet::without_hosts();
+    let mut roll = old_build.map(|it| Roll::new(seed, it, gateways));
+    roll.iter().for_each(|it| it.assign_first_builds(&mut fleet));
+    fleet.start_hosts(gateways);
     fleet.put_config(1, "queue");
     servers.iter().for_each(|it| fleet.announce(it, 1, ServerState::Serving));
     let hosts = FIRST_GATEWAY..FIRST_GATEWAY + gateways;
@@ -137,6 +150,9 @@
         let callers: Vec<_> = callers.chain(clients).collect();
         while Instant::now() < end {
             schedule.apply(&mut fleet, &servers, &changes, begin.elapsed());
+            if let Some(roll) = &mut roll {
+                roll.advance(&mut fleet, &mut schedule);
+            }
             thread::sleep(Duration::from_millis(20));
         }
         drop(changes);
@@ -151,7 +167,9 @@
     check_recovery(&sent, end, &mut findings);
     check_exits(&schedule, begin, &mut findings);
     check_config(&fleet, &configs, &mut findings);
+    findings.extend(roll.as_ref().and_then(Roll::unfinished));
     let mut report = report(seed, &schedule, &sent, begin, &configs);
+    report.replaced = roll.map_or(0, |it| it.replaced());
     let stops: Stops = schedule
         .stops
         .iter()
@@ -472,6 +490,7 @@
         seconds,
         judged: 0,
         stops: schedule.stops.len(),
+        replaced: 0,
         configs: (configs.last_sent, configs.acknowledged.len()),
         findings: Vec::new(),
     }
