Pass requests with keys on only to gateways that check keys

A gateway that reaches no server passed a caller's request with its key on to another gateway. One of an older build, which knows no organisations, would have sent the key to a backend server and served keys that don't count; so would one that didn't hold the configuration with keys yet.

The key moves into that header, which every build removes before a request goes to a server, also one that doesn't know the sender; the organisation's name is set meanwhile. A gateway of this build without organisations answers that it is unable, too.

Both tests in gateway_core fail without the change: such a request was accepted, and passed on without a mark.

--- a/components/gateway/src/entry/relay.rs
+++ b/components/gateway/src/entry/relay.rs
@@ -3,17 +3,21 @@
 //! A request that is passed on is the caller's request with a header that names its service and the
 //! number of servers that it may still reach. The response carries a header that says how it ended
 //! there. Both are accepted only from hosts of the fleet.
+//!
+//! If callers need keys, the header takes a form that a gateway of a build without keys can't read and
+//! so refuses. It also carries the key, since each build removes it from what servers receive.
 
 use std::{net::SocketAddr, rc::Rc};
 
 use bytes::Bytes;
-use gateway_core::{AttemptEnd, Refusal, RelayEnd, RelayStart, RelayedHead};
+use gateway_core::{AttemptEnd, CallerNote, Refusal, RelayEnd, RelayStart, RelayedHead};
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Request,
     header::{self, HeaderValue},
 };
 use ids::Millis;
+use platform::headers;
 
 use super::{
     backend::{self, ServerResponse},
@@ -24,6 +28,9 @@
 /// Name of the header of requests and responses between gateways.
 const RELAY: &str = "daisypaddle-relay";
 
+/// First word of the header of a request that only a gateway that checks keys may serve.
+const KEYED: &str = "keyed";
+
 /// How a request that was passed on ended, and its response if the caller may receive it.
 pub(crate) struct RelayResult {
     pub(crate) end: RelayEnd,
@@ -44,14 +51,52 @@
         log::warn!(sender:% = sender; "ignored the header of another gateway from a caller");
         return Ok(None);
     }
-    let parts = value.to_str().ok().and_then(|it| it.split_once(' '));
-    let head = parts.and_then(|(max_attempts, service)| {
-        Some(RelayedHead {
-            service: service.parse().ok()?,
-            max_attempts: max_attempts.parse().ok()?,
-        })
-    });
-    head.map(Some).ok_or(InvalidHead)
+    let (head, key) = value.to_str().ok().and_then(read_head).ok_or(InvalidHead)?;
+    if head.needs_key_check {
+        headers.remove(header::AUTHORIZATION);
+        let key = key.map(HeaderValue::from_str).transpose().map_err(|_| InvalidHead)?;
+        headers.extend(key.map(|it| (header::AUTHORIZATION, it)));
+    }
+    Ok(Some(head))
+}
+
+/// Reads the value of the header, with the credentials of the caller if it carries any.
+fn read_head(value: &str) -> Option<(RelayedHead, Option<&str>)> {
+    let (keyed, rest) = match value.strip_prefix(KEYED) {
+        Some(rest) => (true, rest.strip_prefix(' ')?),
+        None => (false, value),
+    };
+    let (max_attempts, rest) = rest.split_once(' ')?;
+    let (service, key) = match rest.split_once(' ') {
+        Some((service, key)) if keyed => (service, Some(key)),
+        _ => (rest, None),
+    };
+    let (service, max_attempts) = (service.parse().ok()?, max_attempts.parse().ok()?);
+    Some((RelayedHead { service, max_attempts, needs_key_check: keyed }, key))
+}
+
+/// Moves the credentials of a request into the header for the other gateway.
+fn write_head(
+    headers: &mut HeaderMap,
+    head: &RelayedHead,
+    caller: &CallerNote,
+) -> Result<(), header::InvalidHeaderValue> {
+    let RelayedHead { service, max_attempts, needs_key_check } = head;
+    let mut value = format!("{max_attempts} {service}").into_bytes();
+    if *needs_key_check {
+        value.splice(..0, format!("{KEYED} ").into_bytes());
+        // The key of a caller that was not recognised is of no use there.
+        let key = headers.get(header::AUTHORIZATION);
+        if let (CallerNote::Organisation(_), Some(key)) = (caller, key) {
+            value.push(b' ');
+            value.extend_from_slice(key.as_bytes());
+        }
+        headers::write_caller(headers, caller);
+    }
+    let mut value = HeaderValue::from_bytes(&value)?;
+    value.set_sensitive(*needs_key_check);
+    headers.insert(RELAY, value);
+    Ok(())
 }
 
 /// Marks the reply to another gateway with how its request ended.
@@ -67,12 +112,10 @@
     attempt_id: Rc<str>,
 ) -> RelayResult {
     let without_response = |end| RelayResult { end, response: None };
-    let RelayStart { address, head, may_reuse_connection, .. } = start;
-    let value = format!("{} {}", head.max_attempts, head.service);
-    let Ok(value) = HeaderValue::from_str(&value) else {
+    let RelayStart { address, head, may_reuse_connection, caller, .. } = start;
+    if write_head(req.headers_mut(), &head, &caller).is_err() {
         return without_response(RelayEnd::Unable);
-    };
-    req.headers_mut().insert(RELAY, value);
+    }
     let sent = backend::send_to_gateway(&shared, address, req, may_reuse_connection).await;
     let (connection, response) = match sent {
         Ok(sent) => sent,
--- a/components/gateway_core/src/gateway/detours.rs
+++ b/components/gateway_core/src/gateway/detours.rs
@@ -126,6 +126,9 @@
         if route.targets.iter().all(|it| it.service != relayed.service) {
             return Err(not_run(RefusalReason::UnknownRoute));
         }
+        if relayed.needs_key_check && !self.keys.are_checked() {
+            return Err(not_run(RefusalReason::KeysUnchecked));
+        }
         match self.relays.accept() {
             true => Ok(relayed.service.clone()),
             false => Err(not_run(RefusalReason::TooManyRelayed)),
@@ -143,6 +146,7 @@
             | RefusalReason::Stopping
             | RefusalReason::StopReached
             | RefusalReason::PathsDown
+            | RefusalReason::KeysUnchecked
             | RefusalReason::TooManyRelayed => RelayEnd::Unable,
             _ if self.paths.are_down() => RelayEnd::Unable,
             _ => RelayEnd::Refused(refusal.retry_after),
@@ -208,6 +212,7 @@
     ) -> Option<RelayStart> {
         let address = self.entry_hosts.caller_address(host)?;
         let request = self.requests.get_mut(&id)?;
+        let caller = self.keys.note(request.identity.as_ref());
         let attempt = AttemptNumber(u32::try_from(request.attempt_log.len()).unwrap_or(u32::MAX));
         let max_attempts = request.max_attempts.saturating_sub(request.counted_attempts());
         request.in_flight.push(InFlightAttempt {
@@ -223,9 +228,14 @@
             attempt,
             host,
             address,
-            head: RelayedHead { service: request.service.clone(), max_attempts },
+            head: RelayedHead {
+                service: request.service.clone(),
+                max_attempts,
+                needs_key_check: self.keys.are_checked(),
+            },
             time_left,
             may_reuse_connection: request.route.idempotency == Idempotency::Idempotent,
+            caller,
         })
     }
 }
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -82,6 +82,8 @@
     pub service: ServiceName,
     /// Number of servers that the request may still reach.
     pub max_attempts: u32,
+    /// Whether only a gateway that checks the keys of callers may serve it.
+    pub needs_key_check: bool,
 }
 
 /// A request to be passed on to another gateway.
@@ -99,6 +101,8 @@
     pub time_left: Millis,
     /// Whether a pooled connection may be used.
     pub may_reuse_connection: bool,
+    /// What a backend server is told of the caller.
+    pub caller: CallerNote,
 }
 
 /// Where an attempt was sent.
@@ -200,6 +204,8 @@
     StopReached,
     /// this gateway can't reach the backend servers
     PathsDown,
+    /// this gateway checks no keys yet
+    KeysUnchecked,
     /// this gateway already works on too many requests of others
     TooManyRelayed,
     /// the gateways that reach the backend servers refuse the request
@@ -225,6 +231,7 @@
             Self::Stopping => "stopping",
             Self::StopReached => "stop-reached",
             Self::PathsDown => "paths-down",
+            Self::KeysUnchecked => "keys-unchecked",
             Self::TooManyRelayed => "too-many-relayed",
             Self::RelayRefused => "relay-refused",
         }
--- a/components/gateway_core/tests/detours.rs
+++ b/components/gateway_core/tests/detours.rs
@@ -6,11 +6,12 @@
 use std::net::SocketAddr;
 
 use common::{
-    Harness, OWN_HOST, at, data_centre, entry_host, head, region, route, server, service,
+    Harness, OWN_HOST, at, config, data_centre, entry_host, head, region, route, server, service,
 };
 use gateway_core::{
-    AttemptEnd, Event, Finish, Idempotency, PathOutcome, Refusal, RefusalReason, RelayEnd,
-    RelayStart, RelayedHead, RequestHead, RunStatus, Step,
+    ApiKey, AttemptEnd, CallerNote, Credentials, Event, Finish, GatewayConfig, Idempotency,
+    Organisation, PathOutcome, Refusal, RefusalReason, RelayEnd, RelayStart, RelayedHead,
+    RequestHead, RunStatus, Step,
 };
 use ids::{HostId, Millis, RequestId, Timestamp};
 use schema::{
@@ -69,7 +70,7 @@
 }
 
 fn relayed_head(path: &str, max_attempts: u32) -> RequestHead {
-    let relayed = Some(RelayedHead { service: service(), max_attempts });
+    let relayed = Some(RelayedHead { service: service(), max_attempts, needs_key_check: false });
     RequestHead { relayed, ..head(path) }
 }
 
@@ -80,13 +81,57 @@
     let (id, start) = relay(&mut harness, at(100), "/pay/1");
 
     assert_eq!(start.host, NEAR);
-    assert_eq!(start.head, RelayedHead { service: service(), max_attempts: 2 });
+    assert_eq!((start.head.service, start.head.max_attempts), (service(), 2));
+    assert!(!start.head.needs_key_check);
     assert!(start.time_left < Millis(2_000));
     harness.gateway.relay_ended(at(200), id, start.attempt, RelayEnd::Answered);
     let step = harness.gateway.step(at(200), id);
     assert_eq!(step, Step::Finish(Finish::Answer(start.attempt)));
 }
 
+/// A configuration version 2 in which only the organisation `acme` with the key `k1` may call.
+fn require_keys(harness: &mut Harness) {
+    let acme = Organisation {
+        name: "acme".parse().unwrap(),
+        keys: vec![ApiKey::new(b"k1")],
+        priority: None,
+        limit: None,
+    };
+    let routes = vec![route("pay", Idempotency::NonIdempotent)];
+    let config = GatewayConfig { organisations: Some(vec![acme]), ..config(2, routes) };
+    harness.gateway.set_config(config);
+}
+
+fn with_key(head: RequestHead) -> RequestHead {
+    RequestHead { credentials: Credentials::Key(ApiKey::new(b"k1")), ..head }
+}
+
+#[test]
+fn a_request_with_a_key_is_passed_on_only_to_gateways_that_check_keys() {
+    let mut harness = cut_off();
+    require_keys(&mut harness);
+
+    let id = harness.gateway.begin(at(100), with_key(head("/pay/1"))).unwrap();
+
+    let start = next_relay(&mut harness, at(100), id);
+    assert!(start.head.needs_key_check);
+    assert_eq!(start.caller, CallerNote::Organisation("acme".parse().unwrap()));
+}
+
+#[test]
+fn a_gateway_that_has_no_keys_yet_refuses_a_request_whose_key_must_be_checked() {
+    let mut harness = harness();
+    let mut request = relayed_head("/pay/1", 2);
+    request.relayed.as_mut().unwrap().needs_key_check = true;
+
+    let refusal = harness.gateway.begin(at(0), with_key(request.clone())).unwrap_err();
+
+    assert_eq!(refusal.run, RunStatus::NotRun);
+    assert_eq!(harness.gateway.relay_end_of(&refusal), RelayEnd::Unable);
+    require_keys(&mut harness);
+    assert!(harness.gateway.begin(at(1), with_key(request)).is_ok());
+}
+
 #[test]
 fn servers_that_are_down_while_others_respond_do_not_take_the_paths_down() {
     let mut harness = harness();
--- a/components/gateway_core/tests/planned_stop.rs
+++ b/components/gateway_core/tests/planned_stop.rs
@@ -284,7 +284,11 @@
     harness.gateway.drain(StopSchedule::new(at(0), STOP_LIMIT, Millis(1_000)));
     let relayed = |path: &str, timeout| RequestHead {
         caller_timeout: Some(Millis(timeout)),
-        relayed: Some(RelayedHead { service: common::service(), max_attempts: 1 }),
+        relayed: Some(RelayedHead {
+            service: common::service(),
+            max_attempts: 1,
+            needs_key_check: false,
+        }),
         ..head(path)
     };
 
--- a/components/gateway_core/tests/requests.rs
+++ b/components/gateway_core/tests/requests.rs
@@ -232,9 +232,11 @@
             let name = if idempotency == Idempotency::Idempotent { "look" } else { "pay" };
             let path = format!("/{name}/{}", u.int_in_range(0..=1_000)?);
             let relayed = match u.ratio(1, 4)? {
-                true => {
-                    Some(RelayedHead { service: service(), max_attempts: u.int_in_range(1..=2)? })
-                }
+                true => Some(RelayedHead {
+                    service: service(),
+                    max_attempts: u.int_in_range(1..=2)?,
+                    needs_key_check: false,
+                }),
                 false => None,
             };
             let is_relayed = relayed.is_some();
