--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -125,21 +125,18 @@
     /// Membership messages, load reports, retry loans and permits go by UDP if they fit into a
     /// datagram, since they tolerate loss and reordering. All others go by TCP.
     pub fn send(&self, to: HostId, address: SocketAddr, message: PeerMessage) {
-        let allows_datagram = matches!(
-            message,
-            PeerMessage::Membership(_)
-                | PeerMessage::ServerLoad(_)
-                | PeerMessage::RetryBudget(_)
-                | PeerMessage::ServerLimit(_)
-        );
+        let delivery = Delivery::of(&message);
         let frame = PeerFrame { from: self.host, to, incarnation: self.incarnation, message };
         let purpose = Purpose::of(&frame.message);
         let sealed = seal(&self.keys, &frame);
         self.stats.count_queued(purpose, sealed.len());
-        if allows_datagram && sealed.len() <= MAX_DATAGRAM_BYTES {
-            self.send_datagram(address, sealed);
-        } else {
-            self.send_stream(address, sealed);
+        let fits = sealed.len() <= MAX_DATAGRAM_BYTES;
+        match delivery {
+            Delivery::Datagram { .. } if fits => self.send_datagram(address, sealed),
+            Delivery::Datagram { or_stream: false } => self.stats.count_dropped(),
+            Delivery::Datagram { or_stream: true } | Delivery::Stream => {
+                self.send_stream(address, sealed);
+            }
         }
     }
 
@@ -189,6 +186,37 @@
     }
 }
 
+/// How a message is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Delivery {
+    /// Over TCP.
+    Stream,
+    /// By UDP; if it is too large, over TCP or not at all.
+    Datagram { or_stream: bool },
+}
+
+impl Delivery {
+    /// Returns how a message is sent.
+    ///
+    /// Kinds appended to the schema never go over TCP: builds up to 287041c close a connection on
+    /// which a kind arrives that they do not know, and lose what follows it.
+    fn of(message: &PeerMessage) -> Self {
+        match message {
+            PeerMessage::Consensus(_)
+            | PeerMessage::Dissemination(_)
+            | PeerMessage::Claims(_)
+            | PeerMessage::Health(_)
+            | PeerMessage::Limits(_)
+            | PeerMessage::ClaimReport(_)
+            | PeerMessage::Sync(_) => Self::Stream,
+            PeerMessage::Membership(_)
+            | PeerMessage::ServerLoad(_)
+            | PeerMessage::RetryBudget(_)
+            | PeerMessage::ServerLimit(_) => Self::Datagram { or_stream: true },
+        }
+    }
+}
+
 /// Verifies received data and passes messages for this host to the receive queue.
 #[derive(Clone)]
 struct Inbox {
@@ -201,7 +229,8 @@
 impl Inbox {
     /// Verifies sealed data and queues its message if it is for this host.
     ///
-    /// Returns `false` when the data is invalid or the receive queue is closed.
+    /// Returns `false` when the connection should end: its sender has no key of the fleet, or the
+    /// receive queue is closed. A message that cannot be decoded is only dropped.
     async fn deliver(&self, data: &[u8]) -> bool {
         match open(&self.keys, data) {
             Ok(frame) if frame.to == self.host => {
@@ -216,7 +245,12 @@
                 self.stats.count_bad_mac();
                 false
             }
-            Err(OpenError::TooShort | OpenError::Decode(_)) => {
+            // A newer build may send kinds of messages that this one does not know.
+            Err(OpenError::Decode(_)) => {
+                self.stats.count_malformed();
+                true
+            }
+            Err(OpenError::TooShort) => {
                 self.stats.count_malformed();
                 false
             }
