--- a/components/gateway_core/src/gateway/detours.rs
+++ b/components/gateway_core/src/gateway/detours.rs
@@ -126,7 +126,7 @@
         if route.targets.iter().all(|it| it.service != relayed.service) {
             return Err(not_run(RefusalReason::UnknownRoute));
         }
-        if relayed.needs_key_check && !self.keys.are_checked() {
+        if relayed.needs_key_check && !self.keys.are_needed() {
             return Err(not_run(RefusalReason::KeysUnchecked));
         }
         match self.relays.accept() {
@@ -234,7 +234,7 @@
             head: RelayedHead {
                 service: request.service.clone(),
                 max_attempts,
-                needs_key_check: self.keys.are_checked(),
+                needs_key_check: self.keys.are_needed(),
             },
             time_left,
             may_reuse_connection: request.route.idempotency == Idempotency::Idempotent,
--- a/components/gateway_core/src/organisations/keys.rs
+++ b/components/gateway_core/src/organisations/keys.rs
@@ -101,11 +101,6 @@
         }
     }
 
-    /// Returns whether callers need keys.
-    pub(crate) fn are_checked(&self) -> bool {
-        self.by_hash.is_some()
-    }
-
     /// Checks the key of a request to a route.
     pub(crate) fn check(&self, credentials: &Credentials, is_public_route: bool) -> KeyCheck {
         let Some(by_hash) = &self.by_hash else { return KeyCheck::NotNeeded };
