--- a/components/gateway/src/entry/events.rs
+++ b/components/gateway/src/entry/events.rs
@@ -79,6 +79,14 @@
         Event::RelayEnded { host, end } => {
             log::debug!(host:% = peers::address_of(*host, 0).ip(), end:% = end; "relay ended");
         }
+        Event::OverLimit { organisation, cause, retry_after } => {
+            log::info!(
+                organisation:% = organisation,
+                cause:% = cause,
+                retry_after_ms = retry_after.0;
+                "request over the limit of its organisation"
+            );
+        }
         Event::RetrySent { service, usage } => {
             log::info!(
                 service:% = service,
--- a/components/gateway/src/entry/forward.rs
+++ b/components/gateway/src/entry/forward.rs
@@ -265,6 +265,7 @@
             request:% = request.attempt_id,
             route:% = summary.route,
             service:% = summary.service,
+            organisation:% = summary.organisation.as_ref().map_or("-", |it| it.as_str()),
             outcome:% = outcome,
             run:% = refusal.run,
             attempts:% = attempts,
--- a/components/gateway/src/entry/metrics.rs
+++ b/components/gateway/src/entry/metrics.rs
@@ -1,7 +1,10 @@
 //! Metrics of a gateway.
 
+use std::cell::RefCell;
+
 use admin::{TransportMetrics, gauge_value};
-use gateway_core::{Event, Gateway, RequestSummary};
+use gateway_core::{Event, Gateway, RefusalCause, RequestSummary};
+use ids::{FastSet, OrganisationName};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -9,6 +12,10 @@
 };
 use transport::StatsSnapshot;
 
+/// Maximum number of organisations with counters of their own, and the name that the others share.
+const MAX_ORGANISATIONS: usize = 200;
+const OTHER_ORGANISATIONS: &str = "other";
+
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] =
     [0.005, 0.02, 0.05, 0.1, 0.2, 0.35, 0.6, 1.0, 1.5, 2.5, 4.0, 8.0];
@@ -32,6 +39,12 @@
     service: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OverLimitLabels {
+    organisation: String,
+    cause: String,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct HeaderLabels {
     header: &'static str,
@@ -45,6 +58,9 @@
     attempts: Family<AttemptLabels, Counter>,
     retries: Family<ServiceLabels, Counter>,
     relays: Family<AttemptLabels, Counter>,
+    over_limit: Family<OverLimitLabels, Counter>,
+    /// Organisations with a counter of their own.
+    counted_organisations: RefCell<FastSet<OrganisationName>>,
     paths_down: Counter,
     latency: Histogram,
     wait_time: Histogram,
@@ -59,6 +75,7 @@
     config_version: Gauge,
     in_flight: Gauge,
     servers: Gauge,
+    kept_rates: Gauge,
     entry_hosts: Gauge,
 }
 
@@ -74,6 +91,9 @@
         registry.register("retries", "Retries sent, by service", retries.clone());
         let relays = Family::<AttemptLabels, Counter>::default();
         registry.register("relays", "Requests passed on to other gateways", relays.clone());
+        let over_limit = Family::<OverLimitLabels, Counter>::default();
+        let help = "Requests refused by the limits of their organisations";
+        registry.register("over_limit", help, over_limit.clone());
         let invalid_notices = Family::<HeaderLabels, Counter>::default();
         let help = "Headers of servers that were ignored because their values are not valid";
         registry.register("invalid_server_headers", help, invalid_notices.clone());
@@ -104,6 +124,7 @@
         let config_version = gauge("config_version", "Configuration version in force");
         let in_flight = gauge("requests_in_flight", "Requests in work");
         let servers = gauge("servers", "Backend servers that are listed");
+        let kept_rates = gauge("kept_rates", "Organisations whose rates are kept here");
         let entry_hosts = gauge("entry_hosts", "Entry hosts that are listed");
         Self {
             registry,
@@ -112,6 +133,8 @@
             attempts,
             retries,
             relays,
+            over_limit,
+            counted_organisations: RefCell::default(),
             paths_down,
             latency,
             wait_time,
@@ -126,6 +149,7 @@
             config_version,
             in_flight,
             servers,
+            kept_rates,
             entry_hosts,
         }
     }
@@ -178,6 +202,9 @@
             Event::PermitDenied { .. } => {
                 self.permits_denied.inc();
             }
+            Event::OverLimit { organisation, cause, .. } => {
+                self.count_over_limit(organisation, *cause)
+            }
             Event::RetrySent { service, .. } => {
                 let labels = ServiceLabels { service: service.to_string() };
                 self.retries.get_or_create(&labels).inc();
@@ -189,12 +216,26 @@
         }
     }
 
+    fn count_over_limit(&self, organisation: &OrganisationName, cause: RefusalCause) {
+        let mut counted = self.counted_organisations.borrow_mut();
+        if !counted.contains(organisation) && counted.len() < MAX_ORGANISATIONS {
+            counted.insert(organisation.clone());
+        }
+        let name = match counted.contains(organisation) {
+            true => organisation.to_string(),
+            false => OTHER_ORGANISATIONS.to_owned(),
+        };
+        let labels = OverLimitLabels { organisation: name, cause: cause.to_string() };
+        self.over_limit.get_or_create(&labels).inc();
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub(crate) fn render(&self, core: &Gateway, stats: StatsSnapshot) -> String {
         self.transport.set(stats);
         self.config_version.set(gauge_value(core.version().0));
         self.in_flight.set(gauge_value(core.in_flight() as u64));
         self.servers.set(gauge_value(core.servers().count() as u64));
+        self.kept_rates.set(gauge_value(core.kept_rates() as u64));
         self.entry_hosts.set(gauge_value(core.entry_host_count() as u64));
         let mut text = String::new();
         encode(&mut text, &self.registry).expect("writing to a string cannot fail");
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -162,6 +162,9 @@
             PeerMessage::ServerLimit(message) => {
                 shared.with_core(|core, now| core.on_server_limit(now, frame.from, &message));
             }
+            PeerMessage::OrganisationRate(message) => {
+                shared.with_core(|core, now| core.on_organisation_rate(now, frame.from, &message));
+            }
             PeerMessage::Sync(SyncMessage::Update(update)) => {
                 let config = shared.with_core(|core, now| core.on_update(now, frame.from, update));
                 if let Some(document) = config {
--- a/components/gateway/src/entry/shared.rs
+++ b/components/gateway/src/entry/shared.rs
@@ -68,6 +68,7 @@
         let result = f(&mut core, now);
         let (reports, loans, limit_messages) =
             (core.take_reports(), core.take_retry_budget_messages(), core.take_limit_messages());
+        let rate_messages = core.take_rate_messages();
         let (events, wakeups) = (core.take_events(), core.take_wakeups());
         drop(core);
         for outgoing in reports {
@@ -81,6 +82,9 @@
         for (to, message) in limit_messages {
             self.send(to, PeerMessage::ServerLimit(message));
         }
+        for (to, message) in rate_messages {
+            self.send(to, PeerMessage::OrganisationRate(message));
+        }
         for event in &events {
             if let Event::ServerLeaving { address, .. } = event {
                 self.pool.close_idle(*address);
--- a/components/gateway_core/src/entry_hosts.rs
+++ b/components/gateway_core/src/entry_hosts.rs
@@ -13,7 +13,7 @@
     sync::{EntryHostRecord, EntryHostState, HostsRevision, HostsUpdate},
 };
 
-use crate::settings::GatewaySettings;
+use crate::{organisations::KeeperPlace, settings::GatewaySettings};
 
 /// Maximum number of addresses in a directory answer.
 const MAX_ADDRESSES: usize = 64;
@@ -128,6 +128,30 @@
         serving.min_by_key(rank).map(|it| it.host)
     }
 
+    /// Returns the hosts that may keep rates of organisations, by data centre, the nearest first.
+    pub(crate) fn keeper_places(&self, own: &GatewaySettings) -> Vec<KeeperPlace> {
+        let is_serving = |it: &&EntryHostRecord| {
+            matches!(it.state, EntryHostState::Serving | EntryHostState::Detoured)
+        };
+        let mut places: BTreeMap<&DataCentreName, KeeperPlace> = BTreeMap::new();
+        for record in self.hosts.values().filter(is_serving) {
+            let distance = match () {
+                () if record.data_centre == own.data_centre => 0,
+                () if record.region == own.region => 1,
+                () => 2,
+            };
+            let place = places.entry(&record.data_centre).or_insert_with(|| KeeperPlace {
+                data_centre: record.data_centre.clone(),
+                distance,
+                hosts: Vec::new(),
+            });
+            place.hosts.push(record.host);
+        }
+        let mut places: Vec<KeeperPlace> = places.into_values().collect();
+        places.sort_by_key(|it| it.distance);
+        places
+    }
+
     /// Picks one host of each data centre other than `data_centre`, using a random number.
     pub(crate) fn pick_one_in_each_other_data_centre(
         &self,
--- a/components/gateway_core/src/events.rs
+++ b/components/gateway_core/src/events.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 
 use ids::{
-    ConfigVersion, DataCentreName, HostId, LimitRate, Millis, RequestId, RetryCredit, ServerId,
-    ServiceName,
+    ConfigVersion, DataCentreName, HostId, LimitRate, Millis, OrganisationName, RequestId,
+    RetryCredit, ServerId, ServiceName,
 };
 
-use crate::requests::AttemptTarget;
+use crate::{organisations::RefusalCause, requests::AttemptTarget};
 
 /// A gateway's part of the retry budget of a service in the current window.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -137,6 +137,15 @@
         /// How it ended.
         end: &'static str,
     },
+    /// A request was refused since its organisation asks for more than its limit.
+    OverLimit {
+        /// The organisation.
+        organisation: OrganisationName,
+        /// What kept the request from being admitted.
+        cause: RefusalCause,
+        /// When the caller is told to return.
+        retry_after: Millis,
+    },
     /// A retry was sent.
     RetrySent {
         /// Service of the request.
@@ -160,6 +169,8 @@
     pub route: String,
     /// Service that was chosen for the request.
     pub service: ServiceName,
+    /// Organisation of the caller, if it is known by a key.
+    pub organisation: Option<OrganisationName>,
     /// Where the request was sent, in order, and how each attempt ended.
     pub attempts: Vec<(AttemptTarget, &'static str)>,
     /// Time until the first attempt was sent, or until the end if there was none.
--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -80,6 +80,9 @@
             let retry_after = Some(STOPPING_RETRY_AFTER);
             return self.give_up(now, id, RefusalReason::StopReached, retry_after);
         }
+        if let Some(step) = self.hold_to_rate(now, id) {
+            return step;
+        }
         self.send_or_wait(now, id)
     }
 
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod detours;
 mod limits;
 mod notices;
+mod rates;
 mod registry;
 mod reports;
 
@@ -21,7 +22,7 @@
     configuration::{CallerLimits, GatewayConfig, Idempotency, Route},
     entry_hosts::EntryHosts,
     events::{Event, RequestSummary},
-    organisations::{CallerIdentity, KeyCheck, KeyTable},
+    organisations::{CallerIdentity, KeyCheck, KeyTable, OrganisationRates},
     paths::{Paths, relays::Relays},
     planned_stop::StopSchedule,
     quarantine::Quarantine,
@@ -76,11 +77,14 @@
     wait_queues: WaitQueues,
     retry_budget: RetryBudget,
     server_limits: ServerLimits,
+    rates: OrganisationRates,
     paths: Paths,
     relays: Relays,
     quarantine: Quarantine,
     rng: Xoshiro256PlusPlus,
     next_request: RequestId,
+    /// Whether the entry hosts have changed since the rates were told.
+    keeper_places_outdated: bool,
     reports: Vec<OutgoingReport>,
     events: Vec<Event>,
     wakeups: Vec<RequestId>,
@@ -109,11 +113,13 @@
             wait_queues: WaitQueues::default(),
             retry_budget: RetryBudget::new(settings.retry_budget, settings.started),
             server_limits: ServerLimits::new(settings.host),
+            rates: OrganisationRates::new(settings.host),
             paths: Paths::default(),
             relays: Relays::default(),
             quarantine: Quarantine::default(),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             next_request: RequestId(1),
+            keeper_places_outdated: false,
             reports: Vec::new(),
             events: Vec::new(),
             wakeups: Vec::new(),
@@ -139,6 +145,7 @@
         self.routes = routes;
         self.servers.set_routes(&config.routes);
         self.keys.set(config.organisations.as_deref());
+        self.rates.set_organisations(config.organisations.as_deref());
         // Keys are kept as hashes only.
         config.organisations = None;
         let withdrawn = self.requests.iter().filter(|(_, it)| self.is_key_withdrawn(it));
@@ -171,6 +178,7 @@
         self.lifecycle = Lifecycle::Draining(schedule);
         // Control hosts that can't be reached go on listing it.
         self.entry_hosts.remove(self.settings.host);
+        self.keeper_places_outdated = true;
         self.registry_poller.poll_now();
         for (id, request) in &mut self.requests {
             if schedule.cut_at < request.deadline {
@@ -234,6 +242,7 @@
         let request = self.requests.remove(&id)?;
         self.wait_queues.remove(&request.service, queue_key(&request, id));
         self.server_limits.forget(id);
+        self.forget_rate(now, id, &request);
         if request.head.relayed.is_some() {
             self.relays.end_accepted();
         }
@@ -243,6 +252,7 @@
             service: request.service.clone(),
             waited: request.first_sent_at.unwrap_or(now).since(request.received),
             took: now.since(request.received),
+            organisation: request.identity.as_ref().map(|it| it.organisation().clone()),
             time_limit: request.deadline.since(request.received),
             attempts: request.attempt_log,
             version: self.version(),
--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -14,6 +14,7 @@
 impl Gateway {
     /// Returns the poll to be sent now, if any.
     pub fn poll(&mut self, now: Timestamp) -> Option<OutgoingPoll> {
+        self.update_rates(now);
         let presence = Presence::Entry(self.own_record());
         let hosts = (self.entry_hosts.revision(), self.entry_hosts.digest());
         self.registry_poller.poll(now, presence, hosts, &mut self.events)
@@ -102,6 +103,7 @@
         if self.lifecycle != Lifecycle::Serving {
             self.entry_hosts.remove(self.settings.host);
         }
+        self.keeper_places_outdated = true;
         self.relays.retain(|it| self.entry_hosts.incarnation(it).is_some());
         // The requests of a gateway that has left or restarted have ended with its process.
         for (host, incarnation) in before {
--- a/components/gateway_core/src/lib.rs
+++ b/components/gateway_core/src/lib.rs
@@ -29,6 +29,7 @@
     gateway::{Gateway, OutgoingReport},
     organisations::{
         ApiKey, CallerIdentity, Credentials, KeySecret, Organisation, OrganisationLimit,
+        RefusalCause,
     },
     paths::{PathOutcome, relays::RelayEnd},
     planned_stop::StopSchedule,
--- a/components/gateway_core/src/organisations/keys.rs
+++ b/components/gateway_core/src/organisations/keys.rs
@@ -7,7 +7,7 @@
 
 use ids::{FastMap, OrganisationName};
 
-use super::{ApiKey, Credentials, Organisation, OrganisationLimit};
+use super::{ApiKey, Credentials, Organisation};
 use crate::requests::CallerNote;
 
 /// The secret of a process under which it hashes keys.
@@ -28,7 +28,6 @@
 pub(crate) struct KnownOrganisation {
     pub(crate) name: OrganisationName,
     pub(crate) priority: Option<u32>,
-    pub(crate) limit: Option<OrganisationLimit>,
 }
 
 /// The caller of a request, if it is known by a key.
@@ -75,12 +74,8 @@
             return;
         };
         let mut by_hash = FastMap::default();
-        for Organisation { name, keys, priority, limit } in organisations {
-            let known = Arc::new(KnownOrganisation {
-                name: name.clone(),
-                priority: *priority,
-                limit: *limit,
-            });
+        for Organisation { name, keys, priority, .. } in organisations {
+            let known = Arc::new(KnownOrganisation { name: name.clone(), priority: *priority });
             for key in keys {
                 by_hash.entry(self.hash(key)).or_insert_with(|| known.clone());
             }
--- a/components/gateway_core/src/organisations/mod.rs
+++ b/components/gateway_core/src/organisations/mod.rs
@@ -1,13 +1,20 @@
 //! The organisations that callers belong to: who their callers are, and how much they may ask for.
 
 mod keys;
+mod rates;
 
 use std::fmt;
 
 use ids::{LimitRate, OrganisationName};
 
-pub use self::keys::{CallerIdentity, KeySecret};
-pub(crate) use self::keys::{KeyCheck, KeyTable};
+pub use self::{
+    keys::{CallerIdentity, KeySecret},
+    rates::RefusalCause,
+};
+pub(crate) use self::{
+    keys::{KeyCheck, KeyTable},
+    rates::{KeeperPlace, OrganisationRates, RateDecision},
+};
 
 /// A key by which a gateway knows the organisation of a caller.
 #[derive(Clone, PartialEq, Eq)]
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -319,6 +319,8 @@
     /// The latest attempt that ended with a server error.
     pub(crate) server_error: Option<AttemptNumber>,
     pub(crate) first_sent_at: Option<Timestamp>,
+    /// Whether it is within the rate of its organisation.
+    pub(crate) is_admitted: bool,
     /// Number of permits that were denied.
     pub(crate) permit_asks: u32,
     /// When the time for a permit ends, if the request has needed one to go on since it last
@@ -362,6 +364,7 @@
             answered_by: None,
             server_error: None,
             first_sent_at: None,
+            is_admitted: false,
             permit_asks: 0,
             permit_search_ends: None,
         }
--- a/components/gateway_core/tests/common/mod.rs
+++ b/components/gateway_core/tests/common/mod.rs
@@ -284,3 +284,20 @@
         relayed: None,
     }
 }
+
+/// Tells a gateway which entry hosts there are.
+pub fn list_hosts(gateway: &mut Gateway, now: Timestamp, number: u64, hosts: Vec<EntryHostRecord>) {
+    let Some(poll) = gateway.poll(now) else { panic!("a poll is due") };
+    let revision =
+        HostsRevision { control_host: CONTROL_HOST, incarnation: Incarnation(2), number };
+    let update = Update {
+        hosts: HostsUpdate::Changed(HostsChanges {
+            revision,
+            whole: true,
+            hosts,
+            gone: Vec::new(),
+        }),
+        ..unchanged_update(poll.poll.sequence, [CONTROL_HOST])
+    };
+    gateway.on_update(now, poll.to, update);
+}
--- a/components/limits/src/lib.rs
+++ b/components/limits/src/lib.rs
@@ -6,7 +6,7 @@
 mod latency;
 pub mod organisations;
 pub mod quarantine;
-mod rendezvous;
+pub mod rendezvous;
 pub mod retry;
 
 pub use crate::{dependencies::Dependencies, latency::LatencyEstimate};
--- a/components/limits/src/organisations/bucket.rs
+++ b/components/limits/src/organisations/bucket.rs
@@ -13,13 +13,26 @@
 /// Longest delay after which a refused caller should retry.
 const MAX_RETRY_AFTER: Millis = Millis(60_000);
 
-/// A token bucket that refills at a constant rate up to a burst.
-#[derive(Debug, Clone)]
-pub(super) struct TokenBucket {
+/// The rate at which a bucket refills, and how much it holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BucketSize {
     /// Micro-tokens per second.
-    rate: u64,
+    pub rate: u64,
     /// Capacity, in micro-tokens.
-    burst: u64,
+    pub burst: u64,
+}
+
+impl BucketSize {
+    /// Returns the size for `share_ppm` millionths of a limit.
+    pub(super) fn share_of(limit: &OrganisationLimit, share_ppm: u32) -> Self {
+        Self { rate: rate(limit, share_ppm), burst: burst(limit, share_ppm) }
+    }
+}
+
+/// A token bucket that refills at a constant rate up to a burst.
+#[derive(Debug, Clone)]
+pub struct TokenBucket {
+    size: BucketSize,
     /// Balance, in micro-tokens.
     tokens: u64,
     refilled_at: Timestamp,
@@ -27,25 +40,51 @@
 }
 
 impl TokenBucket {
-    /// Returns a full bucket for `share_ppm` millionths of a limit.
-    pub(super) fn new(now: Timestamp, limit: &OrganisationLimit, share_ppm: u32) -> Self {
-        let burst = burst(limit, share_ppm);
-        let rate = rate(limit, share_ppm);
-        Self { rate, burst, tokens: burst, refilled_at: now, used_at: now }
+    /// Returns a full bucket.
+    pub fn full(now: Timestamp, size: BucketSize) -> Self {
+        Self { size, tokens: size.burst, refilled_at: now, used_at: now }
+    }
+
+    /// Returns an empty bucket.
+    pub fn empty(now: Timestamp, size: BucketSize) -> Self {
+        Self { size, tokens: 0, refilled_at: now, used_at: now }
     }
 
     /// Changes the rate and burst; the bucket stays filled to the same fraction.
-    pub(super) fn set_limit(&mut self, now: Timestamp, limit: &OrganisationLimit, share_ppm: u32) {
+    pub fn resize(&mut self, now: Timestamp, size: BucketSize) {
         self.refill(now);
-        let burst = burst(limit, share_ppm);
-        let scaled = u128::from(self.tokens) * u128::from(burst) / u128::from(self.burst);
-        self.tokens = u64::try_from(scaled).unwrap_or(burst);
-        self.rate = rate(limit, share_ppm);
-        self.burst = burst;
+        let scaled = u128::from(self.tokens) * u128::from(size.burst) / u128::from(self.size.burst);
+        self.tokens = u64::try_from(scaled).unwrap_or(size.burst);
+        self.size = size;
+    }
+
+    /// Returns the rate and burst.
+    pub fn size(&self) -> BucketSize {
+        self.size
+    }
+
+    /// Returns the number of whole tokens.
+    pub fn tokens(&mut self, now: Timestamp) -> u64 {
+        self.refill(now);
+        self.tokens / REQUEST_COST
+    }
+
+    /// Adds tokens, as far as there is room for them.
+    pub fn put(&mut self, now: Timestamp, tokens: u64) {
+        self.refill(now);
+        let added = self.tokens.saturating_add(tokens.saturating_mul(REQUEST_COST));
+        self.tokens = added.min(self.size.burst);
+    }
+
+    /// Takes up to this number of tokens; returns how many.
+    pub fn take_up_to(&mut self, now: Timestamp, tokens: u64) -> u64 {
+        let taken = tokens.min(self.tokens(now));
+        self.tokens -= taken * REQUEST_COST;
+        taken
     }
 
     /// Takes a token for one request, or refuses the request if there is none.
-    pub(super) fn take(&mut self, now: Timestamp) -> LimitDecision {
+    pub fn take(&mut self, now: Timestamp) -> LimitDecision {
         self.refill(now);
         self.used_at = now;
         if self.tokens >= REQUEST_COST {
@@ -60,22 +99,22 @@
     /// Such a bucket may be dropped, as a new one would be full too.
     pub(super) fn is_idle(&mut self, now: Timestamp, idle: Millis) -> bool {
         self.refill(now);
-        self.tokens == self.burst && now.since(self.used_at) >= idle
+        self.tokens == self.size.burst && now.since(self.used_at) >= idle
     }
 
     fn refill(&mut self, now: Timestamp) {
         let micros = now.micros_since(self.refilled_at);
-        let earned = micros.saturating_mul(self.rate) / MICROS_PER_SECOND;
+        let earned = micros.saturating_mul(self.size.rate) / MICROS_PER_SECOND;
         if earned == 0 {
             return;
         }
-        self.tokens = self.tokens.saturating_add(earned).min(self.burst);
+        self.tokens = self.tokens.saturating_add(earned).min(self.size.burst);
         self.refilled_at = now;
     }
 
     fn retry_after(&self) -> Millis {
         let missing = REQUEST_COST - self.tokens;
-        match (missing * 1_000).checked_div(self.rate) {
+        match (missing * 1_000).checked_div(self.size.rate) {
             Some(millis) => Millis(millis + 1).min(MAX_RETRY_AFTER),
             None => MAX_RETRY_AFTER,
         }
--- a/components/limits/src/organisations/mod.rs
+++ b/components/limits/src/organisations/mod.rs
@@ -4,7 +4,7 @@
 //! of the organisation report their demand to the coordinator, which replies with a share of the
 //! limit. Organisations without recent requests take no memory and cause no messages.
 
-mod bucket;
+pub mod bucket;
 mod shares;
 mod usage;
 
--- a/components/limits/src/organisations/usage.rs
+++ b/components/limits/src/organisations/usage.rs
@@ -3,7 +3,10 @@
 use ids::{Millis, Timestamp};
 use schema::config_text::OrganisationLimit;
 
-use super::{LimitDecision, REPORT_INTERVAL, bucket::TokenBucket};
+use super::{
+    LimitDecision, REPORT_INTERVAL,
+    bucket::{BucketSize, TokenBucket},
+};
 
 /// Time without requests after which an organisation is dropped, if its bucket is full.
 const IDLE_AFTER: Millis = Millis(60_000);
@@ -52,7 +55,7 @@
         let assumed = u32::try_from(assumed_hosts(hosts)).unwrap_or(u32::MAX);
         let share_ppm = WHOLE_LIMIT_PPM / assumed;
         Self {
-            bucket: TokenBucket::new(now, limit, share_ppm),
+            bucket: TokenBucket::full(now, BucketSize::share_of(limit, share_ppm)),
             limit: limit.clone(),
             initial_share_ppm: share_ppm,
             share_ppm,
@@ -66,13 +69,13 @@
 
     pub(super) fn set_limit(&mut self, now: Timestamp, limit: &OrganisationLimit) {
         self.limit = limit.clone();
-        self.bucket.set_limit(now, limit, self.share_ppm);
+        self.bucket.resize(now, BucketSize::share_of(limit, self.share_ppm));
     }
 
     pub(super) fn set_share(&mut self, now: Timestamp, share_ppm: u32) {
         self.share_ppm = share_ppm.min(WHOLE_LIMIT_PPM);
         self.share_set_at = now;
-        self.bucket.set_limit(now, &self.limit, self.share_ppm);
+        self.bucket.resize(now, BucketSize::share_of(&self.limit, self.share_ppm));
     }
 
     /// Decides on one request and counts it.
--- a/components/limits/src/rendezvous.rs
+++ b/components/limits/src/rendezvous.rs
@@ -5,7 +5,7 @@
 use ids::HostId;
 
 /// Returns the host with the highest score for `key`, or `None` if there are no hosts.
-pub(crate) fn coordinator<K: Hash + ?Sized>(key: &K, hosts: &[HostId]) -> Option<HostId> {
+pub fn coordinator<K: Hash + ?Sized>(key: &K, hosts: &[HostId]) -> Option<HostId> {
     hosts.iter().copied().max_by_key(|host| (score(key, *host), *host))
 }
 
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -122,7 +122,7 @@
 
     /// Queues a message for a peer, without a guarantee of delivery.
     ///
-    /// Membership messages, load reports, retry loans and permits go by UDP if they fit into a
+    /// Membership messages, load reports, retry loans, permits and rates go by UDP if they fit into a
     /// datagram, since they tolerate loss and reordering. All others go by TCP.
     pub fn send(&self, to: HostId, address: SocketAddr, message: PeerMessage) {
         let allows_datagram = matches!(
@@ -131,6 +131,7 @@
                 | PeerMessage::ServerLoad(_)
                 | PeerMessage::RetryBudget(_)
                 | PeerMessage::ServerLimit(_)
+                | PeerMessage::OrganisationRate(_)
         );
         let frame = PeerFrame { from: self.host, to, incarnation: self.incarnation, message };
         let purpose = Purpose::of(&frame.message);
--- a/components/transport/src/purpose.rs
+++ b/components/transport/src/purpose.rs
@@ -24,13 +24,15 @@
     RetryBudgets,
     /// Limits that backend servers name.
     ServerLimits,
+    /// Rates of organisations.
+    OrganisationRates,
     /// Everything else.
     Other,
 }
 
 impl Purpose {
     /// All purposes, in the order of their declaration.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Replication,
         Self::Polls,
         Self::Registry,
@@ -39,6 +41,7 @@
         Self::LoadReports,
         Self::RetryBudgets,
         Self::ServerLimits,
+        Self::OrganisationRates,
         Self::Other,
     ];
 
@@ -59,6 +62,7 @@
             PeerMessage::ServerLoad(_) => Self::LoadReports,
             PeerMessage::RetryBudget(_) => Self::RetryBudgets,
             PeerMessage::ServerLimit(_) => Self::ServerLimits,
+            PeerMessage::OrganisationRate(_) => Self::OrganisationRates,
             PeerMessage::Membership(_)
             | PeerMessage::Dissemination(_)
             | PeerMessage::Claims(_)
@@ -79,6 +83,7 @@
             Self::LoadReports => "load-reports",
             Self::RetryBudgets => "retry-budgets",
             Self::ServerLimits => "server-limits",
+            Self::OrganisationRates => "organisation-rates",
             Self::Other => "other",
         }
     }
