--- a/components/gateway/src/entry/metrics.rs
+++ b/components/gateway/src/entry/metrics.rs
@@ -203,7 +203,7 @@
                 self.permits_denied.inc();
             }
             Event::OverLimit { organisation, cause, .. } => {
-                self.count_over_limit(organisation, *cause)
+                self.count_over_limit(organisation, *cause);
             }
             Event::RetrySent { service, .. } => {
                 let labels = ServiceLabels { service: service.to_string() };
--- a/components/gateway_core/src/gateway/rates.rs
+++ b/components/gateway_core/src/gateway/rates.rs
@@ -19,6 +19,11 @@
         message: &OrganisationRateMessage,
     ) {
         self.update_rates(now);
+        let is_ask_or_answer =
+            matches!(message, OrganisationRateMessage::Ask(_) | OrganisationRateMessage::Answer(_));
+        if is_ask_or_answer {
+            self.rates.record_heard(now, from);
+        }
         let requests = &self.requests;
         let organisation_of = |id: RequestId| {
             requests.get(&id)?.identity.as_ref().map(|it| it.organisation().clone())
--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -37,6 +37,7 @@
             return None;
         }
         if update.current {
+            self.rates.record_current(now);
             self.registry_poller.set_control_hosts(&update.control_hosts);
             self.server_limits.set_control_hosts(self.registry_poller.control_hosts());
             let nearest = self.registry_poller.control_hosts_by_rank(self.settings.host);
--- a/components/gateway_core/src/gateway/reports.rs
+++ b/components/gateway_core/src/gateway/reports.rs
@@ -19,6 +19,7 @@
         let key = ServerKey { address: report.address, incarnation: report.incarnation };
         match report.scope {
             ReportScope::Near => {
+                self.rates.record_heard(now, from);
                 self.servers.record_peer_in_flight(now, from, key, report.in_flight);
             }
             ReportScope::ToPassOn => self.relay(report),
--- a/components/gateway_core/src/organisations/rates/mod.rs
+++ b/components/gateway_core/src/organisations/rates/mod.rs
@@ -63,6 +63,17 @@
 /// divide it among themselves.
 const PLACE_LIFETIME: Millis = Millis(60_000);
 
+/// Time without a current update after which a gateway may be on the smaller side of a cut, where it
+/// keeps rates only while it hears from most gateways of its data centre.
+const MAX_OUT_OF_TOUCH: Millis = Millis(1_500);
+
+/// Time for which a gateway counts as heard.
+const HEARD_TIME: Millis = Millis(1_000);
+
+/// Part of its share of a rate that a gateway admits by itself when keepers have answered before: both
+/// sides of a cut may hold the rate of a data centre.
+const CUT_OFF_PARTS: u64 = 3;
+
 /// Window for which the sum over all gateways is bounded, and what it may exceed the limit by: a part
 /// and a number of requests. Some of the allowance is left for keepers that overlap in time.
 const WINDOW_S: u64 = 5;
@@ -153,6 +164,9 @@
     asks: FastMap<PermitNumber, RequestId>,
     own_parts: FastMap<OrganisationName, OwnPart>,
     silent_until: FastMap<HostId, Timestamp>,
+    /// When each gateway of the data centre was last heard.
+    heard: FastMap<HostId, Timestamp>,
+    current_at: Timestamp,
     was_answered: bool,
     next_number: u64,
     messages: Vec<(HostId, OrganisationRateMessage)>,
@@ -172,6 +186,8 @@
             asks: FastMap::default(),
             own_parts: FastMap::default(),
             silent_until: FastMap::default(),
+            heard: FastMap::default(),
+            current_at: Timestamp::default(),
             was_answered: false,
             next_number: 0,
             messages: Vec::new(),
@@ -194,10 +210,37 @@
         self.listed.retain(|_, it| now.since(*it) < PLACE_LIFETIME);
         self.gateways = places.iter().map(|it| it.hosts.len()).sum::<usize>().max(1);
         self.places = places;
+        let own = self.places.iter().find(|it| it.distance == 0);
+        self.heard.retain(|it, _| own.is_some_and(|own| own.hosts.contains(it)));
         self.silent_until.retain(|_, it| now < *it);
         self.is_outdated = true;
     }
 
+    /// Records a message of a gateway of this data centre.
+    pub(crate) fn record_heard(&mut self, now: Timestamp, host: HostId) {
+        if !self.limits.is_empty() {
+            self.heard.insert(host, now);
+        }
+    }
+
+    /// Records a current update.
+    pub(crate) fn record_current(&mut self, now: Timestamp) {
+        self.current_at = now;
+    }
+
+    /// Returns whether others may have taken over what this gateway keeps.
+    fn may_be_replaced(&self, now: Timestamp) -> bool {
+        if now.since(self.current_at) < MAX_OUT_OF_TOUCH {
+            return false;
+        }
+        let Some(own) = self.places.iter().find(|it| it.distance == 0) else { return false };
+        let is_heard = |it: &&HostId| {
+            **it == self.own_host
+                || self.heard.get(it).is_some_and(|it| now.since(*it) < HEARD_TIME)
+        };
+        own.hosts.iter().filter(is_heard).count() * 2 <= own.hosts.len()
+    }
+
     /// Adapts the kept rates to the limits and hosts.
     pub(crate) fn update(&mut self, now: Timestamp) {
         if !std::mem::take(&mut self.is_outdated) {
@@ -318,6 +361,9 @@
     }
 
     fn grant(&mut self, now: Timestamp, organisation: &OrganisationName) -> RateOutcome {
+        if self.may_be_replaced(now) {
+            return RateOutcome::NotKeeper;
+        }
         let others = self.places.iter().filter(|it| it.distance > 0);
         let lenders = || {
             let lenders = others.filter_map(|it| {
@@ -337,7 +383,7 @@
         organisation: &OrganisationName,
     ) -> RateDecision {
         let Some(limit) = self.limits.get(organisation) else { return RateDecision::Admitted };
-        let parts = self.gateways as u64 * if self.was_answered { 2 } else { 1 };
+        let parts = self.gateways as u64 * if self.was_answered { CUT_OFF_PARTS } else { 1 };
         let size = own_size(limit, parts);
         let part = self.own_parts.entry(organisation.clone()).or_default();
         let bucket = part.bucket.get_or_insert_with(|| TokenBucket::empty(now, size));
@@ -422,7 +468,10 @@
                 None
             }
             OrganisationRateMessage::LoanAsk(ask) => {
-                let answer = self.keeper.lend(now, ask);
+                let mut answer = self.keeper.lend(now, ask);
+                if self.may_be_replaced(now) {
+                    answer.lent = 0;
+                }
                 self.messages.push((from, OrganisationRateMessage::LoanAnswer(answer)));
                 None
             }
--- a/components/gateway_core/tests/common/mod.rs
+++ b/components/gateway_core/tests/common/mod.rs
@@ -285,6 +285,13 @@
     }
 }
 
+/// Answers the poll of a gateway without changes, if one is due.
+pub fn answer_poll(gateway: &mut Gateway, now: Timestamp) {
+    if let Some(poll) = gateway.poll(now) {
+        gateway.on_update(now, poll.to, unchanged_update(poll.poll.sequence, [CONTROL_HOST]));
+    }
+}
+
 /// Tells a gateway which entry hosts there are.
 pub fn list_hosts(gateway: &mut Gateway, now: Timestamp, number: u64, hosts: Vec<EntryHostRecord>) {
     let Some(poll) = gateway.poll(now) else { panic!("a poll is due") };
