--- a/components/gateway_core/tests/organisation_rates.rs
+++ b/components/gateway_core/tests/organisation_rates.rs
@@ -321,7 +321,7 @@
                     }
                 }
             }
-            if self.now % 500 == 0 {
+            if self.now.is_multiple_of(500) {
                 self.answer_polls();
             }
             for (to, from, report) in std::mem::take(&mut self.reports) {
@@ -409,7 +409,6 @@
     fleet.run(20_000, &usual(&rates), &any);
 
     let refused = fleet.refused.len() as f64 / fleet.asked.len() as f64;
-    eprintln!("refused {refused}, between regions {}", fleet.messages_between_regions);
     assert!(refused <= 0.02, "refused {refused}");
 }
 
@@ -429,11 +428,6 @@
             fleet.run(20_000, &[rate as f64 * 7.5 / 1.6], choose);
 
             let used = fleet.used(0, START);
-            let (most, allowed) = fleet.worst_window(0);
-            eprintln!(
-                "{name}, {rate}: used {used:.3}, window {most} of {allowed}, between regions {}",
-                fleet.messages_between_regions
-            );
             assert!(used >= 0.9, "{name}, {rate}: used {used}");
             fleet.assert_bound(0);
         }
@@ -484,7 +478,6 @@
 
         fleet.assert_bound(0);
         let admitted = fleet.admitted(0, from);
-        eprintln!("load {load}: admitted {admitted}, used {}", fleet.used(0, from));
         if load < 60.0 {
             assert!(admitted >= 0.9, "admitted {admitted}");
         } else {
@@ -512,7 +505,6 @@
 
         fleet.assert_bound(0);
         let admitted = fleet.admitted(0, from);
-        eprintln!("load {load}: admitted {admitted}");
         assert!(load > 60.0 || admitted >= 0.9, "admitted {admitted}");
     }
 }
@@ -539,7 +531,6 @@
 
         fleet.assert_bound(0);
         let admitted = fleet.admitted(0, fleet.now - 5_000);
-        eprintln!("{every}, {load}: {:?}, admitted {admitted}", fleet.worst_window(0));
         assert!(load > 60.0 || admitted >= 0.97, "admitted {admitted}");
     }
 }
@@ -583,8 +574,6 @@
             let fleet = cut(load, &other);
 
             let admitted = fleet.admitted(0, START + 6_000);
-            let (most, _) = fleet.worst_window(0);
-            eprintln!("{} cut off, {load}: {most} in a window, admitted {admitted}", other.len());
             fleet.assert_bound(0);
             assert!(load > 60.0 || admitted >= owed, "admitted {admitted}");
         }
