--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -14,6 +14,7 @@
 impl Gateway {
     /// Returns the poll to be sent now, if any.
     pub fn poll(&mut self, now: Timestamp) -> Option<OutgoingPoll> {
+        self.update_rates(now);
         let presence = Presence::Entry(self.own_record());
         let hosts = (self.entry_hosts.revision(), self.entry_hosts.digest());
         self.registry_poller.poll(now, presence, hosts, &mut self.events)
@@ -36,6 +37,7 @@
             return None;
         }
         if update.current {
+            self.rates.record_current(now);
             self.registry_poller.set_control_hosts(&update.control_hosts);
             self.server_limits.set_control_hosts(self.registry_poller.control_hosts());
             let nearest = self.registry_poller.control_hosts_by_rank(self.settings.host);
@@ -102,6 +104,7 @@
         if self.lifecycle != Lifecycle::Serving {
             self.entry_hosts.remove(self.settings.host);
         }
+        self.keeper_places_outdated = true;
         self.relays.retain(|it| self.entry_hosts.incarnation(it).is_some());
         // The requests of a gateway that has left or restarted have ended with its process.
         for (host, incarnation) in before {
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -122,7 +122,7 @@
 
     /// Queues a message for a peer, without a guarantee of delivery.
     ///
-    /// Membership messages, load reports, retry loans and permits go by UDP if they fit into a
+    /// Membership messages, load reports, retry loans, permits and rates go by UDP if they fit into a
     /// datagram, since they tolerate loss and reordering. All others go by TCP.
     pub fn send(&self, to: HostId, address: SocketAddr, message: PeerMessage) {
         let delivery = Delivery::of(&message);
@@ -213,6 +213,7 @@
             | PeerMessage::ServerLoad(_)
             | PeerMessage::RetryBudget(_)
             | PeerMessage::ServerLimit(_) => Self::Datagram { or_stream: true },
+            PeerMessage::OrganisationRate(_) => Self::Datagram { or_stream: false },
         }
     }
 }
