Take no refusal for a request from an answer to another one

A server may send a second copy of an answer late, where the next response on the connection is expected. If that copy said that its own request had not run, the gateway took it for the next request's: the caller was told that nothing ran although the server ran it. An answer that names another attempt now proves nothing, whatever its status; the attempt counts as lost and the connection is closed. A copy of a usual answer was refused before, too.

--- a/components/gateway/src/entry/backend.rs
+++ b/components/gateway/src/entry/backend.rs
@@ -198,6 +198,10 @@
 /// proves nothing about this request, which may have run: the attempt counts as lost.
 pub(crate) fn classify(status: StatusCode, headers: &HeaderMap, attempt_id: &str) -> AttemptEnd {
     let platform_headers = headers::read_response(headers, attempt_id);
+    // A late copy of an earlier answer may say that its own request did not run.
+    if platform_headers.names_other_attempt {
+        return AttemptEnd::Lost;
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return AttemptEnd::Misplaced;
     }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -28,7 +28,7 @@
 
 pub use self::{
     http::{HttpResponse, call, receive, send},
-    server::{Cut, Pour, Server},
+    server::{Cut, LateCopy, Pour, Server},
 };
 
 /// Longest wait for a condition; it only ends tests that hang, and no check depends on its length.
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -35,6 +35,8 @@
     pub drops_connections: AtomicBool,
     /// Whether the server refuses requests as if another server had its address.
     pub has_other_id: AtomicBool,
+    /// Whether the next answer on a connection comes after a second copy of the one before.
+    pub late_copies: Mutex<Option<LateCopy>>,
     /// Whether the responses say that the server leaves.
     pub is_leaving: AtomicBool,
     /// The `Retry-After` with which the server turns all requests away.
@@ -61,6 +63,14 @@
     pub connections: Mutex<usize>,
 }
 
+/// The answer of which a server sends a second copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LateCopy {
+    Answer,
+    /// That it did not run the request.
+    NotRun,
+}
+
 /// Where a server sends bytes without end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Pour {
@@ -156,6 +166,7 @@
         return;
     }
     let mut buf = Vec::new();
+    let mut previous: Option<String> = None;
     while let Some(head) = read_head(&mut stream, &mut buf) {
         match behaviour.cut(gateway) {
             Some(Cut::Reset) => return,
@@ -203,6 +214,10 @@
         if let Some(time) = path_number(&target, "work-") {
             thread::sleep(Duration::from_millis(time));
         }
+        let late_copy = *behaviour.late_copies.lock().unwrap();
+        if let (Some(copy), Some(id)) = (late_copy, previous.replace(attempt.attempt_id.clone())) {
+            let _ = stream.write_all(&late_response(copy, &id));
+        }
         let mut headers = HeaderMap::new();
         stand_in::sign_response(&mut headers, &attempt.attempt_id);
         if behaviour.is_leaving.load(Ordering::Relaxed) {
@@ -240,6 +255,25 @@
     path.split('/').find_map(|it| it.strip_prefix(prefix)?.parse().ok())
 }
 
+/// Returns the answer to the attempt with this id.
+fn late_response(copy: LateCopy, attempt_id: &str) -> Vec<u8> {
+    let mut headers = HeaderMap::new();
+    stand_in::sign_response(&mut headers, attempt_id);
+    let status = match copy {
+        LateCopy::Answer => "200 OK",
+        LateCopy::NotRun => {
+            stand_in::mark_not_run(&mut headers);
+            "503 Service Unavailable"
+        }
+    };
+    let body = format!("late answer to {attempt_id}");
+    let mut response = format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n", body.len());
+    for (name, value) in &headers {
+        response += &format!("{name}: {}\r\n", value.to_str().unwrap());
+    }
+    format!("{response}\r\n{body}").into_bytes()
+}
+
 /// Sends bytes until the gateway closes the connection.
 fn pour_bytes(stream: &mut TcpStream, pour: Pour, attempt_id: &str, body: &str) {
     let mut headers = HeaderMap::new();
