Keep the answer of a gateway that takes the sender for a caller

A gateway that has just started may not list another one yet. It served what that one passed on as a caller's request, without the header that says how it ended, and the answer was dropped: the caller was told that its request may have run, though its whole answer was there. An answer with the attempt's id that a server has signed is now delivered; anything else without the header counts as lost as before.

--- a/components/gateway/src/entry/relay.rs
+++ b/components/gateway/src/entry/relay.rs
@@ -128,7 +128,14 @@
     };
     backend::keep_connection(&shared, address, connection, &head.headers);
     let Some(outcome) = head.headers.remove(RELAY) else {
-        return without_response(RelayEnd::Lost);
+        // A gateway that does not know this one yet serves the request as a caller's. What a server
+        // has signed is the answer to it; anything else proves nothing.
+        let end = backend::classify(head.status, &head.headers, &attempt_id);
+        if end != AttemptEnd::Answered || !head.status.is_success() {
+            return without_response(RelayEnd::Lost);
+        }
+        let response = ServerResponse { status: head.status, headers: head.headers, body };
+        return RelayResult { end: RelayEnd::Answered, response: Some(response) };
     };
     let is = |end: RelayEnd| outcome.as_bytes() == end.name().as_bytes();
     if is(RelayEnd::Unable) {
