Take no keys while a newer configuration can't be decoded, where withdrawals are strict

A gateway that couldn't decode a configuration logged an error, went on with the keys of the older one and counted as current, since it had received the update: a key that the newer one withdraws stayed in use for as long as that lasted.

With key_withdrawal.strict the keys now count as outdated from then on, at once, until a configuration at least as new is in force. Public routes go on. The test fails without the decision: the waiting request was sent.

--- a/components/gateway/src/entry/shared.rs
+++ b/components/gateway/src/entry/shared.rs
@@ -113,6 +113,7 @@
                     error:% = e;
                     "cannot decode the configuration"
                 );
+                self.with_core(|core, _| core.on_undecoded_config(document.version));
             }
         }
         self.config_changed.notify_waiters();
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -74,6 +74,8 @@
     settings: GatewaySettings,
     lifecycle: Lifecycle,
     config: Option<Arc<GatewayConfig>>,
+    /// Newest version that could not be decoded.
+    undecoded: ConfigVersion,
     routes: RouteTable<Arc<Route>>,
     keys: KeyTable,
     servers: ServerTable,
@@ -107,6 +109,7 @@
         Self {
             lifecycle: Lifecycle::Joining,
             config: None,
+            undecoded: ConfigVersion(0),
             routes: RouteTable::default(),
             keys: KeyTable::new(settings.key_secret),
             servers,
@@ -156,6 +159,12 @@
         }
     }
 
+    /// Records that a configuration can't be decoded; the keys in force count as outdated until one
+    /// that is at least as new is in force.
+    pub fn on_undecoded_config(&mut self, version: ConfigVersion) {
+        self.undecoded = self.undecoded.max(version);
+    }
+
     /// Returns the configuration version in force, or 0 if there is none.
     pub fn version(&self) -> ConfigVersion {
         self.config.as_ref().map_or(ConfigVersion(0), |it| it.version)
@@ -291,7 +300,8 @@
         };
         let max_age = Millis(withdrawal.within.0.saturating_sub(WITHDRAWAL_MARGIN.0));
         let known = self.registry_poller.current_as_of();
-        self.keys.are_needed() && known.is_none_or(|it| now >= it + max_age)
+        let is_older = || known.is_none_or(|it| now >= it + max_age);
+        self.keys.are_needed() && (self.undecoded > self.version() || is_older())
     }
 
     /// Returns whether callers should be sent to this gateway.
--- a/components/gateway_core/tests/key_withdrawal.rs
+++ b/components/gateway_core/tests/key_withdrawal.rs
@@ -4,16 +4,21 @@
 
 use common::{at, config, head, route, server, settings, unchanged_update};
 use gateway_core::{
-    ApiKey, Credentials, Finish, Gateway, GatewayConfig, Idempotency, KeyWithdrawal, Organisation,
-    RefusalReason, RelayEnd, RequestHead, RunStatus, Step,
+    ApiKey, Credentials, Finish, Gateway, GatewayConfig, Idempotency, KeyWithdrawal,
+    Organisation, RefusalReason, RelayEnd, RequestHead, RunStatus, Step,
 };
-use ids::{Millis, RequestId, Timestamp};
+use ids::{ConfigVersion, Millis, RequestId, Timestamp};
 
 fn gateway(is_strict: bool) -> Gateway {
     let key_withdrawal = Some(KeyWithdrawal { within: Millis(5_000), is_strict });
     let settings = gateway_core::GatewaySettings { key_withdrawal, ..settings(common::OWN_HOST) };
     let servers = vec![server(1, "north-a"), server(2, "north-a")];
     let mut gateway = common::gateway_with(settings, Vec::new(), servers, Vec::new());
+    gateway.set_config(config_with_keys(2));
+    gateway
+}
+
+fn config_with_keys(version: u64) -> GatewayConfig {
     let mut info = route("info", Idempotency::Idempotent);
     info.is_public = true;
     let acme = Organisation {
@@ -23,9 +28,7 @@
         limit: None,
     };
     let routes = vec![route("pay", Idempotency::Idempotent), info];
-    let config = config(2, routes);
-    gateway.set_config(GatewayConfig { organisations: Some(vec![acme]), ..config });
-    gateway
+    GatewayConfig { organisations: Some(vec![acme]), ..config(version, routes) }
 }
 
 fn request() -> RequestHead {
@@ -63,6 +66,30 @@
     assert!(gateway.begin(at(4_700), request()).is_ok());
 }
 
+#[test]
+fn a_gateway_that_cannot_decode_a_newer_configuration_takes_no_key() {
+    let mut gateway = gateway(true);
+    let waiting = gateway.begin(at(100), request()).unwrap();
+
+    gateway.on_undecoded_config(ConfigVersion(3));
+
+    assert_outdated(&mut gateway, at(100), waiting);
+    assert!(gateway.begin(at(100), request()).is_err());
+    assert!(!gateway.is_ready(at(100)));
+    assert!(gateway.begin(at(100), head("/info/1")).is_ok());
+    gateway.set_config(config_with_keys(4));
+    assert!(gateway.begin(at(100), request()).is_ok());
+}
+
+#[test]
+fn a_gateway_goes_on_after_an_older_configuration_that_it_could_not_decode() {
+    let mut gateway = gateway(true);
+
+    gateway.on_undecoded_config(ConfigVersion(1));
+
+    assert!(gateway.is_ready(at(100)));
+}
+
 #[test]
 fn an_answer_that_was_long_on_its_way_counts_from_its_poll() {
     let mut gateway = gateway(true);
