Serve public routes anonymously where keys are outdated, also with a key

Where control can't be reached and withdrawals are strict, a request of a public route was refused with 503 if it carried a known key, and served if it carried none or an unknown one. It is now served without the organisation's name, which may not count any more. The test fails without the change: KeysOutdated.

--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -78,7 +78,7 @@
         if request.is_key_refused {
             return self.give_up(now, id, RefusalReason::UnknownKey, None);
         }
-        if request.identity.is_some() && self.are_keys_outdated(now) {
+        if request.identity.is_some() && self.are_keys_outdated(now) && !request.route.is_public {
             let retry_after = Some(KEYS_OUTDATED_RETRY_AFTER);
             return self.give_up(now, id, RefusalReason::KeysOutdated, retry_after);
         }
@@ -461,8 +461,9 @@
         if has_permit && !self.server_limits.take_permit(now, id, key) {
             return None;
         }
+        let are_keys_outdated = self.are_keys_outdated(now);
         let request = self.requests.get_mut(&id)?;
-        let caller = self.keys.note(request.identity.as_ref());
+        let caller = self.keys.note(request.identity.as_ref().filter(|_| !are_keys_outdated));
         let is_first = request.counted_attempts() == 0;
         let attempt = AttemptNumber(u32::try_from(request.attempt_log.len()).unwrap_or(u32::MAX));
         request.in_flight.push(InFlightAttempt {
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -316,6 +316,7 @@
         route: &Route,
     ) -> Result<Option<CallerIdentity>, Refusal> {
         match self.keys.check(&head.credentials, route.is_public) {
+            KeyCheck::Known(_) if self.are_keys_outdated(now) && route.is_public => Ok(None),
             KeyCheck::Known(_) if self.are_keys_outdated(now) => {
                 let retry_after = Some(KEYS_OUTDATED_RETRY_AFTER);
                 Err(Refusal::not_run(RefusalReason::KeysOutdated, retry_after))
--- a/components/gateway_core/tests/key_withdrawal.rs
+++ b/components/gateway_core/tests/key_withdrawal.rs
@@ -4,7 +4,7 @@
 
 use common::{at, config, head, route, server, settings, unchanged_update};
 use gateway_core::{
-    ApiKey, Credentials, Finish, Gateway, GatewayConfig, Idempotency, KeyWithdrawal,
+    ApiKey, CallerNote, Credentials, Finish, Gateway, GatewayConfig, Idempotency, KeyWithdrawal,
     Organisation, RefusalReason, RelayEnd, RequestHead, RunStatus, Step,
 };
 use ids::{ConfigVersion, Millis, RequestId, Timestamp};
@@ -66,6 +66,20 @@
     assert!(gateway.begin(at(4_700), request()).is_ok());
 }
 
+#[test]
+fn a_request_of_a_public_route_with_a_key_goes_on_anonymously_without_control() {
+    let mut gateway = gateway(true);
+    let request = || RequestHead { credentials: request().credentials, ..head("/info/1") };
+    let waiting = gateway.begin(at(4_400), request()).unwrap();
+
+    let begun = gateway.begin(at(4_500), request()).unwrap();
+
+    for id in [waiting, begun] {
+        let Step::Send(start) = gateway.step(at(4_500), id) else { panic!("not sent") };
+        assert_eq!(start.caller, CallerNote::Anonymous);
+    }
+}
+
 #[test]
 fn a_gateway_that_cannot_decode_a_newer_configuration_takes_no_key() {
     let mut gateway = gateway(true);
