Test keys of organisations with real processes

Unknown, missing and doubled keys get 401 and reach no server; with a known key the server is told the organisation's name, whatever the caller claims, and sees no key; public routes need none.

--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -18,7 +18,10 @@
     time::{Duration, Instant},
 };
 
-use gateway_core::{CallerLimits, GatewayConfig, Idempotency, Route, RouteTarget, ServicePolicy};
+use gateway_core::{
+    ApiKey, CallerLimits, GatewayConfig, Idempotency, Organisation, Route, RouteTarget,
+    ServicePolicy,
+};
 use ids::{ByteSize, ConfigVersion, Millis};
 use platform::stand_in;
 use schema::announcement::{Announcement, ServerState};
@@ -28,7 +31,7 @@
 
 pub use self::{
     http::{HttpResponse, call, receive, send},
-    server::{Cut, Pour, Server},
+    server::{Cut, KEY, Pour, SeenCaller, Server},
 };
 
 /// Longest wait for a condition; it only ends tests that hang, and no check depends on its length.
@@ -235,11 +238,11 @@
     }
 
     pub fn put_config(&self, version: u64, service: &str) {
-        self.call_control(
-            "POST",
-            stand_in::PUT_CONFIG,
-            &stand_in::config_body(&config(version, service)),
-        );
+        self.put(&config(version, service));
+    }
+
+    pub fn put(&self, config: &GatewayConfig) {
+        self.call_control("POST", stand_in::PUT_CONFIG, &stand_in::config_body(config));
     }
 
     pub fn announce(&self, server: &Server, sequence: u64, state: ServerState) {
@@ -373,6 +376,24 @@
     }
 }
 
+/// Adds an organisation with keys, and the public route `info`, to a configuration.
+pub fn with_keys(mut config: GatewayConfig, name: &str, keys: &[String]) -> GatewayConfig {
+    let keys = keys.iter().map(|it| ApiKey::new(it.as_bytes())).collect();
+    let organisation =
+        Organisation { name: name.parse().unwrap(), keys, priority: None, limit: None };
+    if config.organisations.is_none() {
+        let [name, path_prefix] = ["info".to_owned(), "/info/".to_owned()];
+        config.routes.push(Route {
+            name,
+            path_prefix,
+            is_public: true,
+            ..config.routes[0].clone()
+        });
+    }
+    config.organisations.get_or_insert_default().push(organisation);
+    config
+}
+
 /// Polls `check` until it returns a value; panics after [`WAIT_TIMEOUT`], and when a process of a
 /// fleet of this thread has ended on its own.
 pub fn wait_for<T>(expected: &str, mut check: impl FnMut() -> Option<T>) -> T {
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -20,6 +20,9 @@
 
 use super::http::{header_map, read_head};
 
+/// Begin of all keys of tests.
+pub const KEY: &str = "key-that-no-server-sees";
+
 /// A backend server that can be told to fail.
 pub struct Server {
     pub announcement: Announcement,
@@ -49,6 +52,8 @@
     pub cuts: Mutex<BTreeMap<Ipv4Addr, Cut>>,
     /// The gateways that the attempts came from, by id.
     pub sources: Mutex<BTreeMap<String, Ipv4Addr>>,
+    /// What the heads of the attempts say of their callers, by id.
+    pub callers: Mutex<BTreeMap<String, SeenCaller>>,
     /// Ids of the attempts that have run.
     pub runs: Mutex<Vec<String>>,
     /// When attempts arrived, and from which gateways.
@@ -61,6 +66,14 @@
     pub connections: Mutex<usize>,
 }
 
+/// What a server sees of the caller of an attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SeenCaller {
+    pub organisation: Option<String>,
+    /// Whether any part of the head shows a key.
+    pub shows_key: bool,
+}
+
 /// Where a server sends bytes without end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Pour {
@@ -175,6 +188,9 @@
         behaviour.arrivals.lock().unwrap().push((attempt.attempt_id.clone(), Instant::now()));
         behaviour.sources.lock().unwrap().insert(attempt.attempt_id.clone(), gateway);
         behaviour.sources_at.lock().unwrap().push((Instant::now(), gateway));
+        let shows_key = head.to_ascii_lowercase().contains("authorization") || head.contains(KEY);
+        let caller = SeenCaller { organisation: attempt.organisation, shows_key };
+        behaviour.callers.lock().unwrap().insert(attempt.attempt_id.clone(), caller);
         let retry_after = behaviour.turns_away.lock().unwrap().clone();
         if retry_after.is_none() {
             behaviour.runs.lock().unwrap().push(attempt.attempt_id.clone());
