Keep half of a data centre's servers in work for requests that must not repeat

Callers lose such a request with its connection, and each of many servers breaks for a few seconds now and then: spread over all servers, nearly each outbreak finds a request, and tries of idle servers find broken ones. In calm times the servers with the youngest answers do the work, half of those open and ten at least; all have part once a twentieth of the attempts fails, half of the slots are taken or a gateway is gone.

--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -40,7 +40,7 @@
             self.server_limits.set_control_hosts(self.registry_poller.control_hosts());
             let nearest = self.registry_poller.control_hosts_by_rank(self.settings.host);
             self.retry_budget.set_control_hosts(now, nearest);
-            self.apply_hosts(update.hosts);
+            self.apply_hosts(now, update.hosts);
         }
         let config = match update.registry {
             RegistryUpdate::Changed(changes) if update.current => self.apply_registry(changes),
@@ -90,7 +90,7 @@
         }
     }
 
-    fn apply_hosts(&mut self, update: schema::sync::HostsUpdate) {
+    fn apply_hosts(&mut self, now: Timestamp, update: schema::sync::HostsUpdate) {
         let before: Vec<_> = self
             .local_peers()
             .into_iter()
@@ -106,7 +106,7 @@
         // The requests of a gateway that has left or restarted have ended with its process.
         for (host, incarnation) in before {
             if self.entry_hosts.incarnation(host) != incarnation {
-                self.servers.forget_peer(host);
+                self.servers.forget_peer(now, host);
             }
         }
     }
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -7,6 +7,7 @@
 //! Load pattern: some of these reports are lost. A request whose end was lost would make the server
 //! look as if it had stopped responding, so a count lasts no longer than an attempt can.
 
+mod failures;
 pub mod health;
 mod latency;
 pub(crate) mod notices;
@@ -24,6 +25,7 @@
     sync::RegistryChanges,
 };
 
+use failures::RecentFailures;
 use health::{BrokenPrior, ServerHealth};
 use latency::RouteLatency;
 use notices::{Closed, KnownLimit, ServerNotices};
@@ -51,6 +53,10 @@
 /// Half-life of the decay of a server's slowdown to 1 without new responses, in milliseconds.
 const SLOWDOWN_HALF_LIFE_MS: f64 = 8_000.0;
 
+/// Time after a gateway was found to be gone for which its callers may not be served, in
+/// milliseconds.
+const UNSETTLED_TIME: Millis = Millis(4_000);
+
 /// Distance of a backend server from this gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Distance {
@@ -183,6 +189,10 @@
     time_limits: FastMap<ServiceName, Millis>,
     /// Prior probability of a broken server, by service.
     broken_priors: FastMap<ServiceName, BrokenPrior>,
+    /// How many attempts failed lately at servers of this data centre, by service.
+    failures: FastMap<ServiceName, RecentFailures>,
+    /// When a gateway was last found to be gone.
+    peer_gone_at: Option<Timestamp>,
     /// Latencies by route.
     latencies: FastMap<RouteKey, RouteLatency>,
     /// Average sizes of request and response together by route, in kilobytes.
@@ -206,6 +216,8 @@
             by_service: FastMap::default(),
             time_limits: FastMap::default(),
             broken_priors: FastMap::default(),
+            failures: FastMap::default(),
+            peer_gone_at: None,
             latencies: FastMap::default(),
             average_kilobytes: FastMap::default(),
             notices: ServerNotices::default(),
@@ -381,6 +393,13 @@
         self.broken_priors.get(service).copied().unwrap_or_default()
     }
 
+    /// Returns whether so many of a service's requests may not be served now that each of its
+    /// servers has to have part in the work.
+    pub(crate) fn fails_often(&self, now: Timestamp, service: &ServiceName) -> bool {
+        let is_gone = self.peer_gone_at.is_some_and(|at| now.since(at) < UNSETTLED_TIME);
+        is_gone || self.failures.get(service).is_some_and(|it| it.are_many(now))
+    }
+
     /// Returns the average latency of a route, in milliseconds.
     pub fn average_latency(&self, route: &Route) -> f64 {
         self.latency(route).average()
@@ -463,7 +482,8 @@
     }
 
     /// Drops the in-flight counts of a gateway that has left or restarted.
-    pub(crate) fn forget_peer(&mut self, host: HostId) {
+    pub(crate) fn forget_peer(&mut self, now: Timestamp, host: HostId) {
+        self.peer_gone_at = Some(now);
         for server in self.servers.values_mut() {
             server.peer_in_flight.remove(&host);
         }
@@ -485,6 +505,12 @@
         if !self.broken_priors.contains_key(service) {
             self.broken_priors.insert(service.clone(), BrokenPrior::default());
         }
+        if server.distance == Distance::SameDataCentre {
+            if !self.failures.contains_key(service) {
+                self.failures.insert(service.clone(), RecentFailures::default());
+            }
+            self.failures.get_mut(service).expect("was just inserted").record(now, event);
+        }
         let prior = self.broken_priors.get_mut(service).expect("was just inserted");
         match event {
             LoadEvent::Started | LoadEvent::Repeated => server.last_used_at = Some(now),
--- a/components/gateway_core/src/servers/placement.rs
+++ b/components/gateway_core/src/servers/placement.rs
@@ -17,6 +17,10 @@
 //!   within two seconds whatever is believed of it, but not sooner than three after a loss. A server
 //!   that works on old requests counts as idle here, also on those of gateways that are frozen.
 //! - *Servers that name limits* get requests only with a permit, and rather few while others do as well.
+//! - *Servers that each break now and then, with slots to spare.* In calm times half of this data
+//!   centre's servers stay in work for requests that must not repeat, those with the youngest
+//!   answers: a server that gets no request loses none. All have part once many requests fail, once
+//!   half of the slots are taken, and while a gateway has just gone. New servers are always tried.
 //! - *Servers that break connections for a few seconds.* See [`super::health`]; the risk weighs
 //!   more for non-idempotent requests.
 
@@ -107,6 +111,18 @@
 /// Factor on the expected latency of a server that has just started.
 const STARTING_LATENCY_FACTOR: f64 = 2.0;
 
+/// Minimum share of a service's servers of a data centre that is in work in calm times.
+const MIN_WORK_SHARE: f64 = 0.5;
+
+/// Minimum number of servers in work, so that requests find known good ones after an outbreak.
+const MIN_IN_WORK: u32 = 10;
+
+/// Share of a service's slots of a data centre above which all its servers are in work.
+const MAX_CALM_LOAD: f64 = 0.5;
+
+/// Time since its last request for which a server counts as in work, in milliseconds.
+const IN_WORK_MS: f64 = 1_000.0;
+
 /// Maximum random addition to the cost, in lost requests, so that gateways don't all choose the
 /// same server.
 const COST_JITTER: f64 = 0.003;
@@ -152,7 +168,9 @@
     let kilobytes = table.average_kilobytes(request.route);
     let target_latency = request.route.target_latency.0.max(1) as f64;
     let time_left = request.time_left.0 as f64;
+    let mut work = WorkShare::new(now, table, request);
     let mut best: Option<(f64, &Server)> = None;
+    let mut best_in_work: Option<(f64, &Server)> = None;
     let mut earliest_free = f64::INFINITY;
     let mut earliest_response = f64::INFINITY;
     for server in table.available_for(now, request.service) {
@@ -164,6 +182,7 @@
             continue;
         }
         let estimate = Estimate::of(now, server, avg_latency, prior);
+        work.count(server, &estimate);
         earliest_response = earliest_response.min(estimate.response_in);
         if estimate.response_in > time_left {
             continue;
@@ -174,13 +193,13 @@
         }
         let cost = estimate.cost(request.route.idempotency, target_latency, kilobytes)
             + COST_JITTER * random()
-            + if is_limited { LIMITED_COST } else { 0.0 }
-            - estimate.long_idle_bonus();
-        if best.is_none_or(|(lowest, _)| cost < lowest) {
-            best = Some((cost, server));
-        }
+            + if is_limited { LIMITED_COST } else { 0.0 };
+        let bonus = estimate.idle_bonus(request.route.idempotency) + estimate.long_idle_bonus();
+        let cost_in_work = if estimate.is_new() { cost - bonus } else { cost };
+        keep_lowest(&mut best, cost - bonus, server);
+        keep_lowest(&mut best_in_work, cost_in_work, server);
     }
-    match best {
+    match if work.is_enough() { best_in_work } else { best } {
         Some((_, server)) => Placement::Server(server.announcement.server.clone()),
         None if earliest_free.is_finite() => Placement::Full(to_millis(earliest_free)),
         None if earliest_response.is_finite() => {
@@ -190,6 +209,47 @@
     }
 }
 
+fn keep_lowest<'a>(best: &mut Option<(f64, &'a Server)>, cost: f64, server: &'a Server) {
+    if best.is_none_or(|(lowest, _)| cost < lowest) {
+        *best = Some((cost, server));
+    }
+}
+
+/// How many of this data centre's servers are in work.
+struct WorkShare {
+    may_rest: bool,
+    open: u32,
+    in_work: u32,
+    slots: u32,
+    in_flight: u32,
+}
+
+impl WorkShare {
+    fn new(now: Timestamp, table: &ServerTable, request: &PlacementRequest<'_>) -> Self {
+        let is_non_idempotent = request.route.idempotency == Idempotency::NonIdempotent;
+        let may_rest = is_non_idempotent && !table.fails_often(now, request.service);
+        Self { may_rest, open: 0, in_work: 0, slots: 0, in_flight: 0 }
+    }
+
+    fn count(&mut self, server: &Server, estimate: &Estimate) {
+        if server.distance != Distance::SameDataCentre || estimate.is_unreachable {
+            return;
+        }
+        self.open += 1;
+        self.slots += estimate.slots;
+        self.in_flight += estimate.in_flight;
+        self.in_work += u32::from(estimate.unused_millis < IN_WORK_MS);
+    }
+
+    /// Returns whether enough servers are in work, so that the others may stay idle.
+    fn is_enough(&self) -> bool {
+        self.may_rest
+            && self.in_work >= MIN_IN_WORK
+            && f64::from(self.in_work) >= f64::from(self.open) * MIN_WORK_SHARE
+            && f64::from(self.in_flight) <= f64::from(self.slots) * MAX_CALM_LOAD
+    }
+}
+
 /// Estimates for sending a request to a server.
 struct Estimate {
     /// Time until the response, in milliseconds.
@@ -197,6 +257,8 @@
     /// Time until a slot becomes free, in milliseconds.
     free_in: f64,
     is_full: bool,
+    slots: u32,
+    in_flight: u32,
     /// Network cost of a kilobyte, in lost requests.
     kilobyte_cost: f64,
     is_unreachable: bool,
@@ -232,6 +294,8 @@
             // some time, the next one is as likely to take that long again.
             free_in: (service_time / f64::from(slots)).max(server.stalled_millis(now)),
             is_full: in_flight >= slots + MAX_QUEUED_AT_SERVER || server.health.is_full(now),
+            slots,
+            in_flight,
             kilobyte_cost,
             is_unreachable: server.health.is_unreachable(now),
             failure_probability: server.health.failure_probability(now, prior),
@@ -260,7 +324,11 @@
             + kilobytes * self.kilobyte_cost
             + unreachable_cost
             + self.failure_probability * loss_cost
-            - self.idle_bonus(idempotency)
+    }
+
+    /// Returns whether this data centre has sent the server no request yet.
+    fn is_new(&self) -> bool {
+        self.unused_millis.is_infinite()
     }
 
     fn idle_bonus(&self, idempotency: Idempotency) -> f64 {
