Ask callers of a service that sheds to return for their target latency

Callers saw 503 with a Retry-After of half a second, which is late for a target latency of 800 ms, and the retry budget went to whoever came first.

Such a refusal now names half of the time that is left for the target latency, spread at random. Where a route's callers are seen to return, a shed request is refused at once if its caller can be back in time, so that the budget is left to those that can't; where they don't, the budget is spent as before.

--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -10,7 +10,7 @@
     paths::PathOutcome,
     requests::{
         AttemptEnd, AttemptStart, AttemptTarget, Finish, InFlightAttempt, InFlightTarget, Refusal,
-        RefusalReason, Request, RunStatus, Step,
+        RefusalReason, Request, RunStatus, Step, shedding,
     },
     retry_budget::RetryDecision,
     server_limits::PermitDecision,
@@ -276,7 +276,8 @@
         let is_exhausted =
             request.arrived_attempts >= request.max_attempts || unreachable >= max_unreachable;
         if is_exhausted {
-            return self.give_up(now, id, RefusalReason::NoAnswer, Some(NO_SERVER_RETRY_AFTER));
+            let retry_after = self.return_time(now, id).unwrap_or(NO_SERVER_RETRY_AFTER);
+            return self.give_up(now, id, RefusalReason::NoAnswer, Some(retry_after));
         }
         if self.quarantine.is_quarantined(now, request.head.fingerprint) {
             return self.give_up(now, id, RefusalReason::Quarantined, Some(QUARANTINE_RETRY_AFTER));
@@ -380,11 +381,15 @@
             self.wakeups.extend(self.wait_queues.first(&service));
         }
         if is_retry {
+            if let Some(step) = self.let_return(now, id) {
+                return step;
+            }
             match self.decide_retry(now, id) {
                 RetryDecision::Send => {}
                 RetryDecision::AwaitLoan(until) => return Step::Wait(until),
                 RetryDecision::Deny => {
-                    let retry_after = Some(NO_SERVER_RETRY_AFTER);
+                    let retry_after = self.return_time(now, id);
+                    let retry_after = Some(retry_after.unwrap_or(NO_SERVER_RETRY_AFTER));
                     return self.give_up(now, id, RefusalReason::RetryBudgetSpent, retry_after);
                 }
             }
@@ -395,6 +400,31 @@
         }
     }
 
+    /// Refuses a request that was shed if its caller will be back in time, so that the retry budget is
+    /// left to those that can't.
+    fn let_return(&mut self, now: Timestamp, id: RequestId) -> Option<Step> {
+        let request = &self.requests[&id];
+        let is_first = request.head.relayed.is_none() && request.run_status() == RunStatus::NotRun;
+        if !is_first || !self.callers.do_return(request.route.key()) {
+            return None;
+        }
+        let retry_after = self.return_time(now, id)?;
+        Some(self.give_up(now, id, RefusalReason::RetryBudgetSpent, Some(retry_after)))
+    }
+
+    /// Returns when the caller of a request that was shed should return so that its answer can still
+    /// meet the target latency; `None` if it can't, or if the service doesn't shed.
+    fn return_time(&mut self, now: Timestamp, id: RequestId) -> Option<Millis> {
+        let request = &self.requests[&id];
+        if !self.shedding.is_shedding(now, &request.service) {
+            return None;
+        }
+        let likely = Millis(self.servers.average_latency(&request.route) as u64);
+        let target_at = request.first_asked + request.route.target_latency;
+        let left = target_at.since(now + likely);
+        shedding::return_time(left, Self::random_unit(&mut self.rng))
+    }
+
     /// Queues a request until a server has a free slot, or refuses it if the expected wait is too
     /// long.
     fn wait(&mut self, now: Timestamp, id: RequestId, free_in: Millis) -> Step {
@@ -504,6 +534,10 @@
             }
             RunStatus::MayHaveRun => None,
         };
+        if retry_after.is_some() {
+            let route = self.requests[&id].route.key();
+            self.callers.record_refusal(now, route);
+        }
         Step::Finish(Finish::Refuse(Refusal { reason, run, retry_after }))
     }
 }
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -27,7 +27,9 @@
     quarantine::Quarantine,
     registry_poller::RegistryPoller,
     requests::{
-        Deadline, QueueKey, Refusal, RefusalReason, Request, RequestHead, wait_queue::WaitQueues,
+        Deadline, QueueKey, Refusal, RefusalReason, Request, RequestHead,
+        shedding::{Callers, Shedding},
+        wait_queue::WaitQueues,
     },
     retry_budget::RetryBudget,
     server_limits::ServerLimits,
@@ -74,6 +76,8 @@
     registry_poller: RegistryPoller,
     requests: FastMap<RequestId, Request>,
     wait_queues: WaitQueues,
+    shedding: Shedding,
+    callers: Callers,
     retry_budget: RetryBudget,
     server_limits: ServerLimits,
     paths: Paths,
@@ -107,6 +111,8 @@
             registry_poller: RegistryPoller::new(place, &settings.seeds, seed),
             requests: FastMap::default(),
             wait_queues: WaitQueues::default(),
+            shedding: Shedding::default(),
+            callers: Callers::default(),
             retry_budget: RetryBudget::new(settings.retry_budget, settings.started),
             server_limits: ServerLimits::new(settings.host),
             paths: Paths::default(),
@@ -225,7 +231,13 @@
         };
         let id = self.next_request;
         self.next_request = id.next();
-        self.requests.insert(id, Request::new(now, head, route, service, identity, deadline));
+        let asked_before = match (head.caller_timeout, &head.relayed) {
+            (Some(timeout), None) => self.callers.record_request(now, route.key(), timeout),
+            (Some(_), Some(_)) | (None, _) => Millis(0),
+        };
+        let mut request = Request::new(now, head, route, service, identity, deadline);
+        request.first_asked = now - asked_before;
+        self.requests.insert(id, request);
         Ok(id)
     }
 
--- a/components/gateway_core/src/gateway/reports.rs
+++ b/components/gateway_core/src/gateway/reports.rs
@@ -98,7 +98,19 @@
         }
     }
 
+    /// Records whether a server takes requests that it has slots for.
+    fn record_shedding(&mut self, now: Timestamp, key: ServerKey, event: &LoadEvent) {
+        let Some(server) = self.servers.by_key_mut(key) else { return };
+        let is_shed = match event {
+            LoadEvent::Answered(_) => false,
+            LoadEvent::Shed if server.in_flight(now) < server.announcement.slots => true,
+            _ => return,
+        };
+        self.shedding.record(now, &server.announcement.service, is_shed);
+    }
+
     fn record_event(&mut self, now: Timestamp, seen_by: HostId, key: ServerKey, event: &LoadEvent) {
+        self.record_shedding(now, key, event);
         if !self.servers.record_event(now, key, event) {
             return;
         }
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -1,5 +1,6 @@
 //! The state of callers' requests.
 
+pub(crate) mod shedding;
 pub(crate) mod wait_queue;
 
 use std::{net::SocketAddr, sync::Arc};
@@ -304,6 +305,8 @@
     pub(crate) identity: Option<CallerIdentity>,
     pub(crate) urgency: Urgency,
     pub(crate) received: Timestamp,
+    /// When the caller first asked, as far as is known.
+    pub(crate) first_asked: Timestamp,
     /// When the caller must have its response.
     pub(crate) deadline: Timestamp,
     /// Whether a planned stop sets the deadline.
@@ -352,6 +355,7 @@
             max_attempts,
             relay_refusal: None,
             received: now,
+            first_asked: now,
             deadline: deadline.at,
             ends_with_stop: deadline.ends_with_stop,
             tried: Vec::new(),
