--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -1,6 +1,6 @@
 //! Decides the next step of a request: send, wait, retry, hedge or finish.
 
-use ids::{AttemptNumber, ByteSize, HostId, Millis, RequestId, ServerId, Timestamp};
+use ids::{AttemptNumber, ByteSize, Millis, RequestId, ServerId, Timestamp};
 use schema::server_load::{Answered, LoadEvent};
 
 use super::{Gateway, QUARANTINE_RETRY_AFTER, STOPPING_RETRY_AFTER, queue_key};
@@ -12,7 +12,7 @@
         AttemptEnd, AttemptStart, AttemptTarget, Finish, InFlightAttempt, InFlightTarget, Refusal,
         RefusalReason, Request, RunStatus, Step, shedding,
     },
-    retry_budget::{Lenders, RetryDecision},
+    retry_budget::RetryDecision,
     server_limits::PermitDecision,
     servers::{
         ServerKey,
@@ -45,9 +45,6 @@
 /// Retry-After for requests that found no server or ran out of attempts, in milliseconds.
 pub(super) const NO_SERVER_RETRY_AFTER: Millis = Millis(500);
 
-/// Odd factor that spreads times and hosts evenly over all numbers.
-const LENDER_SPREAD: u64 = 0x9E37_79B9_7F4A_7C15;
-
 impl Gateway {
     /// Returns what to do next for a request.
     pub fn step(&mut self, now: Timestamp, id: RequestId) -> Step {
@@ -463,32 +460,17 @@
 
     /// Charges a retry to the retry budget, or asks other gateways for a loan.
     pub(super) fn decide_retry(&mut self, now: Timestamp, id: RequestId) -> RetryDecision {
-        let near = self.rotated_local_peers();
-        let far = self.far_lenders(now);
-        let lenders = Lenders { near: &near, far: &far };
+        let lenders = self.rotated_local_peers();
         let fleet_hosts = self.entry_hosts.len();
         let service = &self.requests[&id].service;
         let usage = self.retry_budget.usage(now, service, fleet_hosts);
-        let decision = self.retry_budget.decide(now, service, fleet_hosts, id, lenders);
+        let decision = self.retry_budget.decide(now, service, fleet_hosts, id, &lenders);
         if decision == RetryDecision::Send {
             self.events.push(Event::RetrySent { service: service.clone(), usage });
         }
         decision
     }
 
-    /// Returns gateways of other data centres, others at each time and for each gateway.
-    fn far_lenders(&self, now: Timestamp) -> Vec<HostId> {
-        let seed = now.0 ^ u64::from(self.settings.host.0) << 32;
-        let spread = seed.wrapping_mul(LENDER_SPREAD) >> 32;
-        let own = &self.settings.data_centre;
-        let mut far = self.entry_hosts.pick_one_in_each_other_data_centre(own, spread);
-        if !far.is_empty() {
-            let first = spread as usize % far.len();
-            far.rotate_left(first);
-        }
-        far
-    }
-
     fn start_attempt(
         &mut self,
         now: Timestamp,
--- a/components/gateway_core/src/retry_budget/loans.rs
+++ b/components/gateway_core/src/retry_budget/loans.rs
@@ -1,13 +1,7 @@
-//! Loans of retries between gateways.
+//! Loans of retries between the gateways of a data centre.
 //!
-//! Load patterns:
-//!
-//! - *One gateway needs more retries than its own part of the budget allows* while others of its data
-//!   centre need none.
-//! - *Servers of one data centre break*, and its gateways together need more than their parts. What near
-//!   gateways don't lend is asked of some in other data centres, more rarely.
-//!
-//! The lender charges a loan to its own part before it sends it, so that a loan that is
+//! Load pattern: one gateway needs more retries than its own part of the budget allows while others
+//! need none. The lender charges a loan to its own part before it sends it, so that a loan that is
 //! lost or expires is wasted, but never spent twice.
 
 use ids::{HostId, LoanNumber, Millis, RequestId, RetryCredit, Timestamp};
@@ -32,21 +26,6 @@
 /// nothing left or don't answer.
 const SUFFICIENT_LENDERS: usize = 2;
 
-/// Maximum number of gateways of other data centres that are asked at once.
-const MAX_FAR_LENDERS: usize = 2;
-
-/// Time without asks to other data centres after one that brought nothing.
-const FAR_ASK_BACKOFF: Millis = Millis(1_000);
-
-/// Gateways that may be asked for a loan, in the order in which they are.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Lenders<'a> {
-    /// Those of the same data centre.
-    pub(crate) near: &'a [HostId],
-    /// Those of other data centres.
-    pub(crate) far: &'a [HostId],
-}
-
 /// An ask that was sent.
 #[derive(Debug)]
 struct Ask {
@@ -57,8 +36,6 @@
     usable_until: Timestamp,
     /// Lenders that have not answered.
     pending: Vec<HostId>,
-    /// Whether it was sent to other data centres.
-    is_far: bool,
     has_brought_any: bool,
 }
 
@@ -79,8 +56,6 @@
     unspent: Vec<(Timestamp, RetryCredit)>,
     /// The last ask.
     ask: Option<Ask>,
-    /// Until when other data centres aren't asked, unless the last ask of them brings something.
-    far_paused_until: Timestamp,
     /// Requests that wait for the open ask.
     waiting: Vec<RequestId>,
 }
@@ -116,28 +91,20 @@
         Some(until)
     }
 
-    /// Asks for a loan: near gateways, or others if these have just lent nothing.
+    /// Asks for a loan, unless the last ask has just brought nothing.
     pub(super) fn ask(
         &mut self,
         now: Timestamp,
         number: LoanNumber,
         request: RequestId,
         missing: RetryCredit,
-        lenders: Lenders<'_>,
+        lenders: &[HostId],
     ) -> Option<NewAsk> {
-        let is_fruitless = |it: &Ask| !it.has_brought_any && now < it.until + ASK_BACKOFF;
-        let is_far = lenders.near.is_empty() || self.ask.as_ref().is_some_and(is_fruitless);
-        let lenders: Vec<HostId> = match is_far {
-            true if now < self.far_paused_until => return None,
-            true => lenders.far.iter().take(MAX_FAR_LENDERS).copied().collect(),
-            false => lenders.near.iter().take(MAX_LENDERS).copied().collect(),
-        };
-        if lenders.is_empty() {
+        let is_paused = |it: &Ask| !it.has_brought_any && now < it.until + ASK_BACKOFF;
+        if lenders.is_empty() || self.ask.as_ref().is_some_and(is_paused) {
             return None;
         }
-        if is_far {
-            self.far_paused_until = now + FAR_ASK_BACKOFF;
-        }
+        let lenders: Vec<HostId> = lenders.iter().take(MAX_LENDERS).copied().collect();
         let sufficient = lenders.len().min(SUFFICIENT_LENDERS) as u64;
         let amount = RetryCredit(missing.0.div_ceil(sufficient)).max(MIN_LOAN);
         let until = now + ASK_TIMEOUT;
@@ -147,7 +114,6 @@
             until,
             usable_until: now + LOAN_LIFETIME,
             pending: lenders.clone(),
-            is_far,
             has_brought_any: false,
         });
         Some(NewAsk { lenders, amount, until })
@@ -160,9 +126,6 @@
         ask.pending.remove(position);
         if answer.amount > RetryCredit(0) && now < ask.usable_until {
             ask.has_brought_any = true;
-            if ask.is_far {
-                self.far_paused_until = Timestamp::default();
-            }
             self.unspent.push((ask.usable_until, answer.amount));
         }
     }
--- a/components/gateway_core/src/retry_budget/mod.rs
+++ b/components/gateway_core/src/retry_budget/mod.rs
@@ -8,7 +8,7 @@
 //! Load patterns:
 //!
 //! - *A server breaks*, and a gateway that has sent only a few requests needs several retries within
-//!   a second. It borrows from other gateways; see [`loans`].
+//!   a second. It borrows from other gateways of its data centre; see [`loans`].
 //! - *All servers shed while gateways are frozen, cut off or overloaded*, so that reports between
 //!   them are late or lost. None of them needs to know what the others have spent.
 //! - *Many gateways are killed right after a burst of retries.* Their next processes go on with what
@@ -26,7 +26,6 @@
 
 use crate::{events::RetryUsage, settings::RetryBudgetSettings};
 use earlier::{EarlierKnown, RECORDERS, Reported};
-pub(crate) use loans::Lenders;
 use loans::{Loans, MIN_LOAN};
 
 /// Minimum number of entry hosts assumed, so that the budget isn't exceeded while few are known.
@@ -185,7 +184,7 @@
         service: &ServiceName,
         fleet_hosts: usize,
         request: RequestId,
-        lenders: Lenders<'_>,
+        lenders: &[HostId],
     ) -> RetryDecision {
         let usage = self.usage(now, service, fleet_hosts);
         let index = self.slice_index(now);
