Learn the work of requests, and place them by it

Requests that look alike cost servers very different amounts of work, but placement counted requests only: small ones waited behind large ones, servers with a large request looked broken and slow, and large requests looked overdue. With learn_work, gateways learn the work of kinds of requests (method, path shape, size, organisation) in bounded memory, tell each other what servers have to do beyond average requests, and decide by that.

--- a/components/entry_core/src/peers.rs
+++ b/components/entry_core/src/peers.rs
@@ -54,7 +54,8 @@
             PeerMessage::Sync(_)
             | PeerMessage::ServerLoad(_)
             | PeerMessage::RetryBudget(_)
-            | PeerMessage::ServerLimit(_) => {}
+            | PeerMessage::ServerLimit(_)
+            | PeerMessage::ServerWork(_) => {}
         }
     }
 
--- a/components/fleet_core/src/control_host.rs
+++ b/components/fleet_core/src/control_host.rs
@@ -161,7 +161,8 @@
             | PeerMessage::Sync(_)
             | PeerMessage::ServerLoad(_)
             | PeerMessage::RetryBudget(_)
-            | PeerMessage::ServerLimit(_) => Vec::new(),
+            | PeerMessage::ServerLimit(_)
+            | PeerMessage::ServerWork(_) => Vec::new(),
         }
     }
 
--- a/components/gateway/src/entry/callers.rs
+++ b/components/gateway/src/entry/callers.rs
@@ -10,7 +10,7 @@
     body::Incoming,
     header::{self, HeaderValue},
 };
-use ids::{Fingerprint, Millis, Timestamp};
+use ids::{ByteSize, Fingerprint, Millis, Timestamp};
 use platform::headers;
 use tokio::time::{sleep, timeout};
 
@@ -82,7 +82,9 @@
     state.enter(Stage::InWork);
     let request_head = RequestHead {
         host: host_of(&head.headers, &head.uri),
+        method: head.method.as_str().to_owned(),
         path: head.uri.path().to_owned(),
+        body_size: ByteSize(body.len() as u64),
         fingerprint: fingerprint_of(head.method.as_str(), &head.uri, &body),
         caller_timeout: caller.timeout,
         credentials: caller.credentials,
--- a/components/gateway/src/entry/metrics.rs
+++ b/components/gateway/src/entry/metrics.rs
@@ -37,6 +37,11 @@
     header: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WorkLabels {
+    likely: &'static str,
+}
+
 /// The metrics of a gateway.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -44,6 +49,7 @@
     requests: Family<RequestLabels, Counter>,
     attempts: Family<AttemptLabels, Counter>,
     retries: Family<ServiceLabels, Counter>,
+    work: Family<WorkLabels, Counter>,
     relays: Family<AttemptLabels, Counter>,
     paths_down: Counter,
     latency: Histogram,
@@ -72,6 +78,9 @@
         registry.register("attempts", "Attempts by how they ended", attempts.clone());
         let retries = Family::<ServiceLabels, Counter>::default();
         registry.register("retries", "Retries sent, by service", retries.clone());
+        let work = Family::<WorkLabels, Counter>::default();
+        let help = "Requests by their likely work, compared with others of their route";
+        registry.register("requests_by_work", help, work.clone());
         let relays = Family::<AttemptLabels, Counter>::default();
         registry.register("relays", "Requests passed on to other gateways", relays.clone());
         let invalid_notices = Family::<HeaderLabels, Counter>::default();
@@ -111,6 +120,7 @@
             requests,
             attempts,
             retries,
+            work,
             relays,
             paths_down,
             latency,
@@ -137,6 +147,7 @@
         for (_, end) in &summary.attempts {
             self.attempts.get_or_create(&AttemptLabels { end }).inc();
         }
+        self.work.get_or_create(&WorkLabels { likely: summary.work.name() }).inc();
         self.latency.observe(summary.took.0 as f64 / 1e3);
         self.wait_time.observe(summary.waited.0 as f64 / 1e3);
     }
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -112,6 +112,7 @@
             window: budget.window_s.0,
         },
         directory_ttl: settings.directory_keep_s.0,
+        learns_work: settings.learn_work,
         seed: incarnation.0,
         key_secret,
         key_withdrawal: settings
@@ -167,6 +168,9 @@
             PeerMessage::ServerLimit(message) => {
                 shared.with_core(|core, now| core.on_server_limit(now, frame.from, &message));
             }
+            PeerMessage::ServerWork(report) => {
+                shared.with_core(|core, now| core.on_work_report(now, frame.from, &report));
+            }
             PeerMessage::Sync(SyncMessage::Update(update)) => {
                 let config = shared.with_core(|core, now| core.on_update(now, frame.from, update));
                 if let Some(document) = config {
--- a/components/gateway/src/entry/shared.rs
+++ b/components/gateway/src/entry/shared.rs
@@ -68,6 +68,7 @@
         let result = f(&mut core, now);
         let (reports, loans, limit_messages) =
             (core.take_reports(), core.take_retry_budget_messages(), core.take_limit_messages());
+        let work_reports = core.take_work_reports();
         let (events, wakeups) = (core.take_events(), core.take_wakeups());
         drop(core);
         for outgoing in reports {
@@ -75,6 +76,9 @@
                 self.send(to, PeerMessage::ServerLoad(outgoing.report.clone()));
             }
         }
+        for (to, report) in work_reports {
+            self.send(to, PeerMessage::ServerWork(report));
+        }
         for (to, message) in loans {
             self.send(to, PeerMessage::RetryBudget(message));
         }
--- a/components/gateway_core/src/events.rs
+++ b/components/gateway_core/src/events.rs
@@ -7,7 +7,7 @@
     ServiceName,
 };
 
-use crate::requests::AttemptTarget;
+use crate::{requests::AttemptTarget, work::LikelyWork};
 
 /// A gateway's part of the retry budget of a service in the current window.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -162,6 +162,8 @@
     pub service: ServiceName,
     /// Where the request was sent, in order, and how each attempt ended.
     pub attempts: Vec<(AttemptTarget, &'static str)>,
+    /// Likely work of the request.
+    pub work: LikelyWork,
     /// Time until the first attempt was sent, or until the end if there was none.
     pub waited: Millis,
     /// Time since the request was received.
--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -21,6 +21,7 @@
         notices::Closed,
         placement::{self, Placement, PlacementRequest},
     },
+    work::WorkSample,
 };
 
 /// Maximum number of attempts per request that don't reach a server.
@@ -104,7 +105,10 @@
         size: ByteSize,
     ) {
         let ended = self.remove_in_flight(id, attempt, end.name());
-        let Some((InFlightTarget::Server(key), started)) = ended else { return };
+        let Some(ended) = ended else { return };
+        let InFlightTarget::Server(key) = ended.target else { return };
+        let started = ended.started;
+        self.work.end(now, key, id);
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.run = request.run.max(end.run_status());
         if end.reached_server() {
@@ -125,13 +129,14 @@
         }
         let fingerprint = request.head.fingerprint;
         let route = request.route.key();
+        let kinds = request.kinds;
+        let typical_latency = self.servers.typical_latency(&request.route);
+        let millis = now.since(started).0 as f64;
         let event = match end {
             AttemptEnd::Answered => {
-                let millis = now.since(started).0;
-                LoadEvent::Answered(Answered {
-                    latency_ms: u32::try_from(millis).unwrap_or(u32::MAX),
-                    route: route.0,
-                })
+                // In proportion to its work, a latency tells how fast the server is.
+                let usual_millis = millis / self.work.estimate(&kinds).0;
+                LoadEvent::Answered(Answered { latency_ms: usual_millis as u32, route: route.0 })
             }
             AttemptEnd::ServerError => LoadEvent::ServerError,
             AttemptEnd::Shed => LoadEvent::Shed,
@@ -147,6 +152,11 @@
         if end == AttemptEnd::Answered {
             self.quarantine.clear(fingerprint);
             self.servers.record_size(route, size);
+            if ended.shows_work {
+                let slowdown = self.servers.slowdown(now, key);
+                let sample = WorkSample { latency: millis, typical_latency, slowdown };
+                self.work.record(&kinds, &sample);
+            }
         }
         if end == AttemptEnd::Lost {
             self.record_lost(now, Some(id), fingerprint, key);
@@ -160,18 +170,18 @@
         id: RequestId,
         attempt: AttemptNumber,
         end: &'static str,
-    ) -> Option<(InFlightTarget, Timestamp)> {
+    ) -> Option<InFlightAttempt> {
         let request = self.requests.get_mut(&id)?;
         let position = request.in_flight.iter().position(|it| it.number == attempt)?;
         let ended = request.in_flight.remove(position);
         request.attempt_log[attempt.0 as usize].1 = end;
-        Some((ended.target, ended.started))
+        Some(ended)
     }
 
     /// Reports the end of all attempts that are still in flight when the request finishes or its
     /// caller disconnects.
-    pub(super) fn end_in_flight(&mut self, now: Timestamp, request: &Request) {
-        let overdue_after = self.servers.overdue_latency(&request.route);
+    pub(super) fn end_in_flight(&mut self, now: Timestamp, id: RequestId, request: &Request) {
+        let overdue_after = self.overdue_after(request);
         for attempt in &request.in_flight {
             let InFlightTarget::Server(key) = attempt.target else { continue };
             let is_overdue = now.since(attempt.started).0 as f64 >= overdue_after;
@@ -179,6 +189,7 @@
                 true => LoadEvent::Overdue,
                 false => LoadEvent::Cancelled,
             };
+            self.work.end(now, key, id);
             self.report_end(now, key, event);
         }
     }
@@ -199,12 +210,13 @@
     /// Monitors attempts in flight: hedges the request and reports overdue attempts.
     fn check_in_flight(&mut self, now: Timestamp, id: RequestId) -> Step {
         let request = &self.requests[&id];
-        let avg_latency = self.servers.average_latency(&request.route);
-        let overdue_after = Millis(self.servers.overdue_latency(&request.route) as u64);
+        let work = self.work_of(request);
+        let likely_latency = self.servers.average_latency(&request.route) * work.0.max(1.0);
+        let overdue_after = Millis(self.overdue_after(request) as u64);
         let target_latency = request.route.target_latency.0 as f64;
-        let hedge_after =
-            Millis((avg_latency * HEDGE_LATENCY_FACTOR).max(target_latency * HEDGE_TARGET_SHARE)
-                as u64);
+        let hedge_after = Millis(
+            (likely_latency * HEDGE_LATENCY_FACTOR).max(target_latency * HEDGE_TARGET_SHARE) as u64,
+        );
         let last = request.in_flight.last().expect("an attempt is in flight");
         let hedge_after =
             if self.paths.are_down() { hedge_after.min(TEST_PATIENCE) } else { hedge_after };
@@ -431,9 +443,12 @@
             excluded: &request.tried,
             time_left: request.time_left(now),
             may_ask,
+            work: self.work_of(request),
         };
-        let rng = &mut self.rng;
-        placement::place(now, &self.servers, &placement_request, || Self::random_unit(rng))
+        let (rng, work) = (&mut self.rng, &self.work);
+        let excess_at = |key| work.excess_at(now, key);
+        let random = || Self::random_unit(rng);
+        placement::place(now, &self.servers, &placement_request, excess_at, random)
     }
 
     /// Charges a retry to the retry budget, or asks other gateways for a loan.
@@ -457,6 +472,7 @@
     ) -> Option<AttemptStart> {
         let announcement = self.servers.get(&server)?.announcement.clone();
         let key = ServerKey::of(&announcement);
+        let shows_work = self.servers.get(&server)?.has_free_slot(now);
         let has_permit = self.servers.limit(key).is_some();
         if has_permit && !self.server_limits.take_permit(now, id, key) {
             return None;
@@ -470,6 +486,7 @@
             target: InFlightTarget::Server(key),
             started: now,
             is_reported_overdue: false,
+            shows_work,
         });
         request.tried.push(server.clone());
         request.attempt_log.push((AttemptTarget::Server(server.clone()), "in-flight"));
@@ -486,6 +503,9 @@
                 && !self.paths.are_down(),
             caller,
         };
+        let (kinds, route) = (request.kinds, request.route.clone());
+        let average_latency = self.servers.average_latency(&route);
+        self.work.start(now, key, id, &kinds, average_latency);
         self.report_start(now, key, is_first);
         Some(start)
     }
--- a/components/gateway_core/src/gateway/detours.rs
+++ b/components/gateway_core/src/gateway/detours.rs
@@ -90,10 +90,8 @@
         attempt: AttemptNumber,
         end: RelayEnd,
     ) {
-        let Some((InFlightTarget::Relay(host), _)) = self.remove_in_flight(id, attempt, end.name())
-        else {
-            return;
-        };
+        let ended = self.remove_in_flight(id, attempt, end.name());
+        let Some(InFlightTarget::Relay(host)) = ended.map(|it| it.target) else { return };
         let Some(request) = self.requests.get_mut(&id) else { return };
         match end {
             RelayEnd::Answered => request.answered_by = Some(attempt),
@@ -223,6 +221,7 @@
             target: InFlightTarget::Relay(host),
             started: now,
             is_reported_overdue: false,
+            shows_work: false,
         });
         request.attempt_log.push((AttemptTarget::Relay(host), "in-flight"));
         request.first_sent_at.get_or_insert(now);
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -15,7 +15,7 @@
     rand_core::{RngCore, SeedableRng},
 };
 use routing::RouteTable;
-use schema::{server_load::LoadReport, sync::Place};
+use schema::{server_load::LoadReport, server_work::WorkReport, sync::Place};
 
 use crate::{
     configuration::{CallerLimits, GatewayConfig, Idempotency, Route},
@@ -33,6 +33,7 @@
     server_limits::ServerLimits,
     servers::{Server, ServerTable},
     settings::{GatewaySettings, Lifecycle},
+    work::{RequestLook, Work, WorkRatio},
 };
 
 /// Retry-After while the gateway has no configuration, in milliseconds.
@@ -86,6 +87,7 @@
     paths: Paths,
     relays: Relays,
     quarantine: Quarantine,
+    work: Work,
     rng: Xoshiro256PlusPlus,
     next_request: RequestId,
     reports: Vec<OutgoingReport>,
@@ -119,6 +121,7 @@
             paths: Paths::default(),
             relays: Relays::default(),
             quarantine: Quarantine::default(),
+            work: Work::new(settings.learns_work),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             next_request: RequestId(1),
             reports: Vec::new(),
@@ -230,7 +233,17 @@
         };
         let id = self.next_request;
         self.next_request = id.next();
-        self.requests.insert(id, Request::new(now, head, route, service, identity, deadline));
+        let look = RequestLook {
+            route: route.key(),
+            organisation: identity.as_ref().map(|it| it.organisation()),
+            method: &head.method,
+            path: &head.path,
+            body: head.body_size,
+        };
+        let kinds = self.work.kinds(look);
+        let mut request = Request::new(now, head, route, service, identity, deadline);
+        request.kinds = kinds;
+        self.requests.insert(id, request);
         Ok(id)
     }
 
@@ -242,10 +255,11 @@
         if request.head.relayed.is_some() {
             self.relays.end_accepted();
         }
-        self.end_in_flight(now, &request);
+        self.end_in_flight(now, id, &request);
         Some(RequestSummary {
             route: request.route.name.clone(),
             service: request.service.clone(),
+            work: self.work_of(&request).likely(),
             waited: request.first_sent_at.unwrap_or(now).since(request.received),
             took: now.since(request.received),
             time_limit: request.deadline.since(request.received),
@@ -264,6 +278,22 @@
         std::mem::take(&mut self.reports)
     }
 
+    /// Takes the pending reports of work for the other gateways of this data centre.
+    pub fn take_work_reports(&mut self) -> Vec<(HostId, WorkReport)> {
+        let reports = self.work.take_reports();
+        if reports.is_empty() {
+            return Vec::new();
+        }
+        let peers = self.local_peers();
+        let to_peers = |it: WorkReport| peers.iter().map(move |peer| (*peer, it.clone()));
+        reports.into_iter().flat_map(to_peers).collect()
+    }
+
+    /// Processes a report of work of another gateway of this data centre.
+    pub fn on_work_report(&mut self, now: Timestamp, from: HostId, report: &WorkReport) {
+        self.work.on_report(now, from, report);
+    }
+
     /// Takes the pending events for logs and metrics.
     pub fn take_events(&mut self) -> Vec<Event> {
         std::mem::take(&mut self.events)
@@ -376,6 +406,17 @@
         Millis((self.servers.overdue_latency(route) * factor) as u64)
     }
 
+    /// Returns the likely work of a request.
+    fn work_of(&self, request: &Request) -> WorkRatio {
+        self.work.estimate(&request.kinds)
+    }
+
+    /// Returns the time after which the response to a request is overdue, in milliseconds. What costs more
+    /// than others of its route has more time.
+    fn overdue_after(&self, request: &Request) -> f64 {
+        self.servers.overdue_latency(&request.route) * self.work_of(request).0.max(1.0)
+    }
+
     fn random_unit(rng: &mut Xoshiro256PlusPlus) -> f64 {
         (rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
     }
--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -107,6 +107,7 @@
         for (host, incarnation) in before {
             if self.entry_hosts.incarnation(host) != incarnation {
                 self.servers.forget_peer(host);
+                self.work.forget_peer(host);
             }
         }
     }
@@ -120,6 +121,7 @@
                 state: announcement.state,
             });
         }
+        self.work.retain(|it| self.servers.contains(it));
         self.registry_poller.applied_index = self.registry_poller.applied_index.max(changes.up_to);
         changes.config.into_iter().next()
     }
--- a/components/gateway_core/src/lib.rs
+++ b/components/gateway_core/src/lib.rs
@@ -18,6 +18,7 @@
 mod server_limits;
 mod servers;
 mod settings;
+mod work;
 
 pub use crate::{
     configuration::{
@@ -44,4 +45,5 @@
         placement::{Placement, PlacementRequest},
     },
     settings::{GatewaySettings, KeyWithdrawal, Lifecycle, RetryBudgetSettings},
+    work::LikelyWork,
 };
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -5,14 +5,15 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use ids::{
-    AttemptNumber, Fingerprint, HostId, Incarnation, Millis, OrganisationName, RequestId, ServerId,
-    ServiceName, Timestamp,
+    AttemptNumber, ByteSize, Fingerprint, HostId, Incarnation, Millis, OrganisationName, RequestId,
+    ServerId, ServiceName, Timestamp,
 };
 
 use crate::{
     configuration::{Idempotency, Route},
     organisations::{CallerIdentity, Credentials},
     servers::ServerKey,
+    work::RequestKinds,
 };
 
 /// Whether a request may have been executed by a backend server.
@@ -31,8 +32,12 @@
 pub struct RequestHead {
     /// Host name that the request carries.
     pub host: String,
+    /// Method of the request.
+    pub method: String,
     /// Path without the query.
     pub path: String,
+    /// Size of the body.
+    pub body_size: ByteSize,
     /// Digest of method, path, query and body.
     pub fingerprint: Fingerprint,
     /// Time that the caller still waits, if it says so.
@@ -294,6 +299,8 @@
     pub(crate) target: InFlightTarget,
     pub(crate) started: Timestamp,
     pub(crate) is_reported_overdue: bool,
+    /// Whether the server had a free slot, so that the latency shows the work of the request.
+    pub(crate) shows_work: bool,
 }
 
 /// When a new request must have its response.
@@ -315,6 +322,8 @@
     /// Whether the configuration in force refuses its key, or that it has none.
     pub(crate) is_key_refused: bool,
     pub(crate) urgency: Urgency,
+    /// The kinds of requests that it belongs to.
+    pub(crate) kinds: RequestKinds,
     pub(crate) received: Timestamp,
     /// When the caller must have its response.
     pub(crate) deadline: Timestamp,
@@ -362,6 +371,7 @@
             identity,
             is_key_refused: false,
             urgency,
+            kinds: RequestKinds::default(),
             max_attempts,
             relay_refusal: None,
             received: now,
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -128,6 +128,11 @@
         self.own_in_flight + fresh.map(|(count, _)| count).sum::<u32>()
     }
 
+    /// Returns whether a further request would be worked on at once.
+    pub(crate) fn has_free_slot(&self, now: Timestamp) -> bool {
+        self.in_flight(now) < self.announcement.slots
+    }
+
     /// Returns the time since a gateway of this data centre last sent it a request, or `None` if
     /// none has.
     pub fn idle(&self, now: Timestamp) -> Option<Millis> {
@@ -141,12 +146,17 @@
         is_open && !self.is_misplaced
     }
 
+    /// Returns the latency of its responses relative to the average.
+    fn settled_slowdown(&self, now: Timestamp) -> f64 {
+        let elapsed = now.since(self.slowdown_at).0 as f64;
+        1.0 + (self.slowdown - 1.0) * (-elapsed / SLOWDOWN_HALF_LIFE_MS).exp2()
+    }
+
     /// Returns its latency relative to the average. For a busy server that sends no responses, the
     /// value rises before the first late response arrives.
     fn slowdown(&self, now: Timestamp, avg_latency: f64) -> f64 {
-        let elapsed = now.since(self.slowdown_at).0 as f64;
-        let decayed = 1.0 + (self.slowdown - 1.0) * (-elapsed / SLOWDOWN_HALF_LIFE_MS).exp2();
-        decayed.max(self.stalled_millis(now) / (avg_latency * STALL_LATENCY_FACTOR))
+        self.settled_slowdown(now)
+            .max(self.stalled_millis(now) / (avg_latency * STALL_LATENCY_FACTOR))
     }
 
     /// Returns for how long a busy server has sent no response, in milliseconds; 0 if it is idle.
@@ -250,6 +260,20 @@
         (server.announcement.incarnation == key.incarnation).then_some(server)
     }
 
+    /// Returns the latency of a server relative to the average.
+    pub(crate) fn slowdown(&self, now: Timestamp, key: ServerKey) -> f64 {
+        let id = self.by_address.get(&key.address);
+        let server = id.and_then(|it| self.servers.get(it));
+        let server = server.filter(|it| it.key() == key);
+        server.map_or(1.0, |it| it.settled_slowdown(now))
+    }
+
+    /// Returns whether a server is known.
+    pub(crate) fn contains(&self, key: ServerKey) -> bool {
+        let id = self.by_address.get(&key.address);
+        id.and_then(|it| self.servers.get(it)).is_some_and(|it| it.key() == key)
+    }
+
     /// Returns a server by id.
     pub fn get(&self, server: &ServerId) -> Option<&Server> {
         self.servers.get(server)
@@ -386,6 +410,11 @@
         self.latency(route).average()
     }
 
+    /// Returns the typical latency of a route, in milliseconds.
+    pub(crate) fn typical_latency(&self, route: &Route) -> f64 {
+        self.latency(route).typical()
+    }
+
     /// Returns the time after which the response to a request of the route is overdue, in
     /// milliseconds.
     pub(crate) fn overdue_latency(&self, route: &Route) -> f64 {
--- a/components/gateway_core/src/servers/placement.rs
+++ b/components/gateway_core/src/servers/placement.rs
@@ -24,7 +24,11 @@
 use schema::announcement::ServerState;
 
 use super::{Distance, Server, ServerTable, health::BrokenPrior};
-use crate::configuration::{Idempotency, Route};
+use crate::{
+    configuration::{Idempotency, Route},
+    servers::ServerKey,
+    work::WorkRatio,
+};
 
 /// Maximum number of attempts beyond a server's slots; they wait at the server, so that a slot that
 /// becomes free is used at once.
@@ -124,6 +128,8 @@
     pub time_left: Millis,
     /// Whether the server may be one that names a limit, so that a permit is needed.
     pub may_ask: bool,
+    /// Likely work of the request.
+    pub(crate) work: WorkRatio,
 }
 
 /// Result of the placement.
@@ -140,11 +146,13 @@
     NoServer,
 }
 
-/// Picks the server with the lowest cost; `random` returns numbers from 0 to 1.
-pub fn place(
+/// Picks the server with the lowest cost. `excess_at` returns what a server has to do beyond the work of as
+/// many average requests, in milliseconds; `random` returns numbers from 0 to 1.
+pub(crate) fn place(
     now: Timestamp,
     table: &ServerTable,
     request: &PlacementRequest<'_>,
+    excess_at: impl Fn(ServerKey) -> f64,
     mut random: impl FnMut() -> f64,
 ) -> Placement {
     let avg_latency = table.average_latency(request.route);
@@ -163,7 +171,8 @@
         if is_limited && !request.may_ask {
             continue;
         }
-        let estimate = Estimate::of(now, server, avg_latency, prior);
+        let work = WorkAhead { request: request.work, excess: excess_at(server.key()) };
+        let estimate = Estimate::of(now, server, avg_latency, prior, work);
         earliest_response = earliest_response.min(estimate.response_in);
         if estimate.response_in > time_left {
             continue;
@@ -190,6 +199,25 @@
     }
 }
 
+/// The work of a request, and what a server has to do before it.
+#[derive(Clone, Copy)]
+struct WorkAhead {
+    request: WorkRatio,
+    /// Work of the server beyond that of as many average requests, in milliseconds.
+    excess: f64,
+}
+
+impl WorkAhead {
+    /// Returns the time until a slot is free for the request, in milliseconds; `queued` is the work of
+    /// average requests that wait for one. With a slot that is free the others' work doesn't matter.
+    fn wait(self, queued: f64, slots: u32) -> f64 {
+        match queued > 0.0 {
+            true => ((queued + self.excess) / f64::from(slots)).max(0.0),
+            false => 0.0,
+        }
+    }
+}
+
 /// Estimates for sending a request to a server.
 struct Estimate {
     /// Time until the response, in milliseconds.
@@ -212,7 +240,13 @@
 }
 
 impl Estimate {
-    fn of(now: Timestamp, server: &Server, avg_latency: f64, prior: BrokenPrior) -> Self {
+    fn of(
+        now: Timestamp,
+        server: &Server,
+        avg_latency: f64,
+        prior: BrokenPrior,
+        work: WorkAhead,
+    ) -> Self {
         let slots = server.announcement.slots.max(MIN_SLOTS);
         let in_flight = server.in_flight(now);
         let warmup_factor = match server.announcement.state {
@@ -227,7 +261,9 @@
             Distance::OtherRegion => (OTHER_REGION_ROUND_TRIP_MS, OTHER_REGION_KILOBYTE_COST),
         };
         Self {
-            response_in: round_trip + service_time * (1.0 + queued / f64::from(slots)),
+            response_in: round_trip
+                + service_time * work.request.0
+                + work.wait(service_time * queued, slots),
             // The averages say nothing of what the requests in flight are: without a response for
             // some time, the next one is as likely to take that long again.
             free_in: (service_time / f64::from(slots)).max(server.stalled_millis(now)),
--- a/components/gateway_core/src/settings.rs
+++ b/components/gateway_core/src/settings.rs
@@ -49,6 +49,8 @@
     pub retry_budget: RetryBudgetSettings,
     /// How long callers may cache a directory answer.
     pub directory_ttl: Millis,
+    /// Whether the work of requests is learned and decides where they go.
+    pub learns_work: bool,
     /// Seed of the random number generator.
     pub seed: u64,
     /// Secret under which keys of callers are hashed.
--- a/components/gateway_core/tests/common/mod.rs
+++ b/components/gateway_core/tests/common/mod.rs
@@ -117,6 +117,7 @@
             window: Millis(10_000),
         },
         directory_ttl: Millis(1_000),
+        learns_work: false,
         seed: 7,
         key_secret: KeySecret([7; 32]),
         key_withdrawal: None,
@@ -278,7 +279,9 @@
 pub fn head(path: &str) -> RequestHead {
     RequestHead {
         host: "bank.example".to_owned(),
+        method: "GET".to_owned(),
         path: path.to_owned(),
+        body_size: ByteSize(0),
         fingerprint: Fingerprint::of(path.as_bytes()),
         caller_timeout: Some(Millis(4_000)),
         credentials: Credentials::None,
--- a/components/gateway_core/tests/whole_fleet/mod.rs
+++ b/components/gateway_core/tests/whole_fleet/mod.rs
@@ -226,6 +226,7 @@
                     gateway.on_retry_budget_message(at, it.from, &message);
                 }
                 PeerMessage::ServerLimit(message) => gateway.on_server_limit(at, it.from, &message),
+                PeerMessage::ServerWork(report) => gateway.on_work_report(at, it.from, &report),
                 PeerMessage::Sync(SyncMessage::Update(update)) => {
                     gateway.on_update(at, it.from, update);
                 }
@@ -369,6 +370,8 @@
         sent.extend(retries.map(|(to, it)| (to, PeerMessage::RetryBudget(it))));
         let limits = gateway.take_limit_messages().into_iter();
         sent.extend(limits.map(|(to, it)| (to, PeerMessage::ServerLimit(it))));
+        let work = gateway.take_work_reports().into_iter();
+        sent.extend(work.map(|(to, it)| (to, PeerMessage::ServerWork(it))));
         let incarnation = process.incarnation;
         self.messages.extend(envelopes(self.now, &self.faults, host, incarnation, sent));
     }
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -308,7 +308,8 @@
             | PeerMessage::ClaimReport(_)
             | PeerMessage::ServerLoad(_)
             | PeerMessage::RetryBudget(_)
-            | PeerMessage::ServerLimit(_) => {}
+            | PeerMessage::ServerLimit(_)
+            | PeerMessage::ServerWork(_) => {}
         }
     }
 
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -213,6 +213,7 @@
             | PeerMessage::ServerLoad(_)
             | PeerMessage::RetryBudget(_)
             | PeerMessage::ServerLimit(_) => Self::Datagram { or_stream: true },
+            PeerMessage::ServerWork(_) => Self::Datagram { or_stream: false },
         }
     }
 }
--- a/components/transport/src/purpose.rs
+++ b/components/transport/src/purpose.rs
@@ -56,7 +56,7 @@
                 Self::EntryHosts
             }
             PeerMessage::Sync(SyncMessage::UpdateBegins(_)) => Self::Registry,
-            PeerMessage::ServerLoad(_) => Self::LoadReports,
+            PeerMessage::ServerLoad(_) | PeerMessage::ServerWork(_) => Self::LoadReports,
             PeerMessage::RetryBudget(_) => Self::RetryBudgets,
             PeerMessage::ServerLimit(_) => Self::ServerLimits,
             PeerMessage::Membership(_)
