--- a/components/entry_core/src/peers.rs
+++ b/components/entry_core/src/peers.rs
@@ -55,7 +55,8 @@
             | PeerMessage::ServerLoad(_)
             | PeerMessage::RetryBudget(_)
             | PeerMessage::ServerLimit(_)
-            | PeerMessage::OrganisationRate(_) => {}
+            | PeerMessage::OrganisationRate(_)
+            | PeerMessage::ServerWork(_) => {}
         }
     }
 
--- a/components/fleet_core/src/control_host.rs
+++ b/components/fleet_core/src/control_host.rs
@@ -162,7 +162,8 @@
             | PeerMessage::ServerLoad(_)
             | PeerMessage::RetryBudget(_)
             | PeerMessage::ServerLimit(_)
-            | PeerMessage::OrganisationRate(_) => Vec::new(),
+            | PeerMessage::OrganisationRate(_)
+            | PeerMessage::ServerWork(_) => Vec::new(),
         }
     }
 
--- a/components/gateway/src/entry/metrics.rs
+++ b/components/gateway/src/entry/metrics.rs
@@ -50,6 +50,11 @@
     header: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WorkLabels {
+    likely: &'static str,
+}
+
 /// The metrics of a gateway.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -57,6 +62,7 @@
     requests: Family<RequestLabels, Counter>,
     attempts: Family<AttemptLabels, Counter>,
     retries: Family<ServiceLabels, Counter>,
+    work: Family<WorkLabels, Counter>,
     relays: Family<AttemptLabels, Counter>,
     over_limit: Family<OverLimitLabels, Counter>,
     /// Organisations with a counter of their own.
@@ -89,6 +95,9 @@
         registry.register("attempts", "Attempts by how they ended", attempts.clone());
         let retries = Family::<ServiceLabels, Counter>::default();
         registry.register("retries", "Retries sent, by service", retries.clone());
+        let work = Family::<WorkLabels, Counter>::default();
+        let help = "Requests by their likely work, compared with others of their route";
+        registry.register("requests_by_work", help, work.clone());
         let relays = Family::<AttemptLabels, Counter>::default();
         registry.register("relays", "Requests passed on to other gateways", relays.clone());
         let over_limit = Family::<OverLimitLabels, Counter>::default();
@@ -132,6 +141,7 @@
             requests,
             attempts,
             retries,
+            work,
             relays,
             over_limit,
             counted_organisations: RefCell::default(),
@@ -161,6 +171,7 @@
         for (_, end) in &summary.attempts {
             self.attempts.get_or_create(&AttemptLabels { end }).inc();
         }
+        self.work.get_or_create(&WorkLabels { likely: summary.work.name() }).inc();
         self.latency.observe(summary.took.0 as f64 / 1e3);
         self.wait_time.observe(summary.waited.0 as f64 / 1e3);
     }
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -16,7 +16,7 @@
     rand_core::{RngCore, SeedableRng},
 };
 use routing::RouteTable;
-use schema::{server_load::LoadReport, sync::Place};
+use schema::{server_load::LoadReport, server_work::WorkReport, sync::Place};
 
 use crate::{
     configuration::{CallerLimits, GatewayConfig, Idempotency, Route},
@@ -36,6 +36,7 @@
     server_limits::ServerLimits,
     servers::{Server, ServerTable},
     settings::{GatewaySettings, Lifecycle},
+    work::{RequestLook, Work, WorkRatio},
 };
 
 /// Retry-After while the gateway has no configuration, in milliseconds.
@@ -94,6 +95,7 @@
     paths: Paths,
     relays: Relays,
     quarantine: Quarantine,
+    work: Work,
     rng: Xoshiro256PlusPlus,
     next_request: RequestId,
     /// Whether the entry hosts have changed since the rates were told.
@@ -133,6 +135,7 @@
             paths: Paths::default(),
             relays: Relays::default(),
             quarantine: Quarantine::default(),
+            work: Work::new(settings.learns_work),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             next_request: RequestId(1),
             keeper_places_outdated: false,
@@ -242,7 +245,16 @@
             let retry_after = Some(QUARANTINE_RETRY_AFTER);
             return Err(Refusal::not_run(RefusalReason::Quarantined, retry_after));
         }
-        let deadline = self.deadline(now, &route, &head)?;
+        let look = RequestLook {
+            route: route.key(),
+            organisation: identity.as_ref().map(|it| it.organisation()),
+            method: &head.method,
+            path: &head.path,
+            body: head.body_size,
+        };
+        let kinds = self.work.kinds(look);
+        let work = self.work.estimate(now, &kinds);
+        let deadline = self.deadline(now, &route, &head, work)?;
         let service = match &head.relayed {
             Some(relayed) => self.accept_relayed(&route, relayed)?,
             None => {
@@ -259,6 +271,7 @@
         };
         let mut request = Request::new(now, head, route, service, identity, deadline);
         request.first_asked = now - asked_before;
+        request.kinds = kinds;
         self.requests.insert(id, request);
         Ok(id)
     }
@@ -272,10 +285,11 @@
         if request.head.relayed.is_some() {
             self.relays.end_accepted();
         }
-        self.end_in_flight(now, &request);
+        self.end_in_flight(now, id, &request);
         Some(RequestSummary {
             route: request.route.name.clone(),
             service: request.service.clone(),
+            work: self.work_of(now, &request).likely(),
             waited: request.first_sent_at.unwrap_or(now).since(request.received),
             took: now.since(request.received),
             organisation: request.identity.as_ref().map(|it| it.organisation().clone()),
@@ -295,6 +309,22 @@
         std::mem::take(&mut self.reports)
     }
 
+    /// Takes the pending reports of work for the other gateways of this data centre.
+    pub fn take_work_reports(&mut self) -> Vec<(HostId, WorkReport)> {
+        let reports = self.work.take_reports();
+        if reports.is_empty() {
+            return Vec::new();
+        }
+        let peers = self.local_peers();
+        let to_peers = |it: WorkReport| peers.iter().map(move |peer| (*peer, it.clone()));
+        reports.into_iter().flat_map(to_peers).collect()
+    }
+
+    /// Processes a report of work of another gateway of this data centre.
+    pub fn on_work_report(&mut self, now: Timestamp, from: HostId, report: &WorkReport) {
+        self.work.on_report(now, from, report);
+    }
+
     /// Takes the pending events for logs and metrics.
     pub fn take_events(&mut self) -> Vec<Event> {
         std::mem::take(&mut self.events)
@@ -382,6 +412,7 @@
         now: Timestamp,
         route: &Route,
         head: &RequestHead,
+        work: WorkRatio,
     ) -> Result<Deadline, Refusal> {
         let limit = head.caller_timeout.map_or(route.time_limit, |it| it.min(route.time_limit));
         let at = now + limit;
@@ -390,7 +421,7 @@
         };
         let likely_end = match head.relayed {
             Some(_) => at,
-            None => now + self.likely_latency(route),
+            None => now + self.likely_latency(route, work),
         };
         if !schedule.admits(now, at, likely_end) {
             let retry_after = Some(STOPPING_RETRY_AFTER);
@@ -401,12 +432,23 @@
 
     /// Returns the time within which a request of a route most likely ends. One that can't be sent
     /// again is lost if it doesn't.
-    fn likely_latency(&self, route: &Route) -> Millis {
+    fn likely_latency(&self, route: &Route, work: WorkRatio) -> Millis {
         let factor = match route.idempotency {
             Idempotency::Idempotent => 1.0,
             Idempotency::NonIdempotent => NON_IDEMPOTENT_LATENCY_FACTOR,
         };
-        Millis((self.servers.overdue_latency(route) * factor) as u64)
+        Millis((self.servers.overdue_latency(route) * work.0.max(1.0) * factor) as u64)
+    }
+
+    /// Returns the likely work of a request.
+    fn work_of(&self, now: Timestamp, request: &Request) -> WorkRatio {
+        self.work.estimate(now, &request.kinds)
+    }
+
+    /// Returns the time after which the response to a request is overdue, in milliseconds. What costs more
+    /// than others of its route has more time.
+    fn overdue_after(&self, now: Timestamp, request: &Request) -> f64 {
+        self.servers.overdue_latency(&request.route) * self.work_of(now, request).0.max(1.0)
     }
 
     fn random_unit(rng: &mut Xoshiro256PlusPlus) -> f64 {
--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -110,6 +110,7 @@
         for (host, incarnation) in before {
             if self.entry_hosts.incarnation(host) != incarnation {
                 self.servers.forget_peer(now, host);
+                self.work.forget_peer(host);
             }
         }
     }
@@ -123,6 +124,7 @@
                 state: announcement.state,
             });
         }
+        self.work.retain(|it| self.servers.contains(it));
         self.registry_poller.applied_index = self.registry_poller.applied_index.max(changes.up_to);
         changes.config.into_iter().next()
     }
--- a/components/gateway_core/src/servers/placement.rs
+++ b/components/gateway_core/src/servers/placement.rs
@@ -28,7 +28,11 @@
 use schema::announcement::ServerState;
 
 use super::{Distance, Server, ServerTable, health::BrokenPrior};
-use crate::configuration::{Idempotency, Route};
+use crate::{
+    configuration::{Idempotency, Route},
+    servers::ServerKey,
+    work::WorkRatio,
+};
 
 /// Maximum number of attempts beyond a server's slots; they wait at the server, so that a slot that
 /// becomes free is used at once.
@@ -140,6 +144,8 @@
     pub time_left: Millis,
     /// Whether the server may be one that names a limit, so that a permit is needed.
     pub may_ask: bool,
+    /// Likely work of the request.
+    pub(crate) work: WorkRatio,
 }
 
 /// Result of the placement.
@@ -156,11 +162,13 @@
     NoServer,
 }
 
-/// Picks the server with the lowest cost; `random` returns numbers from 0 to 1.
-pub fn place(
+/// Picks the server with the lowest cost. `excess_at` returns what a server has to do beyond the work of as
+/// many average requests, in milliseconds; `random` returns numbers from 0 to 1.
+pub(crate) fn place(
     now: Timestamp,
     table: &ServerTable,
     request: &PlacementRequest<'_>,
+    excess_at: impl Fn(ServerKey) -> f64,
     mut random: impl FnMut() -> f64,
 ) -> Placement {
     let avg_latency = table.average_latency(request.route);
@@ -181,10 +189,11 @@
         if is_limited && !request.may_ask {
             continue;
         }
-        let estimate = Estimate::of(now, server, avg_latency, prior);
+        let ahead = WorkAhead { request: request.work, excess: excess_at(server.key()) };
+        let estimate = Estimate::of(now, server, avg_latency, prior, ahead);
         work.count(server, &estimate);
         earliest_response = earliest_response.min(estimate.response_in);
-        if estimate.response_in > time_left {
+        if estimate.possible_in > time_left {
             continue;
         }
         if estimate.is_full {
@@ -250,10 +259,37 @@
     }
 }
 
+/// The work of a request, and what a server has to do before it.
+#[derive(Clone, Copy)]
+struct WorkAhead {
+    request: WorkRatio,
+    /// Work of the server beyond that of as many average requests, in milliseconds.
+    excess: f64,
+}
+
+impl WorkAhead {
+    /// Returns the time until a slot is free for the request, in milliseconds, if `queued` requests and it wait
+    /// for one. With a slot that is free the others' work doesn't matter. Requests that cost less shorten the
+    /// wait only as far as they are among those that wait.
+    fn wait(self, service_time: f64, queued: f64, in_flight: u32, slots: u32) -> f64 {
+        if queued == 0.0 {
+            return 0.0;
+        }
+        let excess = match self.excess < 0.0 {
+            true => self.excess * queued / f64::from(in_flight + 1),
+            false => self.excess,
+        };
+        ((service_time * queued + excess) / f64::from(slots)).max(0.0)
+    }
+}
+
 /// Estimates for sending a request to a server.
 struct Estimate {
     /// Time until the response, in milliseconds.
     response_in: f64,
+    /// The same without what the request is believed to cost beyond the average: a belief refuses nothing,
+    /// so that it can be corrected.
+    possible_in: f64,
     /// Time until a slot becomes free, in milliseconds.
     free_in: f64,
     is_full: bool,
@@ -274,7 +310,13 @@
 }
 
 impl Estimate {
-    fn of(now: Timestamp, server: &Server, avg_latency: f64, prior: BrokenPrior) -> Self {
+    fn of(
+        now: Timestamp,
+        server: &Server,
+        avg_latency: f64,
+        prior: BrokenPrior,
+        work: WorkAhead,
+    ) -> Self {
         let slots = server.announcement.slots.max(MIN_SLOTS);
         let in_flight = server.in_flight(now);
         let warmup_factor = match server.announcement.state {
@@ -288,8 +330,10 @@
             Distance::SameRegion => (SAME_REGION_ROUND_TRIP_MS, OTHER_DATA_CENTRE_KILOBYTE_COST),
             Distance::OtherRegion => (OTHER_REGION_ROUND_TRIP_MS, OTHER_REGION_KILOBYTE_COST),
         };
+        let wait = work.wait(service_time, queued, in_flight, slots);
         Self {
-            response_in: round_trip + service_time * (1.0 + queued / f64::from(slots)),
+            response_in: round_trip + service_time * work.request.0 + wait,
+            possible_in: round_trip + service_time * work.request.0.min(1.0) + wait,
             // The averages say nothing of what the requests in flight are: without a response for
             // some time, the next one is as likely to take that long again.
             free_in: (service_time / f64::from(slots)).max(server.stalled_millis(now)),
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -309,7 +309,8 @@
             | PeerMessage::ServerLoad(_)
             | PeerMessage::RetryBudget(_)
             | PeerMessage::ServerLimit(_)
-            | PeerMessage::OrganisationRate(_) => {}
+            | PeerMessage::OrganisationRate(_)
+            | PeerMessage::ServerWork(_) => {}
         }
     }
 
