Let the soak's callers use keys of two organisations, one of them withdrawn and given back

Configurations with an odd version withdraw one key, the others give it back. The soak now finds a server that sees a key or a wrong organisation, and requests with a key whose withdrawal was acknowledged more than 5 s before, unless a fault of their gateway excuses it. Each gateway has one caller more than before.

--- a/tests/gateway/callers.rs
+++ b/tests/gateway/callers.rs
@@ -45,6 +45,7 @@
     pub time_limit: Millis,
     /// Time after which the caller begins to read.
     pub read_delay: Duration,
+    pub key: Option<String>,
 }
 
 impl Ask {
@@ -56,6 +57,7 @@
             size: 0,
             time_limit: Millis(3_000),
             read_delay: Duration::ZERO,
+            key: None,
         }
     }
 
@@ -66,7 +68,8 @@
     /// Sends the request on a connection and waits for the response.
     pub fn send_on(self, gateway: SocketAddr, stream: &mut TcpStream) -> Sent {
         let at = Instant::now();
-        let headers = stand_in::caller_headers(&self.id, self.time_limit);
+        let mut headers = stand_in::caller_headers(&self.id, self.time_limit).to_vec();
+        headers.extend(self.key.as_deref().map(stand_in::key_header));
         let response = send(stream, "GET", &self.path(), &headers, b"").and_then(|()| {
             thread::sleep(self.read_delay);
             receive(stream)
@@ -130,6 +133,7 @@
 
 /// A caller that asks directories for gateways and uses each answer for a while.
 pub struct Client {
+    pub key: Option<String>,
     number: u64,
     rng: Xoshiro256PlusPlus,
     directories: Vec<SocketAddr>,
@@ -144,6 +148,7 @@
 impl Client {
     pub fn new(seed: u64, number: u64, directories: Vec<SocketAddr>) -> Self {
         Self {
+            key: None,
             number,
             rng: Xoshiro256PlusPlus::seed_from_u64(seed * 1_000 + number),
             directories,
@@ -193,6 +198,7 @@
             let is_slow = self.rng.next_u64().is_multiple_of(30);
             let ask = Ask {
                 route: if self.rng.next_u64().is_multiple_of(2) { "look" } else { "pay" },
+                key: self.key.clone(),
                 ..Ask::new(
                     format!("client-{}-{}", self.number, sent.len()),
                     if is_slow { CLIENT_WORK * 5 } else { CLIENT_WORK },
--- a/tests/soak/mod.rs
+++ b/tests/soak/mod.rs
@@ -2,6 +2,7 @@
 //! seed, checked from what callers and backend servers see.
 
 mod faults;
+mod organisations;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -22,7 +23,7 @@
 use crate::gateway::{
     Fleet, Server, call_any,
     callers::{Ask, Client, STOP_WITHIN, Sent, Stops, broken_promises, connect},
-    config, wait_for,
+    wait_for,
 };
 use faults::{Fault, FaultKind, Schedule, Stop};
 
@@ -30,7 +31,10 @@
 pub const FIRST_GATEWAY: u8 = 11;
 pub const SERVERS: u64 = 6;
 
-/// Callers of each gateway.
+/// Version of the first configuration of a run in which callers need keys.
+const FIRST_VERSION: u64 = 2;
+
+/// Callers of each gateway, beside one whose key is withdrawn.
 const CALLERS: u8 = 3;
 
 /// Most clients that ask directories for gateways.
@@ -111,11 +115,12 @@
         })
         .collect();
     let mut fleet = Fleet::start_with(gateways);
-    fleet.put_config(1, "queue");
+    fleet.put_config(FIRST_VERSION - 1, "queue");
     servers.iter().for_each(|it| fleet.announce(it, 1, ServerState::Serving));
     let hosts = FIRST_GATEWAY..FIRST_GATEWAY + gateways;
     wait_for("ready gateways", || hosts.clone().all(|it| fleet.is_ready(it)).then_some(()));
     hosts.clone().for_each(|it| fleet.wait_until_used(it, &servers));
+    organisations::require_keys(&fleet, hosts.clone());
     let mut schedule = Schedule::new(seed, length, gateways);
     let addresses: Vec<_> = hosts.clone().map(|it| fleet.callers(it)).collect();
     let directories: Vec<_> =
@@ -126,12 +131,13 @@
     let (sent, configs): (Vec<Sent>, Configs) = thread::scope(|scope| {
         let (changes, operator_rx) = channel();
         let operator = scope.spawn(move || configure(&control_hosts, &operator_rx));
-        let callers = (0..u16::from(gateways) * u16::from(CALLERS)).map(|caller| {
+        let callers = (0..u16::from(gateways) * u16::from(CALLERS + 1)).map(|caller| {
             let addresses = &addresses;
             scope.spawn(move || Caller::new(caller, addresses).call_until(end))
         });
         let clients = (0..gateways.min(MAX_CLIENTS)).map(|client| {
-            let client = Client::new(seed, client.into(), directories.clone());
+            let mut client = Client::new(seed, client.into(), directories.clone());
+            client.key = Some(organisations::key(0));
             scope.spawn(move || client.run(end))
         });
         let callers: Vec<_> = callers.chain(clients).collect();
@@ -147,6 +153,7 @@
     let mut findings = Vec::new();
     findings.extend(fleet.take_ended());
     check_promises(&servers, &sent, &mut findings);
+    organisations::check(&servers, &sent, &configs, &schedule.faults, begin, &mut findings);
     check_limits(&servers, &schedule.faults, begin, &mut findings);
     check_recovery(&sent, end, &mut findings);
     check_exits(&schedule, begin, &mut findings);
@@ -201,6 +208,12 @@
         usize::from(self.number) / self.addresses.len() == 2
     }
 
+    /// The last caller of each gateway has a key that is withdrawn and given back.
+    fn key(&self) -> String {
+        let is_last = usize::from(self.number) / self.addresses.len() == usize::from(CALLERS);
+        if is_last { organisations::withdrawn_key() } else { organisations::key(self.number) }
+    }
+
     fn ask(&self, i: usize) -> Ask {
         let is_large = self.opens_each() && i % 8 == 3;
         let work = Duration::from_millis(if i % 20 == 7 { 900 } else { 20 });
@@ -210,6 +223,7 @@
             size: if is_large { LARGE } else { 0 },
             time_limit: Millis(if i.is_multiple_of(3) { 3_000 } else { 1_500 }),
             read_delay: Duration::from_millis(if is_large { 400 } else { 0 }),
+            key: Some(self.key()),
             ..Ask::new(format!("{route}-{}-{i}", self.number), work)
         }
     }
@@ -253,12 +267,14 @@
 struct Configs {
     last_sent: u64,
     acknowledged: BTreeSet<u64>,
+    /// When the versions were sent, and when those that were acknowledged were.
+    times: Vec<(u64, Instant, Option<Instant>)>,
 }
 
 /// Returns a configuration with a route of its own version.
 fn versioned_config(version: u64) -> GatewayConfig {
-    let mut config = config(version, "queue");
-    if version > 1 {
+    let mut config = organisations::config_with_keys(version);
+    if version > FIRST_VERSION {
         let mut route = config.routes[0].clone();
         route.name = format!("look-{version}");
         route.path_prefix = format!("/look-{version}/");
@@ -269,14 +285,19 @@
 
 /// Sends the changes that arrive, a number of versions with pauses each.
 fn configure(hosts: &[SocketAddr], changes: &Receiver<(u64, Duration)>) -> Configs {
-    let mut configs = Configs { last_sent: 1, acknowledged: BTreeSet::from([1]) };
+    let acknowledged = BTreeSet::from([FIRST_VERSION]);
+    let mut configs = Configs { last_sent: FIRST_VERSION, acknowledged, times: Vec::new() };
     for (count, pause) in changes {
         for _ in 0..count {
             configs.last_sent += 1;
+            let at = Instant::now();
             let body = stand_in::config_body(&versioned_config(configs.last_sent));
-            if call_any(hosts, "POST", stand_in::PUT_CONFIG, &body).is_some() {
+            let is_acknowledged = call_any(hosts, "POST", stand_in::PUT_CONFIG, &body).is_some();
+            if is_acknowledged {
                 configs.acknowledged.insert(configs.last_sent);
             }
+            let acknowledged = is_acknowledged.then(Instant::now);
+            configs.times.push((configs.last_sent, at, acknowledged));
             thread::sleep(pause);
         }
     }
@@ -433,7 +454,10 @@
 
 /// Nearly all is served once the faults are over.
 fn check_recovery(sent: &[Sent], end: Instant, findings: &mut Vec<String>) {
-    let last: Vec<&Sent> = sent.iter().filter(|it| it.at + RECOVERY_TIME / 2 >= end).collect();
+    let is_counted = |it: &&Sent| {
+        it.at + RECOVERY_TIME / 2 >= end && it.ask.key != Some(organisations::withdrawn_key())
+    };
+    let last: Vec<&Sent> = sent.iter().filter(is_counted).collect();
     let served = last.iter().filter(|it| it.status() == 200).count();
     if served * 50 < last.len() * 49 {
         findings.push(format!("{served} of {} served after the faults", last.len()));
