Let a process that has started admit callers who come back together

A process that starts now begins with a part of the allowance of the rule that usual operation doesn't use.

--- a/components/gateway_core/src/organisations/rates/keeper.rs
+++ b/components/gateway_core/src/organisations/rates/keeper.rs
@@ -67,11 +67,13 @@
 }
 
 impl Keeper {
+    /// Keeps a rate from now on, or adapts it; a new one begins with `initial` tokens.
     pub(super) fn keep(
         &mut self,
         now: Timestamp,
         organisation: &OrganisationName,
         size: BucketSize,
+        initial: u64,
     ) {
         if let Some(kept) = self.rates.get_mut(organisation) {
             if kept.bucket.size() != size {
@@ -79,8 +81,10 @@
             }
             return;
         }
+        let mut bucket = TokenBucket::empty(now, size);
+        bucket.put(now, initial);
         let kept = KeptRate {
-            bucket: TokenBucket::empty(now, size),
+            bucket,
             loan: None,
             next_lender: 0,
             refusals: 0,
--- a/components/gateway_core/src/organisations/rates/mod.rs
+++ b/components/gateway_core/src/organisations/rates/mod.rs
@@ -18,7 +18,8 @@
 use std::collections::BTreeMap;
 
 use ids::{
-    DataCentreName, FastMap, HostId, Millis, OrganisationName, PermitNumber, RequestId, Timestamp,
+    DataCentreName, FastMap, FastSet, HostId, Millis, OrganisationName, PermitNumber, RequestId,
+    Timestamp,
 };
 use limits::{
     organisations::bucket::{BucketSize, TokenBucket},
@@ -83,8 +84,16 @@
 /// Window for which the sum over all gateways is bounded, and what it may exceed the limit by: a part
 /// and a number of requests. Some of the allowance is left for keepers that overlap in time.
 const WINDOW_S: u64 = 5;
-const USED_OVER_PERCENT: u64 = 6;
-const USED_SLACK_MICRO: u64 = 10_000_000;
+const USED_OVER_PERCENT: u64 = 3;
+const USED_SLACK_MICRO: u64 = 8_000_000;
+
+/// What a process that has started may admit at once, of the same allowance: callers whose gateways have
+/// restarted come back together.
+const START_PERCENT: u64 = 5;
+const START_SLACK_MICRO: u64 = 8_000_000;
+
+/// Time after the start in which a process may begin with that.
+const START_TIME: Millis = Millis(2_000);
 
 /// Micro-tokens per thousandth of a request.
 const MICROS_PER_MILLI: u64 = 1_000;
@@ -175,6 +184,10 @@
     /// When each gateway of the data centre was last heard.
     heard: FastMap<HostId, Timestamp>,
     current_at: Timestamp,
+    /// When this process first knew limits.
+    started_at: Option<Timestamp>,
+    /// The rates that it has begun to keep since its start.
+    started: FastSet<OrganisationName>,
     was_answered: bool,
     next_number: u64,
     messages: Vec<(HostId, OrganisationRateMessage)>,
@@ -196,6 +209,8 @@
             silent_until: FastMap::default(),
             heard: FastMap::default(),
             current_at: Timestamp::default(),
+            started_at: None,
+            started: FastSet::default(),
             was_answered: false,
             next_number: 0,
             messages: Vec::new(),
@@ -260,12 +275,25 @@
             Some(own) => rendezvous::coordinator(it, &own.hosts) == Some(self.own_host),
             None => self.places.is_empty(),
         };
+        if self.limits.is_empty() {
+            self.keeper.retain(|_| false);
+            return;
+        }
+        let started_at = *self.started_at.get_or_insert(now);
         self.keeper.retain(|it| self.limits.contains_key(it) && is_kept(it));
         for (organisation, limit) in &self.limits {
             if is_kept(organisation) {
-                self.keeper.keep(now, organisation, kept_size(limit, parts));
+                let is_start = now < started_at + START_TIME;
+                let initial = match is_start && self.started.insert(organisation.clone()) {
+                    true => start_tokens(limit, parts),
+                    false => 0,
+                };
+                self.keeper.keep(now, organisation, kept_size(limit, parts), initial);
             }
         }
+        if now >= started_at + START_TIME {
+            self.started.clear();
+        }
     }
 
     /// Returns whether an organisation has a limit.
@@ -569,6 +597,13 @@
     }
 }
 
+/// Returns what a process that has started may admit at once of a data centre's part of a limit.
+fn start_tokens(limit: &OrganisationLimit, parts: u64) -> u64 {
+    let milli = limit.rate.0.saturating_mul(WINDOW_S).saturating_add(limit.burst_milli);
+    let allowed = milli.saturating_mul(MICROS_PER_MILLI);
+    (allowed / 100 * START_PERCENT + START_SLACK_MICRO) / parts / MICROS_PER_TOKEN
+}
+
 /// Returns the size of one gateway's own part of a limit.
 fn own_size(limit: &OrganisationLimit, parts: u64) -> BucketSize {
     let rate = limit.rate.0.saturating_mul(MICROS_PER_MILLI);
