--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -36,7 +36,7 @@
     server_limits::ServerLimits,
     servers::{Server, ServerTable},
     settings::{GatewaySettings, Lifecycle},
-    work::{RequestLook, Work, WorkRatio},
+    work::{RequestKinds, RequestLook, Work, WorkRatio},
 };
 
 /// Retry-After while the gateway has no configuration, in milliseconds.
@@ -245,14 +245,7 @@
             let retry_after = Some(QUARANTINE_RETRY_AFTER);
             return Err(Refusal::not_run(RefusalReason::Quarantined, retry_after));
         }
-        let look = RequestLook {
-            route: route.key(),
-            organisation: identity.as_ref().map(|it| it.organisation()),
-            method: &head.method,
-            path: &head.path,
-            body: head.body_size,
-        };
-        let kinds = self.work.kinds(look);
+        let kinds = self.kinds(&head, &route, identity.as_ref());
         let work = self.work.estimate(now, &kinds);
         let deadline = self.deadline(now, &route, &head, work)?;
         let service = match &head.relayed {
@@ -440,6 +433,22 @@
         Millis((self.servers.overdue_latency(route) * work.0.max(1.0) * factor) as u64)
     }
 
+    /// Returns the kinds of requests that a new one belongs to.
+    fn kinds(
+        &self,
+        head: &RequestHead,
+        route: &Route,
+        identity: Option<&CallerIdentity>,
+    ) -> RequestKinds {
+        self.work.kinds(RequestLook {
+            route: route.key(),
+            organisation: identity.map(|it| it.organisation()),
+            method: &head.method,
+            path: &head.path,
+            body: head.body_size,
+        })
+    }
+
     /// Returns the likely work of a request.
     fn work_of(&self, now: Timestamp, request: &Request) -> WorkRatio {
         self.work.estimate(now, &request.kinds)
