Let cut-off and started gateways admit smaller parts of a rate

Each gateway that no keeper answered admitted a third of its part by itself, and each started one began with 5% of the allowance. Now it is a twelfth, and 3%.

--- a/components/gateway_core/src/organisations/rates/mod.rs
+++ b/components/gateway_core/src/organisations/rates/mod.rs
@@ -79,7 +79,7 @@
 
 /// Part of its share of a rate that a gateway admits by itself when keepers have answered before: both
 /// sides of a cut may hold the rate of a data centre.
-const CUT_OFF_PARTS: u64 = 3;
+const CUT_OFF_PARTS: u64 = 12;
 
 /// Window for which the sum over all gateways is bounded, and what it may exceed the limit by: a part
 /// and a number of requests. Some of the allowance is left for keepers that overlap in time.
@@ -89,8 +89,8 @@
 
 /// What a process that has started may admit at once, of the same allowance: callers whose gateways have
 /// restarted come back together.
-const START_PERCENT: u64 = 5;
-const START_SLACK_MICRO: u64 = 8_000_000;
+const START_PERCENT: u64 = 3;
+const START_SLACK_MICRO: u64 = 6_000_000;
 
 /// Time after the start in which a process may begin with that.
 const START_TIME: Millis = Millis(2_000);
