--- a/review/stand_ins/stale.rs
+++ b/review/stand_ins/stale.rs
@@ -96,7 +96,10 @@
         .map(|gateway| {
             let (gateway, address) = (*gateway, fleet.address(*gateway, CALLER_PORT));
             let (probes, is_over, next_id) = (probes.clone(), is_over.clone(), next_id.clone());
-            thread::spawn(move || probe_often(gateway, address, &probes, &is_over, &next_id))
+            let record = record.clone();
+            thread::spawn(move || {
+                probe_often(gateway, address, &probes, &is_over, &next_id, &record);
+            })
         })
         .collect();
     let mut stale = 0;
@@ -182,6 +185,7 @@
     probes: &Mutex<Vec<Probe>>,
     is_over: &AtomicBool,
     next_id: &AtomicU64,
+    record: &Record,
 ) {
     while !is_over.load(Ordering::SeqCst) {
         let number = next_id.fetch_add(1, Ordering::SeqCst);
@@ -194,6 +198,10 @@
         ];
         let sent = Instant::now();
         let result = http::call(address, "GET", &path, &headers, b"", Duration::from_secs(3));
+        let seen = result
+            .as_ref()
+            .map_or_else(|it| it.to_string(), |it| format!("{} {}", it.status, it.text()));
+        record.line(&format!("attempt {attempt} to {address}: {}", seen.trim_end()));
         if let Ok(answer) = result
             && answer.status == 200
         {
