Send the first commit of a term to members at once

The leader now sends its first commit to each member as soon as that member has the entry, once a term.

--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -120,6 +120,22 @@
     }
 }
 
+/// Sends the first commit of the term to the members that have its entry and don't know of it.
+///
+/// A follower counts as up to date only from then on; until the next heartbeat, none could answer
+/// for the state that the cluster has.
+fn send_first_commit(replica: &mut Replica, leadership: &mut Leadership) {
+    if replica.commit_index < leadership.first_index {
+        return;
+    }
+    for progress in leadership.progress.values_mut() {
+        if !progress.knows_first_commit && progress.matched >= leadership.first_index {
+            progress.knows_first_commit = true;
+            send_append(replica, progress, Vec::new());
+        }
+    }
+}
+
 fn step_down(replica: &mut Replica) -> Outcome<State> {
     replica.leader = None;
     replica.reset_election_timer();
@@ -192,6 +208,7 @@
         }
     }
     advance_commit(replica, leadership);
+    send_first_commit(replica, leadership);
     send_next_entries(replica, leadership, from);
 }
 
@@ -207,6 +224,7 @@
     let progress = leadership.progress_mut(from).expect("the response was recorded");
     snapshot::record_received(replica, progress, reply);
     advance_commit(replica, leadership);
+    send_first_commit(replica, leadership);
     send_next_entries(replica, leadership, from);
 }
 
--- a/components/consensus/src/leadership.rs
+++ b/components/consensus/src/leadership.rs
@@ -29,6 +29,8 @@
     pub(crate) snapshot_offset: u64,
     /// Whether the member lost entries that it had acknowledged.
     pub(crate) is_rolled_back: bool,
+    /// Whether the member was sent the first commit of the term.
+    pub(crate) knows_first_commit: bool,
     pub(crate) last_response_at: Option<Timestamp>,
     /// When this leader began to replicate to the member.
     pub(crate) tracked_since: Timestamp,
@@ -107,6 +109,7 @@
                 matched_at: Timestamp::default(),
                 snapshot_offset: 0,
                 is_rolled_back: false,
+                knows_first_commit: false,
                 last_response_at: None,
                 tracked_since: replica.now,
             };
--- a/components/consensus/tests/replication.rs
+++ b/components/consensus/tests/replication.rs
@@ -105,3 +105,19 @@
         current.len() == 5
     });
 }
+
+/// Guards against followers that are current only with the next heartbeat of a new leader: all who ask
+/// them are turned away until then.
+#[test]
+fn followers_are_current_as_soon_as_a_new_leader_has_committed() {
+    let mut cluster = Cluster::with_leader(5);
+    let lost = cluster.leader().unwrap();
+
+    cluster.crash(lost);
+    cluster.run_until(|it| it.leader().is_some());
+
+    for host in cluster.ids().into_iter().filter(|it| *it != lost) {
+        let process = cluster.process(host).unwrap();
+        assert!(process.is_current(cluster.clock(host)), "{host} waits for a heartbeat");
+    }
+}
