Repeat failed campaigns sooner than after an election timeout

A vote that is split, or a pre-vote that is refused because a voter has heard the old leader a moment later, was repeated after 0.9 to 1.8 s.

A campaign is repeated after 0.2 to 0.4 s, which is a few round trips, then at doubling times up to the election timeout. No lease depends on it: voters still refuse while a leader may hold one. A host that reaches no majority ends at the rate of before.

--- a/components/consensus/src/election.rs
+++ b/components/consensus/src/election.rs
@@ -21,10 +21,11 @@
 
 /// Requests pre-votes: asks the voters whether they would vote for this host.
 pub(crate) fn start_pre_vote(replica: &mut Replica) -> Outcome<State> {
-    replica.reset_election_timer();
     if !replica.may_campaign() {
+        replica.reset_election_timer();
         return Transition(State::Follower {});
     }
+    replica.begin_campaign();
     let votes = vec![replica.me.clone()];
     if has_quorum(replica.log.members(), &votes) {
         return start_election(replica);
@@ -122,7 +123,7 @@
     let term = replica.vote.term.next();
     replica.save_vote(term, VotedFor::Host(replica.me.host));
     replica.leader = None;
-    replica.reset_election_timer();
+    replica.reset_campaign_timer();
     let votes = vec![replica.me.clone()];
     if has_quorum(replica.log.members(), &votes) {
         return become_leader(replica);
@@ -133,6 +134,7 @@
 
 fn become_leader(replica: &mut Replica) -> Outcome<State> {
     replica.leader = Some(replica.me.host);
+    replica.end_campaigns();
     let leadership = Leadership::start(replica);
     Transition(State::Leader { leadership: Box::new(leadership) })
 }
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -16,8 +16,8 @@
     log::Log,
     members::is_voter,
     settings::{
-        ELECTION_TIMEOUT_MIN, LeaseUse, MAX_FOLLOWER_STALENESS, RESTART_ELECTION_JITTER,
-        RESTART_ELECTION_MIN, Settings,
+        CAMPAIGN_RETRY_MIN, ELECTION_TIMEOUT_MIN, LeaseUse, MAX_FOLLOWER_STALENESS,
+        RESTART_ELECTION_JITTER, RESTART_ELECTION_MIN, Settings,
     },
     snapshot::IncomingSnapshot,
 };
@@ -52,6 +52,8 @@
     pub(crate) contacts: Vec<HostId>,
     /// When this host starts an election unless it hears from a leader before.
     pub(crate) election_deadline: Timestamp,
+    /// Number of campaigns since this host last had a leader.
+    campaigns: u32,
     pub(crate) bootstrap: Bootstrap,
     pub(crate) incoming_snapshot: Option<IncomingSnapshot>,
     pub(crate) disk_state: DiskState,
@@ -76,6 +78,7 @@
             leader_commit: LogIndex(0),
             contacts: Vec::new(),
             election_deadline: now,
+            campaigns: 0,
             bootstrap: Bootstrap::new(identity.bootstrap, persisted.promised, now),
             incoming_snapshot: None,
             disk_state: DiskState::Writable,
@@ -145,6 +148,32 @@
         self.election_deadline = self.now + Millis(min.0 + extra);
     }
 
+    /// Starts a campaign: a pre-vote, and an election if that succeeds.
+    pub(crate) fn begin_campaign(&mut self) {
+        self.campaigns += 1;
+        self.reset_campaign_timer();
+    }
+
+    /// Draws the time after which the campaign is repeated if it fails.
+    ///
+    /// No lease has to expire by then, so the first repetitions come sooner than an election timeout.
+    /// A host without a majority ends up at the rate of election timeouts.
+    pub(crate) fn reset_campaign_timer(&mut self) {
+        if self.last_leader_contact.is_none() {
+            return self.reset_election_timer();
+        }
+        let failed = self.campaigns.saturating_sub(1);
+        let doubled = CAMPAIGN_RETRY_MIN.0 << failed.min(u32::BITS - 1);
+        let min = doubled.min(ELECTION_TIMEOUT_MIN.0);
+        let extra = self.rng.next_u64() % (min + 1);
+        self.election_deadline = self.now + Millis(min + extra);
+    }
+
+    /// Records that the cluster has a leader, which may be this host.
+    pub(crate) fn end_campaigns(&mut self) {
+        self.campaigns = 0;
+    }
+
     /// Returns whether a leader's lease may still rest on an acknowledgement of this host.
     pub(crate) fn heard_leader_recently(&self) -> bool {
         self.last_leader_contact.is_some_and(|at| self.now < at + ELECTION_TIMEOUT_MIN)
@@ -169,6 +198,7 @@
     pub(crate) fn record_leader(&mut self, leader: HostId) {
         self.leader = Some(leader);
         self.last_leader_contact = Some(self.now);
+        self.end_campaigns();
         self.reset_election_timer();
         if self.vote.voted_for == VotedFor::Nobody {
             self.save_vote(self.vote.term, VotedFor::Host(leader));
--- a/components/consensus/src/settings.rs
+++ b/components/consensus/src/settings.rs
@@ -77,6 +77,11 @@
 /// Hosts that restart together should rarely request votes at the same time.
 pub(crate) const RESTART_ELECTION_JITTER: Millis = Millis(600);
 
+/// Shortest time after which a failed campaign is repeated, in milliseconds: a few round trips.
+///
+/// It doubles with each further failure, up to [`ELECTION_TIMEOUT_MIN`].
+pub(crate) const CAMPAIGN_RETRY_MIN: Millis = Millis(200);
+
 /// Settings of one host.
 #[derive(Debug, Clone)]
 pub struct Settings {
--- a/components/consensus/tests/messages.rs
+++ b/components/consensus/tests/messages.rs
@@ -361,3 +361,21 @@
     assert!(later.iter().any(|it| matches!(it, Action::Send { to: OTHER, message }
         if matches!(&message.body, ConsensusBody::Append(append) if append.entries.len() == 1))));
 }
+
+/// Guards against a cluster that has no leader for two election timeouts after a split vote.
+#[test]
+fn a_failed_campaign_is_repeated_soon_and_then_more_and_more_rarely() {
+    let mut host = start(vec![first_entry()]);
+    let mut campaigns = Vec::new();
+
+    for millis in (0..20_000).step_by(50) {
+        let now = after_election_timeout() + Millis(millis);
+        if !host.tick(now).is_empty() {
+            campaigns.push(now);
+        }
+    }
+
+    let gaps: Vec<Millis> = campaigns.windows(2).map(|it| it[1].since(it[0])).collect();
+    assert!(gaps[0] < Millis(ELECTION_TIMEOUT_MIN.0 / 2), "{gaps:?}");
+    assert!(gaps.iter().skip(3).all(|it| *it >= ELECTION_TIMEOUT_MIN), "{gaps:?}");
+}
