Let gateways search a current control host without waiting for silent ones

Cause: a gateway asked one control host at a time and waited 1.6 s for each. One that said "not current" was barred for 2 s though it was current within 0.1 s, and the next candidate was the frozen one.

Change: a gateway without a current control host polls one every 100 ms, keeps the polls in flight, and follows the first that answers as current. A nearer host is tried beside the one that is followed. Logs and metrics say how long a search took and why hosts were passed over.

Polls without a current control host: at most 10 a second, as before.

--- a/components/gateway/src/entry/events.rs
+++ b/components/gateway/src/entry/events.rs
@@ -67,8 +67,19 @@
                 "control host lost"
             );
         }
-        Event::ControlHostFound { host } => {
-            log::info!(host:% = peers::address_of(*host, 0).ip(); "control host found");
+        Event::ControlHostPassedOver { host, cause } => {
+            log::debug!(
+                host:% = peers::address_of(*host, 0).ip(),
+                cause:% = cause;
+                "control host passed over"
+            );
+        }
+        Event::ControlHostFound { host, searched } => {
+            log::info!(
+                host:% = peers::address_of(*host, 0).ip(),
+                searched_ms = searched.0;
+                "control host found"
+            );
         }
         Event::PathsDown { servers } => {
             log::warn!(servers = *servers; "paths to the servers are down");
--- a/components/gateway/src/entry/metrics.rs
+++ b/components/gateway/src/entry/metrics.rs
@@ -23,6 +23,9 @@
 /// Upper bounds of the buckets of the time that requests wait for a server, in seconds.
 const WAIT_BUCKETS: [f64; 8] = [0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5];
 
+/// Upper bounds of the buckets of the time without a control host, in seconds.
+const SEARCH_BUCKETS: [f64; 7] = [0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RequestLabels {
     service: String,
@@ -50,6 +53,11 @@
     header: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabels {
+    cause: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct WorkLabels {
     likely: &'static str,
@@ -78,6 +86,8 @@
     permits_denied: Counter,
     invalid_notices: Family<HeaderLabels, Counter>,
     control_hosts_lost: Counter,
+    control_hosts_passed_over: Family<CauseLabels, Counter>,
+    control_host_search: Histogram,
     config_version: Gauge,
     in_flight: Gauge,
     servers: Gauge,
@@ -125,6 +135,12 @@
         let permits_denied = counter("permit_denied", "Permits for limited servers not granted");
         let paths_down = counter("paths_down", "Times that no backend server could be reached");
         let control_hosts_lost = counter("control_host_lost", "Control hosts left for another one");
+        let control_hosts_passed_over = Family::<CauseLabels, Counter>::default();
+        let help = "Polls of control hosts that were not followed and failed, by cause";
+        registry.register("control_host_passed_over", help, control_hosts_passed_over.clone());
+        let control_host_search = Histogram::new(SEARCH_BUCKETS);
+        let help = "Time without a control host to follow until one was found, in seconds";
+        registry.register("control_host_search_seconds", help, control_host_search.clone());
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -156,6 +172,8 @@
             permits_denied,
             invalid_notices,
             control_hosts_lost,
+            control_hosts_passed_over,
+            control_host_search,
             config_version,
             in_flight,
             servers,
@@ -223,6 +241,12 @@
             Event::ControlHostLost { .. } => {
                 self.control_hosts_lost.inc();
             }
+            Event::ControlHostPassedOver { cause, .. } => {
+                self.control_hosts_passed_over.get_or_create(&CauseLabels { cause }).inc();
+            }
+            Event::ControlHostFound { searched, .. } => {
+                self.control_host_search.observe(searched.0 as f64 / 1e3);
+            }
             _ => {}
         }
     }
--- a/components/gateway_core/src/events.rs
+++ b/components/gateway_core/src/events.rs
@@ -108,17 +108,26 @@
         /// What they have spent in the window.
         charged: RetryCredit,
     },
-    /// A control host stopped answering, or reported that it is not current.
+    /// The control host that was followed stopped answering, or reported that it is not current.
     ControlHostLost {
         /// The control host.
         host: HostId,
         /// Why it was abandoned.
         cause: &'static str,
     },
-    /// A control host answered as current for the first time since it was chosen.
+    /// A control host that is not followed failed a poll.
+    ControlHostPassedOver {
+        /// The control host.
+        host: HostId,
+        /// How it failed.
+        cause: &'static str,
+    },
+    /// A control host answered as current and is followed from now on.
     ControlHostFound {
         /// The control host.
         host: HostId,
+        /// Time for which no control host was followed.
+        searched: Millis,
     },
     /// This gateway can't reach the backend servers.
     PathsDown {
--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -8,16 +8,22 @@
 
 use super::Gateway;
 use crate::{
-    entry_hosts::DirectoryAnswer, events::Event, registry_poller::OutgoingPoll, settings::Lifecycle,
+    entry_hosts::DirectoryAnswer,
+    events::Event,
+    registry_poller::{OutgoingPoll, PollContent},
+    settings::Lifecycle,
 };
 
 impl Gateway {
-    /// Returns the poll to be sent now, if any.
+    /// Returns the poll to be sent now, if any; there may be several, one at a time.
     pub fn poll(&mut self, now: Timestamp) -> Option<OutgoingPoll> {
         self.update_rates(now);
-        let presence = Presence::Entry(self.own_record());
-        let hosts = (self.entry_hosts.revision(), self.entry_hosts.digest());
-        self.registry_poller.poll(now, presence, hosts, &mut self.events)
+        let content = PollContent {
+            presence: Presence::Entry(self.own_record()),
+            holds_hosts: self.entry_hosts.revision(),
+            hosts_digest: self.entry_hosts.digest(),
+        };
+        self.registry_poller.poll(now, content, &mut self.events)
     }
 
     /// Returns when [`Self::poll`] must be called again if no update arrives.
@@ -33,12 +39,10 @@
         from: HostId,
         update: Update,
     ) -> Option<ConfigDocument> {
-        if !self.registry_poller.accept_update(from, update.sequence) {
-            return None;
-        }
+        let answered = self.registry_poller.take_answered(from, update.sequence)?;
         if update.current {
             self.rates.record_current(now);
-            self.registry_poller.set_control_hosts(&update.control_hosts);
+            self.registry_poller.set_control_hosts(now, &update.control_hosts);
             self.server_limits.set_control_hosts(self.registry_poller.control_hosts());
             let nearest = self.registry_poller.control_hosts_by_rank(self.settings.host);
             self.retry_budget.set_control_hosts(now, nearest);
@@ -48,7 +52,7 @@
             RegistryUpdate::Changed(changes) if update.current => self.apply_registry(changes),
             RegistryUpdate::Changed(_) | RegistryUpdate::Unchanged => None,
         };
-        self.registry_poller.record_update(now, update.current, &mut self.events);
+        self.registry_poller.record_answer(now, answered, update.current, &mut self.events);
         config
     }
 
--- a/components/gateway_core/src/lib.rs
+++ b/components/gateway_core/src/lib.rs
@@ -34,7 +34,7 @@
     },
     paths::{PathOutcome, relays::RelayEnd},
     planned_stop::StopSchedule,
-    registry_poller::{OutgoingPoll, POLL_TIMEOUT},
+    registry_poller::{OutgoingPoll, POLL_TIMEOUT, SEARCH_INTERVAL},
     requests::{
         AttemptEnd, AttemptStart, AttemptTarget, CallerNote, Finish, Refusal, RefusalReason,
         RelayStart, RelayedHead, RequestHead, RunStatus, Step,
--- a/components/gateway_core/src/registry_poller.rs
+++ b/components/gateway_core/src/registry_poller.rs
@@ -1,10 +1,12 @@
-//! Polls one control host at a time for changes of the registry.
+//! Polls the control hosts for changes of the registry.
 //!
-//! A gateway always has one poll in flight, to a control host near it; otherwise the updates to
-//! many gateways would cross regions many times. If a control host doesn't answer in time or
-//! reports that it is not current, the gateway switches to another one.
+//! A gateway follows one control host near it, with one poll in flight; otherwise the updates to
+//! many gateways would cross regions many times. Once that host is silent or not current, the gateway
+//! searches: it polls the others at short intervals, and doesn't wait for one before it asks the
+//! next. Whichever answers as current first is followed from then on, so that a silent host delays
+//! the search by one interval only.
 
-use ids::{ByteSize, HostId, LogIndex, MIN_LINK_RATE, Millis, Timestamp};
+use ids::{ByteSize, HostId, Incarnation, LogIndex, MIN_LINK_RATE, Millis, Timestamp};
 use schema::sync::{ControlHostRecord, HostsRevision, KnownPlace, Place, Poll, Presence};
 
 use crate::events::Event;
@@ -24,13 +26,13 @@
 /// Minimum time between an update and the next poll, in milliseconds.
 const MIN_POLL_INTERVAL: Millis = Millis(20);
 
-/// Delay before another control host is polled after one was not current, in milliseconds.
-const FAILOVER_DELAY: Millis = Millis(100);
+/// Time between two polls of a search, in milliseconds.
+pub const SEARCH_INTERVAL: Millis = Millis(100);
 
-/// Time after which a control host that did not answer may be tried again, in milliseconds.
+/// Time after which a control host that did not answer may be followed again, in milliseconds.
 const RETRY_SILENT_AFTER: Millis = Millis(10_000);
 
-/// Time after which a control host that was not current may be tried again, in milliseconds: a
+/// Time after which a control host that was not current may be followed again, in milliseconds: a
 /// little longer than an election takes.
 const RETRY_OUTDATED_AFTER: Millis = Millis(2_000);
 
@@ -43,32 +45,58 @@
     pub poll: Poll,
 }
 
+/// What the polls of a gateway say of it.
+#[derive(Debug)]
+pub(crate) struct PollContent<'a> {
+    pub(crate) presence: Presence,
+    /// Revision of the entry host list that the gateway holds.
+    pub(crate) holds_hosts: &'a HostsRevision,
+    pub(crate) hosts_digest: u64,
+}
+
 /// A control host that may be polled.
 #[derive(Debug, Clone)]
 struct Candidate {
     host: HostId,
     /// 0 in the same data centre, 1 in the same region, 2 elsewhere or unknown.
     distance: u8,
-    /// When the host may be tried again after a failure.
+    /// When the host may be followed again after a failure.
     retry_at: Option<Timestamp>,
+    /// When the host was last polled.
+    polled_at: Option<Timestamp>,
+}
+
+impl Candidate {
+    fn is_barred(&self, now: Timestamp) -> bool {
+        self.retry_at.is_some_and(|at| now < at)
+    }
 }
 
-/// Chooses the control host to poll, and tracks the poll in flight.
+/// A poll that has been sent and not been answered.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PollInFlight {
+    host: HostId,
+    sequence: u64,
+    sent_at: Timestamp,
+    times_out_at: Timestamp,
+}
+
+/// Chooses the control hosts to poll, and tracks the polls in flight.
 #[derive(Debug)]
 pub(crate) struct RegistryPoller {
     own_place: Place,
     candidates: Vec<Candidate>,
     /// Distributes gateways over equally near control hosts.
     spread_seed: u64,
-    target: Option<HostId>,
+    /// The control host that is followed; `None` during a search.
+    followed: Option<HostId>,
+    /// When the search began, if there is one.
+    search_since: Timestamp,
     sequence: u64,
-    wakeup_at: Timestamp,
-    is_in_flight: bool,
-    /// Whether the current target has answered as current.
-    is_target_current: bool,
+    /// When the next poll may be sent.
+    next_poll: Timestamp,
+    in_flight: Vec<PollInFlight>,
     pub(crate) applied_index: LogIndex,
-    pub(crate) last_current_at: Option<Timestamp>,
-    sent_at: Timestamp,
     /// When the last poll that a current control host has answered was sent.
     current_as_of: Option<Timestamp>,
 }
@@ -79,14 +107,12 @@
             own_place,
             candidates: Vec::new(),
             spread_seed,
-            target: None,
+            followed: None,
+            search_since: Timestamp::default(),
             sequence: 0,
-            wakeup_at: Timestamp::default(),
-            is_in_flight: false,
-            is_target_current: false,
+            next_poll: Timestamp::default(),
+            in_flight: Vec::new(),
             applied_index: LogIndex(0),
-            last_current_at: None,
-            sent_at: Timestamp::default(),
             current_as_of: None,
         };
         registry_poller.add_seeds(seeds);
@@ -95,39 +121,53 @@
 
     /// Returns when [`Self::poll`] must be called again if no update arrives.
     pub(crate) fn next_wakeup(&self) -> Timestamp {
-        self.wakeup_at
+        let timeout = self.in_flight.iter().map(|it| it.times_out_at).min();
+        let next_poll = self.may_poll().then_some(self.next_poll);
+        timeout.into_iter().chain(next_poll).min().unwrap_or(self.next_poll)
     }
 
-    /// Returns the poll to be sent now, if any.
+    /// Returns the poll to be sent now, if any; there may be several, one at a time.
     pub(crate) fn poll(
         &mut self,
         now: Timestamp,
-        presence: Presence,
-        (holds_hosts, hosts_digest): (&HostsRevision, u64),
+        content: PollContent<'_>,
         events: &mut Vec<Event>,
     ) -> Option<OutgoingPoll> {
-        if now < self.wakeup_at {
-            return None;
-        }
-        if self.is_in_flight {
-            self.abandon_target(now + RETRY_SILENT_AFTER, "no answer in time", events);
+        self.expire_polls(now, events);
+        let nearer = self.nearer_candidate(now);
+        let to = match nearer {
+            Some(nearer) => nearer,
+            None if now < self.next_poll || !self.may_poll() => return None,
+            None => self.followed.or_else(|| self.next_in_search(now))?,
+        };
+        if nearer.is_none() && self.followed.is_none() {
+            self.next_poll = now + SEARCH_INTERVAL;
         }
-        let to = self.choose_target(now)?;
         self.sequence += 1;
-        self.is_in_flight = true;
-        self.sent_at = now;
-        self.wakeup_at = now + self.poll_timeout();
+        let times_out_at = now + self.poll_timeout();
+        let in_flight =
+            PollInFlight { host: to, sequence: self.sequence, sent_at: now, times_out_at };
+        self.in_flight.push(in_flight);
+        if let Some(it) = self.candidate_mut(to) {
+            it.polled_at = Some(now);
+        }
+        // A poll without a list of entry hosts is answered soon even if nothing has changed.
+        let holds_hosts = match self.followed == Some(to) {
+            true => content.holds_hosts.clone(),
+            false => no_hosts_revision(),
+        };
         let poll = Poll {
             sequence: self.sequence,
-            presence,
+            presence: content.presence,
             holds: self.applied_index,
-            holds_hosts: holds_hosts.clone(),
-            hosts_digest,
+            holds_hosts,
+            hosts_digest: content.hosts_digest,
         };
         Some(OutgoingPoll { to, poll })
     }
 
-    /// Extends the timeout for a large update that has started to arrive.
+    /// Extends the timeout for a large update that has started to arrive, and ends the search
+    /// meanwhile: the other updates would compete with this one for the link.
     ///
     /// Without this, a host behind a slow link would time out each time and start over with another
     /// control host.
@@ -138,44 +178,52 @@
         sequence: u64,
         size: ByteSize,
     ) {
-        if self.is_expected_update(from, sequence) {
-            let transfer = Millis(MIN_LINK_RATE.transfer_time(size).0.min(MAX_TRANSFER_TIME.0));
-            self.wakeup_at = now + Millis(POLL_TIMEOUT.0 + transfer.0);
+        let expected = self.in_flight.iter_mut().find(|it| it.is_answered_by(from, sequence));
+        let Some(poll) = expected else { return };
+        let transfer = Millis(MIN_LINK_RATE.transfer_time(size).0.min(MAX_TRANSFER_TIME.0));
+        poll.times_out_at = now + Millis(POLL_TIMEOUT.0 + transfer.0);
+        if self.followed.is_none() {
+            self.next_poll = poll.times_out_at;
         }
     }
 
-    fn is_expected_update(&self, from: HostId, sequence: u64) -> bool {
-        self.is_in_flight && self.target == Some(from) && sequence == self.sequence
+    /// Removes and returns the poll that an update answers; late updates answer none.
+    pub(crate) fn take_answered(&mut self, from: HostId, sequence: u64) -> Option<PollInFlight> {
+        let position = self.in_flight.iter().position(|it| it.is_answered_by(from, sequence))?;
+        Some(self.in_flight.swap_remove(position))
     }
 
-    /// Returns whether an update answers the poll in flight; late updates are ignored.
-    pub(crate) fn accept_update(&mut self, from: HostId, sequence: u64) -> bool {
-        let is_expected = self.is_expected_update(from, sequence);
-        if is_expected {
-            self.is_in_flight = false;
-        }
-        is_expected
-    }
-
-    /// Records that the target answered, and whether it is current.
-    pub(crate) fn record_update(
+    /// Records the answer to a poll, and whether the control host is current.
+    pub(crate) fn record_answer(
         &mut self,
         now: Timestamp,
+        answered: PollInFlight,
         is_current: bool,
         events: &mut Vec<Event>,
     ) {
-        if is_current {
-            self.last_current_at = Some(now);
-            self.current_as_of = Some(self.sent_at);
-            self.wakeup_at = now + MIN_POLL_INTERVAL;
-            if let Some(host) = self.target.filter(|_| !self.is_target_current) {
-                self.is_target_current = true;
-                events.push(Event::ControlHostFound { host });
-            }
+        let host = answered.host;
+        if !is_current {
+            return self.record_failure(
+                now,
+                host,
+                now + RETRY_OUTDATED_AFTER,
+                "not current",
+                events,
+            );
+        }
+        self.current_as_of = self.current_as_of.max(Some(answered.sent_at));
+        self.next_poll = now + MIN_POLL_INTERVAL;
+        if self.followed == Some(host) || self.candidate(host).is_none() {
             return;
         }
-        self.abandon_target(now + RETRY_OUTDATED_AFTER, "not current", events);
-        self.wakeup_at = now + FAILOVER_DELAY;
+        let searched = match self.followed {
+            Some(_) => Millis(0),
+            None => now.since(self.search_since),
+        };
+        self.followed = Some(host);
+        // The control host that is followed has all that the others would answer.
+        self.in_flight.clear();
+        events.push(Event::ControlHostFound { host, searched });
     }
 
     /// Returns a time up to which all changes are known here; `None` before the first update.
@@ -185,22 +233,33 @@
 
     /// Makes the next poll due at once, to announce a change of this host.
     pub(crate) fn poll_now(&mut self) {
-        self.is_in_flight = false;
-        self.wakeup_at = Timestamp::default();
+        self.in_flight.clear();
+        self.next_poll = Timestamp::default();
     }
 
     /// Replaces the candidates by the control hosts of an update, which take precedence over the
     /// settings.
-    pub(crate) fn set_control_hosts(&mut self, control_hosts: &[ControlHostRecord]) {
+    pub(crate) fn set_control_hosts(
+        &mut self,
+        now: Timestamp,
+        control_hosts: &[ControlHostRecord],
+    ) {
         if control_hosts.is_empty() {
             return;
         }
-        let candidates = control_hosts.iter().map(|it| Candidate {
-            host: it.host,
-            distance: self.distance(&it.place),
-            retry_at: self.candidate(it.host).and_then(|it| it.retry_at),
+        let candidates = control_hosts.iter().map(|it| {
+            let known = self.candidate(it.host);
+            Candidate {
+                host: it.host,
+                distance: self.distance(&it.place),
+                retry_at: known.and_then(|it| it.retry_at),
+                polled_at: known.and_then(|it| it.polled_at),
+            }
         });
         self.candidates = candidates.collect();
+        if self.followed.is_some_and(|it| self.candidate(it).is_none()) {
+            self.start_search(now);
+        }
     }
 
     /// Returns all known control hosts.
@@ -220,22 +279,48 @@
     pub(crate) fn add_seeds(&mut self, seeds: &[HostId]) {
         for &host in seeds {
             if self.candidate(host).is_none() {
-                self.candidates.push(Candidate { host, distance: 2, retry_at: None });
+                let distance = 2;
+                self.candidates.push(Candidate { host, distance, retry_at: None, polled_at: None });
             }
         }
     }
 
+    /// Returns whether a further poll can be of use before one in flight is answered.
+    ///
+    /// Without registry data there is one poll at a time, since each answer may be the whole
+    /// registry.
+    fn may_poll(&self) -> bool {
+        match self.followed {
+            Some(followed) => !self.is_polled(followed),
+            None if self.has_no_data() => self.in_flight.is_empty(),
+            None => self.candidates.iter().any(|it| !self.is_polled(it.host)),
+        }
+    }
+
     fn poll_timeout(&self) -> Millis {
-        match self.applied_index {
-            LogIndex(0) => INITIAL_POLL_TIMEOUT,
-            _ => POLL_TIMEOUT,
+        match self.has_no_data() {
+            true => INITIAL_POLL_TIMEOUT,
+            false => POLL_TIMEOUT,
         }
     }
 
+    fn has_no_data(&self) -> bool {
+        self.applied_index == LogIndex(0)
+    }
+
+    fn is_polled(&self, host: HostId) -> bool {
+        self.in_flight.iter().any(|it| it.host == host)
+    }
+
     fn candidate(&self, host: HostId) -> Option<&Candidate> {
         self.candidates.iter().find(|it| it.host == host)
     }
 
+    /// Mutable variant of [`Self::candidate`].
+    fn candidate_mut(&mut self, host: HostId) -> Option<&mut Candidate> {
+        self.candidates.iter_mut().find(|it| it.host == host)
+    }
+
     fn distance(&self, place: &KnownPlace) -> u8 {
         match place {
             KnownPlace::Known(it) if it.data_centre == self.own_place.data_centre => 0,
@@ -244,39 +329,79 @@
         }
     }
 
-    fn abandon_target(
+    /// Gives up the polls that have timed out.
+    fn expire_polls(&mut self, now: Timestamp, events: &mut Vec<Event>) {
+        let expired: Vec<_> = self.in_flight.extract_if(.., |it| it.times_out_at <= now).collect();
+        for poll in expired {
+            let retry_at = now + RETRY_SILENT_AFTER;
+            self.record_failure(now, poll.host, retry_at, "no answer in time", events);
+        }
+    }
+
+    fn record_failure(
         &mut self,
+        now: Timestamp,
+        host: HostId,
         retry_at: Timestamp,
         cause: &'static str,
         events: &mut Vec<Event>,
     ) {
-        if let Some(host) = self.target.take() {
-            if let Some(it) = self.candidates.iter_mut().find(|it| it.host == host) {
-                it.retry_at = Some(retry_at);
-            }
-            if self.is_target_current {
-                events.push(Event::ControlHostLost { host, cause });
-            }
+        if let Some(it) = self.candidate_mut(host) {
+            it.retry_at = Some(retry_at);
         }
-        self.is_target_current = false;
-        self.is_in_flight = false;
+        if self.followed == Some(host) {
+            events.push(Event::ControlHostLost { host, cause });
+            self.start_search(now);
+        } else {
+            events.push(Event::ControlHostPassedOver { host, cause });
+        }
+    }
+
+    fn start_search(&mut self, now: Timestamp) {
+        self.followed = None;
+        self.search_since = now;
+        self.next_poll = now;
     }
 
-    /// Keeps the target unless a nearer host may be tried. If all hosts have failed recently, picks
-    /// the one that may be tried again first.
-    fn choose_target(&mut self, now: Timestamp) -> Option<HostId> {
-        let rank = |it: &Candidate| {
-            let retry_at = it.retry_at.filter(|at| now < *at);
-            let is_target = self.target == Some(it.host);
-            (retry_at, it.distance, !is_target, spread_hash(it.host, self.spread_seed))
+    /// Returns a control host that is nearer than the followed one and may be followed again. It is
+    /// polled beside the followed one, and replaces it if it answers.
+    fn nearer_candidate(&self, now: Timestamp) -> Option<HostId> {
+        let followed = self.candidate(self.followed?)?;
+        let is_better = |it: &&Candidate| {
+            it.distance < followed.distance && !it.is_barred(now) && !self.is_polled(it.host)
         };
-        let best = self.candidates.iter().min_by_key(|it| rank(it))?.host;
-        if self.target != Some(best) {
-            self.target = Some(best);
-            self.is_target_current = false;
+        if self.has_no_data() && !self.in_flight.is_empty() {
+            return None;
         }
-        self.target
+        let best = self.candidates.iter().filter(is_better).min_by_key(|it| self.rank(it));
+        best.map(|it| it.host)
+    }
+
+    /// Returns the next control host to poll in a search: one that has not been polled in it, those
+    /// that have failed recently last; then the one that was polled the longest time ago.
+    fn next_in_search(&self, now: Timestamp) -> Option<HostId> {
+        let candidates = self.candidates.iter().filter(|it| !self.is_polled(it.host));
+        let order = |it: &&Candidate| {
+            let polled_at = it.polled_at.filter(|at| *at >= self.search_since);
+            (polled_at, it.retry_at.filter(|_| it.is_barred(now)), self.rank(it))
+        };
+        candidates.min_by_key(order).map(|it| it.host)
     }
+
+    fn rank(&self, candidate: &Candidate) -> (u8, u64) {
+        (candidate.distance, spread_hash(candidate.host, self.spread_seed))
+    }
+}
+
+impl PollInFlight {
+    fn is_answered_by(&self, from: HostId, sequence: u64) -> bool {
+        self.host == from && self.sequence == sequence
+    }
+}
+
+/// Returns the revision that stands for no list of entry hosts.
+fn no_hosts_revision() -> HostsRevision {
+    HostsRevision { control_host: HostId(0), incarnation: Incarnation(0), number: 0 }
 }
 
 /// Mixes host ids and seeds: the golden ratio as a 64-bit fraction, the multiplier of Fibonacci
--- a/components/gateway_core/tests/following.rs
+++ b/components/gateway_core/tests/following.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{CONTROL_HOST, Harness, at, data_centre, entry_host, region, route, server};
-use gateway_core::{Event, Idempotency, POLL_TIMEOUT};
+use gateway_core::{Event, Idempotency, OutgoingPoll, POLL_TIMEOUT, SEARCH_INTERVAL};
 use ids::{ByteSize, HostId, LogIndex, MIN_LINK_RATE, Timestamp};
 use schema::sync::{
     ControlHostRecord, HostsUpdate, KnownPlace, Place, RegistryUpdate, Update, UpdateBegins,
@@ -29,6 +29,17 @@
     hosts: Vec<ControlHostRecord>,
 ) -> HostId {
     let poll = harness.gateway.poll(now).expect("a poll is due");
+    answer_poll(harness, now, &poll, current, hosts);
+    poll.to
+}
+
+fn answer_poll(
+    harness: &mut Harness,
+    now: Timestamp,
+    poll: &OutgoingPoll,
+    current: bool,
+    hosts: Vec<ControlHostRecord>,
+) {
     let update = Update {
         sequence: poll.poll.sequence,
         current,
@@ -37,7 +48,6 @@
         hosts: HostsUpdate::Unchanged,
     };
     harness.gateway.on_update(now, poll.to, update);
-    poll.to
 }
 
 #[test]
@@ -175,3 +185,80 @@
 
     assert_eq!((meanwhile, later), (HostId(101), HostId(102)));
 }
+
+/// Three control hosts, the nearest of which is followed.
+fn following_the_nearest() -> (Harness, Vec<ControlHostRecord>) {
+    let mut harness = harness();
+    let hosts = vec![
+        control_host(101, "north-b"),
+        control_host(102, "north-a"),
+        control_host(103, "south-a"),
+    ];
+    answer(&mut harness, at(100), true, hosts.clone());
+    assert_eq!(answer(&mut harness, at(200), true, hosts.clone()), HostId(102));
+    harness.gateway.take_events();
+    (harness, hosts)
+}
+
+/// Guards against a gateway that waits for a silent control host while another one is current.
+#[test]
+fn a_silent_control_host_delays_a_search_by_one_interval() {
+    let (mut harness, hosts) = following_the_nearest();
+    assert_eq!(answer(&mut harness, at(300), false, hosts.clone()), HostId(102));
+    let silent = harness.gateway.poll(at(300)).expect("a search begins at once");
+    assert!(harness.gateway.poll(at(350)).is_none());
+
+    let next = harness.gateway.poll(at(300) + SEARCH_INTERVAL).expect("the next host is asked");
+
+    assert_eq!((silent.to, next.to), (HostId(101), HostId(103)));
+    // Control hosts answer a poll without a list of entry hosts soon, even without changes.
+    assert_eq!(next.poll.holds_hosts.control_host, HostId(0));
+    answer_poll(&mut harness, at(420), &next, true, hosts);
+    let found = harness.gateway.take_events().into_iter().find_map(|it| match it {
+        Event::ControlHostFound { host, searched } => Some((host, searched)),
+        _ => None,
+    });
+    assert_eq!(found, Some((HostId(103), ids::Millis(120))));
+}
+
+/// Guards against a search that drops the answer of a host because another one was asked since.
+#[test]
+fn a_search_takes_the_first_answer_of_a_current_host() {
+    let (mut harness, hosts) = following_the_nearest();
+    answer(&mut harness, at(300), false, hosts.clone());
+    let first = harness.gateway.poll(at(300)).unwrap();
+    harness.gateway.poll(at(400)).unwrap();
+
+    answer_poll(&mut harness, at(450), &first, true, hosts);
+
+    let next = harness.gateway.poll(at(500)).expect("the host that was found is followed");
+    assert_eq!(next.to, first.to);
+}
+
+/// Guards against a gateway that comes back to a host only seconds after an election.
+#[test]
+fn hosts_that_were_not_current_are_asked_again_in_the_same_search() {
+    let (mut harness, hosts) = following_the_nearest();
+    answer(&mut harness, at(300), false, hosts.clone());
+
+    let asked: Vec<HostId> = (0..6u64)
+        .map(|i| answer(&mut harness, at(300 + i * SEARCH_INTERVAL.0), false, hosts.clone()))
+        .collect();
+
+    assert_eq!(asked[..3], asked[3..]);
+}
+
+/// Guards against a gateway that hears nothing while it waits for a nearer host that is down.
+#[test]
+fn a_nearer_host_is_tried_beside_the_one_that_is_followed() {
+    let (mut harness, hosts) = following_the_nearest();
+    answer(&mut harness, at(300), false, hosts.clone());
+    assert_eq!(answer(&mut harness, at(300), true, hosts.clone()), HostId(101));
+
+    let nearer = harness.gateway.poll(at(2_400)).expect("the nearest may be followed again");
+    let followed = harness.gateway.poll(at(2_400)).expect("the followed one is polled as well");
+
+    assert_eq!((nearer.to, followed.to), (HostId(102), HostId(101)));
+    answer_poll(&mut harness, at(2_500), &followed, true, hosts);
+    assert!(harness.gateway.poll(at(2_530)).is_some_and(|it| it.to == HostId(101)));
+}
--- a/components/gateway_core/tests/whole_fleet/control.rs
+++ b/components/gateway_core/tests/whole_fleet/control.rs
@@ -1,5 +1,7 @@
 //! Control hosts of a simulated fleet.
 
+use std::collections::BTreeMap;
+
 use consensus::{LeaseUse, MembershipPolicy, Settings};
 use ids::{Blob, HostId, Incarnation, LogIndex, Millis, RequestId, Term};
 use registry::{Answer, HostAction, HostEvent, RegistryHost, RegistryHostSettings, Request};
@@ -21,14 +23,18 @@
     process: Option<RegistryHost>,
     started_at: u64,
     starts: u64,
+    /// Seed of the election timeouts.
+    seed: u64,
     next_request: u64,
     announced: Vec<(RequestId, Announcement)>,
     accepted: Vec<Announcement>,
+    /// Answers to the requests of [`Self::request`].
+    pub answers: BTreeMap<RequestId, Answer>,
 }
 
 impl ControlHost {
     /// Starts a control host of a new fleet.
-    pub fn start_new(host: HostId, now: u64) -> Self {
+    pub fn start_new(host: HostId, now: u64, seed: u64) -> Self {
         let members = Members { voters: Vec::new(), learners: Vec::new() };
         let disk = Persisted {
             identity: Identity { host, disk: Incarnation(u64::from(host.0)), bootstrap: true },
@@ -49,9 +55,11 @@
             process: None,
             started_at: now,
             starts: 0,
+            seed,
             next_request: 0,
             announced: Vec::new(),
             accepted: Vec::new(),
+            answers: BTreeMap::new(),
         };
         control.set_running(now, true);
         control
@@ -77,7 +85,7 @@
         let settings = RegistryHostSettings {
             consensus: Settings {
                 voters: CONTROL_HOSTS.take(3).map(HostId).collect(),
-                seed: self.starts,
+                seed: self.seed + self.starts,
                 membership_policy: MembershipPolicy::Open {
                     min_voters: 3,
                     remove_after: Millis(8_000),
@@ -129,6 +137,17 @@
         self.handle(now, HostEvent::Request { id, request: Request::Announce(announcement) })
     }
 
+    /// Sends a request; returns its id and the messages that the process sends then.
+    pub fn request(
+        &mut self,
+        now: u64,
+        request: Request,
+    ) -> (RequestId, Vec<(HostId, PeerMessage)>) {
+        self.next_request += 1;
+        let id = RequestId(self.next_request);
+        (id, self.handle(now, HostEvent::Request { id, request }))
+    }
+
     /// Takes the announcements that were accepted.
     pub fn take_accepted(&mut self) -> Vec<Announcement> {
         std::mem::take(&mut self.accepted)
@@ -168,7 +187,10 @@
     }
 
     fn record_answer(&mut self, id: RequestId, answer: &Answer) {
-        let Some(i) = self.announced.iter().position(|(it, _)| *it == id) else { return };
+        let Some(i) = self.announced.iter().position(|(it, _)| *it == id) else {
+            self.answers.insert(id, answer.clone());
+            return;
+        };
         let (_, announcement) = self.announced.swap_remove(i);
         if matches!(answer, Answer::AnnouncementAccepted { .. }) {
             self.accepted.push(announcement);
--- a/components/gateway_core/tests/whole_fleet/mod.rs
+++ b/components/gateway_core/tests/whole_fleet/mod.rs
@@ -1,6 +1,8 @@
 //! A simulated fleet: gateways, control hosts with in-memory disks, and backend servers, in which any
 //! link between two hosts can be cut or slow, and each host has its own clock.
 
+#![allow(dead_code)]
+
 pub mod checks;
 pub mod control;
 pub mod servers;
@@ -8,7 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use gateway_core::{Finish, Gateway, GatewaySettings, Idempotency, PathOutcome, RelayEnd, Step};
-use ids::{ByteSize, HostId, Incarnation, RequestId, Timestamp};
+use ids::{ByteSize, ConfigVersion, HostId, Incarnation, RequestId, Timestamp};
+use registry::{Answer, Request};
 use schema::{
     peer::PeerMessage,
     sync::{Place, SyncMessage},
@@ -99,6 +102,12 @@
     pub control: BTreeMap<HostId, ControlHost>,
     pub servers: Servers,
     pub checks: Checks,
+    /// Whether callers send requests.
+    pub has_callers: bool,
+    /// The newest configuration that each gateway has received.
+    pub versions: BTreeMap<HostId, ConfigVersion>,
+    /// Number of polls that gateways have sent.
+    pub polls: u64,
     faults: Faults,
     messages: Vec<Envelope>,
     starts: u64,
@@ -107,19 +116,27 @@
 
 impl Fleet {
     pub fn new() -> Self {
+        Self::with_seed(0)
+    }
+
+    /// Starts a fleet whose hosts draw other random numbers for another seed.
+    pub fn with_seed(seed: u64) -> Self {
         let mut fleet = Self {
             now: 0,
             gateways: BTreeMap::new(),
             control: BTreeMap::new(),
             servers: Servers::new(),
             checks: Checks::default(),
+            has_callers: true,
+            versions: BTreeMap::new(),
+            polls: 0,
             faults: Faults::default(),
             messages: Vec::new(),
-            starts: 0,
+            starts: seed * 1_000,
             next_request: 0,
         };
         for host in CONTROL_HOSTS.map(HostId) {
-            fleet.control.insert(host, ControlHost::start_new(host, 0));
+            fleet.control.insert(host, ControlHost::start_new(host, 0, seed * 1_000));
         }
         for host in (1..=GATEWAYS).map(HostId) {
             fleet.start_gateway(host);
@@ -179,7 +196,7 @@
         self.faults = faults;
     }
 
-    fn is_active(&self, host: HostId) -> bool {
+    pub fn is_active(&self, host: HostId) -> bool {
         !self.faults.frozen.contains(&host) && !self.faults.down.contains(&host)
     }
 
@@ -198,6 +215,37 @@
         }
     }
 
+    /// Sends a request to a control host; returns its id.
+    pub fn request_control(&mut self, host: HostId, request: Request) -> RequestId {
+        let control = self.control.get_mut(&host).expect("all control hosts are listed");
+        let (id, sent) = control.request(self.now, request);
+        let incarnation = control.incarnation();
+        self.messages.extend(envelopes(self.now, &self.faults, host, incarnation, sent));
+        id
+    }
+
+    /// Sends a request to the active control hosts in turn until one accepts it; returns that host.
+    pub fn accept(&mut self, request: &Request) -> HostId {
+        for _ in 0..100 {
+            for host in
+                CONTROL_HOSTS.map(HostId).filter(|it| self.is_active(*it)).collect::<Vec<_>>()
+            {
+                let id = self.request_control(host, request.clone());
+                for _ in 0..60 {
+                    match self.control[&host].answers.get(&id) {
+                        Some(Answer::Accepted | Answer::AnnouncementAccepted { .. }) => {
+                            return host;
+                        }
+                        Some(_) => break,
+                        None => self.run_until(self.now + STEP),
+                    }
+                }
+            }
+            self.run_until(self.now + 50);
+        }
+        panic!("no control host accepted {request:?}");
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
         let (due, later): (Vec<_>, Vec<_>) =
@@ -228,7 +276,9 @@
                 PeerMessage::ServerLimit(message) => gateway.on_server_limit(at, it.from, &message),
                 PeerMessage::ServerWork(report) => gateway.on_work_report(at, it.from, &report),
                 PeerMessage::Sync(SyncMessage::Update(update)) => {
-                    gateway.on_update(at, it.from, update);
+                    if let Some(config) = gateway.on_update(at, it.from, update) {
+                        self.versions.insert(it.to, config.version);
+                    }
                 }
                 PeerMessage::Sync(SyncMessage::UpdateBegins(begins)) => {
                     gateway.on_update_begins(at, it.from, &begins);
@@ -264,6 +314,7 @@
         let Some(process) = self.gateways.get_mut(&host) else { return };
         let at = process.clock(now);
         if let Some(poll) = process.gateway.poll(at) {
+            self.polls += 1;
             let message = PeerMessage::Sync(SyncMessage::Poll(poll.poll));
             let sent = vec![(poll.to, message)];
             self.messages.extend(envelopes(now, &self.faults, host, process.incarnation, sent));
@@ -279,7 +330,7 @@
             self.step(host, id);
         }
         let offset = u64::from(host.0) * STEP;
-        if now % REQUEST_INTERVAL == offset % REQUEST_INTERVAL {
+        if self.has_callers && now % REQUEST_INTERVAL == offset % REQUEST_INTERVAL {
             self.request(host);
         }
         self.collect(host);
