Keep departures of servers that are not registered

One that no longer answered would have stayed in the rotation.

Cause: Registry::leave ignored a departure of an incarnation that it did not know, and the control host acknowledged it all the same. A server that had started again stayed listed by its earlier start; one whose first announcement was late was listed by it after it had left. Evidence: `request answered`, `accepted`, and no `server announced` at any gateway.

Change: such a departure is recorded as an announcement in the state `stopped`, which older builds apply in the same way, so that replicas don't differ. It is acknowledged only if the applied state shows it. A departure of an unknown id that names no incarnation can't be kept and gets 404. Records of servers that were never registered are bounded and displace only each other. Logs and a metric show them.

--- a/components/gateway/src/control/driver.rs
+++ b/components/gateway/src/control/driver.rs
@@ -213,6 +213,13 @@
                 "configuration accepted"
             );
         }
+        if last.is_some_and(|it| it.unregistered_departures < status.unregistered_departures) {
+            log::info!(
+                departures = status.unregistered_departures,
+                commit = status.commit.0;
+                "departure of an unregistered server recorded"
+            );
+        }
         if last.is_some_and(|it| it.is_current != status.is_current) {
             log::info!(is_current = status.is_current, term = status.term.0; "currency changed");
         }
--- a/components/gateway/src/control/metrics.rs
+++ b/components/gateway/src/control/metrics.rs
@@ -24,6 +24,7 @@
     learners: Gauge,
     version: Gauge,
     servers: Gauge,
+    unregistered_departures: Gauge,
     entry_hosts: Gauge,
 }
 
@@ -48,6 +49,9 @@
         let learners = gauge("control_learners", "Hosts that copy the log before they vote");
         let version = gauge("config_version", "Newest accepted configuration version");
         let servers = gauge("servers", "Backend servers that have not left");
+        let help =
+            "Departures of backend servers that were not registered, since the state was read";
+        let unregistered_departures = gauge("unregistered_departures", help);
         let entry_hosts = gauge("entry_hosts", "Entry hosts that are listed");
         Self {
             registry,
@@ -61,6 +65,7 @@
             learners,
             version,
             servers,
+            unregistered_departures,
             entry_hosts,
         }
     }
@@ -81,6 +86,7 @@
         self.learners.set(gauge_value(status.learners.len() as u64));
         self.version.set(gauge_value(status.version.0));
         self.servers.set(gauge_value(status.servers as u64));
+        self.unregistered_departures.set(gauge_value(status.unregistered_departures));
         self.entry_hosts.set(gauge_value(status.entry_hosts as u64));
     }
 }
--- a/components/gateway/src/control/requests.rs
+++ b/components/gateway/src/control/requests.rs
@@ -32,6 +32,9 @@
 /// Message of a response during a planned stop.
 const STOPPING: &str = "this control host stops";
 
+/// Message of a response to a departure that names no incarnation of a server that is not known.
+const UNKNOWN_SERVER: &str = "no server with this id is known; name its start in the body\n";
+
 /// Handles HTTP requests by forwarding them to the driver.
 pub(crate) struct RequestHandler {
     tx: mpsc::Sender<DriverEvent>,
@@ -144,6 +147,7 @@
             }
             Some(Answer::Config(it)) => config_response(&it),
             Some(Answer::NoConfig) => unavailable("no configuration was put yet"),
+            Some(Answer::UnknownServer) => http::text(StatusCode::NOT_FOUND, UNKNOWN_SERVER),
             Some(Answer::AskLeader(leader)) => self.redirect(leader, path),
             Some(Answer::Unavailable(reason)) => unavailable(&reason.to_string()),
             None => unavailable(STOPPING),
@@ -197,6 +201,7 @@
         Some(Answer::Accepted | Answer::AnnouncementAccepted { .. }) => "accepted".to_owned(),
         Some(Answer::Config(it)) => format!("version {}", it.version),
         Some(Answer::NoConfig) => "no configuration".to_owned(),
+        Some(Answer::UnknownServer) => "unknown server".to_owned(),
         Some(Answer::AskLeader(leader)) => {
             format!("redirected to {}", peers::address_of(*leader, 0).ip())
         }
--- a/components/registry/src/action.rs
+++ b/components/registry/src/action.rs
@@ -67,6 +67,8 @@
     Config(ConfigDocument),
     /// No configuration has been stored yet.
     NoConfig,
+    /// No server with this id is known, and the departure names no incarnation that could be recorded.
+    UnknownServer,
     /// Only the leader can answer, and this is its id.
     AskLeader(HostId),
     /// The request failed or its outcome is unknown; it may still take effect.
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -31,7 +31,7 @@
     pending_requests::{OnCommit, PendingRequest, PendingRequests},
     places::Places,
     retry_charges::RetryChargeRecords,
-    state::{ANY_INCARNATION, Freshness, Registry},
+    state::{ANY_INCARNATION, Departure, Freshness, Registry, departed},
 };
 
 /// Number of applied log entries at which the log is compacted into a snapshot.
@@ -89,6 +89,8 @@
     pub version: ConfigVersion,
     /// The number of backend servers that have not left.
     pub servers: usize,
+    /// The number of departures of servers that were not registered, since the state was restored.
+    pub unregistered_departures: u64,
     /// The number of entry hosts in the fleet.
     pub entry_hosts: usize,
     /// Whether the applied state is up to date.
@@ -233,6 +235,7 @@
             learners: members.learners.iter().map(|it| it.host).collect(),
             version: self.registry.version(),
             servers: self.registry.servers().count(),
+            unregistered_departures: self.registry.unregistered_departures(),
             entry_hosts: self.entry_hosts.len(),
             is_current: self.consensus.is_current(now),
             is_read_only: self.is_read_only,
@@ -425,11 +428,28 @@
         incarnation: Option<Incarnation>,
     ) {
         let leave = Leave { server, incarnation: incarnation.unwrap_or(ANY_INCARNATION) };
-        // The leader may know a server that is not in the applied state of this host.
-        match self.registry.has_left(&leave) {
-            true => self.answer(id, Answer::Accepted),
-            false => self.propose(now, id, &RegistryCommand::Leave(leave), OnCommit::Accept),
+        let departure = self.registry.departure(&leave);
+        if departure == Departure::Recorded {
+            return self.answer(id, Answer::Accepted);
+        }
+        // A departure alone has no effect on an incarnation that is not registered, so that a late
+        // announcement would register it.
+        if departure == Departure::Unknown && leave.incarnation != ANY_INCARNATION {
+            let command = RegistryCommand::Announce(departed(&leave));
+            if let Err(e) = self.append(now, &command) {
+                return self.answer(id, answer_for_error(&e, self.own_id));
+            }
         }
+        // The log may hold announcements of the server that this host has not applied yet.
+        let command = RegistryCommand::Leave(leave.clone());
+        self.propose(now, id, &command, OnCommit::AcceptLeave(leave));
+    }
+
+    /// Appends a command to the log.
+    fn append(&mut self, now: Timestamp, command: &RegistryCommand) -> Result<(), ProposeError> {
+        let proposed = self.consensus.propose(now, Blob::from(schema::encode(command)));
+        self.handle_consensus_actions(now, proposed.actions);
+        proposed.outcome.map(drop)
     }
 
     fn propose(
@@ -489,6 +509,10 @@
             OnCommit::AcceptAnnouncement(data_centre) => {
                 Answer::AnnouncementAccepted { next: self.nearest_to(now, data_centre) }
             }
+            OnCommit::AcceptLeave(leave) => match self.registry.departure(leave) {
+                Departure::Recorded => Answer::Accepted,
+                Departure::Registered | Departure::Unknown => Answer::UnknownServer,
+            },
             OnCommit::ReadConfig => match self.registry.config() {
                 Some(it) => Answer::Config(it.clone()),
                 None => Answer::NoConfig,
--- a/components/registry/src/pending_requests.rs
+++ b/components/registry/src/pending_requests.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use ids::{DataCentreName, LogIndex, Millis, RequestId, Term, Timestamp};
+use schema::registry::Leave;
 
 /// How long a request waits for its log entry to be committed.
 ///
@@ -15,6 +16,8 @@
 pub(crate) enum OnCommit {
     /// With [`Answer::Accepted`](crate::Answer::Accepted).
     Accept,
+    /// With [`Answer::Accepted`](crate::Answer::Accepted) if the departure is recorded.
+    AcceptLeave(Leave),
     /// With the newest configuration.
     ReadConfig,
     /// With the control host nearest to the data centre of the announced server.
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -1,8 +1,11 @@
 //! The replicated state machine: the newest configuration and the backend servers.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+};
 
-use ids::{Blob, ConfigVersion, FastMap, Incarnation, LogIndex, ServerId};
+use ids::{Blob, ConfigVersion, FastMap, Incarnation, LogIndex, Millis, ServerId};
 use schema::{
     announcement::{Announcement, ServerState},
     registry::{ConfigDocument, Leave, RegistryCommand, RegistrySnapshot, ServerRecord},
@@ -14,6 +17,13 @@
 /// Replacing all of 430 servers every few minutes stays below this for an hour.
 const MAX_TOMBSTONES: usize = 8192;
 
+/// Records of stopped servers that were never registered, which anyone can create for any id. Further
+/// ones displace only each other.
+const MAX_UNREGISTERED_TOMBSTONES: usize = 1024;
+
+/// Service and data centre in the record of a server that was never registered.
+const UNREGISTERED: &str = "unregistered";
+
 /// Matches any incarnation in a [`Leave`] command whose request names none.
 pub(crate) const ANY_INCARNATION: Incarnation = Incarnation(0);
 
@@ -29,6 +39,17 @@
     Stale,
 }
 
+/// What the registry knows of a server incarnation that leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Departure {
+    /// It has left, or a later incarnation of the server is known.
+    Recorded,
+    /// It is registered.
+    Registered,
+    /// It is not known: its first announcement may still arrive.
+    Unknown,
+}
+
 /// The newest configuration and the backend servers.
 #[derive(Debug, Clone, Default)]
 pub struct Registry {
@@ -41,6 +62,8 @@
     /// Index at which the newest of the removed tombstones was created.
     tombstones_removed_to: LogIndex,
     last_changed: LogIndex,
+    /// Number of departures of servers that were not registered, since the last restore.
+    unregistered_departures: u64,
 }
 
 impl Registry {
@@ -98,6 +121,11 @@
         self.last_changed
     }
 
+    /// Returns how many servers have left that were not registered, since this state was restored.
+    pub fn unregistered_departures(&self) -> u64 {
+        self.unregistered_departures
+    }
+
     /// Returns the servers that have not left.
     pub fn servers(&self) -> impl Iterator<Item = &Announcement> {
         let all = self.servers.values().map(|it| &it.announcement);
@@ -106,7 +134,8 @@
 
     /// Compares an announcement with the known state of its server and address.
     pub fn freshness(&self, announcement: &Announcement) -> Freshness {
-        if self.is_address_held_by_newer_server(announcement) {
+        let has_left = announcement.state == ServerState::Stopped;
+        if !has_left && self.is_address_held_by_newer_server(announcement) {
             return Freshness::Stale;
         }
         let Some(record) = self.servers.get(&announcement.server) else {
@@ -115,17 +144,21 @@
         compare_announcements(&record.announcement, announcement)
     }
 
-    /// Returns whether the server incarnation named by `leave` is known to have left.
-    pub fn has_left(&self, leave: &Leave) -> bool {
-        self.matching_record(leave).is_some_and(|it| it.announcement.state == ServerState::Stopped)
-    }
-
-    /// Returns the record of the server incarnation named by `leave`.
-    fn matching_record(&self, leave: &Leave) -> Option<&ServerRecord> {
-        let record = self.servers.get(&leave.server)?;
-        let matches = leave.incarnation == ANY_INCARNATION
-            || leave.incarnation == record.announcement.incarnation;
-        matches.then_some(record)
+    /// Returns what is known of the server incarnation named by `leave`.
+    pub fn departure(&self, leave: &Leave) -> Departure {
+        let Some(record) = self.servers.get(&leave.server) else { return Departure::Unknown };
+        let known = &record.announcement;
+        let leaving = match leave.incarnation {
+            ANY_INCARNATION => known.incarnation,
+            incarnation => incarnation,
+        };
+        if leaving > known.incarnation {
+            return Departure::Unknown;
+        }
+        match leaving < known.incarnation || known.state == ServerState::Stopped {
+            true => Departure::Recorded,
+            false => Departure::Registered,
+        }
     }
 
     /// Returns the changes after index `held`, for a poller that has the state up to there.
@@ -160,6 +193,9 @@
         if self.freshness(&announcement) != Freshness::New {
             return;
         }
+        if announcement.state == ServerState::Stopped {
+            return self.record_departure(index, announcement);
+        }
         if let Some(older) = self.addresses.get(&announcement.address).cloned()
             && older != announcement.server
         {
@@ -170,11 +206,29 @@
     }
 
     fn leave(&mut self, index: LogIndex, leave: &Leave) {
-        if self.matching_record(leave).is_some() && !self.has_left(leave) {
+        if self.departure(leave) == Departure::Registered {
             self.mark_left(index, &leave.server);
         }
     }
 
+    /// Records that a server incarnation has left which may not be registered. What is known of an
+    /// earlier incarnation stays in the record.
+    fn record_departure(&mut self, index: LogIndex, departed: Announcement) {
+        let announcement = match self.servers.get(&departed.server) {
+            Some(known) => Announcement {
+                incarnation: departed.incarnation,
+                sequence: departed.sequence,
+                state: departed.state,
+                ..known.announcement.clone()
+            },
+            None => departed,
+        };
+        self.insert(ServerRecord { announcement, changed: index });
+        self.last_changed = index;
+        self.unregistered_departures += 1;
+        self.remove_oldest_tombstone();
+    }
+
     fn mark_left(&mut self, index: LogIndex, server: &ServerId) {
         let Some(record) = self.servers.get_mut(server) else { return };
         record.announcement.state = ServerState::Stopped;
@@ -202,20 +256,25 @@
         }
     }
 
-    /// Removes the oldest tombstone if there are more than [`MAX_TOMBSTONES`].
+    /// Removes the oldest tombstone if there are too many: of servers that were never registered, or
+    /// of all.
     fn remove_oldest_tombstone(&mut self) {
         let tombstones =
-            self.servers.values().filter(|it| it.announcement.state == ServerState::Stopped);
-        if tombstones.clone().count() <= MAX_TOMBSTONES {
-            return;
-        }
-        let oldest = tombstones.min_by_key(|it| it.changed);
-        let Some((server, changed)) = oldest.map(|it| (it.announcement.server.clone(), it.changed))
-        else {
-            return;
+            || self.servers.values().filter(|it| it.announcement.state == ServerState::Stopped);
+        let unregistered = || tombstones().filter(|it| is_unregistered(&it.announcement));
+        let oldest = match () {
+            () if unregistered().count() > MAX_UNREGISTERED_TOMBSTONES => {
+                unregistered().min_by_key(|it| it.changed)
+            }
+            () if tombstones().count() > MAX_TOMBSTONES => tombstones().min_by_key(|it| it.changed),
+            () => None,
         };
-        self.servers.remove(&server);
-        self.tombstones_removed_to = self.tombstones_removed_to.max(changed);
+        let Some(oldest) = oldest.cloned() else { return };
+        self.servers.remove(&oldest.announcement.server);
+        // No poller can hold a server that was never registered.
+        if !is_unregistered(&oldest.announcement) {
+            self.tombstones_removed_to = self.tombstones_removed_to.max(oldest.changed);
+        }
     }
 
     /// Returns whether a server with a higher incarnation already uses the announced address.
@@ -229,6 +288,29 @@
     }
 }
 
+/// Returns the announcement that records the departure of a server incarnation that is not
+/// registered.
+///
+/// It has a form that builds without such departures apply as well, so that all replicas keep the same.
+pub(crate) fn departed(leave: &Leave) -> Announcement {
+    Announcement {
+        server: leave.server.clone(),
+        service: UNREGISTERED.parse().expect("a valid name"),
+        data_centre: UNREGISTERED.parse().expect("a valid name"),
+        address: (Ipv4Addr::UNSPECIFIED, 0).into(),
+        incarnation: leave.incarnation,
+        sequence: u64::MAX,
+        state: ServerState::Stopped,
+        slots: 0,
+        lifetime_ms: Millis(0),
+    }
+}
+
+/// Returns whether a record comes from [`departed`] alone.
+fn is_unregistered(announcement: &Announcement) -> bool {
+    announcement.state == ServerState::Stopped && announcement.address.ip().is_unspecified()
+}
+
 /// Compares a received announcement with the known one of the same server.
 ///
 /// A server that is draining or has left cannot change its state until it restarts.
