Keep a first configuration with version 0

It was acknowledged and lost: without a configuration the version counted as 0, and one that is not higher is acknowledged without being stored. No gateway served until a higher version came. Found by reading, while other commands that are acknowledged and not kept were looked for.

--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -149,7 +149,7 @@
     /// Applies a configuration unless its version is not newer than the current one.
     pub fn set_config(&mut self, mut config: GatewayConfig) {
         let before = self.version();
-        if config.version <= before {
+        if self.config.is_some() && config.version <= before {
             return;
         }
         let mut routes = RouteTable::default();
--- a/components/gateway_core/tests/requests.rs
+++ b/components/gateway_core/tests/requests.rs
@@ -4,10 +4,10 @@
 mod common;
 
 use arbtest::arbitrary::{self, Unstructured};
-use common::{Harness, at, config, entry_host, head, route, server, service};
+use common::{Harness, OWN_HOST, at, config, entry_host, head, route, server, service, settings};
 use gateway_core::{
-    AttemptEnd, Finish, Idempotency, PathOutcome, Refusal, RefusalReason, RelayEnd, RelayedHead,
-    RequestHead, RunStatus, Step, StopSchedule,
+    AttemptEnd, Finish, Gateway, Idempotency, PathOutcome, Refusal, RefusalReason, RelayEnd,
+    RelayedHead, RequestHead, RunStatus, Step, StopSchedule,
 };
 use ids::{AttemptNumber, ByteSize, Millis, RequestId, Timestamp};
 use schema::announcement::Announcement;
@@ -361,3 +361,13 @@
     let stalled = Millis(now - 2_000);
     assert!(refusal.retry_after >= Some(stalled), "{refusal:?} after {stalled} ms");
 }
+
+/// Guards against a first configuration that is stored and never in force.
+#[test]
+fn a_first_configuration_with_version_0_takes_effect() {
+    let mut gateway = Gateway::new(settings(OWN_HOST));
+
+    gateway.set_config(config(0, vec![route("look", Idempotency::Idempotent)]));
+
+    assert!(gateway.begin(at(0), head("/look/1")).is_ok());
+}
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -398,7 +398,7 @@
     }
 
     fn put_config(&mut self, now: Timestamp, id: RequestId, config: ConfigDocument) {
-        if config.version <= self.registry.version() {
+        if self.registry.holds_version(config.version) {
             return self.answer(id, Answer::Accepted);
         }
         self.propose(now, id, &RegistryCommand::PutConfig(config), OnCommit::Accept);
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -75,7 +75,7 @@
         let snapshot: RegistrySnapshot =
             schema::decode(data.as_slice()).expect("snapshots are checked before they are used");
         let RegistrySnapshot { config, config_changed, servers, forgotten } = snapshot;
-        let config = (config.version > ConfigVersion(0)).then_some(config);
+        let config = (!config.packed_text.as_slice().is_empty()).then_some(config);
         let mut registry =
             Self { config, config_changed, tombstones_removed_to: forgotten, ..Self::default() };
         let newest = servers.iter().map(|it| it.changed).max().unwrap_or_default();
@@ -116,6 +116,11 @@
         self.config.as_ref().map_or(ConfigVersion(0), |it| it.version)
     }
 
+    /// Returns whether a configuration of this version or a higher one is stored.
+    pub fn holds_version(&self, version: ConfigVersion) -> bool {
+        self.config.as_ref().is_some_and(|it| version <= it.version)
+    }
+
     /// Returns the index of the newest log entry that changed the state.
     pub fn last_changed(&self) -> LogIndex {
         self.last_changed
@@ -181,7 +186,7 @@
     }
 
     fn put_config(&mut self, index: LogIndex, config: ConfigDocument) {
-        if config.version <= self.version() {
+        if self.holds_version(config.version) {
             return;
         }
         self.config = Some(config);
--- a/components/registry/tests/control_hosts.rs
+++ b/components/registry/tests/control_hosts.rs
@@ -6,7 +6,7 @@
 use arbtest::arbitrary::{self, Unstructured};
 use fleet::{Fleet, config, place};
 use ids::{ConfigVersion, HostId, Incarnation, LogIndex};
-use registry::{Answer, HostEvent, Request};
+use registry::{Answer, HostEvent, Registry, Request};
 use schema::{
     announcement::{Announcement, ServerState},
     peer::PeerMessage,
@@ -115,6 +115,27 @@
     assert_eq!(read.packed_text.as_slice(), b"five");
 }
 
+/// Guards against a first configuration that is acknowledged and not stored.
+#[test]
+fn a_first_configuration_with_version_0_is_kept() {
+    let mut fleet = Fleet::new(3);
+
+    assert_eq!(fleet.execute(&config(0, "zero")), Answer::Accepted);
+    for host in fleet.ids() {
+        fleet.stop(host);
+        fleet.start(host);
+    }
+
+    let Answer::Config(read) = fleet.execute(&Request::ReadConfig) else {
+        panic!("expected a configuration");
+    };
+    assert_eq!(read.packed_text.as_slice(), b"zero");
+    let registry = fleet.process(fleet.ids()[0]).unwrap().registry();
+    assert_eq!(Registry::restore(&registry.snapshot()).config(), registry.config());
+    assert_eq!(fleet.execute(&config(0, "other content")), Answer::Accepted);
+    assert_eq!(fleet.execute(&config(1, "one")), Answer::Accepted);
+}
+
 #[test]
 fn an_isolated_leader_answers_no_writes_and_no_reads() {
     let mut fleet = Fleet::new(5);
