Answer polls with state no older than a heartbeat before them

Where withdrawals of keys are strict, a gateway that starts beside a control host that was cut off at the acknowledgement took a withdrawn key for up to 0.3 s longer than `within_ms`. Found with the test below, by asking what else reaches gateways by the path of configurations.

Cause: gateways count the age of their keys from the poll that a current control host answered, and a follower is current for 0.8 s after it last heard from the leader. A poll is now answered as current only if the host has heard from the leader since 0.3 s before it came; it waits otherwise, for less than a heartbeat while there is a leader.

--- a/components/consensus/src/consensus.rs
+++ b/components/consensus/src/consensus.rs
@@ -123,6 +123,14 @@
         }
     }
 
+    /// Returns whether this host knows what was committed at a time: it has heard from the leader since,
+    /// or leads.
+    ///
+    /// A leader with a lease needs no message for that, since no other host can commit meanwhile.
+    pub fn has_heard_since(&self, time: Timestamp) -> bool {
+        self.is_leader() || self.replica.last_leader_contact.is_some_and(|at| at >= time)
+    }
+
     /// Sets hosts that may know the leader; this host announces itself to them when it must.
     pub fn set_contacts(&mut self, contacts: Vec<HostId>) {
         self.replica.contacts = contacts;
--- a/components/gateway_core/tests/control_losses.rs
+++ b/components/gateway_core/tests/control_losses.rs
@@ -6,7 +6,10 @@
 mod common;
 mod whole_fleet;
 
-use ids::{Blob, ConfigVersion, HostId, ServerId};
+use gateway_core::{
+    ApiKey, Credentials, GatewayConfig, Idempotency, KeyWithdrawal, Organisation, RequestHead,
+};
+use ids::{Blob, ConfigVersion, HostId, Millis, ServerId};
 use rand_xoshiro::{
     Xoshiro256PlusPlus,
     rand_core::{RngCore, SeedableRng},
@@ -17,8 +20,8 @@
     registry::ConfigDocument,
 };
 
-use common::server;
-use whole_fleet::{CONTROL_HOSTS, Faults, Fleet, GATEWAYS};
+use common::{config, head, route, server};
+use whole_fleet::{CONTROL_HOSTS, Faults, Fleet, GATEWAYS, place};
 
 const SEEDS: u64 = 60;
 
@@ -222,3 +225,57 @@
     assert!(polls <= 10 * MAX_POLLS_A_SECOND * u64::from(GATEWAYS), "{polls} polls");
     assert!(polls >= 10 * u64::from(GATEWAYS), "the search goes on: {polls} polls");
 }
+
+/// Milliseconds after the acknowledgement from which no gateway takes a withdrawn key.
+const WITHDRAWN_WITHIN: u64 = 5_000;
+
+fn config_with_key() -> GatewayConfig {
+    let acme = Organisation {
+        name: "acme".parse().unwrap(),
+        keys: vec![ApiKey::new(b"k1")],
+        priority: None,
+        limit: None,
+    };
+    let routes = vec![route("look", Idempotency::Idempotent)];
+    GatewayConfig { organisations: Some(vec![acme]), ..config(2, routes) }
+}
+
+/// A control host vouches for its state for 800 ms after it last heard from the leader.
+#[test]
+fn a_gateway_that_starts_beside_a_cut_off_control_host_gives_up_withdrawn_keys_in_time() {
+    for start_after in (0..800).step_by(50) {
+        let mut fleet = quiet_fleet(1);
+        fleet.key_withdrawal =
+            Some(KeyWithdrawal { within: Millis(WITHDRAWN_WITHIN), is_strict: true });
+        let put = |version| Change::Config(ConfigVersion(version)).request(&Fleet::new());
+        let leader = fleet.accept(&put(2));
+        fleet.run_until(fleet.now + 500);
+        let cut_off = CONTROL_HOSTS.map(HostId).find(|it| *it != leader).unwrap();
+        let gateway = (1..=GATEWAYS).map(HostId).find(|it| place(*it) == place(cut_off)).unwrap();
+        let here = [cut_off, gateway];
+        let others = || (1..=GATEWAYS).chain(CONTROL_HOSTS).map(HostId);
+        let mut faults = Faults::default();
+        for other in others().filter(|it| !here.contains(it)) {
+            faults.cut_links.extend(here.iter().flat_map(|it| [(*it, other), (other, *it)]));
+        }
+        faults.down.insert(gateway);
+        fleet.set_faults(faults.clone());
+        assert_eq!(fleet.accept(&put(3)), leader);
+        let acknowledged_at = fleet.now;
+
+        fleet.run_until(acknowledged_at + start_after);
+        faults.down.clear();
+        fleet.set_faults(faults);
+        fleet.gateways.get_mut(&gateway).unwrap().gateway.set_config(config_with_key());
+        fleet.run_until(acknowledged_at + WITHDRAWN_WITHIN);
+
+        let process = fleet.gateways.get_mut(&gateway).unwrap();
+        let now = process.clock(fleet.now);
+        let credentials = Credentials::Key(ApiKey::new(b"k1"));
+        let request = RequestHead { credentials, ..head("/look/1") };
+        assert!(
+            process.gateway.begin(now, request).is_err(),
+            "a gateway that starts {start_after} ms after the acknowledgement takes the key"
+        );
+    }
+}
--- a/components/gateway_core/tests/whole_fleet/mod.rs
+++ b/components/gateway_core/tests/whole_fleet/mod.rs
@@ -9,7 +9,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use gateway_core::{Finish, Gateway, GatewaySettings, Idempotency, PathOutcome, RelayEnd, Step};
+use gateway_core::{
+    Finish, Gateway, GatewaySettings, Idempotency, KeyWithdrawal, PathOutcome, RelayEnd, Step,
+};
 use ids::{ByteSize, ConfigVersion, HostId, Incarnation, RequestId, Timestamp};
 use registry::{Answer, Request};
 use schema::{
@@ -91,7 +93,7 @@
 }
 
 impl Process {
-    fn clock(&self, now: u64) -> Timestamp {
+    pub fn clock(&self, now: u64) -> Timestamp {
         clock(self.host, self.started_at, now)
     }
 }
@@ -102,6 +104,8 @@
     pub control: BTreeMap<HostId, ControlHost>,
     pub servers: Servers,
     pub checks: Checks,
+    /// What becomes of withdrawn keys at gateways that start from now on.
+    pub key_withdrawal: Option<KeyWithdrawal>,
     /// Whether callers send requests.
     pub has_callers: bool,
     /// The newest configuration that each gateway has received.
@@ -127,6 +131,7 @@
             control: BTreeMap::new(),
             servers: Servers::new(),
             checks: Checks::default(),
+            key_withdrawal: None,
             has_callers: true,
             versions: BTreeMap::new(),
             polls: 0,
@@ -153,6 +158,7 @@
             data_centre,
             incarnation,
             seeds: CONTROL_HOSTS.take(3).map(HostId).collect(),
+            key_withdrawal: self.key_withdrawal,
             ..settings(host)
         };
         let mut gateway = Gateway::new(settings);
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -27,7 +27,7 @@
     action::{Answer, HostAction, HostEvent, Request, UnavailableReason},
     entry_hosts::{EntryHosts, ListUpdate},
     limit_leases::LimitLeases,
-    long_polls::{LongPolls, PendingPoll, RegistryHead},
+    long_polls::{LongPolls, MAX_STATE_AGE, PendingPoll, RegistryHead},
     pending_requests::{OnCommit, PendingRequest, PendingRequests},
     places::Places,
     retry_charges::RetryChargeRecords,
@@ -555,6 +555,7 @@
         let due = long_polls.take_due(
             now,
             head,
+            |poll| self.consensus.has_heard_since(poll.received_at - MAX_STATE_AGE),
             |poll| self.is_withheld(now, poll),
             |held| self.entry_hosts.has_changes_since(held),
         );
--- a/components/registry/src/long_polls.rs
+++ b/components/registry/src/long_polls.rs
@@ -20,6 +20,12 @@
 /// Minimum time before a poll whose answer is withheld is answered without it.
 pub const WITHHELD_POLL_WAIT: Millis = Millis(250);
 
+/// Maximum age of the state with which a poll is answered, at the time of the poll: a heartbeat of the
+/// leader and a tick.
+///
+/// A poller takes an answer as valid at the time of its poll.
+pub const MAX_STATE_AGE: Millis = Millis(300);
+
 /// How long polls are held while this host is not current, after it was.
 ///
 /// A follower falls behind for a moment in a burst of changes, and all hosts do while a leader is
@@ -40,7 +46,7 @@
     pub(crate) hosts_digest: u64,
     /// The place of the poller if it is an entry host.
     pub(crate) place: Option<Place>,
-    received_at: Timestamp,
+    pub(crate) received_at: Timestamp,
 }
 
 /// The state of the registry to which polls are compared.
@@ -90,6 +96,7 @@
         &mut self,
         now: Timestamp,
         head: RegistryHead,
+        is_confirmed: impl Fn(&PendingPoll) -> bool,
         is_withheld: impl Fn(&PendingPoll) -> bool,
         is_host_list_outdated: impl Fn(&HostsRevision) -> bool,
     ) -> Vec<(HostId, PendingPoll)> {
@@ -98,6 +105,9 @@
             if !head.is_current {
                 return head.turns_away(now, poll);
             }
+            if !is_confirmed(poll) {
+                return false;
+            }
             if is_withheld(poll) {
                 return waited >= WITHHELD_POLL_WAIT;
             }
