Ignore registry changes that are behind what a gateway knows

With a second poll in flight, to a nearer control host, its answer may come after that of the followed one and be behind it: a server that drains would be used again, and for good, as the gateway asks only for what follows. Such changes are ignored. Nor is a second host polled any more while a large update arrives, since its answer would be as large and compete for a slow link.

`an_answer_of_a_nearer_host_that_is_behind_takes_nothing_back` and `no_other_host_is_polled_while_a_large_update_arrives` fail without the change.

--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -120,6 +120,10 @@
     }
 
     fn apply_registry(&mut self, changes: schema::sync::RegistryChanges) -> Option<ConfigDocument> {
+        // Another control host may have answered since this one was polled, which was ahead of it.
+        if changes.up_to < self.registry_poller.applied_index {
+            return None;
+        }
         for announcement in self.servers.apply(&changes) {
             self.events.push(Event::ServerAnnounced {
                 server: announcement.server,
--- a/components/gateway_core/src/registry_poller.rs
+++ b/components/gateway_core/src/registry_poller.rs
@@ -79,6 +79,8 @@
     sequence: u64,
     sent_at: Timestamp,
     times_out_at: Timestamp,
+    /// Whether a large update has started to arrive as its answer.
+    is_arriving: bool,
 }
 
 /// Chooses the control hosts to poll, and tracks the polls in flight.
@@ -144,10 +146,13 @@
             self.next_poll = now + SEARCH_INTERVAL;
         }
         self.sequence += 1;
-        let times_out_at = now + self.poll_timeout();
-        let in_flight =
-            PollInFlight { host: to, sequence: self.sequence, sent_at: now, times_out_at };
-        self.in_flight.push(in_flight);
+        self.in_flight.push(PollInFlight {
+            host: to,
+            sequence: self.sequence,
+            sent_at: now,
+            times_out_at: now + self.poll_timeout(),
+            is_arriving: false,
+        });
         if let Some(it) = self.candidate_mut(to) {
             it.polled_at = Some(now);
         }
@@ -166,8 +171,8 @@
         Some(OutgoingPoll { to, poll })
     }
 
-    /// Extends the timeout for a large update that has started to arrive, and ends the search
-    /// meanwhile: the other updates would compete with this one for the link.
+    /// Extends the timeout for a large update that has started to arrive. Until it has arrived, no other
+    /// control host is polled, whose answer would be as large and compete for the link.
     ///
     /// Without this, a host behind a slow link would time out each time and start over with another
     /// control host.
@@ -182,9 +187,7 @@
         let Some(poll) = expected else { return };
         let transfer = Millis(MIN_LINK_RATE.transfer_time(size).0.min(MAX_TRANSFER_TIME.0));
         poll.times_out_at = now + Millis(POLL_TIMEOUT.0 + transfer.0);
-        if self.followed.is_none() {
-            self.next_poll = poll.times_out_at;
-        }
+        poll.is_arriving = true;
     }
 
     /// Removes and returns the poll that an update answers; late updates answer none.
@@ -287,13 +290,22 @@
 
     /// Returns whether a further poll can be of use before one in flight is answered.
     ///
-    /// Without registry data there is one poll at a time, since each answer may be the whole
-    /// registry.
     fn may_poll(&self) -> bool {
         match self.followed {
             Some(followed) => !self.is_polled(followed),
-            None if self.has_no_data() => self.in_flight.is_empty(),
-            None => self.candidates.iter().any(|it| !self.is_polled(it.host)),
+            None => {
+                !self.awaits_large_update()
+                    && self.candidates.iter().any(|it| !self.is_polled(it.host))
+            }
+        }
+    }
+
+    /// Returns whether no second poll should be sent because a large update arrives, or because the
+    /// answer to the one in flight may be the whole registry.
+    fn awaits_large_update(&self) -> bool {
+        match self.has_no_data() {
+            true => !self.in_flight.is_empty(),
+            false => self.in_flight.iter().any(|it| it.is_arriving),
         }
     }
 
@@ -370,7 +382,7 @@
         let is_better = |it: &&Candidate| {
             it.distance < followed.distance && !it.is_barred(now) && !self.is_polled(it.host)
         };
-        if self.has_no_data() && !self.in_flight.is_empty() {
+        if self.awaits_large_update() {
             return None;
         }
         let best = self.candidates.iter().filter(is_better).min_by_key(|it| self.rank(it));
--- a/components/gateway_core/tests/following.rs
+++ b/components/gateway_core/tests/following.rs
@@ -6,8 +6,12 @@
 use common::{CONTROL_HOST, Harness, at, data_centre, entry_host, region, route, server};
 use gateway_core::{Event, Idempotency, OutgoingPoll, POLL_TIMEOUT, SEARCH_INTERVAL};
 use ids::{ByteSize, HostId, LogIndex, MIN_LINK_RATE, Timestamp};
-use schema::sync::{
-    ControlHostRecord, HostsUpdate, KnownPlace, Place, RegistryUpdate, Update, UpdateBegins,
+use schema::{
+    announcement::ServerState,
+    sync::{
+        ControlHostRecord, HostsUpdate, KnownPlace, Place, RegistryChanges, RegistryUpdate, Update,
+        UpdateBegins,
+    },
 };
 
 fn harness() -> Harness {
@@ -262,3 +266,58 @@
     answer_poll(&mut harness, at(2_500), &followed, true, hosts);
     assert!(harness.gateway.poll(at(2_530)).is_some_and(|it| it.to == HostId(101)));
 }
+
+/// Guards against a server that is used again because a nearer host is behind the one that is followed.
+#[test]
+fn an_answer_of_a_nearer_host_that_is_behind_takes_nothing_back() {
+    let (mut harness, hosts) = following_the_nearest();
+    answer(&mut harness, at(300), false, hosts.clone());
+    assert_eq!(answer(&mut harness, at(300), true, hosts.clone()), HostId(101));
+    let nearer = harness.gateway.poll(at(2_400)).unwrap();
+    let followed = harness.gateway.poll(at(2_400)).unwrap();
+    let mut server = server(1, "north-a");
+    let mut answer_with = |poll: &OutgoingPoll, up_to, state| {
+        server.state = state;
+        let changes = RegistryChanges {
+            up_to: LogIndex(up_to),
+            whole: false,
+            config: Vec::new(),
+            servers: vec![server.clone()],
+        };
+        let update = Update {
+            sequence: poll.poll.sequence,
+            current: true,
+            control_hosts: hosts.clone(),
+            registry: RegistryUpdate::Changed(changes),
+            hosts: HostsUpdate::Unchanged,
+        };
+        harness.gateway.on_update(at(2_500), poll.to, update);
+    };
+
+    answer_with(&followed, 9, ServerState::Draining);
+    answer_with(&nearer, 8, ServerState::Serving);
+
+    assert!(!harness.gateway.server(&server.server).unwrap().accepts_requests());
+    let next = harness.gateway.poll(at(2_600)).unwrap();
+    assert_eq!((next.to, next.poll.holds), (HostId(102), LogIndex(9)));
+}
+
+/// Guards against two large updates that compete for a slow link.
+#[test]
+fn no_other_host_is_polled_while_a_large_update_arrives() {
+    for is_search in [true, false] {
+        let (mut harness, hosts) = following_the_nearest();
+        answer(&mut harness, at(300), false, hosts.clone());
+        if !is_search {
+            answer(&mut harness, at(300), true, hosts.clone());
+        }
+        let poll = harness.gateway.poll(at(400)).unwrap();
+        let begins = UpdateBegins { sequence: poll.poll.sequence, size: ByteSize(1_000_000) };
+
+        harness.gateway.on_update_begins(at(450), poll.to, &begins);
+
+        let transfer = MIN_LINK_RATE.transfer_time(begins.size);
+        assert!(harness.gateway.poll(at(2_400)).is_none());
+        assert!(harness.gateway.poll(at(450) + transfer).is_none());
+    }
+}
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -313,7 +313,9 @@
 
 /// Returns whether a record comes from [`departed`] alone.
 fn is_unregistered(announcement: &Announcement) -> bool {
-    announcement.state == ServerState::Stopped && announcement.address.ip().is_unspecified()
+    announcement.state == ServerState::Stopped
+        && announcement.address.ip().is_unspecified()
+        && announcement.service.as_str() == UNREGISTERED
 }
 
 /// Compares a received announcement with the known one of the same server.
