--- a/components/registry/src/action.rs
+++ b/components/registry/src/action.rs
@@ -67,7 +67,7 @@
     Config(ConfigDocument),
     /// No configuration has been stored yet.
     NoConfig,
-    /// No server with this id is known, and the departure names no incarnation that could be recorded.
+    /// The departure names no incarnation, and no server with its id is known: it has no effect.
     UnknownServer,
     /// Only the leader can answer, and this is its id.
     AskLeader(HostId),
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -432,15 +432,15 @@
         if departure == Departure::Recorded {
             return self.answer(id, Answer::Accepted);
         }
-        // A departure alone has no effect on an incarnation that is not registered, so that a late
-        // announcement would register it.
+        // A late announcement would register an incarnation that left before it was registered.
         if departure == Departure::Unknown && leave.incarnation != ANY_INCARNATION {
             let command = RegistryCommand::Announce(departed(&leave));
             if let Err(e) = self.append(now, &command) {
                 return self.answer(id, answer_for_error(&e, self.own_id));
             }
         }
-        // The log may hold announcements of the server that this host has not applied yet.
+        // The log may hold announcements that this host has not applied yet; if the server drains by
+        // them, only this command has an effect.
         let command = RegistryCommand::Leave(leave.clone());
         self.propose(now, id, &command, OnCommit::AcceptLeave(leave));
     }
--- a/components/registry/src/pending_requests.rs
+++ b/components/registry/src/pending_requests.rs
@@ -16,7 +16,8 @@
 pub(crate) enum OnCommit {
     /// With [`Answer::Accepted`](crate::Answer::Accepted).
     Accept,
-    /// With [`Answer::Accepted`](crate::Answer::Accepted) if the departure is recorded.
+    /// With [`Answer::Accepted`](crate::Answer::Accepted) if the departure is recorded, and with
+    /// [`Answer::UnknownServer`](crate::Answer::UnknownServer) otherwise.
     AcceptLeave(Leave),
     /// With the newest configuration.
     ReadConfig,
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -296,7 +296,7 @@
 /// Returns the announcement that records the departure of a server incarnation that is not
 /// registered.
 ///
-/// It has a form that builds without such departures apply as well, so that all replicas keep the same.
+/// Builds that ignore such departures apply the announcement too, so that replicas of both agree.
 pub(crate) fn departed(leave: &Leave) -> Announcement {
     Announcement {
         server: leave.server.clone(),
