--- a/components/gateway_core/src/entry_hosts.rs
+++ b/components/gateway_core/src/entry_hosts.rs
@@ -42,9 +42,7 @@
 
 impl EntryHosts {
     pub(crate) fn new() -> Self {
-        let revision =
-            HostsRevision { control_host: HostId(0), incarnation: Incarnation(0), number: 0 };
-        Self { hosts: BTreeMap::new(), revision, digest: 0 }
+        Self { hosts: BTreeMap::new(), revision: HostsRevision::NONE, digest: 0 }
     }
 
     pub(crate) fn revision(&self) -> &HostsRevision {
--- a/components/gateway_core/src/registry_poller.rs
+++ b/components/gateway_core/src/registry_poller.rs
@@ -6,7 +6,7 @@
 //! next. Whichever answers as current first is followed from then on, so that a silent host delays
 //! the search by one interval only.
 
-use ids::{ByteSize, HostId, Incarnation, LogIndex, MIN_LINK_RATE, Millis, Timestamp};
+use ids::{ByteSize, HostId, LogIndex, MIN_LINK_RATE, Millis, Timestamp};
 use schema::sync::{ControlHostRecord, HostsRevision, KnownPlace, Place, Poll, Presence};
 
 use crate::events::Event;
@@ -159,7 +159,7 @@
         // A poll without a list of entry hosts is answered soon even if nothing has changed.
         let holds_hosts = match self.followed == Some(to) {
             true => content.holds_hosts.clone(),
-            false => no_hosts_revision(),
+            false => HostsRevision::NONE,
         };
         let poll = Poll {
             sequence: self.sequence,
@@ -411,11 +411,6 @@
     }
 }
 
-/// Returns the revision that stands for no list of entry hosts.
-fn no_hosts_revision() -> HostsRevision {
-    HostsRevision { control_host: HostId(0), incarnation: Incarnation(0), number: 0 }
-}
-
 /// Mixes host ids and seeds: the golden ratio as a 64-bit fraction, the multiplier of Fibonacci
 /// hashing.
 const HASH_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -18,8 +18,8 @@
     server_limit::{LimitLeaseAnswer, LimitLeaseAsk, ServerLimitMessage},
     storage::Persisted,
     sync::{
-        ControlHostRecord, EntryHostList, HostsUpdate, Place, Poll, Presence, RegistryUpdate,
-        SyncMessage, Update, UpdateBegins,
+        ControlHostRecord, EntryHostList, HostsRevision, HostsUpdate, Place, Poll, Presence,
+        RegistryUpdate, SyncMessage, Update, UpdateBegins,
     },
 };
 
@@ -369,7 +369,7 @@
             // Only the control hosts are of interest: the highest index excludes registry changes.
             // Without a list of entry hosts, the poll is answered after `MIN_HOST_UPDATE_INTERVAL`.
             holds: LogIndex(u64::MAX),
-            holds_hosts: no_hosts_revision(),
+            holds_hosts: HostsRevision::NONE,
             hosts_digest: 0,
         };
         let targets: BTreeSet<_> = self.seeds.iter().chain(&self.discovered).copied().collect();
@@ -641,11 +641,6 @@
     }
 }
 
-/// Returns the revision that stands for no list of entry hosts.
-pub(crate) fn no_hosts_revision() -> schema::sync::HostsRevision {
-    schema::sync::HostsRevision { control_host: HostId(0), incarnation: Incarnation(0), number: 0 }
-}
-
 fn answer_for_error(e: &ProposeError, own_id: HostId) -> Answer {
     let reason = match e {
         ProposeError::NotLeader { leader: Some(leader) } if *leader != own_id => {
--- a/components/schema/src/lib.rs
+++ b/components/schema/src/lib.rs
@@ -9,6 +9,7 @@
 mod generated;
 
 mod codec;
+mod hosts_revision;
 
 pub use crate::{
     codec::{
