--- a/components/registry/src/lib.rs
+++ b/components/registry/src/lib.rs
@@ -22,5 +22,5 @@
     long_polls::{MAX_POLL_WAIT, MIN_HOST_UPDATE_INTERVAL},
     packed_text::{MAX_CONFIG_BYTES, UnpackError, pack_text, unpack_text},
     retry_charges::RetryChargeRecords,
-    state::{Departure, Freshness, Registry},
+    state::{Departure, Freshness, Registry, departed},
 };
--- a/components/registry/src/state.rs
+++ b/components/registry/src/state.rs
@@ -297,7 +297,7 @@
 /// registered.
 ///
 /// Builds that ignore such departures apply the announcement too, so that replicas of both agree.
-pub(crate) fn departed(leave: &Leave) -> Announcement {
+pub fn departed(leave: &Leave) -> Announcement {
     Announcement {
         server: leave.server.clone(),
         service: UNREGISTERED.parse().expect("a valid name"),
--- a/components/registry/tests/departures.rs
+++ b/components/registry/tests/departures.rs
@@ -8,7 +8,7 @@
 use arbtest::arbitrary::{self, Unstructured};
 use fleet::{Fleet, config};
 use ids::{Blob, HostId, Incarnation, LogIndex, ServerId};
-use registry::{Answer, Departure, Registry, Request};
+use registry::{Answer, Departure, Registry, Request, departed};
 use schema::{
     announcement::{Announcement, ServerState},
     registry::{Leave, RegistryCommand},
@@ -169,10 +169,9 @@
 
     /// Applies what a control host appends for a departure of an unregistered server.
     fn depart(&mut self, number: u64, incarnation: u64) {
-        let mut departed = announcement(number, incarnation, u64::MAX);
-        departed.state = ServerState::Stopped;
-        departed.address = "0.0.0.0:0".parse().unwrap();
-        self.apply(RegistryCommand::Announce(departed));
+        let incarnation = Incarnation(incarnation);
+        let leave = Leave { server: server(number), incarnation };
+        self.apply(RegistryCommand::Announce(departed(&leave)));
     }
 
     fn departure(&self, number: u64, incarnation: u64) -> Departure {
