Test what crowds of clients that send too much or stall do to processes

Crowds and bounds: a gateway within 160 MB and a control host within 256 MB, with what waits in their sockets; seven eighths of the descriptors; no process ends; ordinary requests are answered while the crowd stays; memory is back below half of the machine's once it has left; refusals are true.

--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unused_imports, clippy::print_stderr)]
 
 pub mod callers;
+pub mod crowds;
 mod http;
 mod processes;
 mod server;
@@ -11,7 +12,7 @@
     collections::BTreeMap,
     env, fs,
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{self, Child, Command, Stdio},
     sync::atomic::{AtomicU64, Ordering},
     thread,
@@ -79,6 +80,8 @@
     pub processes: BTreeMap<Ipv4Addr, Child>,
     /// Binaries of the hosts that run another build than the one under test.
     pub other_builds: BTreeMap<u8, PathBuf>,
+    /// Limit on the open descriptors of each process that is started.
+    pub descriptors: Option<usize>,
     watch: Watch,
     /// Keeps other test processes from using the subnet.
     _subnet_lock: TcpListener,
@@ -131,6 +134,7 @@
             subnet,
             processes: BTreeMap::new(),
             other_builds: BTreeMap::new(),
+            descriptors: None,
             watch: Watch::start(),
             _subnet_lock: subnet_lock,
         }
@@ -193,7 +197,7 @@
         let log =
             fs::OpenOptions::new().create(true).append(true).open(self.log_file(host)).unwrap();
         let binary = self.other_builds.get(&host).cloned().unwrap_or_else(gateway_binary);
-        let process = Command::new(binary)
+        let process = command_of(&binary, self.descriptors)
             .args([role, "--settings"])
             .arg(&path)
             .stdout(Stdio::from(log.try_clone().unwrap()))
@@ -325,6 +329,14 @@
     current_exe.ancestors().nth(2).unwrap().join("daisypaddle-gateway")
 }
 
+/// Returns the command that starts a program, with a limit on its open descriptors.
+fn command_of(binary: &Path, descriptors: Option<usize>) -> Command {
+    let Some(descriptors) = descriptors else { return Command::new(binary) };
+    let mut command = Command::new("sh");
+    command.args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\" \"$@\"")]).arg(binary);
+    command
+}
+
 /// Chooses a subnet that no other fleet uses.
 fn lock_subnet() -> (u8, TcpListener) {
     loop {
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -181,6 +181,9 @@
     let mut buf = Vec::new();
     let mut previous: Option<String> = None;
     while let Some(head) = read_head(&mut stream, &mut buf) {
+        if discard_body(&mut stream, &mut buf, &head).is_none() {
+            return;
+        }
         match behaviour.cut(gateway) {
             Some(Cut::Reset) => return,
             Some(Cut::Silent) => {
@@ -266,6 +269,22 @@
     }
 }
 
+/// Reads a body with a length; returns `None` if the connection ends first.
+fn discard_body(stream: &mut TcpStream, buf: &mut Vec<u8>, head: &str) -> Option<()> {
+    let length =
+        header_map(head).get("content-length").and_then(|it| it.to_str().ok()?.parse().ok());
+    let mut missing: usize = length.unwrap_or(0);
+    let buffered = missing.min(buf.len());
+    buf.drain(..buffered);
+    missing -= buffered;
+    let mut chunk = vec![0; missing.min(64 * 1024)];
+    while missing > 0 {
+        let len = missing.min(chunk.len());
+        missing -= stream.read(&mut chunk[..len]).ok().filter(|it| *it > 0)?;
+    }
+    Some(())
+}
+
 /// Returns the number in the path segment that starts with `prefix`.
 fn path_number(path: &str, prefix: &str) -> Option<u64> {
     path.split('/').find_map(|it| it.strip_prefix(prefix)?.parse().ok())
