Bound what a process holds for its clients, in sum

Seen: clients ended processes by their memory, with a few large bodies that stop short of their end, tiny or large chunks, bodies over the limit, heads without end, answers that they don't read and configurations; with connections they kept callers out.

Cause: each request had a limit and the sum none; a body was held three times (chunks, joined, joined again for the digest), and each chunk kept its connection's whole buffer alive.

Change: the component client_memory owns the sum over connections, heads, bodies and responses, with sockets' buffers. Clients without progress, late ones and idle ones give way to those that need the room; large requests leave a part to small ones; what finds no room is refused at once and told when to come back. Bodies are held once, in segments that the system gets back. Bodies announced as too large are refused by their heads. What a body's arrival takes is no longer handed to servers as time left. Settings memory_mb, max_descriptors and client_stall_s; counters; a log line a second at most.

--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use ids::HostId;
+use ids::{DescriptorCount, HostId, Megabytes, Seconds};
 use schema::{
     gateway_settings::{GatewaySettings, RegistrySettings},
     settings::{ControlSettings, EntrySettings, Peer},
@@ -63,6 +63,15 @@
 /// Maximum time until a withdrawn key is out of use, in milliseconds: one day.
 const MAX_WITHDRAWAL_MILLIS: u64 = 86_400_000;
 
+/// Range of a host's memory, in megabytes.
+const MEMORY_RANGE: (u64, u64) = (32, 1_000_000);
+
+/// Range of the open descriptors of a process.
+const DESCRIPTOR_RANGE: (u64, u64) = (64, 1_000_000);
+
+/// Maximum time without progress after which a client is cut off, in milliseconds.
+const MAX_STALL_MILLIS: u64 = 3_600_000;
+
 /// Parses and validates the settings of a gateway.
 pub fn parse_gateway_settings(text: &str) -> Result<GatewaySettings, Vec<CheckError>> {
     let settings: GatewaySettings = yaml::parse(text).map_err(|e| vec![e])?;
@@ -81,6 +90,12 @@
         let range = (min, MAX_WITHDRAWAL_MILLIS);
         check_range_at(&mut problems, path, "within_ms", withdrawal.within_ms.0, range);
     }
+    check_clients(
+        &mut problems,
+        settings.memory_mb,
+        settings.max_descriptors,
+        settings.client_stall_s,
+    );
     finish(text, problems, settings)
 }
 
@@ -89,9 +104,34 @@
     let settings: RegistrySettings = yaml::parse(text).map_err(|e| vec![e])?;
     let mut problems = Vec::new();
     check_seeds(&mut problems, settings.seeds.is_empty());
+    check_clients(
+        &mut problems,
+        settings.memory_mb,
+        settings.max_descriptors,
+        settings.client_stall_s,
+    );
     finish(text, problems, settings)
 }
 
+fn check_clients(
+    problems: &mut Vec<NodeProblem>,
+    memory: Option<Megabytes>,
+    descriptors: Option<DescriptorCount>,
+    stall_time: Option<Seconds>,
+) {
+    if let Some(memory) = memory {
+        let (min, max) = MEMORY_RANGE;
+        check_range(problems, "memory_mb", memory.0.into(), min, max);
+    }
+    if let Some(descriptors) = descriptors {
+        let (min, max) = DESCRIPTOR_RANGE;
+        check_range(problems, "max_descriptors", descriptors.0.into(), min, max);
+    }
+    if let Some(stall_time) = stall_time {
+        check_range(problems, "client_stall_s", stall_time.0.0, 1, MAX_STALL_MILLIS);
+    }
+}
+
 fn check_seeds(problems: &mut Vec<NodeProblem>, is_empty: bool) {
     if is_empty {
         problems.push(NodePath::of("seeds").with_problem(CheckProblem::EmptyList("seeds")));
--- a/components/config/tests/gateway_settings.rs
+++ b/components/config/tests/gateway_settings.rs
@@ -111,3 +111,32 @@
     assert_eq!(errors[0].line, 17, "{}", errors[0]);
     assert!(errors[0].to_string().contains("within_ms"), "{}", errors[0]);
 }
+
+#[test]
+fn limits_of_clients_are_checked_with_line_and_field() {
+    let gateway = |line: &str| format!("{}{line}\n", gateway_text("1", "10", "6"));
+    let registry = |line: &str| format!("{}{line}\n", registry_text("2", "1500"));
+
+    for line in ["memory_mb: 160.0", "max_descriptors: 4100", "client_stall_s: 0.5"] {
+        assert!(parse_gateway_settings(&gateway(line)).is_ok(), "{line}");
+        assert!(parse_registry_settings(&registry(line)).is_ok(), "{line}");
+    }
+    for line in [
+        "memory_mb: 16",
+        "memory_mb: 160.5",
+        "max_descriptors: 63",
+        "max_descriptors: many",
+        "client_stall_s: 0",
+        "client_stall_s: 3601",
+    ] {
+        let errors = [
+            (parse_gateway_settings(&gateway(line)).unwrap_err(), 17),
+            (parse_registry_settings(&registry(line)).unwrap_err(), 13),
+        ];
+        for (errors, at) in errors {
+            assert_eq!(errors[0].line, at, "{}", errors[0]);
+            let field = line.split(':').next().unwrap();
+            assert!(errors[0].to_string().contains(field), "{}", errors[0]);
+        }
+    }
+}
--- a/components/gateway/src/control/metrics.rs
+++ b/components/gateway/src/control/metrics.rs
@@ -9,12 +9,16 @@
 use schema::operator::Role;
 use transport::StatsSnapshot;
 
-use crate::http::{self, Reply};
+use crate::{
+    clients::ClientMetrics,
+    http::{self, Reply},
+};
 
 /// The metrics of a control host; updated whenever its status changes.
 pub(crate) struct Metrics {
     registry: Registry,
     transport: TransportMetrics,
+    clients: ClientMetrics,
     is_leader: Gauge,
     is_current: Gauge,
     is_read_only: Gauge,
@@ -32,6 +36,7 @@
     pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("daisypaddle");
         let transport = TransportMetrics::register(&mut registry);
+        let clients = ClientMetrics::register(&mut registry);
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -56,6 +61,7 @@
         Self {
             registry,
             transport,
+            clients,
             is_leader,
             is_current,
             is_read_only,
@@ -70,6 +76,11 @@
         }
     }
 
+    /// Returns the metrics of what is held for clients.
+    pub(crate) fn clients(&self) -> ClientMetrics {
+        self.clients.clone()
+    }
+
     /// Updates the metrics of the transport.
     pub(crate) fn set_transport(&self, stats: StatsSnapshot) {
         self.transport.set(stats);
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -13,8 +13,9 @@
 };
 
 use admin::Clock;
+use client_memory::Listener;
 use consensus::{LeaseUse, MembershipPolicy};
-use ids::{HostId, Incarnation, Millis};
+use ids::{HostId, Incarnation, Megabytes, Millis};
 use registry::{HostEvent, RegistryHost, RegistryHostSettings};
 use schema::{gateway_settings::RegistrySettings, peer::PeerFrame, sync::Place};
 use storage::{Opened, Storage, StorageError};
@@ -26,6 +27,7 @@
 use transport::Transport;
 
 use crate::{
+    clients::{ClientSettings, Clients},
     connections::Connections,
     http,
     peers::{self, StartError},
@@ -58,6 +60,9 @@
 /// Maximum time to deliver the last messages to other hosts before the process exits.
 const FLUSH_TIME_LIMIT: Duration = Duration::from_millis(200);
 
+/// Memory of a host whose settings name none.
+const DEFAULT_MEMORY: Megabytes = Megabytes(256);
+
 /// Runs a control host until it receives a stop signal or its disk fails.
 pub async fn run(settings: RegistrySettings, settings_path: PathBuf) -> Result<(), StartError> {
     let stop = admin::shutdown_signal().map_err(StartError::Io)?;
@@ -93,7 +98,8 @@
     );
     let (tx, rx) = mpsc::channel(EVENT_QUEUE_LEN);
     let mut driver = tokio::task::spawn_blocking(move || driver.run(rx));
-    let connections = Rc::new(Connections::default());
+    let clients = Clients::new(client_settings(&settings), clock, metrics.clients());
+    let connections = Rc::new(Connections::new(clients));
     spawn_listeners(&settings, &connections, &tx, metrics)?;
     let mut inputs = JoinSet::new();
     inputs.spawn_local(feed_ticks(tx.clone()));
@@ -129,6 +135,14 @@
     result.map_err(StartError::Storage)
 }
 
+fn client_settings(settings: &RegistrySettings) -> ClientSettings {
+    ClientSettings {
+        memory: settings.memory_mb.unwrap_or(DEFAULT_MEMORY),
+        descriptors: settings.max_descriptors,
+        stall_time: settings.client_stall_s,
+    }
+}
+
 /// Starts the listeners for requests and for metrics.
 fn spawn_listeners(
     settings: &RegistrySettings,
@@ -141,13 +155,17 @@
     let request_listener = http::listen(settings.request_address)?;
     let close = connections.close_signal();
     let request_handler = Rc::new(RequestHandler::new(settings, tx.clone(), close));
-    let serve = http::serve(request_listener, connections.clone(), move |req, state| {
-        request_handler.clone().handle(req, state)
-    });
+    let serve = http::serve(
+        request_listener,
+        Listener::Requests,
+        connections.clone(),
+        move |req, state| request_handler.clone().handle(req, state),
+    );
     tokio::task::spawn_local(serve);
-    let serve = http::serve(metrics_listener, connections.clone(), move |req, _| {
-        metrics::handle(metrics.clone(), req)
-    });
+    let serve =
+        http::serve(metrics_listener, Listener::Metrics, connections.clone(), move |req, _| {
+            metrics::handle(metrics.clone(), req)
+        });
     tokio::task::spawn_local(serve);
     Ok(())
 }
--- a/components/gateway/src/control/requests.rs
+++ b/components/gateway/src/control/requests.rs
@@ -4,13 +4,12 @@
 
 use bytes::Bytes;
 use gateway_core::GatewayConfig;
-use http_body_util::{BodyExt, Limited};
 use hyper::{
     Request as HttpRequest, Response, StatusCode,
     body::Incoming,
     header::{self, HeaderValue},
 };
-use ids::{HostId, Millis};
+use ids::{ByteSize, HostId, Millis};
 use platform::{announcements, calls::ControlCall, configuration};
 use registry::{Answer, MAX_CONFIG_BYTES, Request, pack_text, unpack_text};
 use schema::{gateway_settings::RegistrySettings, registry::ConfigDocument};
@@ -21,7 +20,8 @@
 
 use super::driver::DriverEvent;
 use crate::{
-    connections::{CloseSignal, ConnectionState, Stage},
+    body::{self, BodyError, ReadLimits},
+    connections::{CloseSignal, ConnectionState},
     http::{self, Reply},
     peers,
 };
@@ -29,6 +29,9 @@
 /// Time that the rest of a request body may take during a planned stop.
 const BODY_TIME_AT_STOP: Duration = Duration::from_millis(500);
 
+/// Maximum size of the body of a request that carries no configuration.
+const MAX_SMALL_BODY: ByteSize = ByteSize(64 * 1024);
+
 /// Message of a response during a planned stop.
 const STOPPING: &str = "this control host stops";
 
@@ -65,29 +68,36 @@
         let Some(call) = ControlCall::of(&head.method, path) else {
             return http::text(StatusCode::NOT_FOUND, "no such call\n");
         };
+        let size = match call {
+            ControlCall::PutConfig => ByteSize(MAX_CONFIG_BYTES as u64),
+            _ => MAX_SMALL_BODY,
+        };
+        let limits = ReadLimits { size, deadline: None, stall_time: state.stall_time() };
         let body = tokio::select! {
             biased;
-            body = Limited::new(body, MAX_CONFIG_BYTES).collect() => body,
+            body = body::read_request(&state, body, limits) => body,
             () = self.body_time_over() => {
                 log::warn!(path:% = path; "the process stops before the request body is complete");
                 return unavailable(STOPPING);
             }
         };
-        state.enter(Stage::InWork);
-        let body = match body {
-            Ok(body) => body.to_bytes(),
+        let ready = body.and_then(|it| state.begin_work().map(|()| it).map_err(BodyError::Refused));
+        let body = match ready {
+            Ok(body) => body,
             Err(e) => {
-                log::warn!(path:% = path, error:% = e; "cannot read the request body");
-                return http::text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
+                log::debug!(path:% = path, error:% = e; "cannot read the request body");
+                return http::body_error(&e, &state);
             }
         };
-        let request = match self.decode(call, &body) {
+        let request = match self.decode(call, &body.to_bytes()) {
             Ok(request) => request,
             Err(message) => {
                 log::warn!(path:% = path, error:% = message; "invalid request rejected");
                 return http::text(StatusCode::BAD_REQUEST, format!("{message}\n"));
             }
         };
+        // The request takes no more than its body, which is accounted for until the answer.
+        let _charge = body.into_charge();
         let version = match &request {
             Request::PutConfig(it) => Some(it.version),
             _ => None,
--- a/components/gateway/src/entry/backend.rs
+++ b/components/gateway/src/entry/backend.rs
@@ -2,17 +2,19 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use bytes::{Bytes, BytesMut};
 use gateway_core::{AttemptEnd, PathOutcome};
-use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header};
-use ids::{Incarnation, Millis};
+use ids::{ByteSize, Incarnation, Millis};
 use platform::headers;
 
 use super::{pool::Connection, shared::Shared};
+use crate::{
+    body::{self, HeldBody, RequestBody},
+    connections::ConnectionState,
+};
 
-/// Maximum size of a response body, in bytes; it is held in memory until it is complete.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+/// Maximum size of a response body; it is held in memory until it is complete.
+pub(crate) const MAX_RESPONSE_SIZE: ByteSize = ByteSize(16 * 1024 * 1024);
 
 /// Time for which an idle connection may be reused if its server states no timeout, in
 /// milliseconds.
@@ -29,8 +31,10 @@
 pub(crate) struct Call {
     pub(crate) address: SocketAddr,
     pub(crate) incarnation: Incarnation,
-    pub(crate) request: Request<Full<Bytes>>,
+    pub(crate) request: Request<RequestBody>,
     pub(crate) attempt_id: Rc<str>,
+    /// The client that the response is held for.
+    pub(crate) client: Rc<ConnectionState>,
     pub(crate) has_permit: bool,
     pub(crate) may_reuse_connection: bool,
 }
@@ -39,7 +43,7 @@
 pub(crate) struct ServerResponse {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
 }
 
 /// How a call ended, and its response if the caller may receive it.
@@ -52,12 +56,28 @@
     fn without_response(end: AttemptEnd) -> Self {
         Self { end, response: None }
     }
+
+    /// The server has answered, and there is no room for its response. The request may have run.
+    fn without_room() -> Self {
+        Self { end: AttemptEnd::Answered, response: Some(ServerResponse::without_room()) }
+    }
+}
+
+impl ServerResponse {
+    /// Stands for a response that is not held, and promises nothing.
+    pub(crate) fn without_room() -> Self {
+        Self {
+            status: StatusCode::BAD_GATEWAY,
+            headers: HeaderMap::new(),
+            body: bytes::Bytes::from_static(b"there is no room for the response\n").into(),
+        }
+    }
 }
 
 /// Sends a request and reads the complete response.
 pub(crate) async fn call(shared: Rc<Shared>, call: Call) -> CallResult {
     let (address, incarnation) = (call.address, call.incarnation);
-    let attempt_id = call.attempt_id.clone();
+    let (attempt_id, client) = (call.attempt_id.clone(), call.client.clone());
     let sent_at = shared.clock.now();
     let sent = send(&shared, call).await;
     let (connection, response) = match sent {
@@ -70,8 +90,10 @@
         let found = headers::read_notice(head.status, &head.headers, &attempt_id);
         shared.process_notice(address, incarnation, sent_at, found);
     }
-    let Some(body) = read_body(body).await else {
-        return CallResult::without_response(AttemptEnd::Lost);
+    let body = match body::read_response(&client, body, MAX_RESPONSE_SIZE).await {
+        Ok(body) => body,
+        Err(e) if e.is_for_lack_of_room() => return CallResult::without_room(),
+        Err(_) => return CallResult::without_response(AttemptEnd::Lost),
     };
     let end = classify(head.status, &head.headers, &attempt_id);
     if end != AttemptEnd::Lost && shared.may_keep_connection(address, incarnation) {
@@ -102,7 +124,7 @@
 pub(crate) async fn send_to_gateway(
     shared: &Shared,
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
+    request: Request<RequestBody>,
     may_reuse_connection: bool,
 ) -> Result<(Connection, Response<Incoming>), AttemptEnd> {
     let request = match send_on_idle(shared, address, request, may_reuse_connection).await? {
@@ -119,13 +141,13 @@
 enum Sent {
     Done(Box<(Connection, Response<Incoming>)>),
     /// There is no such connection, or it was closed before anything was sent.
-    NotSent(Box<Request<Full<Bytes>>>),
+    NotSent(Box<Request<RequestBody>>),
 }
 
 async fn send_on_idle(
     shared: &Shared,
     address: SocketAddr,
-    request: Request<Full<Bytes>>,
+    request: Request<RequestBody>,
     may_reuse_connection: bool,
 ) -> Result<Sent, AttemptEnd> {
     let idle = match may_reuse_connection {
@@ -145,7 +167,7 @@
 
 async fn send_on(
     mut connection: Connection,
-    request: Request<Full<Bytes>>,
+    request: Request<RequestBody>,
 ) -> Result<(Connection, Response<Incoming>), AttemptEnd> {
     match connection.sender.try_send_request(request).await {
         Ok(response) => Ok((connection, response)),
@@ -179,19 +201,6 @@
     sent
 }
 
-/// Reads a body; returns `None` if it is truncated or too large.
-pub(crate) async fn read_body(mut body: Incoming) -> Option<Bytes> {
-    let mut data = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(chunk) = frame.ok()?.into_data() else { continue };
-        if data.len() + chunk.len() > MAX_RESPONSE_BYTES {
-            return None;
-        }
-        data.extend_from_slice(&chunk);
-    }
-    Some(data.freeze())
-}
-
 /// Classifies a complete response.
 ///
 /// A response to another attempt, an encoded one, or a success without a backend server's signature
--- a/components/gateway/src/entry/callers.rs
+++ b/components/gateway/src/entry/callers.rs
@@ -2,9 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use gateway_core::{Lifecycle, Refusal, RefusalReason, RelayEnd, RequestHead, RunStatus};
-use http_body_util::{BodyExt, Limited};
 use hyper::{
     HeaderMap, Request, Response, StatusCode, Uri,
     body::Incoming,
@@ -12,7 +10,7 @@
 };
 use ids::{ByteSize, Fingerprint, Millis, Timestamp};
 use platform::headers;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::{
     backend::ServerResponse,
@@ -21,12 +19,13 @@
     shared::Shared,
 };
 use crate::{
-    connections::{ConnectionState, Stage},
+    body::{self, BodyError, HeldBody, ReadLimits},
+    connections::ConnectionState,
     http::{self, Reply},
 };
 
-/// Maximum size of a request body while there is no configuration, in bytes.
-const DEFAULT_MAX_BODY_BYTES: u64 = 1024 * 1024;
+/// Maximum size of a request body while there is no configuration.
+const DEFAULT_MAX_BODY: ByteSize = ByteSize(1024 * 1024);
 
 /// Time after the start of the process during which requests wait for the first configuration, in
 /// milliseconds.
@@ -56,7 +55,11 @@
     reply
 }
 
-async fn respond(shared: &Rc<Shared>, req: Request<Incoming>, state: &ConnectionState) -> Reply {
+async fn respond(
+    shared: &Rc<Shared>,
+    req: Request<Incoming>,
+    state: &Rc<ConnectionState>,
+) -> Reply {
     let (mut head, body) = req.into_parts();
     let Ok(relayed) = relay::take_head(shared, &mut head.headers, state.peer()) else {
         let mut reply =
@@ -68,25 +71,30 @@
     let attempt_id: Rc<str> = caller.attempt_id.as_str().into();
     state.name_request(attempt_id.clone());
     wait_for_config(shared, &attempt_id).await;
-    let body = match read_body(shared, body).await {
+    let begun = Instant::now();
+    let limits = read_limits(shared, caller.timeout.map(|it| begun + it.into()), state);
+    let body = body::read_request(state, body, limits).await;
+    let ready = body.and_then(|it| state.begin_work().map(|()| it).map_err(BodyError::Refused));
+    let body = match ready {
         Ok(body) => body,
-        Err(status) => {
-            log::warn!(
-                request:% = attempt_id,
-                status = status.as_u16();
-                "cannot read the request body"
-            );
-            return http::text(status, "the request body could not be read\n");
+        Err(e) => {
+            log::debug!(request:% = attempt_id, error:% = e; "cannot read the request body");
+            let mut reply = http::body_error(&e, state);
+            if relayed.is_some() {
+                relay::mark_reply(&mut reply, RelayEnd::Refused(None));
+            }
+            return reply;
         }
     };
-    state.enter(Stage::InWork);
+    // What the body has taken is not left for a server.
+    let reading_time = Millis(u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX));
     let request_head = RequestHead {
         host: host_of(&head.headers, &head.uri),
         method: head.method.as_str().to_owned(),
         path: head.uri.path().to_owned(),
         body_size: ByteSize(body.len() as u64),
         fingerprint: fingerprint_of(head.method.as_str(), &head.uri, &body),
-        caller_timeout: caller.timeout,
+        caller_timeout: caller.timeout.map(|it| Millis(it.0.saturating_sub(reading_time.0))),
         credentials: caller.credentials,
         relayed: relayed.clone(),
     };
@@ -100,6 +108,7 @@
         headers: head.headers,
         body,
         attempt_id,
+        client: state.clone(),
     };
     let result = forward::forward(shared, request_head, &request).await;
     let end = result.as_ref().map_or_else(|it| relay::end_of(shared, it), |_| RelayEnd::Answered);
@@ -127,15 +136,10 @@
     }
 }
 
-async fn read_body(shared: &Shared, body: Incoming) -> Result<Bytes, StatusCode> {
+fn read_limits(shared: &Shared, deadline: Option<Instant>, state: &ConnectionState) -> ReadLimits {
     let limits = shared.with_core(|core, _| core.caller_limits());
-    let limit = limits.map_or(DEFAULT_MAX_BODY_BYTES, |it| it.max_body.0);
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(_) => Err(StatusCode::BAD_REQUEST),
-    }
+    let size = limits.map_or(DEFAULT_MAX_BODY, |it| it.max_body);
+    ReadLimits { size, deadline, stall_time: state.stall_time() }
 }
 
 fn host_of(headers: &HeaderMap, uri: &Uri) -> String {
@@ -143,10 +147,10 @@
     uri.host().or(header).unwrap_or_default().to_owned()
 }
 
-fn fingerprint_of(method: &str, uri: &Uri, body: &[u8]) -> Fingerprint {
+fn fingerprint_of(method: &str, uri: &Uri, body: &HeldBody) -> Fingerprint {
     let target = uri.path_and_query().map_or("", |it| it.as_str());
-    let parts = [method.as_bytes(), &[0], target.as_bytes(), &[0], body];
-    Fingerprint::of(&parts.concat())
+    let head = [method.as_bytes(), &[0], target.as_bytes(), &[0]];
+    Fingerprint::of_parts(head.into_iter().chain(body.segments()))
 }
 
 fn proxied_reply(response: ServerResponse) -> Reply {
@@ -174,14 +178,8 @@
         (_, RunStatus::MayHaveRun) => StatusCode::BAD_GATEWAY,
     };
     let mut reply = http::text(status, format!("{}\n", refusal.reason));
-    if let Some(value) = refusal.retry_after.and_then(retry_after_value) {
+    if let Some(value) = refusal.retry_after.and_then(http::retry_after_value) {
         reply.headers_mut().insert(header::RETRY_AFTER, value);
     }
     reply
 }
-
-/// Formats a `Retry-After` value as seconds with fractions.
-fn retry_after_value(delay: Millis) -> Option<HeaderValue> {
-    let text = format!("{:.3}", delay.0 as f64 / 1_000.0);
-    HeaderValue::from_str(&text).ok()
-}
--- a/components/gateway/src/entry/forward.rs
+++ b/components/gateway/src/entry/forward.rs
@@ -2,12 +2,10 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use gateway_core::{
     AttemptStart, AttemptTarget, Finish, PathOutcome, Refusal, RefusalReason, RelayStart,
     RequestHead, RequestSummary, RunStatus, Step,
 };
-use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Uri};
 use ids::{AttemptNumber, ByteSize, Incarnation, RequestId};
 use platform::headers;
@@ -18,7 +16,11 @@
     relay::{self, RelayResult},
     shared::Shared,
 };
-use crate::peers;
+use crate::{
+    body::{HeldBody, RequestBody},
+    connections::ConnectionState,
+    peers,
+};
 
 /// Minimum time between two steps of a waiting request, in microseconds.
 const MIN_STEP_WAIT_MICROS: u64 = 500;
@@ -28,14 +30,16 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
     /// The id that the caller assigned to this attempt.
     pub(crate) attempt_id: Rc<str>,
+    /// The client that the request and its responses are held for.
+    pub(crate) client: Rc<ConnectionState>,
 }
 
 impl CallerRequest {
-    fn to_request(&self) -> Request<Full<Bytes>> {
-        let mut req = Request::new(Full::new(self.body.clone()));
+    fn to_request(&self) -> Request<RequestBody> {
+        let mut req = Request::new(self.body.to_request_body());
         *req.method_mut() = self.method.clone();
         *req.uri_mut() = self.uri.clone();
         *req.headers_mut() = self.headers.clone();
@@ -121,6 +125,7 @@
         incarnation: start.incarnation,
         request: req,
         attempt_id: request.attempt_id.clone(),
+        client: request.client.clone(),
         has_permit: start.has_permit,
         may_reuse_connection: start.may_reuse_connection,
     };
@@ -136,9 +141,10 @@
 ) {
     let mut req = request.to_request();
     headers::write_time_left(req.headers_mut(), start.time_left);
-    let (cx, attempt, attempt_id) = (shared.clone(), start.attempt, request.attempt_id.clone());
+    let (cx, attempt) = (shared.clone(), start.attempt);
+    let (attempt_id, client) = (request.attempt_id.clone(), request.client.clone());
     attempts.spawn_local(async move {
-        (attempt, Ended::Relay(relay::call(cx, start, req, attempt_id).await))
+        (attempt, Ended::Relay(relay::call(cx, start, req, attempt_id, &client).await))
     });
 }
 
--- a/components/gateway/src/entry/metrics.rs
+++ b/components/gateway/src/entry/metrics.rs
@@ -12,6 +12,8 @@
 };
 use transport::StatsSnapshot;
 
+use crate::clients::ClientMetrics;
+
 /// Maximum number of organisations with counters of their own, and the name that the others share.
 const MAX_ORGANISATIONS: usize = 200;
 const OTHER_ORGANISATIONS: &str = "other";
@@ -67,6 +69,7 @@
 pub(crate) struct Metrics {
     registry: Registry,
     transport: TransportMetrics,
+    clients: ClientMetrics,
     requests: Family<RequestLabels, Counter>,
     attempts: Family<AttemptLabels, Counter>,
     retries: Family<ServiceLabels, Counter>,
@@ -99,6 +102,7 @@
     pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("daisypaddle");
         let transport = TransportMetrics::register(&mut registry);
+        let clients = ClientMetrics::register(&mut registry);
         let requests = Family::<RequestLabels, Counter>::default();
         registry.register("requests", "Requests by service and outcome", requests.clone());
         let attempts = Family::<AttemptLabels, Counter>::default();
@@ -154,6 +158,7 @@
         Self {
             registry,
             transport,
+            clients,
             requests,
             attempts,
             retries,
@@ -182,6 +187,11 @@
         }
     }
 
+    /// Returns the metrics of what is held for clients.
+    pub(crate) fn clients(&self) -> ClientMetrics {
+        self.clients.clone()
+    }
+
     /// Counts a finished request.
     pub(crate) fn count_request(&self, summary: &RequestSummary, outcome: &'static str) {
         let labels = RequestLabels { service: summary.service.to_string(), outcome };
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -14,11 +14,12 @@
 use std::{path::PathBuf, rc::Rc, time::Duration};
 
 use admin::Clock;
+use client_memory::Listener;
 use gateway_core::{
     Gateway, GatewaySettings as CoreSettings, KeySecret, KeyWithdrawal, RetryBudgetSettings,
     StopSchedule,
 };
-use ids::Timestamp;
+use ids::{Megabytes, Timestamp};
 use schema::{
     gateway_settings::GatewaySettings,
     peer::{PeerFrame, PeerMessage},
@@ -30,6 +31,7 @@
 };
 
 use crate::{
+    clients::{ClientSettings, Clients},
     connections::Connections,
     http,
     peers::{self, StartError},
@@ -50,6 +52,9 @@
 /// Minimum time between two checks whether a poll is due, in microseconds.
 const MIN_POLL_WAIT_MICROS: u64 = 1_000;
 
+/// Memory of a host whose settings name none.
+const DEFAULT_MEMORY: Megabytes = Megabytes(160);
+
 /// Runs a gateway until a planned stop is complete.
 pub async fn run(settings: GatewaySettings, settings_path: PathBuf) -> Result<(), StartError> {
     let stop = admin::shutdown_signal().map_err(StartError::Io)?;
@@ -66,7 +71,8 @@
         (settings.ip, settings.peer_port.get()),
         Metrics::new(),
     ));
-    let connections = Rc::new(Connections::default());
+    let clients = Clients::new(client_settings(&settings), clock, shared.metrics.clients());
+    let connections = Rc::new(Connections::new(clients));
     spawn_listeners(&settings, &shared, &connections)?;
     tokio::task::spawn_local(feed_frames(shared.clone(), frames));
     tokio::task::spawn_local(poll_registry(shared.clone()));
@@ -83,6 +89,14 @@
     Ok(())
 }
 
+fn client_settings(settings: &GatewaySettings) -> ClientSettings {
+    ClientSettings {
+        memory: settings.memory_mb.unwrap_or(DEFAULT_MEMORY),
+        descriptors: settings.max_descriptors,
+        stall_time: settings.client_stall_s,
+    }
+}
+
 /// Returns a random secret, under which the keys of callers are hashed.
 fn key_secret() -> Result<KeySecret, StartError> {
     let mut secret = [0; 32];
@@ -130,7 +144,7 @@
 ) -> Result<(), StartError> {
     let callers = http::listen(settings.caller_address)?;
     let cx = shared.clone();
-    let serve = http::serve(callers, connections.clone(), move |req, state| {
+    let serve = http::serve(callers, Listener::Requests, connections.clone(), move |req, state| {
         callers::handle(cx.clone(), req, state)
     });
     tokio::task::spawn_local(serve);
@@ -138,17 +152,17 @@
     let directory = http::listen(settings.directory_address)?;
     let metrics = http::listen((settings.ip, settings.metrics_port.get()).into())?;
     let cx = shared.clone();
-    let serve = http::serve(readiness, connections.clone(), move |req, _| {
+    let serve = http::serve(readiness, Listener::Readiness, connections.clone(), move |req, _| {
         endpoints::readiness(cx.clone(), req)
     });
     tokio::task::spawn_local(serve);
     let cx = shared.clone();
-    let serve = http::serve(directory, connections.clone(), move |req, _| {
+    let serve = http::serve(directory, Listener::Directory, connections.clone(), move |req, _| {
         endpoints::directory(cx.clone(), req)
     });
     tokio::task::spawn_local(serve);
     let cx = shared.clone();
-    let serve = http::serve(metrics, connections.clone(), move |req, _| {
+    let serve = http::serve(metrics, Listener::Metrics, connections.clone(), move |req, _| {
         endpoints::metrics(cx.clone(), req)
     });
     tokio::task::spawn_local(serve);
--- a/components/gateway/src/entry/pool.rs
+++ b/components/gateway/src/entry/pool.rs
@@ -7,13 +7,13 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use ids::{FastMap, Millis, Timestamp};
 use tokio::{net::TcpSocket, task::AbortHandle, time::timeout};
 
+use crate::body::RequestBody;
+
 /// Timeout for a new connection: several round trips to the farthest region, but less than the
 /// second after which a lost SYN packet is retransmitted.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -23,7 +23,7 @@
 
 /// A connection to a backend server; dropping it closes the socket immediately.
 pub(crate) struct Connection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) sender: SendRequest<RequestBody>,
     driver: AbortHandle,
 }
 
--- a/components/gateway/src/entry/relay.rs
+++ b/components/gateway/src/entry/relay.rs
@@ -9,9 +9,7 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use bytes::Bytes;
 use gateway_core::{AttemptEnd, CallerNote, Refusal, RelayEnd, RelayStart, RelayedHead};
-use http_body_util::Full;
 use hyper::{
     HeaderMap, Request,
     header::{self, HeaderValue},
@@ -23,7 +21,11 @@
     backend::{self, ServerResponse},
     shared::Shared,
 };
-use crate::http::Reply;
+use crate::{
+    body::{self, RequestBody},
+    connections::ConnectionState,
+    http::Reply,
+};
 
 /// Name of the header of requests and responses between gateways.
 const RELAY: &str = "daisypaddle-relay";
@@ -108,8 +110,9 @@
 pub(crate) async fn call(
     shared: Rc<Shared>,
     start: RelayStart,
-    mut req: Request<Full<Bytes>>,
+    mut req: Request<RequestBody>,
     attempt_id: Rc<str>,
+    client: &ConnectionState,
 ) -> RelayResult {
     let without_response = |end| RelayResult { end, response: None };
     let RelayStart { address, head, may_reuse_connection, caller, .. } = start;
@@ -123,8 +126,13 @@
         Err(_) => return without_response(RelayEnd::Unreachable),
     };
     let (mut head, body) = response.into_parts();
-    let Some(body) = backend::read_body(body).await else {
-        return without_response(RelayEnd::Lost);
+    let body = match body::read_response(client, body, backend::MAX_RESPONSE_SIZE).await {
+        Ok(body) => body,
+        Err(e) if e.is_for_lack_of_room() => {
+            let response = Some(ServerResponse::without_room());
+            return RelayResult { end: RelayEnd::Answered, response };
+        }
+        Err(_) => return without_response(RelayEnd::Lost),
     };
     backend::keep_connection(&shared, address, connection, &head.headers);
     let Some(outcome) = head.headers.remove(RELAY) else {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -4,9 +4,11 @@
 pub mod control;
 pub mod entry;
 
+mod body;
+mod client_stream;
+mod clients;
 mod connections;
 mod http;
-mod lingering;
 mod peers;
 mod seeds;
 
--- a/components/ids/src/digest.rs
+++ b/components/ids/src/digest.rs
@@ -19,6 +19,17 @@
                 bytes.copy_from_slice(&blake3::hash(data).as_bytes()[..$len]);
                 Self(bytes)
             }
+
+            /// Computes the digest of the data that `parts` make up together.
+            pub fn of_parts<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Self {
+                let mut hasher = blake3::Hasher::new();
+                for part in parts {
+                    hasher.update(part);
+                }
+                let mut bytes = [0; $len];
+                bytes.copy_from_slice(&hasher.finalize().as_bytes()[..$len]);
+                Self(bytes)
+            }
         }
 
         impl fmt::Display for $name {
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -15,9 +15,9 @@
     fractions::{RetryAllowance, Seconds, Share},
     names::{DataCentreName, IdempotencyKey, OrganisationName, RegionName, ServerId, ServiceName},
     numbers::{
-        AttemptNumber, ByteRate, ByteSize, ConfigVersion, DiskCount, Epoch, HostId, Incarnation,
-        LimitRate, LoanNumber, LogIndex, MIN_LINK_RATE, PermitNumber, RequestId, RequestRate,
-        RetryCredit, Term,
+        AttemptNumber, ByteRate, ByteSize, ClientId, ConfigVersion, DescriptorCount, DiskCount,
+        Epoch, HostId, Incarnation, LimitRate, LoanNumber, LogIndex, MIN_LINK_RATE, Megabytes,
+        PermitNumber, RequestId, RequestRate, RetryCredit, Term,
     },
     time::{LIMIT_LEASE_TIME, Millis, Timestamp, WallTime},
 };
--- a/components/ids/src/numbers.rs
+++ b/components/ids/src/numbers.rs
@@ -66,6 +66,10 @@
     /// Id of a request, unique within the process of one host.
     RequestId, u64, "request id"
 );
+number_type!(
+    /// Id of a client's connection, unique within the process of one host.
+    ClientId, u64, "client id"
+);
 number_type!(
     /// Number of an attempt of a request, from 0.
     AttemptNumber, u32, "attempt number"
@@ -100,25 +104,44 @@
     RequestRate, u32, "request rate"
 );
 
-/// A number of disks; texts may write it as a whole number with a decimal point.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
-#[serde(transparent)]
-pub struct DiskCount(pub u32);
+macro_rules! whole_number_type {
+    ($(#[$doc:meta])* $name:ident, $what:literal) => {
+        $(#[$doc])*
+        ///
+        /// Texts may write it with a decimal point.
+        #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+        #[serde(transparent)]
+        pub struct $name(pub u32);
 
-impl<'de> Deserialize<'de> for DiskCount {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        if !deserializer.is_human_readable() {
-            return u32::deserialize(deserializer).map(Self);
-        }
-        let value = f64::deserialize(deserializer)?;
-        let is_count = value.fract() == 0.0 && (0.0..=f64::from(u32::MAX)).contains(&value);
-        match is_count {
-            true => Ok(Self(value as u32)),
-            false => Err(de::Error::custom(ParseIdError::BadNumber("number of disks"))),
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                if !deserializer.is_human_readable() {
+                    return u32::deserialize(deserializer).map(Self);
+                }
+                let value = f64::deserialize(deserializer)?;
+                let is_count = value.fract() == 0.0 && (0.0..=f64::from(u32::MAX)).contains(&value);
+                match is_count {
+                    true => Ok(Self(value as u32)),
+                    false => Err(de::Error::custom(ParseIdError::BadNumber($what))),
+                }
+            }
         }
-    }
+    };
 }
 
+whole_number_type!(
+    /// A number of disks.
+    DiskCount, "number of disks"
+);
+whole_number_type!(
+    /// A number of file descriptors.
+    DescriptorCount, "number of descriptors"
+);
+whole_number_type!(
+    /// A size in megabytes of 1,000,000 bytes.
+    Megabytes, "number of megabytes"
+);
+
 /// The slowest transfer rate that the fleet is designed for: half of the 2 Mbit/s link of the
 /// smallest hosts, since requests share that link.
 pub const MIN_LINK_RATE: ByteRate = ByteRate(125_000);
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -1,6 +1,8 @@
 //! Tests with real processes that crowds of clients that send too much, or stop short of their end,
 //! harm neither processes nor ordinary callers.
 
+#![allow(clippy::print_stderr)]
+
 mod gateway;
 
 use std::{
@@ -36,6 +38,9 @@
 const GATEWAY: u8 = 11;
 const CONTROL: u8 = 1;
 
+/// Slots of each of the four servers: no crowd takes them all.
+const SLOTS: u32 = 200;
+
 const PATH: &str = "/pay/{id}";
 
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
@@ -61,7 +66,7 @@
         let servers: Vec<Server> = (1..=4)
             .map(|i| {
                 let mut server = Server::start(i, "queue");
-                server.announcement.slots = 64;
+                server.announcement.slots = SLOTS;
                 server
             })
             .collect();
@@ -109,6 +114,7 @@
         for (host, memory) in [(1, CONTROL_MEMORY), (11, GATEWAY_MEMORY), (12, GATEWAY_MEMORY)] {
             let most = self.meter.most(self.fleet.ip(host)).memory;
             let most = most.max(self.fleet.peak_memory(host));
+            eprintln!("host {host} has used {most} kB");
             assert!(most <= memory, "host {host} has used {most} kB of {memory} kB");
         }
     }
@@ -139,6 +145,7 @@
         wait_for("memory that is free again", || {
             (memory_of(id, "VmRSS:") <= machine / 2).then_some(())
         });
+        eprintln!("host {host} uses {} kB afterwards", memory_of(id, "VmRSS:"));
     }
 
     /// Checks everything while the crowds are connected, and the memory once they have left.
@@ -256,6 +263,30 @@
     attacked.check_and_leave(vec![crowd]);
 }
 
+#[test]
+fn small_answers_that_are_not_read() {
+    let attacked = Attacked::start();
+    let first = Script::of_head("GET", "/look/{id}/size-60000");
+    // Many more requests follow on each connection.
+    let piece = first.head.replace("{id}", "next").into_bytes();
+    let script = Script { piece: piece.into(), pieces: 60, ..first };
+
+    let crowd = attacked.attack("small-answers", 400, &script);
+
+    attacked.check_and_leave(vec![crowd]);
+}
+
+#[test]
+fn bytes_that_follow_a_request_in_work() {
+    let attacked = Attacked::start();
+    let first = Script::of_head("GET", "/look/{id}/work-20000");
+    let script = Script { piece: vec![b'a'; 64 * 1024].into(), pieces: 16, ..first };
+
+    let crowd = attacked.attack("in-work", 500, &script);
+
+    attacked.check_and_leave(vec![crowd]);
+}
+
 #[test]
 fn requests_that_are_relayed() {
     let attacked = Attacked::start();
