Don't pass on answers whose status is none of a final response

Cause: responses were classified by whether their status is below 500.

Change: outside 200 to 599 the attempt is lost.

--- a/components/entry/src/backend.rs
+++ b/components/entry/src/backend.rs
@@ -123,7 +123,8 @@
     // An answer with neither a content length nor chunks looks complete even if it was cut off.
     let has_framing =
         size.exact().is_some() || head.headers.contains_key(header::TRANSFER_ENCODING);
-    if !has_framing || size.lower() > max_response_bytes.0 {
+    if !headers::is_final_status(head.status) || !has_framing || size.lower() > max_response_bytes.0
+    {
         return CallResult::without_answer(AttemptOutcome::Truncated);
     }
     let mut data = BytesMut::new();
--- a/components/entry/src/headers.rs
+++ b/components/entry/src/headers.rs
@@ -1,6 +1,6 @@
 //! Headers that the fleet reads and writes.
 
-use hyper::{HeaderMap, header};
+use hyper::{HeaderMap, StatusCode, header};
 
 /// Idempotency key: the caller's id of a request that must not run twice.
 pub const KEY_HEADER: &str = "idempotency-key";
@@ -40,6 +40,12 @@
     header::UPGRADE,
 ];
 
+/// Returns whether a final response may have this status (RFC 9110, section 15); others mean nothing
+/// to a caller.
+pub fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Removes the hop-by-hop headers, and those that the `Connection` header lists.
 pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
     let connection_headers: Vec<_> = headers
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -18,7 +18,8 @@
 pub use crate::{
     headers::{
         DEADLINE_HEADER, KEY_HEADER, LOAD_HEADER, ORGANISATION_HEADER, OUTCOME_HEADER,
-        PROBE_HEADER, REPLAYED_HEADER, REQUEST_HEADER, SHED_HEADER, remove_hop_by_hop,
+        PROBE_HEADER, REPLAYED_HEADER, REQUEST_HEADER, SHED_HEADER, is_final_status,
+        remove_hop_by_hop,
     },
     host::{EntryError, RunningEntry, start},
 };
--- a/components/gateway/src/entry/backend.rs
+++ b/components/gateway/src/entry/backend.rs
@@ -203,12 +203,12 @@
 
 /// Classifies a complete response.
 ///
-/// A response to another attempt, an encoded one, or a success without a backend server's signature
+/// A response to another attempt, one whose status is not that of a final response, an encoded one, or a success without a backend server's signature
 /// proves nothing about this request, which may have run: the attempt counts as lost.
 pub(crate) fn classify(status: StatusCode, headers: &HeaderMap, attempt_id: &str) -> AttemptEnd {
     let platform_headers = headers::read_response(headers, attempt_id);
     // A late copy of an earlier answer may say that its own request did not run.
-    if platform_headers.names_other_attempt {
+    if platform_headers.names_other_attempt || !entry::is_final_status(status) {
         return AttemptEnd::Lost;
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
--- a/components/stand_in/src/behaviour.rs
+++ b/components/stand_in/src/behaviour.rs
@@ -19,6 +19,8 @@
     Healthy,
     /// Runs the request and answers with status 500.
     Failing,
+    /// Runs the request and answers with another status.
+    Answering(u16),
     /// Runs the request and never answers.
     Hanging,
     /// Runs the request and closes the connection after half of the answer's body.
--- a/components/stand_in/src/lib.rs
+++ b/components/stand_in/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod client;
 mod server;
+mod status_stream;
 
 pub use crate::{
     behaviour::{Behaviour, Runs},
--- a/components/stand_in/src/server.rs
+++ b/components/stand_in/src/server.rs
@@ -26,6 +26,7 @@
     announcer::Announcer,
     behaviour::{Behaviour, Controls, Runs},
     body::{Aborted, ResponseBody},
+    status_stream::{StatusStream, replaced_status},
 };
 
 /// Maximum requests that wait for a slot, per slot; more are shed.
@@ -69,7 +70,7 @@
 
 struct State {
     settings: StandInSettings,
-    controls: Controls,
+    controls: Arc<Controls>,
     runs: Runs,
     slots: Semaphore,
     /// Requests that wait for a slot or are running.
@@ -133,7 +134,7 @@
     };
     let announcer = Arc::new(Announcer::new(announcement, settings.entry_hosts.clone()));
     let state = Arc::new(State {
-        controls: Controls::new(settings.service_time),
+        controls: Arc::new(Controls::new(settings.service_time)),
         runs: Runs::default(),
         slots: Semaphore::new(settings.slots as usize),
         pending: AtomicU32::new(0),
@@ -156,10 +157,11 @@
         // Nagle's algorithm would delay small answers until the client's acknowledgement.
         let _ = stream.set_nodelay(true);
         let state = state.clone();
-        let mut stopped = state.stopped.subscribe();
+        let (mut stopped, controls) = (state.stopped.subscribe(), state.controls.clone());
         tokio::spawn(async move {
             let handler = service_fn(move |req| handle(state.clone(), req));
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), handler);
+            let stream = TokioIo::new(StatusStream::new(stream, controls));
+            let connection = http1::Builder::new().serve_connection(stream, handler);
             // Errors are ignored: some behaviours close the connection on purpose.
             tokio::select! {
                 _ = connection => {}
@@ -226,6 +228,8 @@
     let mut response = match behaviour {
         Behaviour::Healthy => Response::new(ResponseBody::complete(echo)),
         Behaviour::Failing => with_status(StatusCode::INTERNAL_SERVER_ERROR, "failed\n"),
+        Behaviour::Answering(_) if !is_probe => with_status(replaced_status(), "a status\n"),
+        Behaviour::Answering(_) => Response::new(ResponseBody::complete(echo)),
         Behaviour::Hanging => std::future::pending().await,
         Behaviour::Truncating => Response::new(ResponseBody::cut_off(echo)),
         Behaviour::WrongAnswer => with_status(StatusCode::OK, "somebody else's answer\n"),
--- a/tests/gateway/server.rs
+++ b/tests/gateway/server.rs
@@ -44,6 +44,8 @@
     pub is_leaving: AtomicBool,
     /// The `Retry-After` with which the server turns all requests away.
     pub turns_away: Mutex<Option<String>>,
+    /// The status of all responses, instead of 200.
+    pub status: Mutex<Option<u16>>,
     /// The limit on the requests of all gateways that the responses name.
     pub limit: Mutex<Option<String>>,
     /// Whether the server sends bytes without end instead of responses.
@@ -250,9 +252,9 @@
             Some(value) => {
                 stand_in::mark_not_run(&mut headers);
                 headers.insert("retry-after", value.parse().unwrap());
-                "503 Service Unavailable"
+                "503 Service Unavailable".to_owned()
             }
-            None => "200 OK",
+            None => format!("{:03} Some Reason", behaviour.status.lock().unwrap().unwrap_or(200)),
         };
         let mut body = format!("{name} {target}");
         if let Some(size) = path_number(&target, "size-") {
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -355,3 +355,22 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn statuses_that_mean_nothing_reach_no_caller() {
+    let mut fleet = Fleet::start(1, 2, 1).await;
+    fleet.add_servers(2).await;
+    let address = fleet.entries[0].caller_address;
+
+    for status in [0, 1, 99, 101, 199, 600, 999] {
+        fleet.servers.iter().for_each(|it| it.set_behaviour(Behaviour::Answering(status)));
+
+        let looked = get(address, &format!("/queue/{status}"), &[]).await.unwrap();
+        let paid = post(address, &format!("/deposit/{status}"), &status.to_string(), "1").await;
+
+        for response in [looked, paid.unwrap()] {
+            let seen = response.status.as_u16();
+            assert!([502, 503, 504].contains(&seen), "{seen} for {status}: {}", response.text());
+        }
+    }
+}
