Bound what waits to be accepted, and the buffers of connections to servers

Seen: heads_without_end used 118 to 142 MB of 160, up to 40 MB more than is accounted.

Cause: up to 512 connections waited at each listener, each with 64 KiB that had arrived; and a connection to a server could buffer 400 KiB of a response, which nothing accounted for.

Change: 256 wait at the listener of requests, 64 at each other one; connections to servers buffer 64 KiB, the largest head of a response. Bodies without a deadline wait for none. The stages of a connection are one type.

--- a/components/client_memory/src/client.rs
+++ b/components/client_memory/src/client.rs
@@ -18,17 +18,21 @@
 const HEAD_FACTOR: u64 = 2;
 
 /// What a client's connection is busy with.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+///
+/// `Idle`: no request has begun. `ReadsHead`: a part of a request head has arrived. `ReadsBody`: the
+/// head is complete. `InWork`: the request is complete and may be running.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+#[ignore_extra_doc_attributes]
 pub enum Stage {
-    /// No request has begun.
+    /// awaits-request
     Idle,
-    /// A part of a request head has arrived.
+    /// reads-head
     ReadsHead,
-    /// The body is being read.
+    /// reads-body
     ReadsBody,
-    /// The request may be running.
+    /// in-work
     InWork,
-    /// The response is being written.
+    /// writes-response
     WritesResponse,
 }
 
--- a/components/gateway/src/body.rs
+++ b/components/gateway/src/body.rs
@@ -6,8 +6,9 @@
 use std::{
     collections::VecDeque,
     convert::Infallible,
+    future::pending,
     io,
-    pin::Pin,
+    pin::{Pin, pin},
     rc::Rc,
     task::{Context, Poll},
     time::Duration,
@@ -246,15 +247,13 @@
     let time_left = limits.deadline.map(|it| it.saturating_duration_since(Instant::now()));
     let charge = client.begin_body(announced.map(ByteSize), time_left);
     let mut buf = BodyBuffer::new(charge.map_err(BodyError::Refused)?, announced);
-    let no_deadline = Instant::now() + limits.stall_time.saturating_mul(1_000);
-    let late = sleep_until(limits.deadline.unwrap_or(no_deadline));
-    tokio::pin!(late);
+    let mut late = pin!(deadline_passed(limits.deadline));
     loop {
         let frame = tokio::select! {
             biased;
             () = client.evicted() => return Err(BodyError::Evicted),
             frame = body.frame() => frame,
-            () = &mut late => return Err(BodyError::Late),
+            () = late.as_mut() => return Err(BodyError::Late),
             () = sleep(limits.stall_time) => {
                 client.cut_off();
                 return Err(BodyError::Late);
@@ -269,6 +268,13 @@
     }
 }
 
+async fn deadline_passed(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => sleep_until(deadline).await,
+        None => pending().await,
+    }
+}
+
 /// Reads the body of a response to a client's request.
 pub(crate) async fn read_response(
     client: &ConnectionState,
--- a/components/gateway/src/connections.rs
+++ b/components/gateway/src/connections.rs
@@ -9,30 +9,17 @@
 
 use client_memory::{
     LARGE_RECEIVE_BUFFER_BYTES, LARGE_SEND_BUFFER_BYTES, Listener, RECEIVE_BUFFER_BYTES, Refusal,
-    SEND_BUFFER_BYTES, SMALL_BYTES, Stage as MemoryStage,
+    SEND_BUFFER_BYTES, SMALL_BYTES, Stage,
 };
 use ids::{ByteSize, ClientId, Millis};
 use tokio::sync::{Notify, watch};
 
 use crate::clients::Clients;
 
-/// What a connection is busy with. One that has served a request stays in the last stage until the next
-/// request arrives.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
-pub(crate) enum Stage {
-    /// awaits-request
-    AwaitsRequest,
-    /// reads-body
-    ReadsBody,
-    /// in-work
-    InWork,
-    /// writes-response
-    WritesResponse,
-}
-
 /// What is known of a connection and of the latest request on it.
 pub(crate) struct ConnectionState {
     peer: SocketAddr,
+    /// One that has served a request stays in the last stage until the next request arrives.
     stage: Cell<Stage>,
     /// Id of the request if it has one, otherwise its path.
     request: RefCell<Rc<str>>,
@@ -55,13 +42,13 @@
     /// Records that the head of a request was received.
     pub(crate) fn begin_request(&self, path: &str) {
         self.stage.set(Stage::ReadsBody);
-        self.clients.enter(self.id, MemoryStage::ReadsBody);
+        self.clients.enter(self.id, Stage::ReadsBody);
         self.name_request(path.into());
     }
 
     /// Records that a request is complete and may run from now on; it must not if there is no room.
     pub(crate) fn begin_work(&self) -> Result<(), Refusal> {
-        self.clients.try_enter(self.id, MemoryStage::InWork)?;
+        self.clients.try_enter(self.id, Stage::InWork)?;
         self.stage.set(Stage::InWork);
         self.receive_buffer.set(RECEIVE_BUFFER_BYTES);
         Ok(())
@@ -71,7 +58,7 @@
     pub(crate) fn begin_response(&self, len: usize) {
         self.stage.set(Stage::WritesResponse);
         self.receive_buffer.set(RECEIVE_BUFFER_BYTES);
-        if self.clients.try_enter(self.id, MemoryStage::WritesResponse).is_err() {
+        if self.clients.try_enter(self.id, Stage::WritesResponse).is_err() {
             self.evict();
         }
         if len as u64 <= SEND_BUFFER_BYTES {
@@ -99,7 +86,7 @@
     /// Records that all of the response is on its way; nothing more is held for its request.
     pub(crate) fn response_queued(&self) {
         self.send_buffer.set(SEND_BUFFER_BYTES);
-        self.clients.enter(self.id, MemoryStage::Idle);
+        self.clients.enter(self.id, Stage::Idle);
     }
 
     /// Returns the new size of the socket's receive buffer if it has changed, in bytes.
@@ -285,7 +272,7 @@
         let id = self.clients.open(listener)?;
         let state = Rc::new(ConnectionState {
             peer,
-            stage: Cell::new(Stage::AwaitsRequest),
+            stage: Cell::new(Stage::Idle),
             request: RefCell::new("".into()),
             clients: self.clients.clone(),
             id,
@@ -307,7 +294,7 @@
     /// Logs the open connections whose requests may have no complete response yet.
     pub(crate) fn log_unfinished(&self) {
         for state in self.clients.states() {
-            if state.stage.get() == Stage::AwaitsRequest {
+            if state.stage.get() == Stage::Idle {
                 continue;
             }
             log::warn!(
--- a/components/gateway/src/control/mod.rs
+++ b/components/gateway/src/control/mod.rs
@@ -151,8 +151,8 @@
     metrics: Arc<Metrics>,
 ) -> Result<(), StartError> {
     let metrics_address = (settings.ip, settings.metrics_port.get()).into();
-    let metrics_listener = http::listen(metrics_address)?;
-    let request_listener = http::listen(settings.request_address)?;
+    let metrics_listener = http::listen(metrics_address, Listener::Metrics)?;
+    let request_listener = http::listen(settings.request_address, Listener::Requests)?;
     let close = connections.close_signal();
     let request_handler = Rc::new(RequestHandler::new(settings, tx.clone(), close));
     let serve = http::serve(
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -142,15 +142,16 @@
     shared: &Rc<Shared>,
     connections: &Rc<Connections>,
 ) -> Result<(), StartError> {
-    let callers = http::listen(settings.caller_address)?;
+    let callers = http::listen(settings.caller_address, Listener::Requests)?;
     let cx = shared.clone();
     let serve = http::serve(callers, Listener::Requests, connections.clone(), move |req, state| {
         callers::handle(cx.clone(), req, state)
     });
     tokio::task::spawn_local(serve);
-    let readiness = http::listen(settings.readiness_address)?;
-    let directory = http::listen(settings.directory_address)?;
-    let metrics = http::listen((settings.ip, settings.metrics_port.get()).into())?;
+    let readiness = http::listen(settings.readiness_address, Listener::Readiness)?;
+    let directory = http::listen(settings.directory_address, Listener::Directory)?;
+    let metrics =
+        http::listen((settings.ip, settings.metrics_port.get()).into(), Listener::Metrics)?;
     let cx = shared.clone();
     let serve = http::serve(readiness, Listener::Readiness, connections.clone(), move |req, _| {
         endpoints::readiness(cx.clone(), req)
--- a/components/gateway/src/entry/pool.rs
+++ b/components/gateway/src/entry/pool.rs
@@ -18,6 +18,9 @@
 /// second after which a lost SYN packet is retransmitted.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Maximum size of the buffers of a connection, and so of the head of a response, in bytes.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Maximum number of idle connections per server.
 const MAX_IDLE_PER_SERVER: usize = 2;
 
@@ -111,7 +114,9 @@
     };
     let stream = socket.connect(address).await?;
     stream.set_nodelay(true)?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_BUFFER_BYTES);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
     let driver = tokio::task::spawn_local(async move {
         // The request on this connection receives the error as well.
--- a/components/gateway/src/http.rs
+++ b/components/gateway/src/http.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use client_memory::{Listener, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES};
+use client_memory::{Listener, RECEIVE_BUFFER_BYTES, SEND_BUFFER_BYTES, Stage};
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
@@ -30,12 +30,14 @@
 use crate::{
     body::{BodyError, ReplyBody},
     client_stream::ClientStream,
-    connections::{CloseSignal, ConnectionState, Connections, Stage},
+    connections::{CloseSignal, ConnectionState, Connections},
     peers::StartError,
 };
 
-/// Maximum number of connections that wait to be accepted.
-const BACKLOG: u32 = 512;
+/// Maximum number of connections that wait to be accepted, each with a full receive buffer at worst: on
+/// the listener of requests, and on each other one.
+const REQUEST_BACKLOG: u32 = 256;
+const OTHER_BACKLOG: u32 = 64;
 
 /// Maximum size of a request head, in bytes: more than any configuration allows callers.
 const MAX_HEAD_BYTES: usize = 128 * 1024;
@@ -61,12 +63,16 @@
 pub(crate) type Reply = Response<ReplyBody>;
 
 /// Listens on an address, even if connections of an earlier process are still closing.
-pub(crate) fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+pub(crate) fn listen(address: SocketAddr, kind: Listener) -> Result<TcpListener, StartError> {
+    let backlog = match kind {
+        Listener::Requests => REQUEST_BACKLOG,
+        Listener::Readiness | Listener::Directory | Listener::Metrics => OTHER_BACKLOG,
+    };
     let bind = || {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
-        socket.listen(BACKLOG)
+        socket.listen(backlog)
     };
     bind().map_err(|e| StartError::Listen(address, e))
 }
@@ -164,7 +170,7 @@
         () = tokio::time::sleep(HEAD_TIME_AT_CLOSE) => {}
     }
     // Nothing is owed to a client that has sent no whole head.
-    if state.stage() == Stage::AwaitsRequest {
+    if state.stage() == Stage::Idle {
         return Ok(());
     }
     tokio::select! {
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -112,9 +112,9 @@
         crowds.iter_mut().for_each(|it| it.check_refusals(&runs));
         assert_eq!(self.fleet.take_ended(), None);
         for (host, memory) in [(1, CONTROL_MEMORY), (11, GATEWAY_MEMORY), (12, GATEWAY_MEMORY)] {
-            let most = self.meter.most(self.fleet.ip(host)).memory;
-            let most = most.max(self.fleet.peak_memory(host));
-            eprintln!("host {host} has used {most} kB");
+            let with_unread = self.meter.most(self.fleet.ip(host)).memory;
+            let most = with_unread.max(self.fleet.peak_memory(host));
+            eprintln!("host {host} has used {most} kB, {with_unread} kB with unread bytes");
             assert!(most <= memory, "host {host} has used {most} kB of {memory} kB");
         }
     }
