Test that nothing stays accounted, and who gives way first

Changed by hand, client_memory's tests missed two faults: heads that are never released, and idle clients that give way before stalled ones.

--- a/components/client_memory/tests/clients.rs
+++ b/components/client_memory/tests/clients.rs
@@ -237,3 +237,34 @@
 
     assert_eq!(memory.take_evicted(), []);
 }
+
+#[test]
+fn a_head_is_held_twice_until_its_response_is_on_its_way() {
+    let (mut memory, now) = (smallest_host(), start());
+    let id = memory.open(now, Listener::Requests).unwrap();
+    let idle = memory.total().0;
+
+    memory.received(now, id, ByteSize(1_000)).unwrap();
+    memory.enter(now, id, Stage::ReadsBody);
+    assert_eq!(memory.total().0 - idle, 2_000);
+
+    memory.try_enter(now, id, Stage::InWork).unwrap();
+    memory.try_enter(now, id, Stage::WritesResponse).unwrap();
+    memory.enter(now, id, Stage::Idle);
+    assert_eq!(memory.total().0, idle);
+}
+
+#[test]
+fn stalled_clients_give_way_before_idle_ones() {
+    let (mut memory, now) = (smallest_host(), start());
+    let mut stalled = Vec::new();
+    while let Ok(id) = memory.open(now, Listener::Requests) {
+        if stalled.len() < 2 && memory.received(now + Millis(1), id, ByteSize(1_000)).is_ok() {
+            stalled.push(id);
+        }
+    }
+
+    memory.open(now + Millis(600), Listener::Requests).unwrap();
+
+    assert_eq!(memory.take_evicted(), [(stalled[0], Eviction::Stalled)]);
+}
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -34,6 +34,9 @@
 const FEW_DESCRIPTORS: usize = 512;
 const MAX_OPEN: usize = FEW_DESCRIPTORS / 8 * 7;
 
+/// What a host may account for clients once a crowd has left, in bytes: a few connections.
+const MAX_HELD_AFTERWARDS: u64 = 1_000_000;
+
 /// The gateway and the control host that are attacked.
 const GATEWAY: u8 = 11;
 const CONTROL: u8 = 1;
@@ -146,6 +149,18 @@
             (memory_of(id, "VmRSS:") <= machine / 2).then_some(())
         });
         eprintln!("host {host} uses {} kB afterwards", memory_of(id, "VmRSS:"));
+        wait_for("clients for whom nothing is held", || {
+            (self.held_bytes(host)? <= MAX_HELD_AFTERWARDS).then_some(())
+        });
+    }
+
+    /// Returns what a host accounts for its clients, in bytes.
+    fn held_bytes(&self, host: u8) -> Option<u64> {
+        let address = self.fleet.address(host, self.fleet.ports.metrics);
+        let page = call(address, "GET", "/metrics", &[], b"")?;
+        let text = String::from_utf8_lossy(&page.body).into_owned();
+        let line = text.lines().find_map(|it| it.strip_prefix("daisypaddle_client_memory_bytes "));
+        line?.parse().ok()
     }
 
     /// Checks everything while the crowds are connected, and the memory once they have left.
