Count connections that give way until they are closed; end bodies of tiny parts in time

Seen: beside other work, connections_without_requests had 466 descriptors open (bound 448): evicted connections are closed by tasks of their own, and more were accepted meanwhile. The test had passed before since its meter could end without a sample; now it waits for one of each kind, and reads the list of sockets less often.

Change: connections that give way count until they are closed, with a sixteenth beyond the limit.

Seen: bodies in chunks of one byte were read for up to a minute after their clients had left, since a part is always ready and the deadline was looked at only otherwise; at a control host there was none.

Change: the deadline comes first, and control hosts wait for a body no longer than client_stall_s. A stalled body is now called stalled even if it would be late, too.

Tests for the refusal by the head, bodies that are late, clients that are cut off after client_stall_s, and the counters.

--- a/components/client_memory/src/client.rs
+++ b/components/client_memory/src/client.rs
@@ -171,13 +171,10 @@
         if self.stage == Stage::InWork {
             return None;
         }
-        if self.stage == Stage::ReadsBody && self.is_late(now) {
-            return Some(Eviction::Late);
-        }
-        if now.since(self.progressed) < STALL_TIME {
-            return None;
-        }
+        let is_stalled = now.since(self.progressed) >= STALL_TIME;
         match self.stage {
+            Stage::ReadsBody if !is_stalled && self.is_late(now) => Some(Eviction::Late),
+            _ if !is_stalled => None,
             Stage::Idle if self.held == 0 => Some(Eviction::Idle),
             _ => Some(Eviction::Stalled),
         }
--- a/components/client_memory/src/memory.rs
+++ b/components/client_memory/src/memory.rs
@@ -1,6 +1,6 @@
 //! The memory that a process has for its clients.
 
-use ids::{ByteSize, ClientId, FastMap, Millis, Timestamp};
+use ids::{ByteSize, ClientId, FastMap, FastSet, Millis, Timestamp};
 
 use crate::{
     client::{Client, Eviction, Stage},
@@ -10,6 +10,9 @@
 /// Part of the connections that the clients of one listener leave to the other listeners.
 const OTHER_LISTENERS_SHARE: usize = 8;
 
+/// Part of the connections that may be open beyond the limit while clients that gave way are closed.
+const LEAVING_SHARE: usize = 16;
+
 /// Bounds of the time after which a refused client should come back, in milliseconds.
 const MIN_RETRY_AFTER: Millis = Millis(250);
 const MAX_RETRY_AFTER: Millis = Millis(2_000);
@@ -64,6 +67,8 @@
     total: u64,
     large: u64,
     evicted: Vec<(ClientId, Eviction)>,
+    /// Clients that have given way and whose connections are not closed yet.
+    leaving: FastSet<ClientId>,
 }
 
 impl ClientMemory {
@@ -76,6 +81,7 @@
             total: 0,
             large: 0,
             evicted: Vec::new(),
+            leaving: FastSet::default(),
         }
     }
 
@@ -83,6 +89,9 @@
     pub fn open(&mut self, now: Timestamp, listener: Listener) -> Result<ClientId, Refusal> {
         let of_listener = self.clients.values().filter(|it| it.listener == listener).count();
         let limit = self.limits.connections;
+        if self.clients.len() + self.leaving.len() >= limit + limit / LEAVING_SHARE {
+            return Err(self.refusal(now, RefusalCause::Connections));
+        }
         let listener_limit = limit - limit / OTHER_LISTENERS_SHARE;
         // A listener that uses its whole part takes from its own clients only.
         let victims = match of_listener >= listener_limit {
@@ -168,10 +177,8 @@
 
     /// Releases all that was held for a connection that is closed.
     pub fn close(&mut self, id: ClientId) {
-        if let Some(client) = self.clients.remove(&id) {
-            self.total -= client.total();
-            self.large -= client.large();
-        }
+        self.leaving.remove(&id);
+        self.remove(id);
     }
 
     /// Returns the clients that have given way since the last call; nothing is held for them any more.
@@ -196,11 +203,16 @@
         ByteSize(self.large)
     }
 
-    /// Returns the number of open connections.
+    /// Returns the number of open connections, without those of clients that have given way.
     pub fn connections(&self) -> usize {
         self.clients.len()
     }
 
+    /// Returns the number of clients that have given way and whose connections are not closed yet.
+    pub fn leaving(&self) -> usize {
+        self.leaving.len()
+    }
+
     /// Returns the limits.
     pub fn limits(&self) -> Limits {
         self.limits
@@ -279,12 +291,20 @@
         });
         let Some(last) = enough else { return false };
         for (_, _, id, eviction, _) in candidates.into_iter().take(last + 1) {
-            self.close(id);
+            self.remove(id);
+            self.leaving.insert(id);
             self.evicted.push((id, eviction));
         }
         true
     }
 
+    fn remove(&mut self, id: ClientId) {
+        if let Some(client) = self.clients.remove(&id) {
+            self.total -= client.total();
+            self.large -= client.large();
+        }
+    }
+
     fn update(&mut self, id: ClientId, change: impl FnOnce(&mut Client)) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         let (total, large) = (client.total(), client.large());
--- a/components/client_memory/tests/clients.rs
+++ b/components/client_memory/tests/clients.rs
@@ -268,3 +268,21 @@
 
     assert_eq!(memory.take_evicted(), [(stalled[0], Eviction::Stalled)]);
 }
+
+#[test]
+fn connections_that_give_way_count_until_they_are_closed() {
+    let mut memory = ClientMemory::new(Limits::of_host(Megabytes(160), DescriptorCount(400)));
+    let limit = memory.limits().connections;
+    for i in 0..limit {
+        let listener = if i % 2 == 0 { Listener::Requests } else { Listener::Directory };
+        memory.open(start(), listener).unwrap();
+    }
+
+    let later = start() + Millis(600);
+    while memory.open(later, Listener::Metrics).is_ok() {}
+    assert!(memory.connections() + memory.leaving() <= limit + limit / 16);
+
+    let (closed, _) = memory.take_evicted()[0];
+    memory.close(closed);
+    memory.open(later, Listener::Metrics).unwrap();
+}
--- a/components/client_memory/tests/crowds.rs
+++ b/components/client_memory/tests/crowds.rs
@@ -100,6 +100,7 @@
     fn check(&mut self) {
         for (id, _) in self.memory.take_evicted() {
             let (stage, _) = self.clients.remove(&id).unwrap();
+            self.memory.close(id);
             assert_ne!(stage, Stage::InWork, "a client whose request may run gave way");
         }
         let limits = self.memory.limits();
--- a/components/gateway/src/body.rs
+++ b/components/gateway/src/body.rs
@@ -6,11 +6,11 @@
 use std::{
     collections::VecDeque,
     convert::Infallible,
-    future::pending,
+    future::{Future, pending, poll_fn},
     io,
-    pin::{Pin, pin},
+    pin::Pin,
     rc::Rc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -20,7 +20,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use ids::ByteSize;
 use memmap2::MmapMut;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, Sleep, sleep, sleep_until};
 
 use crate::connections::{Charge, ConnectionState};
 
@@ -247,20 +247,12 @@
     let time_left = limits.deadline.map(|it| it.saturating_duration_since(Instant::now()));
     let charge = client.begin_body(announced.map(ByteSize), time_left);
     let mut buf = BodyBuffer::new(charge.map_err(BodyError::Refused)?, announced);
-    let mut late = pin!(deadline_passed(limits.deadline));
+    let mut wait = BodyWait::new(client, &limits);
     loop {
-        let frame = tokio::select! {
-            biased;
-            () = client.evicted() => return Err(BodyError::Evicted),
-            frame = body.frame() => frame,
-            () = late.as_mut() => return Err(BodyError::Late),
-            () = sleep(limits.stall_time) => {
-                client.cut_off();
-                return Err(BodyError::Late);
-            }
+        let Some(frame) = poll_fn(|cx| wait.poll_frame(&mut body, cx)).await? else {
+            return Ok(buf.finish());
         };
-        let Some(frame) = frame else { return Ok(buf.finish()) };
-        let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else { continue };
+        let Ok(data) = frame.into_data() else { continue };
         if buf.len + data.len() > usize::try_from(limits.size.0).unwrap_or(usize::MAX) {
             return Err(BodyError::TooLarge);
         }
@@ -268,6 +260,52 @@
     }
 }
 
+/// Waits for the parts of a body, which may be millions.
+struct BodyWait<'a> {
+    client: &'a ConnectionState,
+    evicted: Pin<Box<dyn Future<Output = ()> + 'a>>,
+    late: Pin<Box<dyn Future<Output = ()> + 'a>>,
+    stall: Option<Pin<Box<Sleep>>>,
+    stall_time: Duration,
+}
+
+impl<'a> BodyWait<'a> {
+    fn new(client: &'a ConnectionState, limits: &ReadLimits) -> Self {
+        Self {
+            client,
+            evicted: Box::pin(client.evicted()),
+            late: Box::pin(deadline_passed(limits.deadline)),
+            stall: None,
+            stall_time: limits.stall_time,
+        }
+    }
+
+    fn poll_frame(
+        &mut self,
+        body: &mut Incoming,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<Option<Frame<Bytes>>, BodyError>> {
+        if self.client.is_evicted() {
+            return Poll::Ready(Err(BodyError::Evicted));
+        }
+        // Before the body, which may have a part ready at each poll until long after the deadline.
+        if self.late.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Err(BodyError::Late));
+        }
+        if let Poll::Ready(frame) = Pin::new(body).poll_frame(cx) {
+            self.stall = None;
+            return Poll::Ready(frame.transpose().map_err(BodyError::Broken));
+        }
+        if self.evicted.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Err(BodyError::Evicted));
+        }
+        let stall = self.stall.get_or_insert_with(|| Box::pin(sleep(self.stall_time)));
+        ready!(stall.as_mut().poll(cx));
+        self.client.cut_off();
+        Poll::Ready(Err(BodyError::Late))
+    }
+}
+
 async fn deadline_passed(deadline: Option<Instant>) {
     match deadline {
         Some(deadline) => sleep_until(deadline).await,
--- a/components/gateway/src/clients.rs
+++ b/components/gateway/src/clients.rs
@@ -179,6 +179,11 @@
         self.memory.borrow().connections()
     }
 
+    /// Returns whether connections of clients that gave way are still open.
+    pub(crate) fn are_leaving(&self) -> bool {
+        self.memory.borrow().leaving() > 0
+    }
+
     fn checked<T>(
         &self,
         f: impl FnOnce(&mut ClientMemory, Timestamp) -> Result<T, Refusal>,
--- a/components/gateway/src/connections.rs
+++ b/components/gateway/src/connections.rs
@@ -163,6 +163,11 @@
         self.eviction.notify_waiters();
     }
 
+    /// Returns whether the client gives way.
+    pub(crate) fn is_evicted(&self) -> bool {
+        self.is_evicted.get()
+    }
+
     /// Waits until the client gives way.
     pub(crate) async fn evicted(&self) {
         let notified = self.eviction.notified();
@@ -286,6 +291,11 @@
         Ok(state)
     }
 
+    /// Returns whether connections of clients that gave way are still open.
+    pub(crate) fn are_leaving(&self) -> bool {
+        self.clients.are_leaving()
+    }
+
     /// Returns the number of open connections.
     pub(crate) fn count(&self) -> usize {
         self.clients.count()
--- a/components/gateway/src/control/requests.rs
+++ b/components/gateway/src/control/requests.rs
@@ -15,7 +15,7 @@
 use schema::{gateway_settings::RegistrySettings, registry::ConfigDocument};
 use tokio::{
     sync::{mpsc, oneshot},
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 use super::driver::DriverEvent;
@@ -72,7 +72,10 @@
             ControlCall::PutConfig => ByteSize(MAX_CONFIG_BYTES as u64),
             _ => MAX_SMALL_BODY,
         };
-        let limits = ReadLimits { size, deadline: None, stall_time: state.stall_time() };
+        let stall_time = state.stall_time();
+        // Its sender has given up long before.
+        let deadline = Some(Instant::now() + stall_time);
+        let limits = ReadLimits { size, deadline, stall_time };
         let body = tokio::select! {
             biased;
             body = body::read_request(&state, body, limits) => body,
--- a/components/gateway/src/http.rs
+++ b/components/gateway/src/http.rs
@@ -24,6 +24,7 @@
 use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
+    task::yield_now,
     time::timeout,
 };
 
@@ -115,7 +116,12 @@
             }
         };
         // Its cause is counted and logged; without a response, the client may come back at once.
-        let Ok(state) = connections.open(kind, address) else { continue };
+        let opened = connections.open(kind, address);
+        if connections.are_leaving() {
+            // Most can be closed before another connection is accepted.
+            yield_now().await;
+        }
+        let Ok(state) = opened else { continue };
         if let Err(e) = set_buffers(&stream) {
             log::debug!(error:% = e; "the buffers of a client's socket have other sizes");
         }
--- a/tests/gateway/crowds.rs
+++ b/tests/gateway/crowds.rs
@@ -6,8 +6,8 @@
     io::{Read, Write},
     net::{Ipv4Addr, SocketAddr, TcpStream},
     sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread::{self, JoinHandle},
     time::Duration,
@@ -30,8 +30,13 @@
 /// Longest wait of a client of a crowd for a process that doesn't read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Interval at which the memory of processes is read.
+/// States of connections in `/proc/net/tcp`; the queue of a listener is counted in connections.
+const ESTABLISHED: &str = "01";
+const CLOSE_WAIT: &str = "08";
+
+/// Intervals at which processes and sockets are read; the list of sockets is long after many connections.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
+const SOCKET_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Statuses that promise that a request has not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
@@ -184,52 +189,90 @@
     pub descriptors: usize,
 }
 
-/// Reads at intervals what processes use, until it is dropped or asked for the result.
+/// Reads at intervals what processes use, until it is dropped.
 pub struct Meter {
-    most: Arc<Mutex<BTreeMap<Ipv4Addr, Usage>>>,
-    is_over: Arc<AtomicBool>,
-    thread: Option<JoinHandle<()>>,
+    shared: Arc<Shared>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// What the threads of a meter have read.
+#[derive(Default)]
+struct Shared {
+    most: Mutex<BTreeMap<Ipv4Addr, Usage>>,
+    unread: Mutex<BTreeMap<Ipv4Addr, u64>>,
+    /// Rounds in which the sockets were read, and in which the processes were.
+    rounds: [AtomicU64; 2],
+    is_over: AtomicBool,
 }
 
 impl Meter {
     pub fn start(fleet: &Fleet, hosts: &[u8]) -> Self {
         let processes: Vec<_> =
             hosts.iter().map(|it| (fleet.ip(*it), fleet.processes[&fleet.ip(*it)].id())).collect();
-        let most = Arc::new(Mutex::new(BTreeMap::new()));
-        let is_over = Arc::new(AtomicBool::new(false));
-        let (cx, over) = (most.clone(), is_over.clone());
-        let thread = thread::spawn(move || {
-            while !over.load(Ordering::Relaxed) {
-                let unread = unread_bytes();
-                let mut most = cx.lock().unwrap_or_else(PoisonError::into_inner);
-                for (ip, id) in &processes {
-                    let unread = unread.get(ip).copied().unwrap_or_default() / 1_000;
-                    let usage = most.entry(*ip).or_insert_with(Usage::default);
-                    usage.memory = usage.memory.max(memory_of(*id, "VmRSS:") + unread);
-                    usage.descriptors = usage.descriptors.max(descriptors_of(*id));
-                }
-                drop(most);
-                thread::sleep(SAMPLE_INTERVAL);
+        let shared = Arc::new(Shared::default());
+        let read_sockets = |shared: &Shared| {
+            *lock(&shared.unread) = unread_bytes();
+        };
+        let read_processes = move |shared: &Shared| {
+            for (ip, id) in &processes {
+                let unread = lock(&shared.unread).get(ip).copied().unwrap_or_default() / 1_000;
+                let memory = memory_of(*id, "VmRSS:") + unread;
+                let descriptors = descriptors_of(*id);
+                let mut most = lock(&shared.most);
+                let usage = most.entry(*ip).or_default();
+                usage.memory = usage.memory.max(memory);
+                usage.descriptors = usage.descriptors.max(descriptors);
             }
-        });
-        Self { most, is_over, thread: Some(thread) }
+        };
+        let threads = vec![
+            sample(shared.clone(), 0, SOCKET_INTERVAL, read_sockets),
+            sample(shared.clone(), 1, SAMPLE_INTERVAL, read_processes),
+        ];
+        Self { shared, threads }
     }
 
-    /// Returns the most that a process has used.
+    /// Returns the most that a process has used, also after this call began.
     pub fn most(&self, ip: Ipv4Addr) -> Usage {
-        self.most.lock().unwrap().get(&ip).copied().unwrap_or_default()
+        for rounds in &self.shared.rounds {
+            let begun = rounds.load(Ordering::SeqCst);
+            // The round that is under way may have begun earlier.
+            while rounds.load(Ordering::SeqCst) < begun + 2 {
+                thread::sleep(SAMPLE_INTERVAL);
+            }
+        }
+        lock(&self.shared.most)[&ip]
     }
 }
 
 impl Drop for Meter {
     fn drop(&mut self) {
-        self.is_over.store(true, Ordering::Relaxed);
-        if let Some(thread) = self.thread.take() {
+        self.shared.is_over.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
             let _ = thread.join();
         }
     }
 }
 
+/// Starts a thread that reads at intervals and counts its rounds.
+fn sample(
+    shared: Arc<Shared>,
+    number: usize,
+    interval: Duration,
+    read: impl Fn(&Shared) + Send + 'static,
+) -> JoinHandle<()> {
+    thread::spawn(move || {
+        while !shared.is_over.load(Ordering::Relaxed) {
+            read(&shared);
+            shared.rounds[number].fetch_add(1, Ordering::SeqCst);
+            thread::sleep(interval);
+        }
+    })
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns a field of a process's status, in kilobytes.
 pub fn memory_of(process: u32, field: &str) -> u64 {
     let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
@@ -245,23 +288,18 @@
 /// Returns the bytes that wait in the sockets of each local address, in either direction.
 fn unread_bytes() -> BTreeMap<Ipv4Addr, u64> {
     let mut unread = BTreeMap::new();
-    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let table = fs::read_to_string("/proc/net/tcp").unwrap();
     for line in table.lines().skip(1) {
-        let mut fields = line.split_whitespace().skip(1);
-        let (Some(local), Some(state), Some(queues)) =
-            (fields.next(), fields.nth(1), fields.next())
-        else {
-            continue;
-        };
-        // The queue of a listener is counted in connections.
-        if state == "0A" {
+        // `sl: address:port address:port state sent:received`, all but `sl` of fixed widths.
+        let (_, socket) = line.split_once(": ").unwrap();
+        let (ip, state, queues) =
+            (&socket[..8], &socket[28..30], [&socket[31..39], &socket[40..48]]);
+        if state != ESTABLISHED && state != CLOSE_WAIT {
             continue;
         }
-        let ip = local.split(':').next().and_then(|it| u32::from_str_radix(it, 16).ok());
-        let queues = queues.split(':').filter_map(|it| u64::from_str_radix(it, 16).ok());
-        if let Some(ip) = ip {
-            *unread.entry(Ipv4Addr::from(ip.to_ne_bytes())).or_insert(0) += queues.sum::<u64>();
-        }
+        let ip = Ipv4Addr::from(u32::from_str_radix(ip, 16).unwrap().to_ne_bytes());
+        let queues = queues.map(|it| u64::from_str_radix(it, 16).unwrap());
+        *unread.entry(ip).or_insert(0) += queues.iter().sum::<u64>();
     }
     unread
 }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -82,6 +82,8 @@
     pub other_builds: BTreeMap<u8, PathBuf>,
     /// Limit on the open descriptors of each process that is started.
     pub descriptors: Option<usize>,
+    /// Lines that are added to the settings of each gateway.
+    pub gateway_settings: String,
     watch: Watch,
     /// Keeps other test processes from using the subnet.
     _subnet_lock: TcpListener,
@@ -135,6 +137,7 @@
             processes: BTreeMap::new(),
             other_builds: BTreeMap::new(),
             descriptors: None,
+            gateway_settings: String::new(),
             watch: Watch::start(),
             _subnet_lock: subnet_lock,
         }
@@ -175,7 +178,7 @@
              data_centres: [{{ name: north-a, region: north }}]\nseeds:\n{}peer_port: {}\n\
              metrics_port: {}\ncaller_address: {}\nreadiness_address: {}\n\
              directory_address: {}\nstop_within_s: 6\ndirectory_keep_s: 1\n\
-             retry_budget: {{ share: 0.2, slack: 58, window_s: 10 }}\n",
+             retry_budget: {{ share: 0.2, slack: 58, window_s: 10 }}\n{}",
             self.ip(host),
             self.seeds(),
             self.ports.peer,
@@ -183,6 +186,7 @@
             self.address(host, self.ports.callers),
             self.address(host, self.ports.readiness),
             self.address(host, self.ports.directory),
+            self.gateway_settings,
         );
         self.spawn("entry", host, &settings);
     }
--- a/tests/gateway_crowds.rs
+++ b/tests/gateway_crowds.rs
@@ -6,14 +6,15 @@
 mod gateway;
 
 use std::{
-    net::SocketAddr,
+    io::Write,
+    net::{SocketAddr, TcpStream},
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
 use gateway::{
     Cut, Fleet, Server, call,
     crowds::{CONTROL_MEMORY, Crowd, GATEWAY_MEMORY, Meter, Script, memory_of},
-    wait_for,
+    receive, wait_for,
 };
 use ids::{ByteSize, Millis};
 use platform::stand_in;
@@ -58,13 +59,13 @@
 
 impl Attacked {
     fn start() -> Self {
-        Self::start_with(None)
+        Self::start_with(|_| {})
     }
 
-    fn start_with(descriptors: Option<usize>) -> Self {
+    fn start_with(prepare: impl FnOnce(&mut Fleet)) -> Self {
         let turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
         let mut fleet = Fleet::without_hosts();
-        fleet.descriptors = descriptors;
+        prepare(&mut fleet);
         fleet.start_hosts(2);
         let servers: Vec<Server> = (1..=4)
             .map(|i| {
@@ -150,17 +151,18 @@
         });
         eprintln!("host {host} uses {} kB afterwards", memory_of(id, "VmRSS:"));
         wait_for("clients for whom nothing is held", || {
-            (self.held_bytes(host)? <= MAX_HELD_AFTERWARDS).then_some(())
+            (self.metric(host, "daisypaddle_client_memory_bytes")? <= MAX_HELD_AFTERWARDS)
+                .then_some(())
         });
     }
 
-    /// Returns what a host accounts for its clients, in bytes.
-    fn held_bytes(&self, host: u8) -> Option<u64> {
+    /// Returns a value of the metrics page of a host, or 0 if it isn't there yet.
+    fn metric(&self, host: u8, name: &str) -> Option<u64> {
         let address = self.fleet.address(host, self.fleet.ports.metrics);
         let page = call(address, "GET", "/metrics", &[], b"")?;
         let text = String::from_utf8_lossy(&page.body).into_owned();
-        let line = text.lines().find_map(|it| it.strip_prefix("daisypaddle_client_memory_bytes "));
-        line?.parse().ok()
+        let value = text.lines().find_map(|it| it.strip_prefix(name)?.strip_prefix(' '));
+        Some(value.map_or(0, |it| it.parse().unwrap()))
     }
 
     /// Checks everything while the crowds are connected, and the memory once they have left.
@@ -197,6 +199,79 @@
     attacked.check_and_leave(vec![crowd, others]);
 }
 
+#[test]
+fn what_gives_way_or_is_refused_is_counted() {
+    let attacked = Attacked::start();
+    let stalled = Script::announced("POST", PATH, MAX_BODY, SHORT_OF_END, SHORT_OF_END);
+
+    let _refused = attacked.attack("refused", 3, &stalled);
+    wait_for("a refusal", || {
+        attacked
+            .metric(GATEWAY, "daisypaddle_client_refusals_total{cause=\"memory\"}")
+            .filter(|it| *it > 0)
+    });
+    wait_for("an eviction", || {
+        let _next = attacked.attack("next", 1, &stalled);
+        attacked
+            .metric(GATEWAY, "daisypaddle_client_evictions_total{cause=\"stalled\"}")
+            .filter(|it| *it > 0)
+    });
+}
+
+#[test]
+fn clients_that_send_or_read_nothing_for_long_are_cut_off_though_there_is_room() {
+    let attacked =
+        Attacked::start_with(|it| it.gateway_settings = "client_stall_s: 1\n".to_owned());
+    let stalled = Script::announced("POST", PATH, 1_000, 100, 900);
+    let not_read = Script::of_head("GET", "/look/{id}/size-15000000");
+
+    let _crowds =
+        [attacked.attack("stalled", 1, &stalled), attacked.attack("not-read", 1, &not_read)];
+
+    wait_for("two clients that are cut off", || {
+        attacked
+            .metric(GATEWAY, "daisypaddle_client_evictions_total{cause=\"timeout\"}")
+            .filter(|it| *it == 2)
+    });
+}
+
+#[test]
+fn an_announced_body_that_is_too_large_is_refused_by_its_head() {
+    let attacked = Attacked::start();
+    let head = Script::announced("POST", PATH, MAX_BODY + 1, 1, 0).head.replace("{id}", "large");
+    let mut stream = TcpStream::connect(attacked.callers()).unwrap();
+    stream.write_all(head.as_bytes()).unwrap();
+
+    let response = receive(&mut stream).unwrap();
+
+    assert_eq!(response.status, 413);
+    assert!(response.closes_connection());
+    let piece = vec![b'a'; SHORT_OF_END];
+    wait_for("the end of the connection", || stream.write_all(&piece).is_err().then_some(()));
+}
+
+#[test]
+fn a_body_that_does_not_arrive_in_its_callers_time_is_refused_and_does_not_run() {
+    let attacked = Attacked::start();
+    let mut stream = TcpStream::connect(attacked.callers()).unwrap();
+    let mut head =
+        "POST /pay/late HTTP/1.1\r\nhost: shop.example\r\ncontent-length: 9\r\n".to_owned();
+    for (name, value) in stand_in::caller_headers("late", Millis(300)) {
+        head += &format!("{name}: {value}\r\n");
+    }
+    stream.write_all(format!("{head}\r\n12345678").as_bytes()).unwrap();
+
+    let response = receive(&mut stream).unwrap();
+
+    assert_eq!(response.status, 408);
+    // The last byte comes too late.
+    let _ = stream.write_all(b"9");
+    attacked.wait_until_served(GATEWAY);
+    for server in &attacked.servers {
+        assert!(!server.runs.lock().unwrap().contains(&"late".to_owned()));
+    }
+}
+
 #[test]
 fn bodies_in_pieces_that_stop_short_of_their_end() {
     let attacked = Attacked::start();
@@ -321,7 +396,7 @@
 
 #[test]
 fn connections_without_requests() {
-    let attacked = Attacked::start_with(Some(FEW_DESCRIPTORS));
+    let attacked = Attacked::start_with(|it| it.descriptors = Some(FEW_DESCRIPTORS));
     let fleet = &attacked.fleet;
     let silent = Script { head: String::new(), ..Script::of_head("GET", "/") };
     let ports = [fleet.ports.callers, fleet.ports.readiness, fleet.ports.directory];
@@ -338,6 +413,7 @@
     wait_for("a directory", || (!fleet.directory(GATEWAY).is_empty()).then_some(()));
     for host in [CONTROL, GATEWAY] {
         let open = attacked.meter.most(fleet.ip(host)).descriptors;
+        eprintln!("host {host} has had {open} open descriptors");
         assert!(open <= MAX_OPEN, "host {host} has had {open} open descriptors");
     }
 }
