--- a/tests/gateway/crowds.rs
+++ b/tests/gateway/crowds.rs
@@ -30,9 +30,10 @@
 /// Longest wait of a client of a crowd for a process that doesn't read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// States of connections in `/proc/net/tcp`; the queue of a listener is counted in connections.
-const ESTABLISHED: &str = "01";
-const CLOSE_WAIT: &str = "08";
+/// States in `/proc/net/tcp` of sockets that hold no bytes; the queue of a listener is counted in
+/// connections.
+const TIME_WAIT: &str = "06";
+const LISTEN: &str = "0A";
 
 /// Intervals at which processes and sockets are read; the list of sockets is long after many connections.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
@@ -294,7 +295,7 @@
         let (_, socket) = line.split_once(": ").unwrap();
         let (ip, state, queues) =
             (&socket[..8], &socket[28..30], [&socket[31..39], &socket[40..48]]);
-        if state != ESTABLISHED && state != CLOSE_WAIT {
+        if state == TIME_WAIT || state == LISTEN {
             continue;
         }
         let ip = Ipv4Addr::from(u32::from_str_radix(ip, 16).unwrap().to_ne_bytes());
