Count losses of requests only if their servers crashed, and clear by answers

Cause: a lost answer counted like a crash and was told to all gateways, while answers were told to none. Three losses between two answers of a gateway's own refused the path there, and nothing it did not send could clear it.

Change: the component quarantine holds losses as undecided until the start that lost the request has ended (a connection is refused, or a later start is registered), drops them when that start responds, tells crashes and the answers that clear them to all gateways, and ignores losses within 10 s of an answer. The new kind of message goes as a datagram only, which older builds ignore.

--- a/components/entry_core/src/peers.rs
+++ b/components/entry_core/src/peers.rs
@@ -56,7 +56,8 @@
             | PeerMessage::RetryBudget(_)
             | PeerMessage::ServerLimit(_)
             | PeerMessage::OrganisationRate(_)
-            | PeerMessage::ServerWork(_) => {}
+            | PeerMessage::ServerWork(_)
+            | PeerMessage::Quarantine(_) => {}
         }
     }
 
--- a/components/fleet_core/src/control_host.rs
+++ b/components/fleet_core/src/control_host.rs
@@ -163,7 +163,8 @@
             | PeerMessage::RetryBudget(_)
             | PeerMessage::ServerLimit(_)
             | PeerMessage::OrganisationRate(_)
-            | PeerMessage::ServerWork(_) => Vec::new(),
+            | PeerMessage::ServerWork(_)
+            | PeerMessage::Quarantine(_) => Vec::new(),
         }
     }
 
--- a/components/gateway/src/entry/backend.rs
+++ b/components/gateway/src/entry/backend.rs
@@ -7,7 +7,10 @@
 use ids::{ByteSize, Incarnation, Millis};
 use platform::headers;
 
-use super::{pool::Connection, shared::Shared};
+use super::{
+    pool::{ConnectError, Connection},
+    shared::Shared,
+};
 use crate::{
     body::{self, HeldBody, RequestBody},
     connections::ConnectionState,
@@ -131,9 +134,8 @@
         Sent::Done(sent) => return Ok(*sent),
         Sent::NotSent(request) => request,
     };
-    let Some(connection) = shared.pool.connect(address).await else {
-        return Err(AttemptEnd::Unreachable);
-    };
+    let connect = shared.pool.connect(address).await;
+    let connection = connect.map_err(|_| AttemptEnd::Unreachable)?;
     send_on(connection, *request).await
 }
 
@@ -184,9 +186,15 @@
         Sent::Done(sent) => return Ok(*sent),
         Sent::NotSent(request) => request,
     };
-    let Some(connection) = shared.pool.connect(address).await else {
-        shared.record_path(address, incarnation, PathOutcome::Unreachable);
-        return Err(AttemptEnd::Unreachable);
+    let connection = match shared.pool.connect(address).await {
+        Ok(connection) => connection,
+        Err(e) => {
+            shared.record_path(address, incarnation, PathOutcome::Unreachable);
+            if e == ConnectError::Refused {
+                shared.with_core(|core, now| core.on_connection_refused(now, address, incarnation));
+            }
+            return Err(AttemptEnd::Unreachable);
+        }
     };
     // The response to another request may have closed the server to new ones meanwhile.
     if !shared.may_send(address, incarnation, has_permit) {
--- a/components/gateway/src/entry/events.rs
+++ b/components/gateway/src/entry/events.rs
@@ -1,6 +1,6 @@
 //! Logs the events of the decision logic.
 
-use gateway_core::Event;
+use gateway_core::{Event, QuarantineEvent};
 
 use crate::peers;
 
@@ -108,8 +108,19 @@
                 "retry sent"
             );
         }
-        Event::RequestQuarantined { request, servers } => {
-            log::warn!(request = request.0, servers = *servers; "request quarantined");
+        Event::Quarantine(QuarantineEvent::Crashed { request, server, crashes }) => {
+            log::warn!(
+                fingerprint:% = request,
+                server_address:% = server.address,
+                servers = *crashes;
+                "server crashed while it ran a request"
+            );
+        }
+        Event::Quarantine(QuarantineEvent::Quarantined { request, crashes }) => {
+            log::warn!(fingerprint:% = request, servers = *crashes; "request quarantined");
+        }
+        Event::Quarantine(QuarantineEvent::Cleared { request }) => {
+            log::info!(fingerprint:% = request; "request answered, its crashes are forgotten");
         }
     }
 }
--- a/components/gateway/src/entry/forward.rs
+++ b/components/gateway/src/entry/forward.rs
@@ -152,8 +152,8 @@
 fn probe_path(shared: Rc<Shared>, address: SocketAddr, incarnation: Incarnation) {
     tokio::task::spawn_local(async move {
         let outcome = match shared.pool.connect(address).await {
-            Some(_) => PathOutcome::Connected,
-            None => PathOutcome::Unreachable,
+            Ok(_) => PathOutcome::Connected,
+            Err(_) => PathOutcome::Unreachable,
         };
         shared.record_path(address, incarnation, outcome);
     });
--- a/components/gateway/src/entry/mod.rs
+++ b/components/gateway/src/entry/mod.rs
@@ -16,8 +16,8 @@
 use admin::Clock;
 use client_memory::Listener;
 use gateway_core::{
-    Gateway, GatewaySettings as CoreSettings, KeySecret, KeyWithdrawal, RetryBudgetSettings,
-    StopSchedule,
+    Gateway, GatewaySettings as CoreSettings, KeySecret, KeyWithdrawal, Probe, ProbeOutcome,
+    RetryBudgetSettings, StopSchedule,
 };
 use ids::{Megabytes, Timestamp};
 use schema::{
@@ -38,6 +38,7 @@
     seeds::SettingsWatch,
 };
 use metrics::Metrics;
+use pool::ConnectError;
 use shared::Shared;
 
 /// Time to read what has arrived before connections are closed: one round of the event loop.
@@ -64,18 +65,21 @@
     let (transport, frames) =
         peers::bind_transport(settings.ip, settings.peer_port.get(), incarnation).await?;
     let core = Gateway::new(core_settings(&settings, incarnation, key_secret()?));
+    let (probe_tx, probes) = mpsc::unbounded_channel();
     let shared = Rc::new(Shared::new(
         core,
         clock,
         transport,
         (settings.ip, settings.peer_port.get()),
         Metrics::new(),
+        probe_tx,
     ));
     let clients = Clients::new(client_settings(&settings), clock, shared.metrics.clients());
     let connections = Rc::new(Connections::new(clients));
     spawn_listeners(&settings, &shared, &connections)?;
     tokio::task::spawn_local(feed_frames(shared.clone(), frames));
     tokio::task::spawn_local(poll_registry(shared.clone()));
+    tokio::task::spawn_local(probe_servers(shared.clone(), probes));
     tokio::task::spawn_local(feed_seeds(shared.clone(), watch));
     log::info!(
         host:% = settings.ip,
@@ -189,6 +193,9 @@
             PeerMessage::ServerWork(report) => {
                 shared.with_core(|core, now| core.on_work_report(now, frame.from, &report));
             }
+            PeerMessage::Quarantine(message) => {
+                shared.with_core(|core, now| core.on_quarantine_message(now, frame.from, &message));
+            }
             PeerMessage::Sync(SyncMessage::Update(update)) => {
                 let config = shared.with_core(|core, now| core.on_update(now, frame.from, update));
                 if let Some(document) = config {
@@ -205,6 +212,22 @@
     }
 }
 
+/// Opens connections without requests to servers that may have crashed.
+async fn probe_servers(shared: Rc<Shared>, mut probes: mpsc::UnboundedReceiver<Probe>) {
+    while let Some(Probe { server, delay }) = probes.recv().await {
+        let cx = shared.clone();
+        tokio::task::spawn_local(async move {
+            sleep(delay.into()).await;
+            let outcome = match cx.pool.connect(server.address).await {
+                Ok(_) => ProbeOutcome::Connected,
+                Err(ConnectError::Refused) => ProbeOutcome::Refused,
+                Err(ConnectError::Failed) => ProbeOutcome::Failed,
+            };
+            cx.with_core(|core, now| core.on_server_probe(now, server, outcome));
+        });
+    }
+}
+
 /// Keeps one poll in flight to a control host.
 async fn poll_registry(shared: Rc<Shared>) {
     loop {
--- a/components/gateway/src/entry/pool.rs
+++ b/components/gateway/src/entry/pool.rs
@@ -24,6 +24,15 @@
 /// Maximum number of idle connections per server.
 const MAX_IDLE_PER_SERVER: usize = 2;
 
+/// Why no connection could be opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectError {
+    /// No process accepts connections at the address.
+    Refused,
+    /// It failed otherwise, or took too long.
+    Failed,
+}
+
 /// A connection to a backend server; dropping it closes the socket immediately.
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<RequestBody>,
@@ -66,17 +75,20 @@
         None
     }
 
-    /// Opens a connection; returns `None` if that fails or takes too long.
-    pub(crate) async fn connect(&self, address: SocketAddr) -> Option<Connection> {
+    /// Opens a connection, unless that takes too long.
+    pub(crate) async fn connect(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
         match timeout(CONNECT_TIMEOUT, open(self.own_ip, address)).await {
-            Ok(Ok(connection)) => Some(connection),
+            Ok(Ok(connection)) => Ok(connection),
             Ok(Err(e)) => {
                 log::debug!(server_address:% = address, error:% = e; "cannot connect to the server");
-                None
+                match e.kind() {
+                    io::ErrorKind::ConnectionRefused => Err(ConnectError::Refused),
+                    _ => Err(ConnectError::Failed),
+                }
             }
             Err(_) => {
                 log::debug!(server_address:% = address; "connecting to the server timed out");
-                None
+                Err(ConnectError::Failed)
             }
         }
     }
--- a/components/gateway/src/entry/shared.rs
+++ b/components/gateway/src/entry/shared.rs
@@ -7,12 +7,12 @@
 };
 
 use admin::Clock;
-use gateway_core::{Event, Gateway, GatewayConfig, PathOutcome, ServerNotice};
+use gateway_core::{Event, Gateway, GatewayConfig, PathOutcome, Probe, ServerNotice};
 use ids::{FastMap, HostId, Incarnation, RequestId, Timestamp};
 use platform::{configuration, headers::NoticeHeaders};
 use registry::unpack_text;
 use schema::{peer::PeerMessage, registry::ConfigDocument};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 use transport::Transport;
 
 use super::{events, metrics::Metrics, pool::Pool};
@@ -33,6 +33,8 @@
     pub(crate) metrics: Metrics,
     /// Wakes requests that wait for a server.
     wakers: RefCell<FastMap<RequestId, Rc<Notify>>>,
+    /// Connections to be opened to learn whether servers have crashed.
+    probe_tx: mpsc::UnboundedSender<Probe>,
     /// Notified when the next poll may be due earlier.
     pub(crate) poll_due: Notify,
     /// Notified when a configuration was received.
@@ -46,6 +48,7 @@
         transport: Transport,
         (own_ip, peer_port): (Ipv4Addr, u16),
         metrics: Metrics,
+        probe_tx: mpsc::UnboundedSender<Probe>,
     ) -> Self {
         Self {
             core: RefCell::new(core),
@@ -55,6 +58,7 @@
             pool: Pool::new(own_ip),
             metrics,
             wakers: RefCell::default(),
+            probe_tx,
             poll_due: Notify::new(),
             config_changed: Notify::new(),
         }
@@ -70,6 +74,8 @@
             (core.take_reports(), core.take_retry_budget_messages(), core.take_limit_messages());
         let rate_messages = core.take_rate_messages();
         let work_reports = core.take_work_reports();
+        let (quarantine_messages, probes) =
+            (core.take_quarantine_messages(), core.take_server_probes());
         let (events, wakeups) = (core.take_events(), core.take_wakeups());
         drop(core);
         for outgoing in reports {
@@ -89,6 +95,13 @@
         for (to, message) in rate_messages {
             self.send(to, PeerMessage::OrganisationRate(message));
         }
+        for (to, message) in quarantine_messages {
+            self.send(to, PeerMessage::Quarantine(message));
+        }
+        for probe in probes {
+            // The receiver ends with the process.
+            let _ = self.probe_tx.send(probe);
+        }
         for event in &events {
             if let Event::ServerLeaving { address, .. } = event {
                 self.pool.close_idle(*address);
--- a/components/gateway_core/src/events.rs
+++ b/components/gateway_core/src/events.rs
@@ -3,10 +3,12 @@
 use std::net::SocketAddr;
 
 use ids::{
-    ConfigVersion, DataCentreName, HostId, LimitRate, Millis, OrganisationName, RequestId,
-    RetryCredit, ServerId, ServiceName,
+    ConfigVersion, DataCentreName, HostId, LimitRate, Millis, OrganisationName, RetryCredit,
+    ServerId, ServiceName,
 };
 
+use quarantine::QuarantineEvent;
+
 use crate::{organisations::RefusalCause, requests::AttemptTarget, work::LikelyWork};
 
 /// A gateway's part of the retry budget of a service in the current window.
@@ -162,13 +164,8 @@
         /// The gateway's part of the retry budget before the retry.
         usage: RetryUsage,
     },
-    /// A request crashed several servers and is refused from now on.
-    RequestQuarantined {
-        /// The request whose loss reached the limit; 0 if another gateway reported it.
-        request: RequestId,
-        /// Number of servers that lost the request.
-        servers: usize,
-    },
+    /// What is known of a request that crashes servers has changed.
+    Quarantine(QuarantineEvent),
 }
 
 /// Summary of a finished request for its log line and metrics.
--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -1,11 +1,10 @@
 //! Decides the next step of a request: send, wait, retry, hedge or finish.
 
+use ::quarantine::{Admission, Observer};
 use ids::{AttemptNumber, ByteSize, Millis, RequestId, ServerId, Timestamp};
 use schema::server_load::{Answered, LoadEvent};
 
-use super::{
-    Gateway, KEYS_OUTDATED_RETRY_AFTER, QUARANTINE_RETRY_AFTER, STOPPING_RETRY_AFTER, queue_key,
-};
+use super::{Gateway, KEYS_OUTDATED_RETRY_AFTER, STOPPING_RETRY_AFTER, queue_key};
 use crate::{
     configuration::Idempotency,
     events::Event,
@@ -17,7 +16,7 @@
     retry_budget::RetryDecision,
     server_limits::PermitDecision,
     servers::{
-        ServerKey,
+        key_of,
         notices::Closed,
         placement::{self, Placement, PlacementRequest},
     },
@@ -153,8 +152,11 @@
         if end == AttemptEnd::Misplaced {
             self.servers.mark_misplaced(key);
         }
+        if matches!(end, AttemptEnd::ServerError | AttemptEnd::Shed) {
+            self.quarantine.responded(key, started);
+        }
         if end == AttemptEnd::Answered {
-            self.quarantine.clear(fingerprint);
+            self.quarantine.answered(now, fingerprint, key, started);
             self.servers.record_size(route, size);
             if ended.shows_work {
                 let slowdown = self.servers.slowdown(now, key);
@@ -163,7 +165,7 @@
             }
         }
         if end == AttemptEnd::Lost {
-            self.record_lost(now, Some(id), fingerprint, key);
+            self.record_lost(now, fingerprint, key, Observer::Own);
         }
         self.report_end(now, key, event);
     }
@@ -198,19 +200,6 @@
         }
     }
 
-    pub(super) fn record_lost(
-        &mut self,
-        now: Timestamp,
-        request: Option<RequestId>,
-        fingerprint: ids::Fingerprint,
-        key: ServerKey,
-    ) {
-        if let Some(servers) = self.quarantine.record_loss(now, fingerprint, key) {
-            let request = request.unwrap_or(RequestId(0));
-            self.events.push(Event::RequestQuarantined { request, servers });
-        }
-    }
-
     /// Monitors attempts in flight: hedges the request and reports overdue attempts.
     fn check_in_flight(&mut self, now: Timestamp, id: RequestId) -> Step {
         let request = &self.requests[&id];
@@ -303,8 +292,9 @@
             let retry_after = self.return_time(now, id).unwrap_or(NO_SERVER_RETRY_AFTER);
             return self.give_up(now, id, RefusalReason::NoAnswer, Some(retry_after));
         }
-        if self.quarantine.is_quarantined(now, request.head.fingerprint) {
-            return self.give_up(now, id, RefusalReason::Quarantined, Some(QUARANTINE_RETRY_AFTER));
+        let admission = self.quarantine.admit(now, request.head.fingerprint);
+        if let Admission::Refused(retry_after) = admission {
+            return self.give_up(now, id, RefusalReason::Quarantined, Some(retry_after));
         }
         if let Some(step) = self.detour(now, id) {
             return step;
@@ -505,7 +495,7 @@
         server: ServerId,
     ) -> Option<AttemptStart> {
         let announcement = self.servers.get(&server)?.announcement.clone();
-        let key = ServerKey::of(&announcement);
+        let key = key_of(&announcement);
         let shows_work = self.servers.get(&server)?.shows_work(now);
         let has_permit = self.servers.limit(key).is_some();
         if has_permit && !self.server_limits.take_permit(now, id, key) {
--- a/components/gateway_core/src/gateway/detours.rs
+++ b/components/gateway_core/src/gateway/detours.rs
@@ -99,6 +99,9 @@
             RelayEnd::Refused(retry_after) => request.relay_refusal = Some(retry_after),
             RelayEnd::Unable | RelayEnd::Unreachable | RelayEnd::Lost => {}
         }
+        if end == RelayEnd::Answered {
+            self.quarantine.answered_elsewhere(now, request.head.fingerprint);
+        }
         match end {
             RelayEnd::Answered | RelayEnd::ServerError | RelayEnd::Lost => {
                 request.run = RunStatus::MayHaveRun;
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -4,12 +4,14 @@
 mod detours;
 mod limits;
 mod notices;
+mod quarantine;
 mod rates;
 mod registry;
 mod reports;
 
 use std::sync::Arc;
 
+use ::quarantine::{Admission, Quarantine};
 use ids::{ConfigVersion, FastMap, HostId, Millis, RequestId, ServerId, ServiceName, Timestamp};
 use rand_xoshiro::{
     Xoshiro256PlusPlus,
@@ -25,7 +27,6 @@
     organisations::{CallerIdentity, KeyCheck, KeyTable, OrganisationRates},
     paths::{Paths, relays::Relays},
     planned_stop::StopSchedule,
-    quarantine::Quarantine,
     registry_poller::RegistryPoller,
     requests::{
         Deadline, QueueKey, Refusal, RefusalReason, Request, RequestHead,
@@ -45,9 +46,6 @@
 /// Retry-After that sends callers of a draining gateway to another one, in milliseconds.
 pub(crate) const STOPPING_RETRY_AFTER: Millis = Millis(50);
 
-/// Retry-After for requests that crash servers, in milliseconds.
-const QUARANTINE_RETRY_AFTER: Millis = Millis(30_000);
-
 /// Multiple of the time after which a response is overdue that a stopping gateway allows requests that
 /// can't be sent again.
 const NON_IDEMPOTENT_LATENCY_FACTOR: f64 = 2.0;
@@ -241,9 +239,8 @@
     pub fn begin(&mut self, now: Timestamp, head: RequestHead) -> Result<RequestId, Refusal> {
         let route = self.find_route(&head)?;
         let identity = self.identify(now, &head, &route)?;
-        if self.quarantine.is_quarantined(now, head.fingerprint) {
-            let retry_after = Some(QUARANTINE_RETRY_AFTER);
-            return Err(Refusal::not_run(RefusalReason::Quarantined, retry_after));
+        if let Admission::Refused(retry_after) = self.quarantine.admit(now, head.fingerprint) {
+            return Err(Refusal::not_run(RefusalReason::Quarantined, Some(retry_after)));
         }
         let kinds = self.kinds(&head, &route, identity.as_ref());
         let work = self.work.estimate(now, &kinds);
@@ -320,6 +317,7 @@
 
     /// Takes the pending events for logs and metrics.
     pub fn take_events(&mut self) -> Vec<Event> {
+        self.collect_quarantine_events();
         std::mem::take(&mut self.events)
     }
 
--- /dev/null
+++ b/components/gateway_core/src/gateway/quarantine.rs
@@ -0,0 +1,118 @@
+//! Feeds the quarantine with what happens to requests and servers, and delivers its messages.
+
+use std::net::SocketAddr;
+
+use ::quarantine::{Audience, Observer, Probe, ProbeOutcome};
+use ids::{Fingerprint, HostId, Incarnation, Timestamp};
+use schema::{
+    announcement::{Announcement, ServerState},
+    quarantine::QuarantineMessage,
+    server_load::ReportScope,
+};
+
+use super::Gateway;
+use crate::{
+    events::Event,
+    servers::{Course, ServerKey, key_of},
+};
+
+impl Gateway {
+    /// Processes a message about requests that crash servers.
+    pub fn on_quarantine_message(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        message: &QuarantineMessage,
+    ) {
+        self.quarantine.on_message(now, from, message);
+    }
+
+    /// Takes the pending messages about requests that crash servers.
+    pub fn take_quarantine_messages(&mut self) -> Vec<(HostId, QuarantineMessage)> {
+        let mut messages = Vec::new();
+        for outgoing in self.quarantine.take_outgoing() {
+            let message = outgoing.message;
+            match outgoing.to {
+                Audience::Fleet => {
+                    let to_pass_on = with_scope(&message, ReportScope::ToPassOn);
+                    let relays = self.pick_relays().into_iter();
+                    messages.extend(relays.map(|it| (it, to_pass_on.clone())));
+                    messages.extend(self.local_peers().into_iter().map(|it| (it, message.clone())));
+                }
+                Audience::DataCentre => {
+                    messages.extend(self.local_peers().into_iter().map(|it| (it, message.clone())));
+                }
+                Audience::Host(host) => messages.push((host, message)),
+            }
+        }
+        messages
+    }
+
+    /// Takes the connections to be opened to learn whether servers have crashed.
+    pub fn take_server_probes(&mut self) -> Vec<Probe> {
+        self.quarantine.take_probes()
+    }
+
+    /// Records the result of a connection that [`Self::take_server_probes`] has returned.
+    pub fn on_server_probe(&mut self, now: Timestamp, server: ServerKey, outcome: ProbeOutcome) {
+        self.quarantine.probed(now, server, outcome);
+    }
+
+    /// Records that a server refused a new connection.
+    pub fn on_connection_refused(
+        &mut self,
+        now: Timestamp,
+        address: SocketAddr,
+        incarnation: Incarnation,
+    ) {
+        self.quarantine.refused(now, ServerKey { address, incarnation });
+    }
+
+    pub(super) fn record_lost(
+        &mut self,
+        now: Timestamp,
+        request: Fingerprint,
+        server: ServerKey,
+        observer: Observer,
+    ) {
+        match self.servers.course_of(now, server) {
+            Course::Leaving => {}
+            Course::Running => self.quarantine.lost(now, request, server, observer),
+            Course::Replaced => {
+                self.quarantine.lost(now, request, server, observer);
+                self.quarantine.ended(now, server);
+            }
+        }
+    }
+
+    /// Tells the quarantine which starts have ended; must be called before the announcements are applied.
+    pub(super) fn note_starts(&mut self, now: Timestamp, announcements: &[Announcement]) {
+        let has_left =
+            |it: &&Announcement| matches!(it.state, ServerState::Draining | ServerState::Stopped);
+        for announcement in announcements.iter().filter(|it| it.state != ServerState::Stopped) {
+            self.quarantine.started(now, announcement.address, announcement.incarnation);
+            let Some(known) = self.servers.get(&announcement.server) else { continue };
+            let is_earlier = known.announcement.incarnation < announcement.incarnation;
+            if is_earlier && !has_left(&&known.announcement) {
+                self.quarantine.ended(now, known.key());
+            }
+        }
+        for announcement in announcements.iter().filter(has_left) {
+            self.quarantine.left(key_of(announcement));
+        }
+    }
+
+    /// Moves the events of the quarantine to those of the gateway.
+    pub(super) fn collect_quarantine_events(&mut self) {
+        self.events.extend(self.quarantine.take_events().into_iter().map(Event::Quarantine));
+    }
+}
+
+/// Returns a message with another scope, if it has one.
+fn with_scope(message: &QuarantineMessage, scope: ReportScope) -> QuarantineMessage {
+    let mut message = message.clone();
+    match &mut message {
+        QuarantineMessage::Told(told) => told.scope = scope,
+    }
+    message
+}
--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -18,6 +18,7 @@
     /// Returns the poll to be sent now, if any; there may be several, one at a time.
     pub fn poll(&mut self, now: Timestamp) -> Option<OutgoingPoll> {
         self.update_rates(now);
+        self.quarantine.tick(now);
         let content = PollContent {
             presence: Presence::Entry(self.own_record()),
             holds_hosts: self.entry_hosts.revision(),
@@ -49,7 +50,7 @@
             self.apply_hosts(now, update.hosts);
         }
         let config = match update.registry {
-            RegistryUpdate::Changed(changes) if update.current => self.apply_registry(changes),
+            RegistryUpdate::Changed(changes) if update.current => self.apply_registry(now, changes),
             RegistryUpdate::Changed(_) | RegistryUpdate::Unchanged => None,
         };
         self.registry_poller.record_answer(now, answered, update.current, &mut self.events);
@@ -119,11 +120,16 @@
         }
     }
 
-    fn apply_registry(&mut self, changes: schema::sync::RegistryChanges) -> Option<ConfigDocument> {
+    fn apply_registry(
+        &mut self,
+        now: Timestamp,
+        changes: schema::sync::RegistryChanges,
+    ) -> Option<ConfigDocument> {
         // Another control host may have answered since this one was polled, which was ahead of it.
         if changes.up_to < self.registry_poller.applied_index {
             return None;
         }
+        self.note_starts(now, &changes.servers);
         for announcement in self.servers.apply(&changes) {
             self.events.push(Event::ServerAnnounced {
                 server: announcement.server,
--- a/components/gateway_core/src/gateway/reports.rs
+++ b/components/gateway_core/src/gateway/reports.rs
@@ -1,5 +1,6 @@
 //! Sends load reports on attempts to other gateways, and processes theirs.
 
+use ::quarantine::Observer;
 use ids::{HostId, Timestamp};
 use rand_xoshiro::rand_core::RngCore;
 use schema::{
@@ -26,7 +27,10 @@
             ReportScope::PassedOn => {}
         }
         match report.event {
-            LoadEvent::Lost(fingerprint) => self.record_lost(now, None, fingerprint, key),
+            LoadEvent::Lost(fingerprint) => {
+                self.record_lost(now, fingerprint, key, Observer::Other);
+            }
+            LoadEvent::Answered(_) => self.quarantine.responded_elsewhere(now, key),
             LoadEvent::Leaving => {
                 self.record_leaving(from, key);
             }
@@ -171,7 +175,7 @@
     }
 
     /// Picks one gateway in each other data centre.
-    fn pick_relays(&mut self) -> Vec<HostId> {
+    pub(super) fn pick_relays(&mut self) -> Vec<HostId> {
         let random = self.rng.next_u64();
         self.entry_hosts.pick_one_in_each_other_data_centre(&self.settings.data_centre, random)
     }
--- a/components/gateway_core/src/lib.rs
+++ b/components/gateway_core/src/lib.rs
@@ -11,7 +11,6 @@
 mod organisations;
 mod paths;
 mod planned_stop;
-mod quarantine;
 mod registry_poller;
 mod requests;
 mod retry_budget;
@@ -48,3 +47,4 @@
     settings::{GatewaySettings, KeyWithdrawal, Lifecycle, RetryBudgetSettings},
     work::LikelyWork,
 };
+pub use ::quarantine::{Probe, ProbeOutcome, QuarantineEvent};
--- a/components/gateway_core/src/servers/mod.rs
+++ b/components/gateway_core/src/servers/mod.rs
@@ -16,8 +16,8 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use ids::{
-    ByteSize, DataCentreName, FastMap, HostId, Incarnation, LimitRate, Millis, RegionName,
-    ServerId, ServiceName, Timestamp,
+    ByteSize, DataCentreName, FastMap, HostId, LimitRate, Millis, RegionName, ServerId,
+    ServiceName, Timestamp,
 };
 use schema::{
     announcement::{Announcement, ServerState},
@@ -30,6 +30,8 @@
 use latency::RouteLatency;
 use notices::{Closed, KnownLimit, ServerNotices};
 
+pub(crate) use ids::ServerKey;
+
 use crate::configuration::{Route, RouteKey};
 
 /// Age at which the in-flight count of another gateway expires, in milliseconds, for services
@@ -68,17 +70,20 @@
     OtherRegion,
 }
 
-/// Identifies one incarnation of a backend server, since addresses are reused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub(crate) struct ServerKey {
-    pub(crate) address: SocketAddr,
-    pub(crate) incarnation: Incarnation,
+/// What is known of a start of a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Course {
+    /// Nothing shows that it has ended or will end.
+    Running,
+    /// It ends as planned, or has done so.
+    Leaving,
+    /// A later start has its address.
+    Replaced,
 }
 
-impl ServerKey {
-    pub(crate) fn of(announcement: &Announcement) -> Self {
-        Self { address: announcement.address, incarnation: announcement.incarnation }
-    }
+/// Returns the start of a server that an announcement is of.
+pub(crate) fn key_of(announcement: &Announcement) -> ServerKey {
+    ServerKey { address: announcement.address, incarnation: announcement.incarnation }
 }
 
 /// A backend server.
@@ -124,7 +129,7 @@
     }
 
     pub(crate) fn key(&self) -> ServerKey {
-        ServerKey::of(&self.announcement)
+        key_of(&self.announcement)
     }
 
     /// Returns the number of requests in flight, as far as this data centre's gateways know.
@@ -281,6 +286,18 @@
         server.map_or(1.0, |it| it.settled_slowdown(now))
     }
 
+    /// Returns what the registry shows of a start that has lost a request.
+    pub(crate) fn course_of(&self, now: Timestamp, key: ServerKey) -> Course {
+        let at_address = self.by_address.get(&key.address).and_then(|it| self.servers.get(it));
+        let Some(known) = at_address.map(|it| &it.announcement) else { return Course::Running };
+        match known.state {
+            _ if known.incarnation > key.incarnation => Course::Replaced,
+            ServerState::Draining | ServerState::Stopped => Course::Leaving,
+            _ if self.closed(now, key, true) == Some(Closed::Leaving) => Course::Leaving,
+            _ => Course::Running,
+        }
+    }
+
     /// Returns whether a server is known.
     pub(crate) fn contains(&self, key: ServerKey) -> bool {
         let id = self.by_address.get(&key.address);
@@ -588,7 +605,7 @@
         let distance = self.distance(&announcement.data_centre);
         match self.servers.get_mut(&announcement.server) {
             Some(known) if known.announcement == *announcement => false,
-            Some(known) if ServerKey::of(&known.announcement) == ServerKey::of(announcement) => {
+            Some(known) if known.key() == key_of(announcement) => {
                 known.announcement = announcement.clone();
                 true
             }
--- a/components/gateway_core/tests/whole_fleet/mod.rs
+++ b/components/gateway_core/tests/whole_fleet/mod.rs
@@ -280,6 +280,9 @@
                     gateway.on_retry_budget_message(at, it.from, &message);
                 }
                 PeerMessage::ServerLimit(message) => gateway.on_server_limit(at, it.from, &message),
+                PeerMessage::Quarantine(message) => {
+                    gateway.on_quarantine_message(at, it.from, &message);
+                }
                 PeerMessage::ServerWork(report) => gateway.on_work_report(at, it.from, &report),
                 PeerMessage::Sync(SyncMessage::Update(update)) => {
                     if let Some(config) = gateway.on_update(at, it.from, update) {
@@ -429,6 +432,8 @@
         sent.extend(limits.map(|(to, it)| (to, PeerMessage::ServerLimit(it))));
         let work = gateway.take_work_reports().into_iter();
         sent.extend(work.map(|(to, it)| (to, PeerMessage::ServerWork(it))));
+        let quarantine = gateway.take_quarantine_messages().into_iter();
+        sent.extend(quarantine.map(|(to, it)| (to, PeerMessage::Quarantine(it))));
         let incarnation = process.incarnation;
         self.messages.extend(envelopes(self.now, &self.faults, host, incarnation, sent));
     }
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -5,6 +5,7 @@
 mod fractions;
 mod names;
 mod numbers;
+mod server_key;
 mod time;
 
 use std::hash::BuildHasherDefault;
@@ -19,6 +20,7 @@
         Epoch, HostId, Incarnation, LimitRate, LoanNumber, LogIndex, MIN_LINK_RATE, Megabytes,
         PermitNumber, RequestId, RequestRate, RetryCredit, Term,
     },
+    server_key::ServerKey,
     time::{LIMIT_LEASE_TIME, Millis, Timestamp, WallTime},
 };
 
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -313,7 +313,8 @@
             | PeerMessage::RetryBudget(_)
             | PeerMessage::ServerLimit(_)
             | PeerMessage::OrganisationRate(_)
-            | PeerMessage::ServerWork(_) => {}
+            | PeerMessage::ServerWork(_)
+            | PeerMessage::Quarantine(_) => {}
         }
     }
 
--- a/components/transport/src/lib.rs
+++ b/components/transport/src/lib.rs
@@ -213,9 +213,9 @@
             | PeerMessage::ServerLoad(_)
             | PeerMessage::RetryBudget(_)
             | PeerMessage::ServerLimit(_) => Self::Datagram { or_stream: true },
-            PeerMessage::OrganisationRate(_) | PeerMessage::ServerWork(_) => {
-                Self::Datagram { or_stream: false }
-            }
+            PeerMessage::OrganisationRate(_)
+            | PeerMessage::ServerWork(_)
+            | PeerMessage::Quarantine(_) => Self::Datagram { or_stream: false },
         }
     }
 }
--- a/components/transport/src/purpose.rs
+++ b/components/transport/src/purpose.rs
@@ -26,13 +26,15 @@
     ServerLimits,
     /// Rates of organisations.
     OrganisationRates,
+    /// Requests that crash backend servers.
+    Quarantine,
     /// Everything else.
     Other,
 }
 
 impl Purpose {
     /// All purposes, in the order of their declaration.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Replication,
         Self::Polls,
         Self::Registry,
@@ -42,6 +44,7 @@
         Self::RetryBudgets,
         Self::ServerLimits,
         Self::OrganisationRates,
+        Self::Quarantine,
         Self::Other,
     ];
 
@@ -63,6 +66,7 @@
             PeerMessage::RetryBudget(_) => Self::RetryBudgets,
             PeerMessage::ServerLimit(_) => Self::ServerLimits,
             PeerMessage::OrganisationRate(_) => Self::OrganisationRates,
+            PeerMessage::Quarantine(_) => Self::Quarantine,
             PeerMessage::Membership(_)
             | PeerMessage::Dissemination(_)
             | PeerMessage::Claims(_)
@@ -84,6 +88,7 @@
             Self::RetryBudgets => "retry-budgets",
             Self::ServerLimits => "server-limits",
             Self::OrganisationRates => "organisation-rates",
+            Self::Quarantine => "quarantine",
             Self::Other => "other",
         }
     }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unused_imports, clippy::print_stderr)]
 
 pub mod callers;
+pub mod crashing;
 pub mod crowds;
 mod http;
 mod processes;
