Tell gateways that start which requests crash servers

Cause: what a gateway knew of such requests ended with its process, and no new one asked for it.

Change: records are told to control hosts too, which keep them in memory; a gateway that starts asks three control hosts and two gateways, and holds requests back until it knows, for at most 500 ms; gateways with requests in quarantine push them to others, for hosts that were cut off and control hosts that restarted.

--- a/components/gateway_core/src/entry_hosts.rs
+++ b/components/gateway_core/src/entry_hosts.rs
@@ -150,6 +150,13 @@
         places
     }
 
+    /// Picks a host other than `own`, using a random number.
+    pub(crate) fn any_other(&self, own: HostId, random: u64) -> Option<HostId> {
+        let others: Vec<HostId> =
+            self.hosts.values().map(|it| it.host).filter(|it| *it != own).collect();
+        (!others.is_empty()).then(|| others[(random % others.len() as u64) as usize])
+    }
+
     /// Picks one host of each data centre other than `data_centre`, using a random number.
     pub(crate) fn pick_one_in_each_other_data_centre(
         &self,
--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -292,9 +292,12 @@
             let retry_after = self.return_time(now, id).unwrap_or(NO_SERVER_RETRY_AFTER);
             return self.give_up(now, id, RefusalReason::NoAnswer, Some(retry_after));
         }
-        let admission = self.quarantine.admit(now, request.head.fingerprint);
-        if let Admission::Refused(retry_after) = admission {
-            return self.give_up(now, id, RefusalReason::Quarantined, Some(retry_after));
+        match self.quarantine.admit(now, id, request.head.fingerprint) {
+            Admission::Free => {}
+            Admission::Wait(until) => return Step::Wait(until.min(request.deadline)),
+            Admission::Refused(retry_after) => {
+                return self.give_up(now, id, RefusalReason::Quarantined, Some(retry_after));
+            }
         }
         if let Some(step) = self.detour(now, id) {
             return step;
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -11,7 +11,7 @@
 
 use std::sync::Arc;
 
-use ::quarantine::{Admission, Quarantine};
+use ::quarantine::Quarantine;
 use ids::{ConfigVersion, FastMap, HostId, Millis, RequestId, ServerId, ServiceName, Timestamp};
 use rand_xoshiro::{
     Xoshiro256PlusPlus,
@@ -132,7 +132,7 @@
             rates: OrganisationRates::new(settings.host),
             paths: Paths::default(),
             relays: Relays::default(),
-            quarantine: Quarantine::default(),
+            quarantine: Quarantine::new(settings.started),
             work: Work::new(settings.learns_work),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             next_request: RequestId(1),
@@ -239,7 +239,7 @@
     pub fn begin(&mut self, now: Timestamp, head: RequestHead) -> Result<RequestId, Refusal> {
         let route = self.find_route(&head)?;
         let identity = self.identify(now, &head, &route)?;
-        if let Admission::Refused(retry_after) = self.quarantine.admit(now, head.fingerprint) {
+        if let Some(retry_after) = self.quarantine.refuses(now, head.fingerprint) {
             return Err(Refusal::not_run(RefusalReason::Quarantined, Some(retry_after)));
         }
         let kinds = self.kinds(&head, &route, identity.as_ref());
@@ -291,6 +291,7 @@
 
     /// Takes the requests that should be stepped again because a server may have a free slot.
     pub fn take_wakeups(&mut self) -> Vec<RequestId> {
+        self.wakeups.extend(self.quarantine.take_wakeups());
         std::mem::take(&mut self.wakeups)
     }
 
--- a/components/gateway_core/src/gateway/quarantine.rs
+++ b/components/gateway_core/src/gateway/quarantine.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 
-use ::quarantine::{Audience, Observer, Probe, ProbeOutcome};
+use ::quarantine::{ASKED_CONTROL_HOSTS, Audience, Observer, Probe, ProbeOutcome};
 use ids::{Fingerprint, HostId, Incarnation, Timestamp};
+use rand_xoshiro::rand_core::RngCore;
 use schema::{
     announcement::{Announcement, ServerState},
     quarantine::QuarantineMessage,
@@ -16,6 +17,12 @@
     servers::{Course, ServerKey, key_of},
 };
 
+/// Number of gateways that one that has started asks for their records.
+const ASKED_GATEWAYS: usize = 2;
+
+/// Number of pushes to control hosts that all gateways together send for each push of one gateway.
+const PUSHES_TO_CONTROL_HOSTS: f64 = 20.0;
+
 impl Gateway {
     /// Processes a message about requests that crash servers.
     pub fn on_quarantine_message(
@@ -24,7 +31,8 @@
         from: HostId,
         message: &QuarantineMessage,
     ) {
-        self.quarantine.on_message(now, from, message);
+        let control_hosts = self.registry_poller.control_hosts();
+        self.quarantine.on_message(now, from, message, &control_hosts);
     }
 
     /// Takes the pending messages about requests that crash servers.
@@ -37,17 +45,44 @@
                     let to_pass_on = with_scope(&message, ReportScope::ToPassOn);
                     let relays = self.pick_relays().into_iter();
                     messages.extend(relays.map(|it| (it, to_pass_on.clone())));
-                    messages.extend(self.local_peers().into_iter().map(|it| (it, message.clone())));
+                    let near = self.local_peers().into_iter();
+                    let near = near.chain(self.registry_poller.control_hosts());
+                    messages.extend(near.map(|it| (it, message.clone())));
                 }
                 Audience::DataCentre => {
                     messages.extend(self.local_peers().into_iter().map(|it| (it, message.clone())));
                 }
+                Audience::Informants => {
+                    let mut informants = self.rotated_local_peers();
+                    informants.truncate(ASKED_GATEWAYS);
+                    let control_hosts =
+                        self.registry_poller.control_hosts_by_rank(self.settings.host);
+                    informants.extend(control_hosts.into_iter().take(ASKED_CONTROL_HOSTS));
+                    messages.extend(informants.into_iter().map(|it| (it, message.clone())));
+                }
+                Audience::AnyGateway => {
+                    let random = self.rng.next_u64();
+                    let other = self.entry_hosts.any_other(self.settings.host, random);
+                    messages.extend(other.map(|it| (it, message.clone())));
+                    messages.extend(self.any_control_host().map(|it| (it, message.clone())));
+                }
                 Audience::Host(host) => messages.push((host, message)),
             }
         }
         messages
     }
 
+    /// Picks a control host now and then, so that all gateways together send it few messages.
+    fn any_control_host(&mut self) -> Option<HostId> {
+        let control_hosts = self.registry_poller.control_hosts();
+        let hosts = self.entry_hosts.len().max(1) as f64;
+        let is_picked = Self::random_unit(&mut self.rng) < PUSHES_TO_CONTROL_HOSTS / hosts;
+        if !is_picked || control_hosts.is_empty() {
+            return None;
+        }
+        Some(control_hosts[self.rng.next_u64() as usize % control_hosts.len()])
+    }
+
     /// Takes the connections to be opened to learn whether servers have crashed.
     pub fn take_server_probes(&mut self) -> Vec<Probe> {
         self.quarantine.take_probes()
@@ -113,6 +148,7 @@
     let mut message = message.clone();
     match &mut message {
         QuarantineMessage::Told(told) => told.scope = scope,
+        QuarantineMessage::RecordsWanted | QuarantineMessage::Known(_) => {}
     }
     message
 }
--- a/components/gateway_core/src/gateway/registry.rs
+++ b/components/gateway_core/src/gateway/registry.rs
@@ -29,7 +29,8 @@
 
     /// Returns when [`Self::poll`] must be called again if no update arrives.
     pub fn next_poll(&self) -> Timestamp {
-        self.registry_poller.next_wakeup()
+        let poll = self.registry_poller.next_wakeup();
+        self.quarantine.next_tick().map_or(poll, |it| it.min(poll))
     }
 
     /// Applies an update; returns a new configuration to be decoded and applied, if it contains
@@ -43,6 +44,7 @@
         let answered = self.registry_poller.take_answered(from, update.sequence)?;
         if update.current {
             self.rates.record_current(now);
+            self.quarantine.record_contact(now);
             self.registry_poller.set_control_hosts(now, &update.control_hosts);
             self.server_limits.set_control_hosts(self.registry_poller.control_hosts());
             let nearest = self.registry_poller.control_hosts_by_rank(self.settings.host);
--- a/components/gateway_core/tests/server_limits.rs
+++ b/components/gateway_core/tests/server_limits.rs
@@ -14,9 +14,11 @@
     PathOutcome, RefusalReason, Route, ServerNotice, Step,
 };
 use ids::{ByteSize, HostId, Incarnation, LimitRate, Millis, PermitNumber, RequestId, Timestamp};
+use quarantine::Recorder;
 use registry::LimitLeases;
 use schema::{
     announcement::{Announcement, ServerState},
+    quarantine::QuarantineMessage,
     server_limit::{LimitLeaseAnswer, PermitAnswer, PermitAsk, PermitOutcome, ServerLimitMessage},
     server_load::{LimitNamed, LoadReport},
 };
@@ -49,6 +51,7 @@
 enum Message {
     Report(LoadReport),
     Limit(ServerLimitMessage),
+    Quarantine(QuarantineMessage),
 }
 
 /// A response on its way to a gateway.
@@ -98,6 +101,7 @@
     gateways: Vec<Gateway>,
     incarnations: Vec<u64>,
     leases: Vec<LimitLeases>,
+    recorders: Vec<Recorder>,
     routes: Vec<Route>,
     servers: u64,
     /// The hosts that each gateway knows.
@@ -130,6 +134,7 @@
             gateways: Vec::new(),
             incarnations: vec![1; GATEWAYS as usize],
             leases: CONTROL_HOSTS.map(|_| LimitLeases::new(at(0))).collect(),
+            recorders: CONTROL_HOSTS.map(|_| Recorder::new(at(0), true)).collect(),
             routes,
             servers,
             known_hosts: vec![(1..=GATEWAYS).collect(); GATEWAYS as usize],
@@ -215,6 +220,16 @@
                     self.gateways[i].on_server_limit(at(now), from, &message);
                 }
                 Message::Limit(message) => self.on_control_message(now, from, to, &message),
+                Message::Quarantine(message) if gateway(to) => {
+                    self.gateways[i].on_quarantine_message(at(now), from, &message);
+                }
+                Message::Quarantine(message) => {
+                    let recorder = &mut self.recorders[(to.0 - CONTROL_HOSTS.start) as usize];
+                    let answers = recorder.on_message(at(now), &message).into_iter();
+                    let due = now + self.message_time;
+                    let answers = answers.map(|it| (due, to, from, Message::Quarantine(it)));
+                    self.messages.extend(answers);
+                }
             }
         }
     }
@@ -318,6 +333,8 @@
         }
         let messages = self.gateways[i].take_limit_messages().into_iter();
         self.messages.extend(messages.map(|(to, it)| (due, from, to, Message::Limit(it))));
+        let messages = self.gateways[i].take_quarantine_messages().into_iter();
+        self.messages.extend(messages.map(|(to, it)| (due, from, to, Message::Quarantine(it))));
     }
 
     /// Returns the most requests at a server in a window from `from` on, of gateways that had
--- /dev/null
+++ b/components/quarantine/src/knowledge.rs
@@ -0,0 +1,78 @@
+//! Whether a process that has just started knows the records of the fleet.
+//!
+//! Load pattern: processes are restarted one after the other, and each would let a request crash
+//! servers again that the others refuse.
+
+use ids::{HostId, Millis, Timestamp};
+
+/// Minimum time between two asks, in milliseconds.
+const ASK_INTERVAL: Millis = Millis(150);
+
+/// Longest time that requests are held back after a control host was reached, in milliseconds.
+const HOLD_TIME: Millis = Millis(500);
+
+/// Time after its start for which a process asks, in milliseconds; it has heard of all records by then.
+const ASK_TIME: Millis = Millis(30_000);
+
+/// Number of control hosts that are asked.
+pub const ASKED_CONTROL_HOSTS: usize = 3;
+
+/// What a process knows of the records that others hold.
+#[derive(Debug)]
+pub(crate) struct Knowledge {
+    started: Timestamp,
+    /// When a control host was first reached.
+    contact_at: Option<Timestamp>,
+    asked_at: Option<Timestamp>,
+    /// Control hosts that have told all that they know, and know enough.
+    told_by: Vec<HostId>,
+    is_known: bool,
+}
+
+impl Knowledge {
+    pub(crate) fn new(started: Timestamp) -> Self {
+        Self { started, contact_at: None, asked_at: None, told_by: Vec::new(), is_known: false }
+    }
+
+    pub(crate) fn record_contact(&mut self, now: Timestamp) {
+        self.contact_at.get_or_insert(now);
+    }
+
+    /// Returns whether the records are known, as far as this process waits for them.
+    pub(crate) fn is_known(&self, now: Timestamp) -> bool {
+        self.is_known || now.since(self.started) >= ASK_TIME
+    }
+
+    /// Returns until when requests are held back, if they are.
+    pub(crate) fn holds_until(&self, now: Timestamp) -> Option<Timestamp> {
+        let until = self.contact_at.map_or(self.started + ASK_TIME, |it| it + HOLD_TIME);
+        (!self.is_known(now) && now < until).then_some(until)
+    }
+
+    /// Returns when others should be asked, if this process still needs that.
+    pub(crate) fn next_ask(&self) -> Option<Timestamp> {
+        let at = self.asked_at? + ASK_INTERVAL;
+        (!self.is_known(at)).then_some(at)
+    }
+
+    /// Returns whether others should be asked now, and records that they are.
+    pub(crate) fn should_ask(&mut self, now: Timestamp) -> bool {
+        let is_due = self.asked_at.is_none_or(|it| now.since(it) >= ASK_INTERVAL);
+        if self.is_known(now) || !is_due {
+            return false;
+        }
+        self.asked_at = Some(now);
+        true
+    }
+
+    /// Records that a host has told all that it knows; one gateway that knows is enough, or a majority
+    /// of the control hosts that are asked.
+    pub(crate) fn record_told(&mut self, from: HostId, control_hosts: &[HostId]) {
+        let is_control_host = control_hosts.contains(&from);
+        if is_control_host && !self.told_by.contains(&from) {
+            self.told_by.push(from);
+        }
+        let asked = control_hosts.len().min(ASKED_CONTROL_HOSTS);
+        self.is_known |= !is_control_host || self.told_by.len() * 2 > asked;
+    }
+}
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -7,15 +7,19 @@
 //! A loss becomes a crash when the start of the server that lost the request is known to have ended.
 //! Three crashes without an answer in between put a request into quarantine.
 
+mod knowledge;
 mod losses;
 mod outbox;
 mod quarantine;
 mod recent_answers;
+mod recorder;
 mod records;
 
 pub use crate::{
+    knowledge::ASKED_CONTROL_HOSTS,
     losses::Observer,
     outbox::{Audience, Outgoing},
     quarantine::{Admission, Probe, ProbeOutcome, Quarantine, QuarantineEvent},
+    recorder::Recorder,
     records::{CRASH_THRESHOLD, Change, Records},
 };
--- a/components/quarantine/src/outbox.rs
+++ b/components/quarantine/src/outbox.rs
@@ -21,10 +21,14 @@
 /// Who gets a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Audience {
-    /// All gateways, through one of each other data centre.
+    /// All gateways, through one of each other data centre, and all control hosts.
     Fleet,
     /// The other gateways of this data centre.
     DataCentre,
+    /// Some gateways and the nearest control hosts.
+    Informants,
+    /// A gateway drawn at random, and now and then a control host.
+    AnyGateway,
     /// One host.
     Host(HostId),
 }
@@ -57,6 +61,12 @@
         }
     }
 
+    /// Returns when the next request may be told, if one waits.
+    pub(crate) fn next(&self) -> Option<Timestamp> {
+        let spent = Millis(WHOLE_AFTER.0 - REFILL_INTERVAL.0);
+        (!self.waiting.is_empty()).then_some(self.whole_at - spent)
+    }
+
     /// Takes the requests that may be told now.
     pub(crate) fn take(&mut self, now: Timestamp) -> Vec<Fingerprint> {
         let mut told = Vec::new();
--- a/components/quarantine/src/quarantine/mod.rs
+++ b/components/quarantine/src/quarantine/mod.rs
@@ -1,19 +1,16 @@
 //! The quarantine of one gateway.
 
 mod evidence;
-
-use ids::{FastMap, Fingerprint, HostId, Millis, ServerKey, Timestamp};
-use schema::{
-    quarantine::{QuarantineMessage, RequestRecord, ToldRecords},
-    server_load::ReportScope,
-};
+mod spread;
 
 use crate::{
+    knowledge::Knowledge,
     losses::Losses,
-    outbox::{Audience, Outgoing, RECORDS_PER_MESSAGE, Untold},
+    outbox::{Outgoing, Untold},
     recent_answers::RecentAnswers,
     records::{Change, Records},
 };
+use ids::{FastMap, Fingerprint, Millis, RequestId, ServerKey, Timestamp};
 
 /// Retry-After of requests in quarantine, in milliseconds.
 const RETRY_AFTER: Millis = Millis(30_000);
@@ -25,6 +22,8 @@
     Free,
     /// It must not; the caller should return after this time.
     Refused(Millis),
+    /// This process doesn't know yet; ask again when the request is woken or at this time.
+    Wait(Timestamp),
 }
 
 /// A connection without a request to be opened to a server, to learn whether its start has ended.
@@ -74,48 +73,83 @@
 }
 
 /// The requests that this gateway must not send to servers, and the evidence for that.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Quarantine {
+    knowledge: Knowledge,
     records: Records,
     losses: Losses,
     answers: RecentAnswers,
     untold: Untold,
     /// When connections were last opened to decide losses.
     probed_at: FastMap<ServerKey, Timestamp>,
+    next_push: Timestamp,
+    /// Number of records in quarantine that were pushed, to go on with the next ones.
+    pushed: usize,
+    /// Requests that are held back until the records are known.
+    held: Vec<RequestId>,
+    wakeups: Vec<RequestId>,
     outgoing: Vec<Outgoing>,
     probes: Vec<Probe>,
     events: Vec<QuarantineEvent>,
 }
 
 impl Quarantine {
-    /// Decides whether a request may be sent; must be called before each attempt.
-    pub fn admit(&self, now: Timestamp, request: Fingerprint) -> Admission {
-        match self.records.quarantined_since(now, request) {
-            None => Admission::Free,
-            Some(_) => Admission::Refused(RETRY_AFTER),
+    /// Creates the quarantine of a process that has started at this time.
+    pub fn new(started: Timestamp) -> Self {
+        Self {
+            knowledge: Knowledge::new(started),
+            records: Records::default(),
+            losses: Losses::default(),
+            answers: RecentAnswers::default(),
+            untold: Untold::default(),
+            probed_at: FastMap::default(),
+            next_push: Timestamp::default(),
+            pushed: 0,
+            held: Vec::new(),
+            wakeups: Vec::new(),
+            outgoing: Vec::new(),
+            probes: Vec::new(),
+            events: Vec::new(),
         }
     }
 
-    /// Processes a message of another host.
-    pub fn on_message(&mut self, now: Timestamp, _from: HostId, message: &QuarantineMessage) {
-        match message {
-            QuarantineMessage::Told(told) => {
-                self.merge(now, &told.records);
-                if told.scope == ReportScope::ToPassOn {
-                    let scope = ReportScope::PassedOn;
-                    let told = ToldRecords { scope, ..told.clone() };
-                    let message = QuarantineMessage::Told(told);
-                    self.outgoing.push(Outgoing { to: Audience::DataCentre, message });
-                }
+    /// Returns the time after which the caller of a new request should return, if it is refused.
+    pub fn refuses(&self, now: Timestamp, request: Fingerprint) -> Option<Millis> {
+        self.records.quarantined_since(now, request).map(|_| RETRY_AFTER)
+    }
+
+    /// Decides whether a request may be sent; must be called before each attempt.
+    pub fn admit(&mut self, now: Timestamp, id: RequestId, request: Fingerprint) -> Admission {
+        if let Some(retry_after) = self.refuses(now, request) {
+            return Admission::Refused(retry_after);
+        }
+        match self.knowledge.holds_until(now) {
+            Some(until) => {
+                self.held.push(id);
+                Admission::Wait(until)
             }
+            None => Admission::Free,
         }
     }
 
+    /// Takes the requests that should be stepped again.
+    pub fn take_wakeups(&mut self) -> Vec<RequestId> {
+        std::mem::take(&mut self.wakeups)
+    }
+
     /// Tells what has changed, and drops what has expired; must be called regularly.
     pub fn tick(&mut self, now: Timestamp) {
         self.records.prune(now);
         self.losses.prune(now);
         self.tell(now);
+        self.push(now);
+        self.ask(now);
+        self.release_held(now);
+    }
+
+    /// Returns when [`Self::tick`] must be called again, if there is something to send by then.
+    pub fn next_tick(&self) -> Option<Timestamp> {
+        self.knowledge.next_ask().into_iter().chain(self.untold.next()).min()
     }
 
     /// Takes the pending messages.
@@ -133,10 +167,10 @@
         std::mem::take(&mut self.events)
     }
 
-    fn merge(&mut self, now: Timestamp, records: &[RequestRecord]) {
-        for record in records {
-            let change = self.records.merge(now, record);
-            self.report(record.fingerprint, change);
+    /// Wakes the requests that were held back, unless the records are still unknown.
+    fn release_held(&mut self, now: Timestamp) {
+        if self.knowledge.holds_until(now).is_none() {
+            self.wakeups.append(&mut self.held);
         }
     }
 
@@ -150,15 +184,4 @@
         };
         self.events.push(event);
     }
-
-    /// Tells the fleet what this gateway has learned by itself.
-    fn tell(&mut self, now: Timestamp) {
-        let told = self.untold.take(now);
-        let records: Vec<_> = told.iter().filter_map(|it| self.records.message(now, *it)).collect();
-        for records in records.chunks(RECORDS_PER_MESSAGE) {
-            let told = ToldRecords { scope: ReportScope::Near, records: records.to_vec() };
-            let message = QuarantineMessage::Told(told);
-            self.outgoing.push(Outgoing { to: Audience::Fleet, message });
-        }
-    }
 }
--- /dev/null
+++ b/components/quarantine/src/quarantine/spread.rs
@@ -0,0 +1,111 @@
+//! Spreads what is known to other hosts, and learns from them.
+
+use ids::{HostId, Millis, Timestamp};
+use schema::{
+    quarantine::{QuarantineMessage, RequestRecord, ToldRecords},
+    server_load::ReportScope,
+};
+
+use super::Quarantine;
+use crate::{
+    outbox::{Audience, Outgoing, RECORDS_PER_MESSAGE},
+    recorder::known_records,
+};
+
+/// Interval at which records in quarantine are told to another gateway, in milliseconds.
+const PUSH_INTERVAL: Millis = Millis(1_000);
+
+/// The same if none has changed for a while, in milliseconds.
+const SLOW_PUSH_INTERVAL: Millis = Millis(10_000);
+
+/// Time since the last change from which they are told less often, in milliseconds.
+const SETTLED_TIME: Millis = Millis(60_000);
+
+impl Quarantine {
+    /// Records that a current control host has answered.
+    pub fn record_contact(&mut self, now: Timestamp) {
+        self.knowledge.record_contact(now);
+    }
+
+    /// Processes a message of another host.
+    pub fn on_message(
+        &mut self,
+        now: Timestamp,
+        from: HostId,
+        message: &QuarantineMessage,
+        control_hosts: &[HostId],
+    ) {
+        match message {
+            QuarantineMessage::Told(told) => {
+                self.merge(now, &told.records);
+                if told.scope == ReportScope::ToPassOn {
+                    let records = told.records.clone();
+                    self.send_told(Audience::DataCentre, ReportScope::PassedOn, records);
+                }
+            }
+            QuarantineMessage::RecordsWanted => {
+                if self.knowledge.is_known(now) {
+                    let messages = known_records(now, &self.records, true).into_iter();
+                    let to = Audience::Host(from);
+                    self.outgoing.extend(messages.map(|message| Outgoing { to, message }));
+                }
+            }
+            QuarantineMessage::Known(known) => {
+                self.merge(now, &known.records);
+                if known.is_complete {
+                    self.knowledge.record_told(from, control_hosts);
+                    self.release_held(now);
+                }
+            }
+        }
+    }
+
+    /// Tells the fleet what this gateway has learned by itself.
+    pub(super) fn tell(&mut self, now: Timestamp) {
+        let told = self.untold.take(now);
+        let records: Vec<_> = told.iter().filter_map(|it| self.records.message(now, *it)).collect();
+        for records in records.chunks(RECORDS_PER_MESSAGE) {
+            self.send_told(Audience::Fleet, ReportScope::Near, records.to_vec());
+        }
+    }
+
+    /// Tells some records in quarantine to another host, which may have been cut off or restarted.
+    pub(super) fn push(&mut self, now: Timestamp) {
+        if now < self.next_push {
+            return;
+        }
+        let is_settled = now.since(self.records.changed_at()) >= SETTLED_TIME;
+        let interval = if is_settled { SLOW_PUSH_INTERVAL } else { PUSH_INTERVAL };
+        self.next_push = now + interval;
+        let requests = self.records.quarantined(now);
+        if requests.is_empty() {
+            return;
+        }
+        let from = self.pushed % requests.len();
+        let chosen = requests.iter().cycle().skip(from);
+        let chosen = chosen.take(RECORDS_PER_MESSAGE.min(requests.len()));
+        let records: Vec<_> = chosen.filter_map(|it| self.records.message(now, *it)).collect();
+        self.pushed = from + records.len();
+        self.send_told(Audience::AnyGateway, ReportScope::PassedOn, records);
+    }
+
+    /// Asks for the records that others hold, as long as this process doesn't know them.
+    pub(super) fn ask(&mut self, now: Timestamp) {
+        if self.knowledge.should_ask(now) {
+            let message = QuarantineMessage::RecordsWanted;
+            self.outgoing.push(Outgoing { to: Audience::Informants, message });
+        }
+    }
+
+    fn merge(&mut self, now: Timestamp, records: &[RequestRecord]) {
+        for record in records {
+            let change = self.records.merge(now, record);
+            self.report(record.fingerprint, change);
+        }
+    }
+
+    fn send_told(&mut self, to: Audience, scope: ReportScope, records: Vec<RequestRecord>) {
+        let message = QuarantineMessage::Told(ToldRecords { scope, records });
+        self.outgoing.push(Outgoing { to, message });
+    }
+}
--- /dev/null
+++ b/components/quarantine/src/recorder.rs
@@ -0,0 +1,67 @@
+//! The records that a control host keeps for gateways that start.
+//!
+//! Kept in memory only: a control host that has just started has them from the gateways after a while.
+
+use ids::{Millis, Timestamp};
+use schema::quarantine::{KnownRecords, QuarantineMessage, RequestRecord};
+
+use crate::{outbox::RECORDS_PER_MESSAGE, records::Records};
+
+/// Time after its start from which a control host knows what gateways repeat, in milliseconds.
+const LEARNING_TIME: Millis = Millis(10_000);
+
+/// Maximum number of records in the answer to a gateway that starts; the rest it gets from others.
+const MAX_ANSWERED: usize = 64;
+
+/// The records of a control host.
+#[derive(Debug)]
+pub struct Recorder {
+    records: Records,
+    complete_from: Timestamp,
+}
+
+impl Recorder {
+    /// Creates the recorder of a process that starts now; in a new fleet there was nothing before.
+    pub fn new(now: Timestamp, is_new_fleet: bool) -> Self {
+        let complete_from = if is_new_fleet { now } else { now + LEARNING_TIME };
+        Self { records: Records::default(), complete_from }
+    }
+
+    /// Processes a message of a gateway; returns the answers to it.
+    pub fn on_message(
+        &mut self,
+        now: Timestamp,
+        message: &QuarantineMessage,
+    ) -> Vec<QuarantineMessage> {
+        match message {
+            QuarantineMessage::Told(told) => {
+                for record in &told.records {
+                    self.records.merge(now, record);
+                }
+                Vec::new()
+            }
+            QuarantineMessage::RecordsWanted => {
+                known_records(now, &self.records, now >= self.complete_from)
+            }
+            // Messages to gateways.
+            QuarantineMessage::Known(_) => Vec::new(),
+        }
+    }
+}
+
+/// Returns the messages that tell all records, the last of which says whether there are others.
+pub(crate) fn known_records(
+    now: Timestamp,
+    records: &Records,
+    is_complete: bool,
+) -> Vec<QuarantineMessage> {
+    let mut all = records.messages(now);
+    all.truncate(MAX_ANSWERED);
+    let message = |records: &[RequestRecord], is_complete| {
+        QuarantineMessage::Known(KnownRecords { records: records.to_vec(), is_complete })
+    };
+    let chunks = all.chunks(RECORDS_PER_MESSAGE);
+    let mut messages: Vec<_> = chunks.map(|it| message(it, false)).collect();
+    messages.push(message(&[], is_complete));
+    messages
+}
--- a/components/quarantine/src/records/mod.rs
+++ b/components/quarantine/src/records/mod.rs
@@ -34,6 +34,8 @@
 pub struct Records {
     records: FastMap<Fingerprint, Record>,
     pruned_at: Timestamp,
+    /// When a record in quarantine last changed.
+    changed_at: Timestamp,
 }
 
 impl Records {
@@ -84,6 +86,27 @@
         Some(self.records.get(&request)?.to_message(now, request))
     }
 
+    /// Returns all records, those in quarantine first.
+    pub fn messages(&self, now: Timestamp) -> Vec<RequestRecord> {
+        let mut all: Vec<_> = self.records.iter().filter(|(_, it)| now < it.expires_at()).collect();
+        all.sort_by_key(|(request, it)| (!it.is_quarantined(), **request));
+        all.into_iter().map(|(request, it)| it.to_message(now, *request)).collect()
+    }
+
+    /// Returns the requests in quarantine, in a fixed order.
+    pub fn quarantined(&self, now: Timestamp) -> Vec<Fingerprint> {
+        let is_quarantined = |it: &Record| it.is_quarantined() && now < it.expires_at();
+        let all = self.records.iter().filter(|(_, it)| is_quarantined(it));
+        let mut requests: Vec<_> = all.map(|(request, _)| *request).collect();
+        requests.sort();
+        requests
+    }
+
+    /// Returns when a record in quarantine last changed.
+    pub fn changed_at(&self) -> Timestamp {
+        self.changed_at
+    }
+
     /// Removes expired records.
     pub fn prune(&mut self, now: Timestamp) {
         if now.since(self.pruned_at) >= PRUNE_INTERVAL {
@@ -108,6 +131,9 @@
             _ if after.len() > before.len() => Change::Crashed,
             _ => Change::None,
         };
+        if result != Change::None && (before.is_quarantined() || after.is_quarantined()) {
+            self.changed_at = now;
+        }
         if after != Record::default() {
             self.records.insert(request, after);
         }
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -7,6 +7,7 @@
     Blob, ByteSize, ConfigVersion, DataCentreName, FastMap, HostId, Incarnation, LogIndex,
     RegionName, RequestId, ServerId, Term, Timestamp,
 };
+use quarantine::Recorder;
 use schema::{
     announcement::Announcement,
     consensus::ConsensusMessage,
@@ -112,6 +113,7 @@
     entry_hosts: EntryHosts,
     limit_leases: LimitLeases,
     retry_charges: RetryChargeRecords,
+    quarantine: Recorder,
     seeds: Vec<HostId>,
     /// Control hosts named in answers to discovery polls.
     discovered: BTreeSet<HostId>,
@@ -150,6 +152,7 @@
             entry_hosts: EntryHosts::new(own_id, incarnation, now, is_new_fleet),
             limit_leases: LimitLeases::new(now),
             retry_charges: RetryChargeRecords::new(now, has_no_past),
+            quarantine: Recorder::new(now, has_no_past),
             seeds,
             discovered: BTreeSet::new(),
             places: Places::new(own_id, place, regions),
@@ -300,6 +303,11 @@
                 let message = RetryBudgetMessage::EarlierCharges(earlier);
                 self.send(from, PeerMessage::RetryBudget(message));
             }
+            PeerMessage::Quarantine(message) => {
+                for answer in self.quarantine.on_message(now, &message) {
+                    self.send(from, PeerMessage::Quarantine(answer));
+                }
+            }
             // Discovery polls have no timeout that a large answer could exceed.
             PeerMessage::Sync(SyncMessage::UpdateBegins(_)) => {}
             // Messages to components that do not run on control hosts.
@@ -313,8 +321,7 @@
             | PeerMessage::RetryBudget(_)
             | PeerMessage::ServerLimit(_)
             | PeerMessage::OrganisationRate(_)
-            | PeerMessage::ServerWork(_)
-            | PeerMessage::Quarantine(_) => {}
+            | PeerMessage::ServerWork(_) => {}
         }
     }
 
--- a/tests/gateway_crashing_requests.rs
+++ b/tests/gateway_crashing_requests.rs
@@ -8,12 +8,12 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use gateway::{
     Fleet,
-    crashing::{CrashingServer, Fate, Running},
+    crashing::{CrashingServer, DOWN_TIME, Fate, Running},
     wait_for,
 };
 
@@ -61,3 +61,91 @@
     let refused = (1_000..1_120).filter(|it| look_up(*it) != Some(200)).count();
     assert_eq!(refused, 0);
 }
+
+const POISON: &str = "/pay/poison";
+
+/// Time after the third crash within which all gateways must know of it.
+const SPREAD_TIME: Duration = Duration::from_secs(3);
+
+/// Number of crashes that are allowed later than that.
+const MAX_LATE_CRASHES: usize = 3;
+
+/// What becomes of requests, of which one crashes each server that runs it.
+fn crash_on_poison(_server: u64, path: &str) -> Fate {
+    if path == POISON { Fate::Crash } else { Fate::Answered }
+}
+
+/// Sends the request that crashes servers to gateways in turn until all of them refuse it, and waits until
+/// the servers are back; returns when they did.
+fn wait_until_refused(fleet: &Fleet, gateways: u8, servers: &[Running]) -> Instant {
+    let mut number = 0;
+    wait_for("gateways that refuse the request", || {
+        let refused = (11..11 + gateways).filter(|it| {
+            number += 1;
+            let response = fleet.request(*it, &format!("poison-{number}"), POISON);
+            response.is_some_and(|it| it.status == 503)
+        });
+        let are_all = refused.count() == usize::from(gateways);
+        (are_all && crashes(servers).len() >= 3).then_some(())
+    });
+    thread::sleep(DOWN_TIME + SPREAD_TIME);
+    Instant::now()
+}
+
+/// Returns when requests that crash servers have begun to run, in order.
+fn crashes(servers: &[Running]) -> Vec<Instant> {
+    let runs = servers.iter().flat_map(Running::runs).filter(|it| it.path == POISON);
+    let mut crashes: Vec<Instant> = runs.map(|it| it.at).collect();
+    crashes.sort();
+    crashes
+}
+
+/// Sends the request that crashes servers to all gateways for a while.
+fn send_poison(fleet: &Fleet, gateways: u8, time: Duration) {
+    let end = Instant::now() + time;
+    let mut number = 0;
+    while Instant::now() < end {
+        for gateway in 11..11 + gateways {
+            number += 1;
+            fleet.request(gateway, &format!("late-{gateway}-{number}"), POISON);
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// Guards against gateways that forget over a restart which requests crash servers.
+#[test]
+fn gateways_restarted_in_turn_go_on_refusing_a_request_that_crashes_servers() {
+    let (mut fleet, servers) = serving_fleet(4, 8, crash_on_poison);
+    let refused_at = wait_until_refused(&fleet, 4, &servers);
+
+    for gateway in 11..15 {
+        if gateway % 2 == 0 {
+            fleet.kill(gateway);
+        } else {
+            let signalled = fleet.stop(gateway);
+            fleet.expect_exit(gateway, signalled);
+        }
+        fleet.start_gateway(gateway);
+        wait_for("a ready gateway", || fleet.is_ready(gateway).then_some(()));
+        send_poison(&fleet, 4, Duration::from_secs(2));
+    }
+
+    let late = crashes(&servers).into_iter().filter(|it| *it > refused_at).count();
+    assert!(late <= MAX_LATE_CRASHES, "{late} crashes after all gateways had refused the request");
+}
+
+/// Guards against a fleet that forgets which requests crash servers when all its gateways restart.
+#[test]
+fn gateways_killed_at_once_go_on_refusing_a_request_that_crashes_servers() {
+    let (mut fleet, servers) = serving_fleet(4, 8, crash_on_poison);
+    let refused_at = wait_until_refused(&fleet, 4, &servers);
+
+    (11..15).for_each(|it| fleet.kill(it));
+    (11..15).for_each(|it| fleet.start_gateway(it));
+    wait_for("ready gateways", || (11..15).all(|it| fleet.is_ready(it)).then_some(()));
+    send_poison(&fleet, 4, Duration::from_secs(5));
+
+    let late = crashes(&servers).into_iter().filter(|it| *it > refused_at).count();
+    assert!(late <= MAX_LATE_CRASHES, "{late} crashes after all gateways had refused the request");
+}
