Count the servers that a request crashes by their starts

Cause: crashes were counted by address, and one at a later start replaced the one before.

Change: by address and incarnation.

--- a/components/quarantine/src/records/record.rs
+++ b/components/quarantine/src/records/record.rs
@@ -59,7 +59,6 @@
             *known = at.min(*known);
             return false;
         }
-        self.crashes.retain(|(it, _)| it.address != server.address);
         self.crashes.push((server, at));
         if self.crashes.len() > MAX_CRASHES {
             let oldest = (0..self.crashes.len()).min_by_key(|i| self.crashes[*i].1);
--- a/tests/gateway_crashing_requests.rs
+++ b/tests/gateway_crashing_requests.rs
@@ -149,3 +149,29 @@
     let late = crashes(&servers).into_iter().filter(|it| *it > refused_at).count();
     assert!(late <= MAX_LATE_CRASHES, "{late} crashes after all gateways had refused the request");
 }
+
+/// Sends the request that crashes servers to two gateways for a while; returns how many servers it crashed later
+/// than all gateways must have known of the third crash.
+fn late_crashes_at_a_small_service(servers: u64) -> usize {
+    let (fleet, servers) = serving_fleet(2, servers, crash_on_poison);
+    send_poison(&fleet, 2, Duration::from_secs(18));
+    let crashes = crashes(&servers);
+    let known_at = crashes[2] + SPREAD_TIME;
+    crashes.into_iter().filter(|it| *it > known_at).count()
+}
+
+/// Guards against requests that crash servers for good at a service of fewer than three addresses.
+#[test]
+fn a_request_that_crashes_servers_is_refused_at_a_service_with_two_of_them() {
+    let late = late_crashes_at_a_small_service(2);
+
+    assert!(late <= MAX_LATE_CRASHES, "{late} crashes after the third was known");
+}
+
+/// Guards against the same at a service of one server.
+#[test]
+fn a_request_that_crashes_servers_is_refused_at_a_service_with_one_of_them() {
+    let late = late_crashes_at_a_small_service(1);
+
+    assert!(late <= MAX_LATE_CRASHES, "{late} crashes after the third was known");
+}
