Try requests in quarantine again, one at a time in the fleet

What callers saw: a request that crashed servers was refused for 120 s after its last crash, whether or not it still did, and then crashed three more servers. With the records shared by all gateways, a wrong refusal would hold everywhere for as long.

An answer clears the request on all gateways. Crashes within 4 s of the third are of runs that had begun and don't count towards these times: without that, a burst that crashed six servers in 70 ms used up all trials. A trial doesn't wait for paths that seem down: where the request in quarantine was the only traffic, nothing else tested them (both seen in the new test).

--- a/components/gateway/src/entry/events.rs
+++ b/components/gateway/src/entry/events.rs
@@ -119,6 +119,9 @@
         Event::Quarantine(QuarantineEvent::Quarantined { request, crashes }) => {
             log::warn!(fingerprint:% = request, servers = *crashes; "request quarantined");
         }
+        Event::Quarantine(QuarantineEvent::TrialGranted { request }) => {
+            log::info!(fingerprint:% = request; "request in quarantine is tried");
+        }
         Event::Quarantine(QuarantineEvent::Cleared { request }) => {
             log::info!(fingerprint:% = request; "request answered, its crashes are forgotten");
         }
--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -153,7 +153,7 @@
             self.servers.mark_misplaced(key);
         }
         if matches!(end, AttemptEnd::ServerError | AttemptEnd::Shed) {
-            self.quarantine.responded(key, started);
+            self.quarantine.responded(now, key, started);
         }
         if end == AttemptEnd::Answered {
             self.quarantine.answered(now, fingerprint, key, started);
@@ -261,7 +261,8 @@
     /// Starts a second attempt in parallel if the retry budget and the servers allow it.
     fn hedge(&mut self, now: Timestamp, id: RequestId) -> Option<Step> {
         let request = &self.requests[&id];
-        if request.counted_attempts() >= request.max_attempts {
+        let is_quarantined = self.quarantine.is_quarantined(now, request.head.fingerprint);
+        if is_quarantined || request.counted_attempts() >= request.max_attempts {
             return None;
         }
         if self.paths.are_down() && request.head.relayed.is_none() {
@@ -292,16 +293,21 @@
             let retry_after = self.return_time(now, id).unwrap_or(NO_SERVER_RETRY_AFTER);
             return self.give_up(now, id, RefusalReason::NoAnswer, Some(retry_after));
         }
-        match self.quarantine.admit(now, id, request.head.fingerprint) {
-            Admission::Free => {}
-            Admission::Wait(until) => return Step::Wait(until.min(request.deadline)),
+        match self.admit(now, id) {
+            Admission::Free => {
+                if let Some(step) = self.detour(now, id) {
+                    return step;
+                }
+            }
+            // Another gateway would need a trial of its own.
+            Admission::Trial => self.limit_to_one_attempt(id),
+            Admission::Wait(until) => {
+                return Step::Wait(until.min(self.requests[&id].deadline));
+            }
             Admission::Refused(retry_after) => {
                 return self.give_up(now, id, RefusalReason::Quarantined, Some(retry_after));
             }
         }
-        if let Some(step) = self.detour(now, id) {
-            return step;
-        }
         if let Some(step) = self.send_with_permit(now, id) {
             return step;
         }
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -272,6 +272,8 @@
         self.wait_queues.remove(&request.service, queue_key(&request, id));
         self.server_limits.forget(id);
         self.forget_rate(now, id, &request);
+        let is_running = !request.in_flight.is_empty();
+        self.quarantine.finished(now, id, request.head.fingerprint, is_running);
         if request.head.relayed.is_some() {
             self.relays.end_accepted();
         }
--- a/components/gateway_core/src/gateway/quarantine.rs
+++ b/components/gateway_core/src/gateway/quarantine.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 
-use ::quarantine::{ASKED_CONTROL_HOSTS, Audience, Observer, Probe, ProbeOutcome};
-use ids::{Fingerprint, HostId, Incarnation, Timestamp};
+use ::quarantine::{
+    ASKED_CONTROL_HOSTS, Admission, Audience, Candidate, Observer, Probe, ProbeOutcome,
+};
+use ids::{Fingerprint, HostId, Incarnation, RequestId, Timestamp};
 use rand_xoshiro::rand_core::RngCore;
 use schema::{
     announcement::{Announcement, ServerState},
@@ -15,6 +17,7 @@
 use crate::{
     events::Event,
     servers::{Course, ServerKey, key_of},
+    settings::Lifecycle,
 };
 
 /// Number of gateways that one that has started asks for their records.
@@ -103,6 +106,26 @@
         self.quarantine.refused(now, ServerKey { address, incarnation });
     }
 
+    /// Decides whether a request may be sent to a server.
+    pub(super) fn admit(&mut self, now: Timestamp, id: RequestId) -> Admission {
+        let request = &self.requests[&id];
+        let candidate = Candidate {
+            id,
+            request: request.head.fingerprint,
+            time_left: request.time_left(now),
+            may_be_tried: self.lifecycle == Lifecycle::Serving,
+        };
+        let control_hosts = self.registry_poller.control_hosts();
+        self.quarantine.admit(now, &candidate, &control_hosts)
+    }
+
+    /// Lets a request reach one server more and no others.
+    pub(super) fn limit_to_one_attempt(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.max_attempts = request.max_attempts.min(request.arrived_attempts + 1);
+        }
+    }
+
     pub(super) fn record_lost(
         &mut self,
         now: Timestamp,
@@ -148,7 +171,11 @@
     let mut message = message.clone();
     match &mut message {
         QuarantineMessage::Told(told) => told.scope = scope,
-        QuarantineMessage::RecordsWanted | QuarantineMessage::Known(_) => {}
+        QuarantineMessage::RecordsWanted
+        | QuarantineMessage::Known(_)
+        | QuarantineMessage::TrialAsk(_)
+        | QuarantineMessage::TrialAnswer(_)
+        | QuarantineMessage::TrialEnd(_) => {}
     }
     message
 }
--- a/components/gateway_core/tests/server_limits.rs
+++ b/components/gateway_core/tests/server_limits.rs
@@ -225,7 +225,8 @@
                 }
                 Message::Quarantine(message) => {
                     let recorder = &mut self.recorders[(to.0 - CONTROL_HOSTS.start) as usize];
-                    let answers = recorder.on_message(at(now), &message).into_iter();
+                    let sender = (from, Incarnation(self.incarnations[from.0 as usize - 1]));
+                    let answers = recorder.on_message(at(now), sender, 0, &message).into_iter();
                     let due = now + self.message_time;
                     let answers = answers.map(|it| (due, to, from, Message::Quarantine(it)));
                     self.messages.extend(answers);
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -14,12 +14,15 @@
 mod recent_answers;
 mod recorder;
 mod records;
+mod schedule;
+mod trial_grants;
+mod trials;
 
 pub use crate::{
     knowledge::ASKED_CONTROL_HOSTS,
     losses::Observer,
     outbox::{Audience, Outgoing},
-    quarantine::{Admission, Probe, ProbeOutcome, Quarantine, QuarantineEvent},
+    quarantine::{Admission, Candidate, Probe, ProbeOutcome, Quarantine, QuarantineEvent},
     recorder::Recorder,
-    records::{CRASH_THRESHOLD, Change, Records},
+    records::{CRASH_THRESHOLD, Change, Crashes, Records},
 };
--- a/components/quarantine/src/outbox.rs
+++ b/components/quarantine/src/outbox.rs
@@ -13,7 +13,7 @@
 const WHOLE_AFTER: Millis = Millis(BURST * REFILL_INTERVAL.0);
 
 /// Maximum number of records in a message, so that it fits into a datagram.
-pub(crate) const RECORDS_PER_MESSAGE: usize = 4;
+pub(crate) const RECORDS_PER_MESSAGE: usize = 3;
 
 /// Maximum number of changes that wait to be told; the oldest are dropped first.
 const MAX_WAITING: usize = 256;
--- a/components/quarantine/src/quarantine/evidence.rs
+++ b/components/quarantine/src/quarantine/evidence.rs
@@ -54,11 +54,12 @@
         server: ServerKey,
         observer: Observer,
     ) {
-        if self.answers.contains(now, request) || self.records.has_crashed(request, server) {
+        if self.was_answered(now, request) || self.records.has_crashed(request, server) {
             return;
         }
         self.losses.record(now, server, Loss { request, at: now, observer });
         if observer == Observer::Own {
+            self.trials.record_lost(request);
             self.probe_servers_of(now, request);
         }
     }
@@ -72,7 +73,7 @@
         sent_at: Timestamp,
     ) {
         self.answered_elsewhere(now, request);
-        self.responded(server, sent_at);
+        self.responded(now, server, sent_at);
     }
 
     /// Records an answer that another gateway has passed on.
@@ -89,13 +90,17 @@
 
     /// Records any response of a start to a request that was sent at `sent_at`: it has not ended at the
     /// losses before that.
-    pub fn responded(&mut self, server: ServerKey, sent_at: Timestamp) {
-        self.losses.drop_before(server, sent_at);
+    pub fn responded(&mut self, now: Timestamp, server: ServerKey, sent_at: Timestamp) {
+        for Loss { request, observer, .. } in self.losses.drop_before(server, sent_at) {
+            if observer == Observer::Own && self.trials.is_lost(request) {
+                self.trials.give_up(now, request, &mut self.outgoing);
+            }
+        }
     }
 
     /// Records that another gateway got a response of a start.
     pub fn responded_elsewhere(&mut self, now: Timestamp, server: ServerKey) {
-        self.losses.drop_before(server, now - RESPONSE_TIME);
+        self.responded(now, server, now - RESPONSE_TIME);
     }
 
     /// Records that a start has announced that it is leaving or has left: it ends as planned.
@@ -155,12 +160,20 @@
         }
     }
 
+    /// Returns whether a loss of a request proves nothing since it was answered lately.
+    fn was_answered(&self, now: Timestamp, request: Fingerprint) -> bool {
+        self.answers.contains(now, request) && !self.is_quarantined(now, request)
+    }
+
     /// Turns the losses of a start that has ended into crashes.
     fn record_end(&mut self, now: Timestamp, server: ServerKey, teller: Teller) {
         for Loss { request, at, observer } in self.losses.take(server) {
-            if self.answers.contains(now, request) || self.records.has_crashed(request, server) {
+            if self.was_answered(now, request) || self.records.has_crashed(request, server) {
                 continue;
             }
+            if observer == Observer::Own && self.trials.is_lost(request) {
+                self.trials.forget(request);
+            }
             let change = self.records.add_crash(now, request, server, at);
             let crashes = self.records.crashes(request);
             self.events.push(QuarantineEvent::Crashed { request, server, crashes });
--- a/components/quarantine/src/quarantine/mod.rs
+++ b/components/quarantine/src/quarantine/mod.rs
@@ -2,6 +2,9 @@
 
 mod evidence;
 mod spread;
+mod trying;
+
+pub use trying::Candidate;
 
 use crate::{
     knowledge::Knowledge,
@@ -9,20 +12,20 @@
     outbox::{Outgoing, Untold},
     recent_answers::RecentAnswers,
     records::{Change, Records},
+    trials::Trials,
 };
 use ids::{FastMap, Fingerprint, Millis, RequestId, ServerKey, Timestamp};
 
-/// Retry-After of requests in quarantine, in milliseconds.
-const RETRY_AFTER: Millis = Millis(30_000);
-
 /// Whether a request may be sent to a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
     /// It may.
     Free,
+    /// It may, to one server and once.
+    Trial,
     /// It must not; the caller should return after this time.
     Refused(Millis),
-    /// This process doesn't know yet; ask again when the request is woken or at this time.
+    /// It is not known yet; ask again when the request is woken or at this time.
     Wait(Timestamp),
 }
 
@@ -65,6 +68,11 @@
         /// Number of starts of servers that it has crashed.
         crashes: usize,
     },
+    /// A request in quarantine may run once.
+    TrialGranted {
+        /// The request.
+        request: Fingerprint,
+    },
     /// The crashes of a request are forgotten, since it was answered.
     Cleared {
         /// The request.
@@ -80,6 +88,7 @@
     losses: Losses,
     answers: RecentAnswers,
     untold: Untold,
+    trials: Trials,
     /// When connections were last opened to decide losses.
     probed_at: FastMap<ServerKey, Timestamp>,
     next_push: Timestamp,
@@ -102,6 +111,7 @@
             losses: Losses::default(),
             answers: RecentAnswers::default(),
             untold: Untold::default(),
+            trials: Trials::default(),
             probed_at: FastMap::default(),
             next_push: Timestamp::default(),
             pushed: 0,
@@ -113,25 +123,6 @@
         }
     }
 
-    /// Returns the time after which the caller of a new request should return, if it is refused.
-    pub fn refuses(&self, now: Timestamp, request: Fingerprint) -> Option<Millis> {
-        self.records.quarantined_since(now, request).map(|_| RETRY_AFTER)
-    }
-
-    /// Decides whether a request may be sent; must be called before each attempt.
-    pub fn admit(&mut self, now: Timestamp, id: RequestId, request: Fingerprint) -> Admission {
-        if let Some(retry_after) = self.refuses(now, request) {
-            return Admission::Refused(retry_after);
-        }
-        match self.knowledge.holds_until(now) {
-            Some(until) => {
-                self.held.push(id);
-                Admission::Wait(until)
-            }
-            None => Admission::Free,
-        }
-    }
-
     /// Takes the requests that should be stepped again.
     pub fn take_wakeups(&mut self) -> Vec<RequestId> {
         std::mem::take(&mut self.wakeups)
@@ -141,6 +132,7 @@
     pub fn tick(&mut self, now: Timestamp) {
         self.records.prune(now);
         self.losses.prune(now);
+        self.trials.prune(now);
         self.tell(now);
         self.push(now);
         self.ask(now);
--- a/components/quarantine/src/quarantine/spread.rs
+++ b/components/quarantine/src/quarantine/spread.rs
@@ -57,6 +57,9 @@
                     self.release_held(now);
                 }
             }
+            QuarantineMessage::TrialAnswer(answer) => self.on_trial_answer(now, from, answer),
+            // Messages to control hosts.
+            QuarantineMessage::TrialAsk(_) | QuarantineMessage::TrialEnd(_) => {}
         }
     }
 
@@ -77,7 +80,7 @@
         let is_settled = now.since(self.records.changed_at()) >= SETTLED_TIME;
         let interval = if is_settled { SLOW_PUSH_INTERVAL } else { PUSH_INTERVAL };
         self.next_push = now + interval;
-        let requests = self.records.quarantined(now);
+        let requests = self.records.all_quarantined(now);
         if requests.is_empty() {
             return;
         }
--- a/components/quarantine/src/recorder.rs
+++ b/components/quarantine/src/recorder.rs
@@ -2,10 +2,14 @@
 //!
 //! Kept in memory only: a control host that has just started has them from the gateways after a while.
 
-use ids::{Millis, Timestamp};
-use schema::quarantine::{KnownRecords, QuarantineMessage, RequestRecord};
+use ids::{HostId, Incarnation, Millis, Timestamp};
+use schema::quarantine::{
+    KnownRecords, QuarantineMessage, RequestRecord, TrialAnswer, TrialOutcome,
+};
 
-use crate::{outbox::RECORDS_PER_MESSAGE, records::Records};
+use crate::{
+    outbox::RECORDS_PER_MESSAGE, records::Records, schedule::TRIAL_TIME, trial_grants::TrialGrants,
+};
 
 /// Time after its start from which a control host knows what gateways repeat, in milliseconds.
 const LEARNING_TIME: Millis = Millis(10_000);
@@ -13,24 +17,36 @@
 /// Maximum number of records in the answer to a gateway that starts; the rest it gets from others.
 const MAX_ANSWERED: usize = 64;
 
+/// Time after which a gateway that knows other control hosts than this one may know the same, in
+/// milliseconds.
+const MEMBERS_TIME: Millis = Millis(2_000);
+
 /// The records of a control host.
 #[derive(Debug)]
 pub struct Recorder {
     records: Records,
     complete_from: Timestamp,
+    grants: TrialGrants,
 }
 
 impl Recorder {
     /// Creates the recorder of a process that starts now; in a new fleet there was nothing before.
     pub fn new(now: Timestamp, is_new_fleet: bool) -> Self {
-        let complete_from = if is_new_fleet { now } else { now + LEARNING_TIME };
-        Self { records: Records::default(), complete_from }
+        let after = |time: Millis| if is_new_fleet { now } else { now + time };
+        Self {
+            records: Records::default(),
+            complete_from: after(LEARNING_TIME),
+            grants: TrialGrants::new(after(TRIAL_TIME)),
+        }
     }
 
-    /// Processes a message of a gateway; returns the answers to it.
+    /// Processes a message of a gateway's process; returns the answers to it. `members` is the digest of the
+    /// control hosts that this one knows.
     pub fn on_message(
         &mut self,
         now: Timestamp,
+        from: (HostId, Incarnation),
+        members: u64,
         message: &QuarantineMessage,
     ) -> Vec<QuarantineMessage> {
         match message {
@@ -43,8 +59,21 @@
             QuarantineMessage::RecordsWanted => {
                 known_records(now, &self.records, now >= self.complete_from)
             }
+            QuarantineMessage::TrialAsk(ask) => {
+                // Majorities of different sets of control hosts need not overlap.
+                let outcome = match ask.control_hosts == members {
+                    true => self.grants.grant(now, from, ask, &self.records),
+                    false => TrialOutcome::Later(MEMBERS_TIME),
+                };
+                let (number, fingerprint) = (ask.number, ask.fingerprint);
+                vec![QuarantineMessage::TrialAnswer(TrialAnswer { number, fingerprint, outcome })]
+            }
+            QuarantineMessage::TrialEnd(end) => {
+                self.grants.end(from, end);
+                Vec::new()
+            }
             // Messages to gateways.
-            QuarantineMessage::Known(_) => Vec::new(),
+            QuarantineMessage::Known(_) | QuarantineMessage::TrialAnswer(_) => Vec::new(),
         }
     }
 }
--- a/components/quarantine/src/records/mod.rs
+++ b/components/quarantine/src/records/mod.rs
@@ -29,6 +29,15 @@
     Cleared,
 }
 
+/// The crashes of a request in quarantine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Crashes {
+    /// Number of crashes that are later than all gateways knew of the quarantine.
+    pub late: usize,
+    /// Time since the last crash.
+    pub last_age: Millis,
+}
+
 /// The records of all requests that have crashed servers.
 #[derive(Debug, Clone, Default)]
 pub struct Records {
@@ -47,9 +56,7 @@
         server: ServerKey,
         at: Timestamp,
     ) -> Change {
-        self.change(now, request, |it| {
-            it.add(server, at);
-        })
+        self.change(now, request, |it| it.add(now, server, now.since(at)))
     }
 
     /// Forgets the crashes of a request that was answered.
@@ -75,10 +82,10 @@
         self.records.get(&request).is_some_and(|it| it.has_crashed(server))
     }
 
-    /// Returns when the request last crashed a server, if it is in quarantine.
-    pub fn quarantined_since(&self, now: Timestamp, request: Fingerprint) -> Option<Timestamp> {
+    /// Returns the crashes of a request, if it is in quarantine.
+    pub fn quarantined(&self, now: Timestamp, request: Fingerprint) -> Option<Crashes> {
         let record = self.records.get(&request)?;
-        record.last_crash().filter(|_| record.is_quarantined() && now < record.expires_at())
+        record.quarantined(now).filter(|_| record.expires_in(now) > Millis(0))
     }
 
     /// Returns what is known of a request.
@@ -88,14 +95,15 @@
 
     /// Returns all records, those in quarantine first.
     pub fn messages(&self, now: Timestamp) -> Vec<RequestRecord> {
-        let mut all: Vec<_> = self.records.iter().filter(|(_, it)| now < it.expires_at()).collect();
+        let mut all: Vec<_> =
+            self.records.iter().filter(|(_, it)| it.expires_in(now) > Millis(0)).collect();
         all.sort_by_key(|(request, it)| (!it.is_quarantined(), **request));
         all.into_iter().map(|(request, it)| it.to_message(now, *request)).collect()
     }
 
     /// Returns the requests in quarantine, in a fixed order.
-    pub fn quarantined(&self, now: Timestamp) -> Vec<Fingerprint> {
-        let is_quarantined = |it: &Record| it.is_quarantined() && now < it.expires_at();
+    pub fn all_quarantined(&self, now: Timestamp) -> Vec<Fingerprint> {
+        let is_quarantined = |it: &Record| it.is_quarantined() && it.expires_in(now) > Millis(0);
         let all = self.records.iter().filter(|(_, it)| is_quarantined(it));
         let mut requests: Vec<_> = all.map(|(request, _)| *request).collect();
         requests.sort();
@@ -111,7 +119,7 @@
     pub fn prune(&mut self, now: Timestamp) {
         if now.since(self.pruned_at) >= PRUNE_INTERVAL {
             self.pruned_at = now;
-            self.records.retain(|_, it| now < it.expires_at());
+            self.records.retain(|_, it| it.expires_in(now) > Millis(0));
         }
     }
 
@@ -138,14 +146,14 @@
             self.records.insert(request, after);
         }
         if self.records.len() > MAX_RECORDS {
-            self.remove_least();
+            self.remove_least(now);
         }
         result
     }
 
     /// Removes the record with the fewest crashes, of several the oldest.
-    fn remove_least(&mut self) {
-        let rank = |it: &Record| (it.is_quarantined(), it.len(), it.expires_at());
+    fn remove_least(&mut self, now: Timestamp) {
+        let rank = |it: &Record| (it.is_quarantined(), it.len(), it.expires_in(now));
         let least = self.records.iter().min_by_key(|(_, it)| rank(it)).map(|(it, _)| *it);
         if let Some(least) = least {
             self.records.remove(&least);
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -304,7 +304,9 @@
                 self.send(from, PeerMessage::RetryBudget(message));
             }
             PeerMessage::Quarantine(message) => {
-                for answer in self.quarantine.on_message(now, &message) {
+                let members = list_digest(&self.members());
+                let sender = (from, incarnation);
+                for answer in self.quarantine.on_message(now, sender, members, &message) {
                     self.send(from, PeerMessage::Quarantine(answer));
                 }
             }
--- a/tests/gateway_crashing_requests.rs
+++ b/tests/gateway_crashing_requests.rs
@@ -175,3 +175,31 @@
 
     assert!(late <= MAX_LATE_CRASHES, "{late} crashes after the third was known");
 }
+
+/// Guards against requests that are refused until an expiry though they crash servers no more.
+#[test]
+fn a_request_that_crashes_servers_no_more_is_served_again() {
+    let is_mended = Arc::new(AtomicBool::new(false));
+    let mended = is_mended.clone();
+    let (fleet, servers) =
+        serving_fleet(3, 6, move |server, path| match mended.load(Ordering::SeqCst) {
+            true => Fate::Answered,
+            false => crash_on_poison(server, path),
+        });
+    wait_until_refused(&fleet, 3, &servers);
+    let before = crashes(&servers).len();
+
+    is_mended.store(true, Ordering::SeqCst);
+    let mended_at = Instant::now();
+    let mut number = 0;
+    let mut is_served = |gateway| {
+        number += 1;
+        let response = fleet.request(gateway, &format!("again-{number}"), POISON);
+        response.is_some_and(|it| it.status == 200)
+    };
+    wait_for("an answer at each gateway", || (11..14).all(&mut is_served).then_some(()));
+
+    assert!(mended_at.elapsed() < Duration::from_secs(15), "{:?}", mended_at.elapsed());
+    // One trial was enough, and an answer at one gateway clears the request at all.
+    assert!(crashes(&servers).len() > before);
+}
