Check all parts of a configuration, also those without effect

Cause: the decoder returned what takes effect, and only that was checked.

Change: control hosts check what was submitted; gateways decode what takes effect as before, so that stored configurations load.

--- a/components/gateway/src/control/requests.rs
+++ b/components/gateway/src/control/requests.rs
@@ -180,9 +180,9 @@
 }
 
 fn decode_config(text: &[u8]) -> Result<GatewayConfig, String> {
-    let config = configuration::decode(text).map_err(|e| e.to_string())?;
-    config.check().map_err(|e| e.to_string())?;
-    Ok(config)
+    let submitted = configuration::decode_submitted(text).map_err(|e| e.to_string())?;
+    submitted.check().map_err(|e| e.to_string())?;
+    Ok(submitted.config)
 }
 
 fn config_response(config: &ConfigDocument) -> Reply {
--- a/components/gateway_core/src/configuration.rs
+++ b/components/gateway_core/src/configuration.rs
@@ -103,6 +103,28 @@
     pub organisations: Option<Vec<Organisation>>,
 }
 
+/// A configuration as an operator has submitted it, with the parts that have no effect.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SubmittedConfig {
+    /// What takes effect.
+    pub config: GatewayConfig,
+    /// All host names, also those without routes.
+    pub hosts: Vec<String>,
+    /// Targets of routes that name a single service besides, which takes precedence.
+    pub unused_targets: Vec<UnusedTargets>,
+    /// Whether all of its text is UTF-8, also in parts that are not read.
+    pub is_utf8: bool,
+}
+
+/// Targets of a route that have no effect.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnusedTargets {
+    /// Name of the route.
+    pub route: String,
+    /// The targets.
+    pub targets: Vec<RouteTarget>,
+}
+
 /// Excess of a route's target latency over its time limit from which the configuration is refused,
 /// in milliseconds.
 const MAX_TARGET_OVER_LIMIT: Millis = Millis(60_000);
@@ -122,10 +144,29 @@
     RelativePrefix(String),
     /// route {0} has no host
     NoHost(String),
+    /// a host has no name
+    EmptyHost,
+    /// the text is not UTF-8
+    NotUtf8,
 }
 
 impl std::error::Error for ConfigError {}
 
+impl SubmittedConfig {
+    /// Checks the constraints that the types don't express, in all parts.
+    pub fn check(&self) -> Result<(), ConfigError> {
+        if !self.is_utf8 {
+            return Err(ConfigError::NotUtf8);
+        }
+        self.config.check()?;
+        if self.hosts.iter().any(String::is_empty) {
+            return Err(ConfigError::EmptyHost);
+        }
+        let mut unused = self.unused_targets.iter();
+        unused.try_for_each(|it| self.config.check_targets(&it.route, &it.targets))
+    }
+}
+
 impl GatewayConfig {
     /// Checks the constraints that the types don't express.
     pub fn check(&self) -> Result<(), ConfigError> {
@@ -134,14 +175,7 @@
 
     fn check_route(&self, route: &Route) -> Result<(), ConfigError> {
         let name = || route.name.clone();
-        for target in &route.targets {
-            if !self.services.iter().any(|it| it.name == target.service) {
-                return Err(ConfigError::UnknownService(name(), target.service.clone()));
-            }
-        }
-        if route.targets.iter().all(|it| it.weight == 0) {
-            return Err(ConfigError::NoWeight(name()));
-        }
+        self.check_targets(&route.name, &route.targets)?;
         if route.time_limit == Millis(0) {
             return Err(ConfigError::NoTimeLimit(name()));
         }
@@ -157,4 +191,15 @@
         }
         Ok(())
     }
+    fn check_targets(&self, route: &str, targets: &[RouteTarget]) -> Result<(), ConfigError> {
+        let is_unknown = |it: &&RouteTarget| self.services.iter().all(|s| s.name != it.service);
+        if let Some(target) = targets.iter().find(is_unknown) {
+            let service = target.service.clone();
+            return Err(ConfigError::UnknownService(route.to_owned(), service));
+        }
+        match targets.iter().all(|it| it.weight == 0) {
+            true => Err(ConfigError::NoWeight(route.to_owned())),
+            false => Ok(()),
+        }
+    }
 }
--- a/components/gateway_core/src/lib.rs
+++ b/components/gateway_core/src/lib.rs
@@ -22,7 +22,7 @@
 pub use crate::{
     configuration::{
         CallerLimits, ConfigError, GatewayConfig, Idempotency, Route, RouteKey, RouteTarget,
-        ServicePolicy,
+        ServicePolicy, SubmittedConfig, UnusedTargets,
     },
     entry_hosts::DirectoryAnswer,
     events::{Event, RequestSummary, RetryUsage},
