--- a/components/gateway/src/entry/metrics.rs
+++ b/components/gateway/src/entry/metrics.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 
 use admin::{TransportMetrics, gauge_value};
-use gateway_core::{Event, Gateway, RefusalCause, RequestSummary};
+use gateway_core::{Event, Gateway, QuarantineEvent, RefusalCause, RequestSummary};
 use ids::{FastSet, OrganisationName};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -60,6 +60,11 @@
     cause: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct QuarantineLabels {
+    event: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct WorkLabels {
     likely: &'static str,
@@ -78,6 +83,7 @@
     over_limit: Family<OverLimitLabels, Counter>,
     /// Organisations with a counter of their own.
     counted_organisations: RefCell<FastSet<OrganisationName>>,
+    quarantine: Family<QuarantineLabels, Counter>,
     paths_down: Counter,
     latency: Histogram,
     wait_time: Histogram,
@@ -117,6 +123,9 @@
         let over_limit = Family::<OverLimitLabels, Counter>::default();
         let help = "Requests refused by the limits of their organisations";
         registry.register("over_limit", help, over_limit.clone());
+        let quarantine = Family::<QuarantineLabels, Counter>::default();
+        let help = "Changes of what is known of requests that crash servers";
+        registry.register("quarantine_events", help, quarantine.clone());
         let invalid_notices = Family::<HeaderLabels, Counter>::default();
         let help = "Headers of servers that were ignored because their values are not valid";
         registry.register("invalid_server_headers", help, invalid_notices.clone());
@@ -166,6 +175,7 @@
             relays,
             over_limit,
             counted_organisations: RefCell::default(),
+            quarantine,
             paths_down,
             latency,
             wait_time,
@@ -241,6 +251,15 @@
             Event::PermitDenied { .. } => {
                 self.permits_denied.inc();
             }
+            Event::Quarantine(event) => {
+                let event = match event {
+                    QuarantineEvent::Crashed { .. } => "server-crashed",
+                    QuarantineEvent::Quarantined { .. } => "quarantined",
+                    QuarantineEvent::TrialGranted { .. } => "trial",
+                    QuarantineEvent::Cleared { .. } => "cleared",
+                };
+                self.quarantine.get_or_create(&QuarantineLabels { event }).inc();
+            }
             Event::OverLimit { organisation, cause, .. } => {
                 self.count_over_limit(organisation, *cause);
             }
