--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -151,6 +151,7 @@
         };
         if end == AttemptEnd::Misplaced {
             self.servers.mark_misplaced(key);
+            self.quarantine.ended(now, key);
         }
         if matches!(end, AttemptEnd::ServerError | AttemptEnd::Shed) {
             self.quarantine.responded(now, key, started);
--- a/components/quarantine/src/quarantine/evidence.rs
+++ b/components/quarantine/src/quarantine/evidence.rs
@@ -117,7 +117,7 @@
         }
     }
 
-    /// Records that the registry shows that a start has ended.
+    /// Records that another start was found where this one was: it has ended.
     pub fn ended(&mut self, now: Timestamp, server: ServerKey) {
         self.record_end(now, server, Teller::Observer);
     }
--- a/components/quarantine/src/quarantine/mod.rs
+++ b/components/quarantine/src/quarantine/mod.rs
@@ -4,7 +4,7 @@
 mod spread;
 mod trying;
 
-pub use trying::Candidate;
+use ids::{FastMap, Fingerprint, Millis, RequestId, ServerKey, Timestamp};
 
 use crate::{
     knowledge::Knowledge,
@@ -15,7 +15,8 @@
     records::{Change, Records},
     trials::Trials,
 };
-use ids::{FastMap, Fingerprint, Millis, RequestId, ServerKey, Timestamp};
+
+pub use trying::Candidate;
 
 /// Whether a request may be sent to a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
