Hold requests at the start only until control hosts have answered, and count their records

Gateways held requests back for 500 ms while control hosts had restarted too and could not say that they know. Now a majority that has answered, whatever it knows, ends the wait, 250 ms at most.

--- a/components/quarantine/src/knowledge.rs
+++ b/components/quarantine/src/knowledge.rs
@@ -6,10 +6,10 @@
 use ids::{HostId, Millis, Timestamp};
 
 /// Minimum time between two asks, in milliseconds.
-const ASK_INTERVAL: Millis = Millis(150);
+const ASK_INTERVAL: Millis = Millis(100);
 
 /// Longest time that requests are held back after a control host was reached, in milliseconds.
-const HOLD_TIME: Millis = Millis(500);
+const HOLD_TIME: Millis = Millis(250);
 
 /// Time after its start for which a process asks, in milliseconds; it has heard of all records by then.
 const ASK_TIME: Millis = Millis(30_000);
@@ -24,14 +24,26 @@
     /// When a control host was first reached.
     contact_at: Option<Timestamp>,
     asked_at: Option<Timestamp>,
-    /// Control hosts that have told all that they know, and know enough.
-    told_by: Vec<HostId>,
+    /// Control hosts that have told all that they know.
+    heard: Vec<HostId>,
+    /// Those of them that have run for long enough to know all.
+    knowing: Vec<HostId>,
     is_known: bool,
+    /// Whether so many were heard that requests are held back no longer, whatever they know.
+    is_heard: bool,
 }
 
 impl Knowledge {
     pub(crate) fn new(started: Timestamp) -> Self {
-        Self { started, contact_at: None, asked_at: None, told_by: Vec::new(), is_known: false }
+        Self {
+            started,
+            contact_at: None,
+            asked_at: None,
+            heard: Vec::new(),
+            knowing: Vec::new(),
+            is_known: false,
+            is_heard: false,
+        }
     }
 
     pub(crate) fn record_contact(&mut self, now: Timestamp) {
@@ -46,7 +58,7 @@
     /// Returns until when requests are held back, if they are.
     pub(crate) fn holds_until(&self, now: Timestamp) -> Option<Timestamp> {
         let until = self.contact_at.map_or(self.started + ASK_TIME, |it| it + HOLD_TIME);
-        (!self.is_known(now) && now < until).then_some(until)
+        (!self.is_heard && !self.is_known(now) && now < until).then_some(until)
     }
 
     /// Returns when others should be asked, if this process still needs that.
@@ -65,14 +77,26 @@
         true
     }
 
-    /// Records that a host has told all that it knows; one gateway that knows is enough, or a majority
-    /// of the control hosts that are asked.
-    pub(crate) fn record_told(&mut self, from: HostId, control_hosts: &[HostId]) {
-        let is_control_host = control_hosts.contains(&from);
-        if is_control_host && !self.told_by.contains(&from) {
-            self.told_by.push(from);
+    /// Records that a host has told all that it knows, and whether it knows all; one gateway that knows is
+    /// enough, or a majority of the control hosts that are asked.
+    pub(crate) fn record_told(
+        &mut self,
+        from: HostId,
+        control_hosts: &[HostId],
+        is_complete: bool,
+    ) {
+        if !control_hosts.contains(&from) {
+            self.is_known |= is_complete;
+            return;
         }
         let asked = control_hosts.len().min(ASKED_CONTROL_HOSTS);
-        self.is_known |= !is_control_host || self.told_by.len() * 2 > asked;
+        let add = |hosts: &mut Vec<HostId>| {
+            if !hosts.contains(&from) {
+                hosts.push(from);
+            }
+            hosts.len() * 2 > asked
+        };
+        self.is_heard |= add(&mut self.heard);
+        self.is_known |= is_complete && add(&mut self.knowing);
     }
 }
--- a/components/quarantine/src/quarantine/spread.rs
+++ b/components/quarantine/src/quarantine/spread.rs
@@ -58,8 +58,9 @@
             }
             QuarantineMessage::Known(known) => {
                 self.merge(now, &known.records);
-                if known.is_complete {
-                    self.knowledge.record_told(from, control_hosts);
+                // Some of the messages may be lost.
+                if self.records.len() >= known.total as usize {
+                    self.knowledge.record_told(from, control_hosts, known.is_complete);
                     self.release_held(now);
                 }
             }
--- a/components/quarantine/src/recorder.rs
+++ b/components/quarantine/src/recorder.rs
@@ -93,7 +93,7 @@
     (!records.is_empty()).then_some(QuarantineMessage::Told(ToldRecords { scope, records }))
 }
 
-/// Returns the messages that tell all records, the last of which says whether there are others.
+/// Returns the messages that tell all records; `is_complete` is whether this host knows all that is known.
 pub(crate) fn known_records(
     now: Timestamp,
     records: &Records,
@@ -101,11 +101,12 @@
 ) -> Vec<QuarantineMessage> {
     let mut all = records.messages(now);
     all.truncate(MAX_ANSWERED);
-    let message = |records: &[RequestRecord], is_complete| {
-        QuarantineMessage::Known(KnownRecords { records: records.to_vec(), is_complete })
+    let total = all.len() as u32;
+    let message = |records: &[RequestRecord]| {
+        QuarantineMessage::Known(KnownRecords { records: records.to_vec(), total, is_complete })
     };
-    let chunks = all.chunks(RECORDS_PER_MESSAGE);
-    let mut messages: Vec<_> = chunks.map(|it| message(it, false)).collect();
-    messages.push(message(&[], is_complete));
-    messages
+    match all.is_empty() {
+        true => vec![message(&[])],
+        false => all.chunks(RECORDS_PER_MESSAGE).map(message).collect(),
+    }
 }
--- a/components/quarantine/src/records/mod.rs
+++ b/components/quarantine/src/records/mod.rs
@@ -72,6 +72,16 @@
         self.change(now, received.fingerprint, |it| it.merge(now, received))
     }
 
+    /// Returns the number of requests with a record, also of those that were cleared.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether there is no record.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// Returns the number of starts of servers that the request has crashed since it was answered.
     pub fn crashes(&self, request: Fingerprint) -> usize {
         self.records.get(&request).map_or(0, Record::len)
