Ask for records each second only once a majority of the control hosts has answered

When all hosts restart, control hosts don't know for 10 s, and each gateway asked five hosts ten times a second meanwhile.

--- a/components/quarantine/src/knowledge.rs
+++ b/components/quarantine/src/knowledge.rs
@@ -5,9 +5,12 @@
 
 use ids::{HostId, Millis, Timestamp};
 
-/// Minimum time between two asks, in milliseconds.
+/// Time between two asks while requests are held back, in milliseconds.
 const ASK_INTERVAL: Millis = Millis(100);
 
+/// Time between two asks afterwards, in milliseconds: control hosts that have restarted don't know soon.
+const SLOW_ASK_INTERVAL: Millis = Millis(1_000);
+
 /// Longest time that requests are held back after a control host was reached, in milliseconds.
 const HOLD_TIME: Millis = Millis(250);
 
@@ -61,15 +64,19 @@
         (!self.is_heard && !self.is_known(now) && now < until).then_some(until)
     }
 
+    fn ask_interval(&self) -> Millis {
+        if self.is_heard { SLOW_ASK_INTERVAL } else { ASK_INTERVAL }
+    }
+
     /// Returns when others should be asked, if this process still needs that.
     pub(crate) fn next_ask(&self) -> Option<Timestamp> {
-        let at = self.asked_at? + ASK_INTERVAL;
+        let at = self.asked_at? + self.ask_interval();
         (!self.is_known(at)).then_some(at)
     }
 
     /// Returns whether others should be asked now, and records that they are.
     pub(crate) fn should_ask(&mut self, now: Timestamp) -> bool {
-        let is_due = self.asked_at.is_none_or(|it| now.since(it) >= ASK_INTERVAL);
+        let is_due = self.asked_at.is_none_or(|it| now.since(it) >= self.ask_interval());
         if self.is_known(now) || !is_due {
             return false;
         }
