Build the review's stand-ins from the project's own crates

Change: they use platform::stand_in, in a workspace of their own with the versions of the project's Cargo.lock, so that the project's build and tests leave them out.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,8 +1,6 @@
 #!/bin/bash
-# Builds the stand-ins of the cases 11 to 15, without dependencies; needs only rustc.
+# Builds the stand-ins of the cases 11 to 15 from the project's own crates, with the versions of the
+# project's Cargo.lock and without a network.
 set -eu
 cd "$(dirname "$0")/.."
-mkdir -p target/review-3
-for source in review/stand_ins_3/case_*.rs; do
-    rustc --edition 2024 -O -o "target/review-3/$(basename "$source" .rs)" "$source"
-done
+cargo build --release --offline --locked --manifest-path review/stand_ins_3/Cargo.toml --target-dir target/review-3
--- a/review/stand_ins_3/fleet.rs
+++ b/review/stand_ins_3/fleet.rs
@@ -11,9 +11,13 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::Mutex,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
+use gateway_core::{CallerLimits, GatewayConfig, Idempotency, Route, RouteTarget, ServicePolicy};
+use ids::{ByteSize, ConfigVersion, Millis, ServiceName};
+use platform::stand_in;
+
 pub const PEER_PORT: u16 = 9_971;
 pub const METRICS_PORT: u16 = 9_972;
 pub const CONTROL_PORT: u16 = 9_973;
@@ -70,10 +74,6 @@
     env::var("TROUBLE").map_or(true, |it| it != "0")
 }
 
-pub fn unix_millis() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_millis() as u64)
-}
-
 /// A fleet, whose processes are killed when it is dropped.
 pub struct Fleet {
     pub subnet: u8,
@@ -217,9 +217,10 @@
 
     /// Returns the hosts whose processes have ended by themselves.
     pub fn ended(&mut self) -> Vec<u8> {
-        let ended = self.processes.iter_mut().filter_map(|(host, process)| {
-            process.try_wait().ok().flatten().map(|_| *host)
-        });
+        let ended = self
+            .processes
+            .iter_mut()
+            .filter_map(|(host, process)| process.try_wait().ok().flatten().map(|_| *host));
         ended.collect()
     }
 
@@ -368,18 +369,37 @@
     }
 }
 
-/// Returns a configuration with one route to one service, whose path names its version.
-pub fn config(version: u64, kind: &str) -> String {
-    format!(
-        "{{\"version\":{version},\"services\":[{{\"name\":\"depositsvc\",\
-         \"healthPath\":\"/healthz\",\"maxConnections\":330,\"protocol\":\"h1\",\"tls\":false}}],\
-         \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\
-         \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
-         \"virtualHosts\":[{{\"host\":\"shop.example\",\"paths\":[{{\"name\":\"r-pay\",\
-         \"pathPrefix\":\"/pay/\",\"kind\":\"{kind}\",\"timeoutMs\":4000,\
-         \"targetLatencyMs\":1000,\"priority\":1,\"service\":\"depositsvc\",\
-         \"maxAttempts\":2}}]}}]}}"
-    )
+/// Returns a configuration with one route to one service.
+pub fn config(version: u64) -> Vec<u8> {
+    let service: ServiceName = "depositsvc".parse().expect("a valid name");
+    let route = Route {
+        name: "r-pay".to_owned(),
+        host: "shop.example".to_owned(),
+        path_prefix: "/pay/".to_owned(),
+        idempotency: Idempotency::NonIdempotent,
+        targets: vec![RouteTarget { service: service.clone(), weight: 1 }],
+        time_limit: Millis(4_000),
+        target_latency: Millis(1_000),
+        priority: 1,
+        max_attempts: 2,
+        is_public: false,
+    };
+    stand_in::config_body(&GatewayConfig {
+        version: ConfigVersion(version),
+        services: vec![ServicePolicy {
+            name: service,
+            max_connections: 330,
+            probe_path: "/healthz".to_owned(),
+        }],
+        routes: vec![route],
+        caller_limits: CallerLimits {
+            max_head: ByteSize(16_384),
+            max_body: ByteSize(67_108_864),
+            head_timeout: Millis(3_000),
+            idle_timeout: Millis(15_000),
+        },
+        organisations: None,
+    })
 }
 
 /// Returns the version in a configuration that was read back.
@@ -406,8 +426,7 @@
             break;
         }
         let address = fleet.address(*host, CONTROL_PORT);
-        let body = config(version, "unsafe");
-        let answer = call_control(address, "POST", "/-/config/put", body.as_bytes());
+        let answer = call_control(address, "POST", stand_in::PUT_CONFIG, &config(version));
         let status = answer.as_ref().map(|it| it.status);
         record.line(format!("version {version} sent to {host}: {status:?}"));
         if status == Ok(200) {
@@ -425,7 +444,7 @@
     while Instant::now() < until {
         for host in hosts {
             let address = fleet.address(*host, CONTROL_PORT);
-            let answer = call_control(address, "GET", "/-/config/get", b"");
+            let answer = call_control(address, "GET", stand_in::READ_CONFIG, b"");
             let status = answer.as_ref().map(|it| it.status);
             record.line(format!("read from {host}: {status:?}"));
             if let Some(answer) = answer.ok().filter(|it| it.status == 200) {
