Show that other tenants' answers keep a request that crashes upstreams

Cause: the fingerprint of a request leaves the caller's organisation out. While one tenant's lookup crashes upstreams, the answers to others that look up the same path clear its crashes and drop its losses.

Change: case 13 of the review, a script with stand-ins of upstreams.

--- a/review/stand_ins_3/case_13.rs
+++ b/review/stand_ins_3/case_13.rs
@@ -1,47 +1,136 @@
-//! A machine of the core is killed while the system starts for the first time, and is back at once.
+//! A lookup of one tenant crashes upstreams, while other tenants' lookups of the same path are answered.
 
 #[path = "fleet.rs"]
 mod fleet;
+#[path = "upstream.rs"]
+mod upstream;
 
-use std::{thread::sleep, time::Duration};
+use std::{
+    collections::BTreeMap,
+    env,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, sleep},
+    time::Duration,
+};
 
 use fleet::{Fleet, Record};
+use gateway_core::{ApiKey, Idempotency, Organisation};
+use ids::Millis;
+use platform::stand_in;
+use upstream::{Crashing, Seen};
 
-/// Time between the starts of two machines of the core; all start within 0.3 s.
-const START_GAP: Duration = Duration::from_millis(50);
+/// The tenant whose lookup crashes upstreams, and the other one.
+const CRASHING: &str = "clinic-a";
+const OTHER: &str = "clinic-b";
 
-/// Time from the start of the last process to the kill, and until the process is back.
-const KILL_AFTER: Duration = Duration::from_millis(150);
-const DOWN: Duration = Duration::from_millis(500);
+/// The path that both look up.
+const PATH: &str = "/pay/list";
 
-/// Time for which the operator sends the first configuration.
-const PUT_TIME: Duration = Duration::from_secs(60);
+const GATEWAYS: [u8; 4] = [21, 22, 23, 24];
+const UPSTREAMS: u8 = 12;
 
-/// Time for which the configuration is read back; at least `stableWindowMs`.
-const READ_TIME: Duration = Duration::from_secs(10);
+/// Threads of callers of the other tenant, and the pause between two lookups of each.
+const CALLERS: usize = 6;
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Time between two lookups of the crashing tenant.
+const CRASHING_GAP: Duration = Duration::from_secs(1);
+
+/// How long callers ask.
+const LENGTH: Duration = Duration::from_secs(50);
+
+/// `stableWindowMs` of the deployment, and the retries that the rule allows.
+const STABLE_WINDOW: Duration = Duration::from_secs(4);
+const ALLOWED: usize = 3;
+
+type Statuses = Arc<Mutex<BTreeMap<(&'static str, u16), usize>>>;
 
 fn main() {
-    let record = Record::open();
+    let record = Arc::new(Record::open());
     let mut fleet = Fleet::new(5, 1);
     let core: Vec<u8> = (1..=5).collect();
-    for host in [3, 2, 5, 4, 1] {
-        fleet.start_control(host, true);
-        sleep(START_GAP);
+    core.iter().for_each(|it| fleet.start_control(*it, true));
+    GATEWAYS.into_iter().for_each(|it| fleet.start_gateway(it));
+    let organisation = |name: &str| Organisation {
+        name: name.parse().expect("a valid name"),
+        keys: vec![ApiKey::new(key_of(name).as_bytes())],
+        priority: None,
+        limit: None,
+    };
+    let organisations = vec![organisation(CRASHING), organisation(OTHER)];
+    let text = fleet::config_with(1, Idempotency::Idempotent, Some(organisations));
+    if fleet::put_text(&record, &fleet, &core, &text, Duration::from_secs(20)).is_none() {
+        fleet::cannot_run("no configuration was accepted");
     }
-    [21, 22].into_iter().for_each(|it| fleet.start_gateway(it));
-    record.line("5 control hosts and 2 gateways start");
-    if fleet::has_trouble() {
-        sleep(KILL_AFTER);
-        fleet.kill(1);
-        record.line("1 is killed");
-        sleep(DOWN);
-        fleet.start_control(1, false);
-        record.line("1 starts again on its disk; no disruption from here on");
+    let seen = Arc::new(Seen::default());
+    let crashing = Arc::new(Crashing { organisation: CRASHING, is_on: fleet::has_trouble() });
+    for number in 1..=UPSTREAMS {
+        let address = fleet.address(100 + number, fleet::SERVER_PORT);
+        let controls = fleet.control_addresses();
+        upstream::start(number, address, controls, crashing.clone(), seen.clone());
     }
-    let accepted = fleet::put(&record, &fleet, &core, 1, PUT_TIME).is_some();
-    fleet::record_members(&record, &fleet, &core);
-    let read = fleet::read_back(&record, &fleet, &core, READ_TIME);
-    record.line(format!("accepted: {accepted}; read back: {read:?}"));
-    let what = "CONFIG: no configuration is accepted, and the read-back doesn't come";
-    fleet::finish(&record, fleet, read.is_none().then_some(what));
+    sleep(Duration::from_secs(9));
+
+    let gateways = GATEWAYS.map(|it| fleet.address(it, fleet::FRONT_PORT));
+    let (statuses, is_over) = (Statuses::default(), Arc::new(AtomicBool::new(false)));
+    let callers = if env::var("ALONE").is_ok() { 0 } else { CALLERS };
+    let mut threads = Vec::new();
+    for i in 0..=callers {
+        let (name, pause) = if i == 0 { (CRASHING, CRASHING_GAP) } else { (OTHER, PAUSE) };
+        let (statuses, is_over, record) = (statuses.clone(), is_over.clone(), record.clone());
+        threads.push(thread::spawn(move || {
+            let mut n = i;
+            while !is_over.load(Ordering::SeqCst) {
+                n += 1;
+                // Callers take the gateways in another order each.
+                let gateway = gateways[(n * (i % 3 + 1) + i) % gateways.len()];
+                let id = format!("{name}-{i}-{n}");
+                let status = look_up(gateway, name, &id);
+                record.line(format!("{id} at {gateway}: {status}"));
+                *statuses.lock().unwrap().entry((name, status)).or_default() += 1;
+                sleep(pause);
+            }
+        }));
+    }
+    sleep(LENGTH);
+    is_over.store(true, Ordering::SeqCst);
+    threads.into_iter().for_each(|it| it.join().expect("callers do not panic"));
+
+    let crashes = seen.crashes.lock().unwrap().clone();
+    let runs = seen.runs.lock().unwrap().clone();
+    let third = crashes.get(2).map(|it| it.0 + STABLE_WINDOW);
+    let retries = runs.iter().filter(|(at, _)| third.is_some_and(|it| *at > it)).count();
+    for (at, number) in &crashes {
+        record.line(format!("upstream {number} crashed {:?} ago", at.elapsed()));
+    }
+    for ((name, status), count) in statuses.lock().unwrap().iter() {
+        record.line(format!("{name}: {status} {count} times (0: no answer)"));
+    }
+    record.line(format!(
+        "{} runs of the lookup of {CRASHING}, {} crashes, {retries} runs later than {STABLE_WINDOW:?} \
+         after the third; {} lookups of {OTHER} lost at work",
+        runs.len(),
+        crashes.len(),
+        seen.lost.load(Ordering::SeqCst)
+    ));
+    let what = "BUDGET: a request that crashes upstreams reached them in more than three retries";
+    fleet::finish(&record, fleet, (retries > ALLOWED).then_some(what));
+}
+
+fn key_of(name: &str) -> String {
+    format!("key-of-{name}")
+}
+
+/// Looks the path up; returns the status, or 0 if there is no answer.
+fn look_up(gateway: SocketAddr, name: &str, id: &str) -> u16 {
+    let own = stand_in::caller_headers(id, Millis(3_000));
+    let key = stand_in::key_header(&key_of(name));
+    let headers: Vec<(&str, String)> =
+        own.iter().chain([&key]).map(|(name, value)| (name.as_str(), value.clone())).collect();
+    let answer = fleet::call(gateway, "GET", PATH, &headers, b"", Duration::from_secs(4));
+    answer.map_or(0, |it| it.status)
 }
--- a/review/stand_ins_3/fleet.rs
+++ b/review/stand_ins_3/fleet.rs
@@ -14,7 +14,7 @@
     time::{Duration, Instant},
 };
 
-use gateway_core::{CallerLimits, GatewayConfig, Idempotency, Route, RouteTarget, ServicePolicy};
+use gateway_core::{CallerLimits, GatewayConfig, Idempotency, Organisation, Route, RouteTarget, ServicePolicy};
 use ids::{ByteSize, ConfigVersion, Millis, ServiceName};
 use platform::stand_in;
 
@@ -371,12 +371,21 @@
 
 /// Returns a configuration with one route to one service.
 pub fn config(version: u64) -> Vec<u8> {
+    config_with(version, Idempotency::NonIdempotent, None)
+}
+
+/// Returns a configuration with one route of this kind, and with these organisations.
+pub fn config_with(
+    version: u64,
+    idempotency: Idempotency,
+    organisations: Option<Vec<Organisation>>,
+) -> Vec<u8> {
     let service: ServiceName = "depositsvc".parse().expect("a valid name");
     let route = Route {
         name: "r-pay".to_owned(),
         host: "shop.example".to_owned(),
         path_prefix: "/pay/".to_owned(),
-        idempotency: Idempotency::NonIdempotent,
+        idempotency,
         targets: vec![RouteTarget { service: service.clone(), weight: 1 }],
         time_limit: Millis(4_000),
         target_latency: Millis(1_000),
@@ -398,7 +407,7 @@
             head_timeout: Millis(3_000),
             idle_timeout: Millis(15_000),
         },
-        organisations: None,
+        organisations,
     })
 }
 
@@ -419,6 +428,18 @@
     version: u64,
     limit: Duration,
 ) -> Option<u8> {
+    put_text(record, fleet, hosts, &config(version), limit)
+}
+
+/// Sends this text of a configuration as [`put`] does.
+pub fn put_text(
+    record: &Record,
+    fleet: &Fleet,
+    hosts: &[u8],
+    text: &[u8],
+    limit: Duration,
+) -> Option<u8> {
+    let version = version_of(text).unwrap_or_default();
     let until = Instant::now() + limit;
     let mut pause = Duration::from_millis(50);
     for host in hosts.iter().cycle() {
@@ -426,7 +447,7 @@
             break;
         }
         let address = fleet.address(*host, CONTROL_PORT);
-        let answer = call_control(address, "POST", stand_in::PUT_CONFIG, &config(version));
+        let answer = call_control(address, "POST", stand_in::PUT_CONFIG, text);
         let status = answer.as_ref().map(|it| it.status);
         record.line(format!("version {version} sent to {host}: {status:?}"));
         if status == Ok(200) {
