--- a/review/stand_ins_3/fleet.rs
+++ b/review/stand_ins_3/fleet.rs
@@ -14,7 +14,9 @@
     time::{Duration, Instant},
 };
 
-use gateway_core::{CallerLimits, GatewayConfig, Idempotency, Organisation, Route, RouteTarget, ServicePolicy};
+use gateway_core::{
+    CallerLimits, GatewayConfig, Idempotency, Organisation, Route, RouteTarget, ServicePolicy,
+};
 use ids::{ByteSize, ConfigVersion, Millis, ServiceName};
 use platform::stand_in;
 
