--- a/review/stand_ins_3/case_13.rs
+++ b/review/stand_ins_3/case_13.rs
@@ -40,6 +40,9 @@
 /// Time between two lookups of the crashing tenant.
 const CRASHING_GAP: Duration = Duration::from_secs(1);
 
+/// Time into its work at which that lookup crashes an upstream.
+const CRASH_AFTER: Duration = Duration::from_millis(20);
+
 /// How long callers ask.
 const LENGTH: Duration = Duration::from_secs(50);
 
@@ -67,7 +70,13 @@
         fleet::cannot_run("no configuration was accepted");
     }
     let seen = Arc::new(Seen::default());
-    let crashing = Arc::new(Crashing { organisation: CRASHING, is_on: fleet::has_trouble() });
+    let crashing = Arc::new(Crashing {
+        organisation: CRASHING,
+        path: PATH,
+        after: CRASH_AFTER,
+        is_on: fleet::has_trouble(),
+        undeterred: 0,
+    });
     for number in 1..=UPSTREAMS {
         let address = fleet.address(100 + number, fleet::SERVER_PORT);
         let controls = fleet.control_addresses();
--- a/review/stand_ins_3/upstream.rs
+++ b/review/stand_ins_3/upstream.rs
@@ -30,9 +30,6 @@
 /// Time that a request takes.
 const WORK: Duration = Duration::from_millis(300);
 
-/// Time into its work at which a request crashes its upstream.
-const CRASH_AFTER: Duration = Duration::from_millis(20);
-
 /// Time until an upstream that has crashed is back.
 const DOWN: Duration = Duration::from_secs(2);
 
@@ -49,10 +46,17 @@
     pub lost: AtomicU64,
 }
 
-/// The organisation whose request crashes upstreams.
+/// The request that crashes upstreams.
 pub struct Crashing {
+    /// Its organisation; empty if there are none.
     pub organisation: &'static str,
+    pub path: &'static str,
+    /// Time into its work at which it crashes its upstream.
+    pub after: Duration,
+    /// Whether it does.
     pub is_on: bool,
+    /// Highest number of the upstreams that go on with a request whose connection is closed.
+    pub undeterred: u8,
 }
 
 struct Upstream {
@@ -198,13 +202,15 @@
             return write(stream, "503 Service Unavailable", &headers, "");
         }
         let organisation = attempt.organisation.unwrap_or_default();
-        let is_crashing = organisation == self.crashing.organisation;
+        let path = head.split_whitespace().nth(1).unwrap_or_default();
+        let is_crashing = organisation == self.crashing.organisation && path == self.crashing.path;
         if is_crashing {
             self.seen.runs.lock().unwrap().push((Instant::now(), self.number));
         }
         if is_crashing && self.crashing.is_on {
-            thread::sleep(CRASH_AFTER);
-            if self.lives(start) {
+            let is_undeterred = self.number <= self.crashing.undeterred;
+            let is_closed = is_closed_within(stream, self.crashing.after);
+            if (is_undeterred || !is_closed) && self.lives(start) {
                 self.crash();
             }
         } else {
@@ -219,6 +225,17 @@
     }
 }
 
+/// Waits; returns whether the sender has closed the connection meanwhile.
+fn is_closed_within(stream: &mut TcpStream, time: Duration) -> bool {
+    let until = Instant::now() + time;
+    let _ = stream.set_read_timeout(Some(time));
+    // Nothing but the end of the connection can arrive before the response.
+    let is_closed = stream.read(&mut [0]).is_ok_and(|it| it == 0);
+    let _ = stream.set_read_timeout(None);
+    thread::sleep(until.saturating_duration_since(Instant::now()));
+    is_closed
+}
+
 fn write(stream: &mut TcpStream, status: &str, headers: &HeaderMap, body: &str) -> bool {
     let mut response = format!("HTTP/1.1 {status}\r\ncontent-length: {}\r\n", body.len());
     for (name, value) in headers {
