Take the versions of the stand-ins from the project's Cargo.lock

Cause: a second lock file would have to be kept in step with the first.

Change: review/build-3.sh copies the project's; the copy isn't kept.

Measured: review/build-3.sh builds offline.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,6 @@
 # project's Cargo.lock and without a network.
 set -eu
 cd "$(dirname "$0")/.."
-cargo build --release --offline --locked --manifest-path review/stand_ins_3/Cargo.toml --target-dir target/review-3
+# Cargo leaves out of the copy what the stand-ins don't need.
+cp Cargo.lock review/stand_ins_3/Cargo.lock
+cargo build --release --offline --manifest-path review/stand_ins_3/Cargo.toml --target-dir target/review-3
