Let a control host that was removed while it stood still find a new leader

Callers saw: nothing at once; the fleet has a control host less than it runs, and bears one loss less.

Cause: a host that takes itself for a voter announced itself only to the hosts that it knew, and did not look for others. If the leader had been replaced meanwhile by one that it didn't know, nobody could add it.

Change: a voter that has not heard a leader for 2 s looks for control hosts as one that isn't a voter does. Found hosts are forgotten once the log names the members.

Measured: a_host_that_stood_still_while_replaced_hosts_took_the_lead_returns failed before (timed out after 100 s), passes now.

--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -45,9 +45,13 @@
 /// about 100 ms.
 const LARGE_UPDATE: ByteSize = ByteSize(12 * 1024);
 
-/// Interval between discovery polls of a host that is not a voter.
+/// Interval between discovery polls of a host that is not a voter or has no leader.
 const DISCOVERY_INTERVAL: ids::Millis = ids::Millis(500);
 
+/// Time without a leader after which a voter looks for other control hosts, in milliseconds: it may
+/// have been removed, and replaced hosts may lead.
+const LEADER_SILENCE: ids::Millis = ids::Millis(2_000);
+
 /// Time after the start of a new fleet from which entry hosts of the same region get its state from
 /// this host, in milliseconds: most control hosts have joined by then.
 const SAME_REGION_SERVED_AFTER: ids::Millis = ids::Millis(4_000);
@@ -367,9 +371,18 @@
         self.update_contacts();
     }
 
-    /// Asks the known control hosts for all control hosts while this host is not a voter.
+    /// Asks the known control hosts for all control hosts while this host is not a voter or has no
+    /// leader.
     fn discover_control_hosts(&mut self, now: Timestamp) {
-        if self.consensus.is_voter() || now < self.next_discovery {
+        if self.consensus.is_voter() && self.consensus.has_heard_since(now - LEADER_SILENCE) {
+            // The log names the others.
+            if !self.discovered.is_empty() {
+                self.discovered.clear();
+                self.update_contacts();
+            }
+            return;
+        }
+        if now < self.next_discovery {
             return;
         }
         self.next_discovery = now + DISCOVERY_INTERVAL;
@@ -382,11 +395,10 @@
             holds_hosts: HostsRevision::NONE,
             hosts_digest: 0,
         };
-        let targets: BTreeSet<_> = self.seeds.iter().chain(&self.discovered).copied().collect();
+        let mut targets: BTreeSet<_> = self.other_members().into_iter().collect();
+        targets.extend(self.seeds.iter().chain(&self.discovered));
+        targets.remove(&self.own_id);
         for to in targets {
-            if to == self.own_id {
-                continue;
-            }
             self.send(to, PeerMessage::Sync(SyncMessage::Poll(poll.clone())));
         }
     }
--- a/components/registry/tests/control_hosts.rs
+++ b/components/registry/tests/control_hosts.rs
@@ -540,3 +540,32 @@
     }
     Ok(())
 }
+
+/// Guards against a host that asks only for leaders among the hosts that it knew: they are told that it
+/// is there, and none of them can add it.
+#[test]
+fn a_host_that_stood_still_while_replaced_hosts_took_the_lead_returns() {
+    let mut fleet = Fleet::new(7);
+    let known = fleet.ids();
+    let frozen = fleet.ids().into_iter().rfind(|it| Some(*it) != fleet.leader()).unwrap();
+    fleet.frozen.insert(frozen);
+    fleet.run_until("it is removed", |it| it.voters().len() == 6);
+
+    while fleet.leader().is_none_or(|it| known.contains(&it)) {
+        let replaced = fleet.leader().expect("a leader");
+        fleet.remove(replaced);
+        let running: Vec<_> = fleet.ids().into_iter().filter(|it| *it != frozen).collect();
+        fleet.seeds = running.iter().copied().take(3).collect();
+        let successor = HostId(fleet.ids().last().unwrap().0 + 1);
+        fleet.run_for(1_000);
+        fleet.add(successor, false);
+        fleet.run_until("the successor votes in its place", |it| {
+            let voters = it.voters();
+            voters.contains(&successor) && !voters.contains(&replaced)
+        });
+    }
+    assert!(fleet.voters().iter().any(|it| known.contains(it)), "a host that it knows is left");
+    fleet.frozen.remove(&frozen);
+
+    fleet.run_until("it votes again", |it| it.voters().contains(&frozen));
+}
--- a/components/registry/tests/fleet/mod.rs
+++ b/components/registry/tests/fleet/mod.rs
@@ -34,6 +34,12 @@
     pub blocked_links: BTreeSet<(HostId, HostId)>,
     /// Hosts whose disks refuse every write.
     pub full_disks: BTreeSet<HostId>,
+    /// Hosts that stand still; messages wait for them.
+    pub frozen: BTreeSet<HostId>,
+    /// The seeds that hosts are started with.
+    pub seeds: Vec<HostId>,
+    /// Number of disks whose loss at once the log is to survive.
+    lost_disks: usize,
     pub now: Timestamp,
     pub answers: BTreeMap<RequestId, Answer>,
     /// Messages sent to hosts that are not control hosts of this fleet.
@@ -57,11 +63,19 @@
     /// Starts a new fleet and waits until all hosts vote; the first [`SEED_HOSTS`] are the initial
     /// voters.
     pub fn new(size: u32) -> Self {
+        Self::with_lost_disks(size, 1)
+    }
+
+    /// Starts a new fleet as [`Self::new`], which survives the loss of so many disks at once.
+    pub fn with_lost_disks(size: u32, lost_disks: usize) -> Self {
         let mut fleet = Self {
             hosts: BTreeMap::new(),
             messages: VecDeque::new(),
             blocked_links: BTreeSet::new(),
             full_disks: BTreeSet::new(),
+            frozen: BTreeSet::new(),
+            seeds: (1..=SEED_HOSTS).map(HostId).collect(),
+            lost_disks,
             now: Timestamp::from_millis(1_000),
             answers: BTreeMap::new(),
             external_messages: Vec::new(),
@@ -102,10 +116,10 @@
         it.starts += 1;
         let settings = RegistryHostSettings {
             consensus: Settings {
-                voters: (1..=SEED_HOSTS).map(HostId).collect(),
+                voters: self.seeds.clone(),
                 seed: it.starts,
                 membership_policy: MembershipPolicy::Open {
-                    min_voters: 3,
+                    min_voters: 2 * self.lost_disks + 1,
                     remove_after: Millis(8_000),
                 },
                 lease_use: LeaseUse::Advisory,
@@ -235,6 +249,10 @@
             if self.blocked_links.contains(&(from, to)) {
                 continue;
             }
+            if self.frozen.contains(&to) {
+                self.messages.push_back((from, to, message));
+                continue;
+            }
             if matches!(message, PeerMessage::Sync(SyncMessage::EntryHosts(_))) {
                 self.host_list_bytes += schema::encoded_size(&message).0;
             }
@@ -247,7 +265,9 @@
         }
         self.now = self.now + TICK_INTERVAL;
         for host in self.ids() {
-            self.handle_event(host, HostEvent::Tick);
+            if !self.frozen.contains(&host) {
+                self.handle_event(host, HostEvent::Tick);
+            }
         }
     }
 
