Keep a majority of the control hosts while leaders are replaced

Callers saw: after the fourth replaced leader no change was accepted and no configuration could be read, for good.

Cause: each leader counted the silence of members from its own election, so that none of the replaced hosts was ever removed, while each successor became a voter beside them: 8 voters of which 5 ran.

Evidence: in a replay of leaders replaced each 5 s on the code before, the voters grow to 5, 6, 7, 8 with 5 running and none is removed.

Why it works: a demotion or removal of a silent voter never leaves fewer bearable losses, and the number of voters no longer outgrows those that respond.

--- a/components/consensus/src/consensus.rs
+++ b/components/consensus/src/consensus.rs
@@ -56,6 +56,7 @@
         if !received.is_well_formed() || self.is_ignored_vote_request(&received) {
             return Vec::new();
         }
+        self.replica.record_heard(from);
         if term > self.replica.vote.term && !received.is_pre_vote() {
             self.replica.leader = None;
             self.replica.save_vote(term, VotedFor::Nobody);
@@ -131,6 +132,12 @@
         self.is_leader() || self.replica.last_leader_contact.is_some_and(|at| at >= time)
     }
 
+    /// Records that a host was heard by other means than the messages of the log.
+    pub fn record_contact(&mut self, now: Timestamp, host: HostId) {
+        self.replica.now = now;
+        self.replica.record_heard(host);
+    }
+
     /// Sets hosts that may know the leader; this host announces itself to them when it must.
     pub fn set_contacts(&mut self, contacts: Vec<HostId>) {
         self.replica.contacts = contacts;
--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -9,11 +9,11 @@
 use crate::{
     action::ProposeError,
     leadership::{Leadership, Progress},
-    members::{find_voter, quorum_value, with_learner, with_voter, without},
+    members::{find_voter, is_voter, quorum, quorum_value, with_learner, with_voter, without},
     message::Received,
     replica::Replica,
     role::State,
-    settings::{HEARTBEAT_INTERVAL, MAX_ENTRY_BYTES, MembershipPolicy},
+    settings::{DEMOTE_AFTER, HEARTBEAT_INTERVAL, MAX_ENTRY_BYTES, MembershipPolicy},
     snapshot,
 };
 
@@ -27,8 +27,9 @@
         broadcast(replica, leadership);
     }
     demote_rolled_back_voter(replica, leadership);
+    demote_silent_voter(replica, leadership);
     promote_learner(replica, leadership);
-    remove_unresponsive_member(replica, leadership);
+    remove_silent_member(replica, leadership);
     Handled
 }
 
@@ -289,36 +290,87 @@
     }
 }
 
-/// Promotes the first learner that has caught up to a voter.
-fn promote_learner(replica: &mut Replica, leadership: &mut Leadership) {
+/// Makes the voter that has been silent for longest a learner if a successor waits for its place, or
+/// if fewer losses can be borne than the settings demand.
+///
+/// The change is in the log, so that it outlives this leader. A voter that comes back is promoted
+/// again.
+fn demote_silent_voter(replica: &mut Replica, leadership: &mut Leadership) {
+    let MembershipPolicy::Open { min_voters, .. } = replica.settings.membership_policy else {
+        return;
+    };
     let members = replica.log.members();
+    let is_needed = find_waiting_learner(replica, leadership).is_some()
+        || bears_too_few_losses(replica, leadership);
+    if members.voters.len() <= min_voters || !is_needed {
+        return;
+    }
+    let is_silent_voter =
+        |it: &&Progress| is_voter(members, &it.member) && it.is_silent(replica.now, DEMOTE_AFTER);
+    let silent = leadership.progress.values().filter(is_silent_voter);
+    let Some(longest) = silent.min_by_key(|it| it.last_heard()) else { return };
+    let changed = with_learner(members, longest.member.clone());
+    let _ = change_members(replica, leadership, changed);
+}
+
+/// Promotes the first learner that has caught up to a voter, unless a silent voter has to make room
+/// for it first.
+///
+/// Voters that are added beside silent ones would in the end leave the running ones no majority.
+fn promote_learner(replica: &mut Replica, leadership: &mut Leadership) {
+    let Some(learner) = find_waiting_learner(replica, leadership) else {
+        return;
+    };
+    if !all_voters_respond(replica, leadership) && !bears_too_few_losses(replica, leadership) {
+        return;
+    }
+    let changed = with_voter(replica.log.members(), learner);
+    let _ = change_members(replica, leadership, changed);
+}
+
+/// Returns the first learner that has caught up.
+fn find_waiting_learner(replica: &Replica, leadership: &Leadership) -> Option<Member> {
     let has_caught_up = |learner: &&Member| {
         leadership
-            .progress
-            .get(&learner.host)
+            .progress_of(learner)
             .is_some_and(|it| it.is_responsive(replica.now) && it.matched >= replica.commit_index)
     };
-    let Some(learner) = members.learners.iter().find(has_caught_up) else {
-        return;
+    replica.log.members().learners.iter().find(has_caught_up).cloned()
+}
+
+fn all_voters_respond(replica: &Replica, leadership: &Leadership) -> bool {
+    let responds = |it: &Member| {
+        *it == replica.me
+            || leadership.progress_of(it).is_some_and(|it| it.is_responsive(replica.now))
     };
-    let changed = with_voter(members, learner.clone());
-    let _ = change_members(replica, leadership, changed);
+    replica.log.members().voters.iter().all(responds)
 }
 
-/// Removes a member that has not responded for `remove_after`, if enough voters remain.
+/// Returns whether the loss of as many voters as the settings demand to be borne would leave no
+/// majority of those that respond; always true if operators change the members.
+fn bears_too_few_losses(replica: &Replica, leadership: &Leadership) -> bool {
+    let Some(bearable) = replica.settings.membership_policy.bearable_losses() else {
+        return true;
+    };
+    let members = replica.log.members();
+    let may_respond = |it: &&Member| {
+        **it == replica.me
+            || leadership.progress_of(it).is_some_and(|it| it.may_respond(replica.now))
+    };
+    members.voters.iter().filter(may_respond).count() < quorum(members) + bearable
+}
+
+/// Removes a member that has been silent for `remove_after`, if enough voters remain.
 ///
 /// A member that was only partitioned announces itself once it is reachable again.
-fn remove_unresponsive_member(replica: &mut Replica, leadership: &mut Leadership) {
+fn remove_silent_member(replica: &mut Replica, leadership: &mut Leadership) {
     let MembershipPolicy::Open { min_voters, remove_after } = replica.settings.membership_policy
     else {
         return;
     };
     let members = replica.log.members();
-    let is_unresponsive = |it: &&Progress| {
-        replica.now >= it.last_response_at.unwrap_or(it.tracked_since) + remove_after
-    };
-    let unresponsive = leadership.progress.values().filter(is_unresponsive);
-    let removable = unresponsive
+    let silent = leadership.progress.values().filter(|it| it.is_silent(replica.now, remove_after));
+    let removable = silent
         .map(|it| it.member.host)
         .find(|it| find_voter(members, *it).is_none() || members.voters.len() > min_voters);
     let Some(host) = removable else { return };
--- a/components/consensus/src/leadership.rs
+++ b/components/consensus/src/leadership.rs
@@ -2,14 +2,14 @@
 
 use std::collections::BTreeMap;
 
-use ids::{HostId, LogIndex, Timestamp};
+use ids::{HostId, LogIndex, Millis, Timestamp};
 use schema::consensus::{Member, Members, Payload};
 
 use crate::{
     leader,
     members::quorum_value,
     replica::Replica,
-    settings::{LEASE_DURATION, RETRY_INTERVAL},
+    settings::{LEASE_DURATION, OBSERVED_FOR, RETRY_INTERVAL},
 };
 
 /// Replication progress of another member.
@@ -32,6 +32,8 @@
     /// Whether the member was sent the first commit of the term.
     pub(crate) knows_first_commit: bool,
     pub(crate) last_response_at: Option<Timestamp>,
+    /// When this host last heard the member before it began to replicate to it.
+    pub(crate) heard_before: Timestamp,
     /// When this leader began to replicate to the member.
     pub(crate) tracked_since: Timestamp,
 }
@@ -57,6 +59,22 @@
         self.last_response_at.is_some_and(|at| now < at + LEASE_DURATION)
     }
 
+    /// Returns when this host last heard the member, as leader or before.
+    pub(crate) fn last_heard(&self) -> Timestamp {
+        self.last_response_at.unwrap_or(self.heard_before)
+    }
+
+    /// Returns whether the member has been silent for `limit`, whoever led meanwhile, and has not
+    /// responded to this leader for [`OBSERVED_FOR`].
+    pub(crate) fn is_silent(&self, now: Timestamp, limit: Millis) -> bool {
+        now >= self.last_heard() + limit && !self.may_respond(now)
+    }
+
+    /// Returns whether the member has responded recently, or can't be expected to have done so yet.
+    pub(crate) fn may_respond(&self, now: Timestamp) -> bool {
+        now < self.last_response_at.unwrap_or(self.tracked_since) + OBSERVED_FOR
+    }
+
     /// Returns whether entries are in flight and not yet due for a resend.
     pub(crate) fn has_entries_in_flight(&self, now: Timestamp) -> bool {
         self.in_flight_since.is_some_and(|at| now < at + RETRY_INTERVAL)
@@ -111,6 +129,7 @@
                 is_rolled_back: false,
                 knows_first_commit: false,
                 last_response_at: None,
+                heard_before: replica.last_heard(member.host),
                 tracked_since: replica.now,
             };
             self.progress.entry(member.host).or_insert_with(new_progress);
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -1,6 +1,6 @@
 //! The state that a host keeps in every role.
 
-use ids::{HostId, Incarnation, LogIndex, Millis, Term, Timestamp};
+use ids::{FastMap, HostId, Incarnation, LogIndex, Millis, Term, Timestamp};
 use rand_xoshiro::{
     Xoshiro256PlusPlus,
     rand_core::{RngCore, SeedableRng},
@@ -46,6 +46,8 @@
     ///
     /// Initially the start time if an acknowledgement from before a restart may support a lease.
     pub(crate) last_leader_contact: Option<Timestamp>,
+    /// When each member of the newest log was last heard, or became a member.
+    last_heard: FastMap<HostId, Timestamp>,
     /// The commit index in the leader's latest message.
     pub(crate) leader_commit: LogIndex,
     /// Hosts besides the configured voters to which this host announces itself.
@@ -75,6 +77,7 @@
             commit_index,
             leader: None,
             last_leader_contact: Some(now),
+            last_heard: FastMap::default(),
             leader_commit: LogIndex(0),
             contacts: Vec::new(),
             election_deadline: now,
@@ -89,10 +92,34 @@
         if replica.settings.lease_use == LeaseUse::Advisory {
             replica.last_leader_contact = None;
         }
+        replica.track_members();
         replica.reset_election_timer();
         replica
     }
 
+    /// Aligns the hosts of which it is kept when they were heard with the members of the log.
+    pub(crate) fn track_members(&mut self) {
+        let members = self.log.members();
+        let hosts: Vec<HostId> =
+            members.voters.iter().chain(&members.learners).map(|it| it.host).collect();
+        self.last_heard.retain(|host, _| hosts.contains(host));
+        for host in hosts {
+            self.last_heard.entry(host).or_insert(self.now);
+        }
+    }
+
+    /// Records any message of a host, whichever role this host has.
+    pub(crate) fn record_heard(&mut self, host: HostId) {
+        if let Some(at) = self.last_heard.get_mut(&host) {
+            *at = self.now;
+        }
+    }
+
+    /// Returns when a member was last heard; now for a host that is none.
+    pub(crate) fn last_heard(&self, host: HostId) -> Timestamp {
+        self.last_heard.get(&host).copied().unwrap_or(self.now)
+    }
+
     pub(crate) fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
     }
@@ -216,6 +243,7 @@
             return;
         }
         self.log.append(&entries);
+        self.track_members();
         self.push_action(Action::Store(Record::Append(entries)));
     }
 
@@ -229,6 +257,7 @@
     pub(crate) fn truncate(&mut self, from: LogIndex) {
         assert!(from > self.commit_index, "committed entries must not be removed");
         self.log.truncate(from);
+        self.track_members();
         if let DiskState::ReadOnly { durable } = &mut self.disk_state {
             *durable = (*durable).min(LogIndex(from.0 - 1));
         }
--- a/components/consensus/src/settings.rs
+++ b/components/consensus/src/settings.rs
@@ -41,6 +41,15 @@
 /// More than three heartbeats, so that one lost packet and its retransmission have no effect.
 pub const MAX_FOLLOWER_STALENESS: Millis = Millis(800);
 
+/// Silence after which a voter gives its place to a successor, in milliseconds.
+///
+/// Longer than most elections, so that voters that only lack a leader keep theirs.
+pub const DEMOTE_AFTER: Millis = Millis(2_000);
+
+/// Time for which a leader's own messages must have stayed unanswered before a member counts as
+/// silent, in milliseconds: several heartbeats.
+pub const OBSERVED_FOR: Millis = Millis(1_000);
+
 /// Which hosts may join, and whether unresponsive members are removed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MembershipPolicy {
@@ -56,6 +65,16 @@
     },
 }
 
+impl MembershipPolicy {
+    /// Returns how many voters may be lost at once, if members are changed without operators.
+    pub(crate) fn bearable_losses(self) -> Option<usize> {
+        match self {
+            Self::Listed => None,
+            Self::Open { min_voters, .. } => Some(min_voters.saturating_sub(1) / 2),
+        }
+    }
+}
+
 /// What the leader's lease is used for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LeaseUse {
--- a/components/consensus/src/snapshot.rs
+++ b/components/consensus/src/snapshot.rs
@@ -96,6 +96,7 @@
         replica.truncate(install.index);
     }
     replica.log.install_snapshot(snapshot.clone());
+    replica.track_members();
     replica.commit_index = install.index;
     replica.push_action(Action::SaveSnapshot(snapshot));
     replica.push_action(Action::RestoreState { index: install.index, data });
--- a/components/registry/src/host.rs
+++ b/components/registry/src/host.rs
@@ -282,6 +282,7 @@
             PeerMessage::Sync(SyncMessage::Update(it)) => self.on_update(it),
             PeerMessage::Sync(SyncMessage::EntryHosts(it)) => {
                 self.places.record(now, from, it.place.clone());
+                self.consensus.record_contact(now, from);
                 let EntryHostList { whole, hosts, gone, digest, .. } = it;
                 let update = ListUpdate { whole, hosts, gone, digest };
                 let needed = self.entry_hosts.merge_list(now, (from, incarnation), update);
