Tell requests that crash servers apart by organisation, host and service

Callers saw: one organisation's lookup went on crashing servers, and the lookups of others that ran there were lost, for as long as others looked up the same path and were answered.

Cause: the fingerprint of a request was the digest of method, path, query and body. Answers to other organisations, which the server tells apart, counted as answers to the request and cleared its crashes.

Change: the fingerprint also covers the organisation by name, the host name and the chosen service; the gateway's core computes it. The replay plays 1 to 80 organisations, and answers that other gateways report.

Why it works: crashes, answers and quarantines of a request are now exactly those of what a server is given to run.

--- a/components/gateway/src/entry/callers.rs
+++ b/components/gateway/src/entry/callers.rs
@@ -93,7 +93,7 @@
         method: head.method.as_str().to_owned(),
         path: head.uri.path().to_owned(),
         body_size: ByteSize(body.len() as u64),
-        fingerprint: fingerprint_of(head.method.as_str(), &head.uri, &body),
+        content: digest_of(head.method.as_str(), &head.uri, &body),
         caller_timeout: caller.timeout.map(|it| Millis(it.0.saturating_sub(reading_time.0))),
         credentials: caller.credentials,
         relayed: relayed.clone(),
@@ -147,7 +147,7 @@
     uri.host().or(header).unwrap_or_default().to_owned()
 }
 
-fn fingerprint_of(method: &str, uri: &Uri, body: &HeldBody) -> Fingerprint {
+fn digest_of(method: &str, uri: &Uri, body: &HeldBody) -> Fingerprint {
     let target = uri.path_and_query().map_or("", |it| it.as_str());
     let head = [method.as_bytes(), &[0], target.as_bytes(), &[0]];
     Fingerprint::of_parts(head.into_iter().chain(body.segments()))
--- a/components/gateway_core/src/gateway/attempts.rs
+++ b/components/gateway_core/src/gateway/attempts.rs
@@ -131,7 +131,7 @@
             }
             _ => {}
         }
-        let fingerprint = request.head.fingerprint;
+        let fingerprint = request.fingerprint;
         let route = request.route.key();
         let kinds = request.kinds;
         let millis = now.since(started).0 as f64;
@@ -262,7 +262,7 @@
     /// Starts a second attempt in parallel if the retry budget and the servers allow it.
     fn hedge(&mut self, now: Timestamp, id: RequestId) -> Option<Step> {
         let request = &self.requests[&id];
-        let is_quarantined = self.quarantine.is_quarantined(now, request.head.fingerprint);
+        let is_quarantined = self.quarantine.is_quarantined(now, request.fingerprint);
         if is_quarantined || request.counted_attempts() >= request.max_attempts {
             return None;
         }
--- a/components/gateway_core/src/gateway/detours.rs
+++ b/components/gateway_core/src/gateway/detours.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use ids::{AttemptNumber, HostId, Incarnation, Millis, RequestId, ServiceName, Timestamp};
+use ids::{AttemptNumber, HostId, Incarnation, Millis, RequestId, Timestamp};
 use rand_xoshiro::rand_core::RngCore;
 
 use super::{Gateway, attempts::NO_SERVER_RETRY_AFTER};
@@ -100,7 +100,7 @@
             RelayEnd::Unable | RelayEnd::Unreachable | RelayEnd::Lost => {}
         }
         if end == RelayEnd::Answered {
-            self.quarantine.answered_elsewhere(now, request.head.fingerprint);
+            self.quarantine.answered_elsewhere(now, request.fingerprint);
         }
         match end {
             RelayEnd::Answered | RelayEnd::ServerError | RelayEnd::Lost => {
@@ -114,12 +114,12 @@
         self.events.push(Event::RelayEnded { host, end: end.name() });
     }
 
-    /// Accepts a request of another gateway; returns its service.
+    /// Accepts or refuses a request of another gateway.
     pub(super) fn accept_relayed(
         &mut self,
         route: &Route,
         relayed: &RelayedHead,
-    ) -> Result<ServiceName, Refusal> {
+    ) -> Result<(), Refusal> {
         let not_run = |reason| Refusal::not_run(reason, Some(PATHS_DOWN_RETRY_AFTER));
         if self.paths.are_down() {
             return Err(not_run(RefusalReason::PathsDown));
@@ -131,7 +131,7 @@
             return Err(not_run(RefusalReason::KeysUnchecked));
         }
         match self.relays.accept() {
-            true => Ok(relayed.service.clone()),
+            true => Ok(()),
             false => Err(not_run(RefusalReason::TooManyRelayed)),
         }
     }
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -239,27 +239,29 @@
     pub fn begin(&mut self, now: Timestamp, head: RequestHead) -> Result<RequestId, Refusal> {
         let route = self.find_route(&head)?;
         let identity = self.identify(now, &head, &route)?;
-        if let Some(retry_after) = self.quarantine.refuses(now, head.fingerprint) {
+        let service = match &head.relayed {
+            Some(relayed) => relayed.service.clone(),
+            None => self.choose_service(&route),
+        };
+        let organisation = identity.as_ref().map(CallerIdentity::organisation);
+        let fingerprint = head.fingerprint(&service, organisation);
+        if let Some(retry_after) = self.quarantine.refuses(now, fingerprint) {
             return Err(Refusal::not_run(RefusalReason::Quarantined, Some(retry_after)));
         }
         let kinds = self.kinds(&head, &route, identity.as_ref());
         let work = self.work.estimate(now, &kinds);
         let deadline = self.deadline(now, &route, &head, work)?;
-        let service = match &head.relayed {
+        match &head.relayed {
             Some(relayed) => self.accept_relayed(&route, relayed)?,
-            None => {
-                let service = self.choose_service(&route);
-                self.retry_budget.record_request(now, &service);
-                service
-            }
-        };
+            None => self.retry_budget.record_request(now, &service),
+        }
         let id = self.next_request;
         self.next_request = id.next();
         let asked_before = match (head.caller_timeout, &head.relayed) {
             (Some(timeout), None) => self.callers.record_request(now, route.key(), timeout),
             (Some(_), Some(_)) | (None, _) => Millis(0),
         };
-        let mut request = Request::new(now, head, route, service, identity, deadline);
+        let mut request = Request::new(now, head, route, service, identity, fingerprint, deadline);
         request.first_asked = now - asked_before;
         request.kinds = kinds;
         self.requests.insert(id, request);
@@ -273,7 +275,7 @@
         self.server_limits.forget(id);
         self.forget_rate(now, id, &request);
         let is_running = !request.in_flight.is_empty();
-        self.quarantine.finished(now, id, request.head.fingerprint, is_running);
+        self.quarantine.finished(now, id, request.fingerprint, is_running);
         if request.head.relayed.is_some() {
             self.relays.end_accepted();
         }
--- a/components/gateway_core/src/gateway/quarantine.rs
+++ b/components/gateway_core/src/gateway/quarantine.rs
@@ -111,7 +111,7 @@
         let request = &self.requests[&id];
         let candidate = Candidate {
             id,
-            request: request.head.fingerprint,
+            request: request.fingerprint,
             service: &request.service,
             may_be_tried: self.lifecycle == Lifecycle::Serving,
         };
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -40,7 +40,7 @@
     /// Size of the body.
     pub body_size: ByteSize,
     /// Digest of method, path, query and body.
-    pub fingerprint: Fingerprint,
+    pub content: Fingerprint,
     /// Time that the caller still waits, if it says so.
     pub caller_timeout: Option<Millis>,
     /// What it says of its caller.
@@ -49,6 +49,24 @@
     pub relayed: Option<RelayedHead>,
 }
 
+impl RequestHead {
+    /// Returns what is equal for requests that are the same one: those with equal content that callers
+    /// of one organisation send to one host name, and that a server of one service runs.
+    pub(crate) fn fingerprint(
+        &self,
+        service: &ServiceName,
+        organisation: Option<&OrganisationName>,
+    ) -> Fingerprint {
+        let host = routing::normalise_host(&self.host);
+        let caller: [&[u8]; 2] = match organisation {
+            Some(it) => [&[1], it.as_str().as_bytes()],
+            None => [&[0], &[]],
+        };
+        let parts = [&self.content.0[..], host.as_bytes(), &[0], service.as_str().as_bytes(), &[0]];
+        Fingerprint::of_parts(parts.into_iter().chain(caller))
+    }
+}
+
 /// An attempt to be sent to a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AttemptStart {
@@ -320,6 +338,8 @@
     pub(crate) service: ServiceName,
     /// Its caller, if it is known by a key.
     pub(crate) identity: Option<CallerIdentity>,
+    /// Tells whether other requests are the same one.
+    pub(crate) fingerprint: Fingerprint,
     /// Whether the configuration in force refuses its key, or that it has none.
     pub(crate) is_key_refused: bool,
     pub(crate) urgency: Urgency,
@@ -363,6 +383,7 @@
         route: Arc<Route>,
         service: ServiceName,
         identity: Option<CallerIdentity>,
+        fingerprint: Fingerprint,
         deadline: Deadline,
     ) -> Self {
         let own_priority = identity.as_ref().and_then(|it| it.organisation.priority);
@@ -374,6 +395,7 @@
             route,
             service,
             identity,
+            fingerprint,
             is_key_refused: false,
             urgency,
             kinds: RequestKinds::default(),
--- a/components/gateway_core/tests/common/mod.rs
+++ b/components/gateway_core/tests/common/mod.rs
@@ -282,7 +282,7 @@
         method: "GET".to_owned(),
         path: path.to_owned(),
         body_size: ByteSize(0),
-        fingerprint: Fingerprint::of(path.as_bytes()),
+        content: Fingerprint::of(path.as_bytes()),
         caller_timeout: Some(Millis(4_000)),
         credentials: Credentials::None,
         relayed: None,
--- a/components/gateway_core/tests/planned_stop.rs
+++ b/components/gateway_core/tests/planned_stop.rs
@@ -183,7 +183,7 @@
         let load = ROUTES[self.rng.next_u64() as usize % ROUTES.len()];
         let head = RequestHead {
             caller_timeout: Some(load.time_limit),
-            fingerprint: ids::Fingerprint::of(&now.0.to_be_bytes()),
+            content: ids::Fingerprint::of(&now.0.to_be_bytes()),
             ..head(&format!("/{}/{}", load.name, now.0))
         };
         match self.harness.gateway.begin(now, head) {
--- a/components/gateway_core/tests/shedding.rs
+++ b/components/gateway_core/tests/shedding.rs
@@ -124,7 +124,7 @@
         self.requests.push(now);
         let gateway = (self.rng.next_u64() % u64::from(GATEWAYS)) as usize;
         let mut head = head("/pay/1");
-        head.fingerprint = Fingerprint::of(&caller.number.to_be_bytes());
+        head.content = Fingerprint::of(&caller.number.to_be_bytes());
         head.caller_timeout = Some(Millis(CALLER_TIMEOUT - (now - caller.first_asked)));
         let id = self.gateways[gateway].begin(at(now), head).expect("the request is accepted");
         self.step(now, Running { gateway, id, caller, attempt: None, due: now });
--- a/components/quarantine/tests/fleet/mod.rs
+++ b/components/quarantine/tests/fleet/mod.rs
@@ -28,18 +28,22 @@
 /// Time that requests which are answered take, in milliseconds.
 const WORK: u64 = 50;
 
-/// What a request does to servers.
+/// What a request does to servers. All are for one path; their organisations tell them apart.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Kind {
     /// Crashes each server that runs it.
     Crashing,
-    /// Is sent by many callers and crashes none.
-    Popular,
+    /// Is sent by many callers of this organisation and crashes none.
+    Popular(u16),
 }
 
 impl Kind {
     fn fingerprint(self) -> Fingerprint {
-        Fingerprint::of(&[self as u8])
+        let organisation = match self {
+            Self::Crashing => u16::MAX,
+            Self::Popular(it) => it,
+        };
+        Fingerprint::of(&organisation.to_be_bytes())
     }
 }
 
@@ -95,6 +99,8 @@
     Probe(usize, u64, ServerKey),
     /// A load report that a server has lost a request.
     Report(usize, u64, ServerKey, Kind),
+    /// A load report that a server has answered a request.
+    Answered(usize, u64, ServerKey),
     Finish(usize, u64, Run, ServerKey, bool),
     Registered(usize, usize, u64),
 }
@@ -115,8 +121,8 @@
     control_disturbed_at: u64,
     /// Servers that the crashing request has crashed: when, and whether by a gateway in touch.
     pub crashes: Vec<(u64, bool)>,
-    /// Popular requests: when they ended, and how.
-    pub popular: Vec<(u64, End)>,
+    /// Popular requests: when they ended, how, and of which organisation they were.
+    pub popular: Vec<(u64, End, u16)>,
 }
 
 impl Fleet {
@@ -231,8 +237,8 @@
     }
 
     fn record_end(&mut self, kind: Kind, end: End) {
-        if kind == Kind::Popular {
-            self.popular.push((self.now, end));
+        if let Kind::Popular(organisation) = kind {
+            self.popular.push((self.now, end, organisation));
         }
     }
 
@@ -312,6 +318,13 @@
                     gateway.quarantine.lost(now, kind.fingerprint(), server, Observer::Other);
                 }
             }
+            Event::Answered(i, process, server) => {
+                let now = self.clock(i);
+                let gateway = &mut self.gateways[i];
+                if gateway.process == process && gateway.cut_until <= self.now {
+                    gateway.quarantine.responded_elsewhere(now, server);
+                }
+            }
             Event::Registered(i, number, start) => {
                 let now = self.clock(i);
                 let gateway = &mut self.gateways[i];
@@ -344,17 +357,24 @@
         let request = run.kind.fingerprint();
         let sent_at = at(run.sent_at, self.gateways[i].started);
         let quarantine = &mut self.gateways[i].quarantine;
-        if is_answered {
-            quarantine.answered(now, request, server, sent_at);
-        } else {
-            quarantine.lost(now, request, server, Observer::Own);
-            for other in 0..self.gateways.len() {
-                let due = self.now + self.below(60);
-                let process = self.gateways[other].process;
-                let is_told = other != i && self.gateways[i].cut_until <= self.now;
-                if is_told && self.below(20) > 0 {
-                    self.schedule(due, Event::Report(other, process, server, run.kind));
+        match is_answered {
+            true => quarantine.answered(now, request, server, sent_at),
+            false => quarantine.lost(now, request, server, Observer::Own),
+        }
+        for other in 0..self.gateways.len() {
+            let due = self.now + self.below(60);
+            let process = self.gateways[other].process;
+            let is_told = other != i && self.gateways[i].cut_until <= self.now;
+            if !is_told || self.below(20) == 0 {
+                continue;
+            }
+            // Answers are reported within a data centre only.
+            match is_answered {
+                true if other % 2 == i % 2 => {
+                    self.schedule(due, Event::Answered(other, process, server));
                 }
+                true => {}
+                false => self.schedule(due, Event::Report(other, process, server, run.kind)),
             }
         }
         let quarantine = &mut self.gateways[i].quarantine;
--- a/components/quarantine/tests/replay.rs
+++ b/components/quarantine/tests/replay.rs
@@ -1,5 +1,5 @@
-//! Replays drawn orders of events: requests that crash servers, popular requests, lost answers, servers that crash by
-//! themselves, restarts and cuts.
+//! Replays drawn orders of events: requests that crash servers, popular requests of one or many
+//! organisations, lost answers, servers that crash by themselves, restarts and cuts.
 
 mod fleet;
 
@@ -19,6 +19,9 @@
 /// Time after the last fault from which popular requests are served, in milliseconds.
 const RECOVERY: u64 = 15_000;
 
+/// Numbers of organisations that send the popular requests.
+const ORGANISATIONS: [u64; 4] = [1, 4, 20, 80];
+
 /// What is drawn in a replay.
 #[derive(Debug, Clone, Copy)]
 struct Plan {
@@ -45,6 +48,7 @@
 /// Plays a seed; returns the fleet at the end.
 fn replay(seed: u64, plan: Plan) -> Fleet {
     let sizes = [1, 2, 3, 6, 12];
+    let organisations = ORGANISATIONS[(seed / 35) as usize % ORGANISATIONS.len()];
     let gateways = 2 + (seed % 7) as usize;
     let servers = sizes[(seed / 7 % 5) as usize];
     let mut fleet = Fleet::new(seed, gateways, servers);
@@ -55,7 +59,8 @@
         let now = fleet.now;
         if now.is_multiple_of(50) {
             let gateway = fleet.below(gateways as u64) as usize;
-            fleet.send(Kind::Popular, gateway);
+            let organisation = draw_organisation(&mut fleet, organisations);
+            fleet.send(Kind::Popular(organisation), gateway);
         }
         if plan.crashing_requests && now >= next_crashing {
             next_crashing = now + pause;
@@ -70,6 +75,12 @@
     fleet
 }
 
+/// Draws the organisation of a popular request; a tenth of them send half of these.
+fn draw_organisation(fleet: &mut Fleet, organisations: u64) -> u16 {
+    let among = if fleet.below(2) == 0 { organisations } else { organisations.div_ceil(10) };
+    fleet.below(among) as u16
+}
+
 fn draw_fault(fleet: &mut Fleet, plan: Plan, gateways: usize, servers: usize) {
     let any = |fleet: &mut Fleet, n: usize| fleet.below(n as u64) as usize;
     let gateway = any(fleet, gateways);
@@ -109,7 +120,7 @@
 }
 
 fn refused(fleet: &Fleet, from: u64) -> usize {
-    fleet.popular.iter().filter(|(at, end)| *at >= from && *end == End::Quarantined).count()
+    fleet.popular.iter().filter(|(at, end, _)| *at >= from && *end == End::Quarantined).count()
 }
 
 #[test]
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -10,5 +10,5 @@
         CallerLocation, Directory, DirectoryAddress, DirectoryAnswer, EntryHost, EntryHostState,
         SPILLOVER_LOAD_MILLI,
     },
-    route_table::RouteTable,
+    route_table::{RouteTable, normalise_host},
 };
--- a/components/routing/src/route_table.rs
+++ b/components/routing/src/route_table.rs
@@ -146,7 +146,8 @@
 }
 
 /// Returns the host in lower case, without its port and trailing dot.
-fn normalise_host(host: &str) -> Cow<'_, str> {
+/// Returns the host name that a request carries, without its port and in lower case.
+pub fn normalise_host(host: &str) -> Cow<'_, str> {
     let name = strip_port(host);
     let name = name.strip_suffix('.').unwrap_or(name);
     if name.bytes().any(|byte| byte.is_ascii_uppercase()) {
