Name what counts as silent and as the same request more plainly

Cause: read as a newcomer, two doc comments said how instead of what, and two constants were public for no one.

Change: wording; the members are compared only when they change.

Measured: tests of consensus, registry and quarantine pass.

--- a/components/consensus/src/leader.rs
+++ b/components/consensus/src/leader.rs
@@ -313,10 +313,10 @@
     let _ = change_members(replica, leadership, changed);
 }
 
-/// Promotes the first learner that has caught up to a voter, unless a silent voter has to make room
-/// for it first.
+/// Promotes the first learner that has caught up to a voter, unless a silent voter has to be demoted
+/// first.
 ///
-/// Voters that are added beside silent ones would in the end leave the running ones no majority.
+/// If silent voters stayed while others are added, those that run would in the end be no majority.
 fn promote_learner(replica: &mut Replica, leadership: &mut Leadership) {
     let Some(learner) = find_waiting_learner(replica, leadership) else {
         return;
@@ -346,8 +346,8 @@
     replica.log.members().voters.iter().all(responds)
 }
 
-/// Returns whether the loss of as many voters as the settings demand to be borne would leave no
-/// majority of those that respond; always true if operators change the members.
+/// Returns whether those that respond would be no majority after as many losses as the settings demand
+/// to be borne; always true if operators change the members.
 fn bears_too_few_losses(replica: &Replica, leadership: &Leadership) -> bool {
     let Some(bearable) = replica.settings.membership_policy.bearable_losses() else {
         return true;
--- a/components/consensus/src/lib.rs
+++ b/components/consensus/src/lib.rs
@@ -22,8 +22,8 @@
     action::{Action, ProposeError, Proposed, ReadError},
     consensus::Consensus,
     settings::{
-        DEMOTE_AFTER, ELECTION_TIMEOUT_MIN, HEARTBEAT_INTERVAL, HELLO_INTERVAL, LEASE_DURATION,
-        LeaseUse, MAX_APPEND_BYTES, MAX_ENTRY_BYTES, MAX_FOLLOWER_STALENESS, MembershipPolicy,
-        OBSERVED_FOR, RETRY_INTERVAL, SNAPSHOT_CHUNK_BYTES, Settings,
+        ELECTION_TIMEOUT_MIN, HEARTBEAT_INTERVAL, HELLO_INTERVAL, LEASE_DURATION, LeaseUse,
+        MAX_APPEND_BYTES, MAX_ENTRY_BYTES, MAX_FOLLOWER_STALENESS, MembershipPolicy,
+        RETRY_INTERVAL, SNAPSHOT_CHUNK_BYTES, Settings,
     },
 };
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -97,7 +97,7 @@
         replica
     }
 
-    /// Aligns the hosts of which it is kept when they were heard with the members of the log.
+    /// Aligns the hosts in `last_heard` with the members of the log; new ones count as heard now.
     pub(crate) fn track_members(&mut self) {
         let members = self.log.members();
         let hosts: Vec<HostId> =
@@ -108,7 +108,7 @@
         }
     }
 
-    /// Records any message of a host, whichever role this host has.
+    /// Records that a host was heard, whichever role this host has; ignores hosts that are no members.
     pub(crate) fn record_heard(&mut self, host: HostId) {
         if let Some(at) = self.last_heard.get_mut(&host) {
             *at = self.now;
@@ -243,7 +243,9 @@
             return;
         }
         self.log.append(&entries);
-        self.track_members();
+        if entries.iter().any(|it| matches!(it.payload, Payload::Members(_))) {
+            self.track_members();
+        }
         self.push_action(Action::Store(Record::Append(entries)));
     }
 
--- a/components/consensus/src/settings.rs
+++ b/components/consensus/src/settings.rs
@@ -44,11 +44,11 @@
 /// Silence after which a voter gives its place to a successor, in milliseconds.
 ///
 /// Longer than most elections, so that voters that only lack a leader keep theirs.
-pub const DEMOTE_AFTER: Millis = Millis(2_000);
+pub(crate) const DEMOTE_AFTER: Millis = Millis(2_000);
 
 /// Time for which a leader's own messages must have stayed unanswered before a member counts as
 /// silent, in milliseconds: several heartbeats.
-pub const OBSERVED_FOR: Millis = Millis(1_000);
+pub(crate) const OBSERVED_FOR: Millis = Millis(1_000);
 
 /// Which hosts may join, and whether unresponsive members are removed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -50,8 +50,8 @@
 }
 
 impl RequestHead {
-    /// Returns what is equal for requests that are the same one: those with equal content that callers
-    /// of one organisation send to one host name, and that a server of one service runs.
+    /// Returns the identity of the request, which is the same for equal content that callers of one
+    /// organisation send to one host name and that servers of one service run.
     pub(crate) fn fingerprint(
         &self,
         service: &ServiceName,
@@ -338,7 +338,7 @@
     pub(crate) service: ServiceName,
     /// Its caller, if it is known by a key.
     pub(crate) identity: Option<CallerIdentity>,
-    /// Tells whether other requests are the same one.
+    /// Its identity: requests with the same one crash the same servers.
     pub(crate) fingerprint: Fingerprint,
     /// Whether the configuration in force refuses its key, or that it has none.
     pub(crate) is_key_refused: bool,
--- a/components/quarantine/src/quarantine/evidence.rs
+++ b/components/quarantine/src/quarantine/evidence.rs
@@ -29,8 +29,8 @@
 /// Number of starts whose probes are remembered, from which old ones are forgotten.
 const MAX_PROBED: usize = 256;
 
-/// Time after a loss from which a response that another gateway got shows that the start lives on, in
-/// milliseconds: one that was sent before takes less.
+/// Time after a loss from which a response that another gateway got, or another loss, shows that the
+/// start lived on, in milliseconds: what was sent before takes less.
 const RESPONSE_TIME: Millis = Millis(500);
 
 /// Whose losses are told as crashes.
@@ -54,7 +54,7 @@
         if self.records.has_crashed(request, server) {
             return;
         }
-        // A process that loses a request now has not ended at the losses before.
+        // A start that loses a request now was alive at its earlier losses.
         self.responded(now, server, now - RESPONSE_TIME);
         if self.was_answered(now, request) {
             return;
