Count the parts of a split route as one service of a request

Callers saw: nothing yet. A request that crashes all servers of a split route would have been refused at each part after three crashes there, and tried twice at each.

Cause: its fingerprint had the service that was chosen for it.

Change: the fingerprint has the services of its route.

Measured: a_request_is_the_same_whichever_part_of_a_split_route_runs_it failed before.

--- a/components/gateway_core/src/gateway/detours.rs
+++ b/components/gateway_core/src/gateway/detours.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use ids::{AttemptNumber, HostId, Incarnation, Millis, RequestId, Timestamp};
+use ids::{AttemptNumber, HostId, Incarnation, Millis, RequestId, ServiceName, Timestamp};
 use rand_xoshiro::rand_core::RngCore;
 
 use super::{Gateway, attempts::NO_SERVER_RETRY_AFTER};
@@ -114,12 +114,12 @@
         self.events.push(Event::RelayEnded { host, end: end.name() });
     }
 
-    /// Accepts or refuses a request of another gateway.
+    /// Accepts a request of another gateway; returns its service.
     pub(super) fn accept_relayed(
         &mut self,
         route: &Route,
         relayed: &RelayedHead,
-    ) -> Result<(), Refusal> {
+    ) -> Result<ServiceName, Refusal> {
         let not_run = |reason| Refusal::not_run(reason, Some(PATHS_DOWN_RETRY_AFTER));
         if self.paths.are_down() {
             return Err(not_run(RefusalReason::PathsDown));
@@ -131,7 +131,7 @@
             return Err(not_run(RefusalReason::KeysUnchecked));
         }
         match self.relays.accept() {
-            true => Ok(()),
+            true => Ok(relayed.service.clone()),
             false => Err(not_run(RefusalReason::TooManyRelayed)),
         }
     }
--- a/components/gateway_core/src/gateway/mod.rs
+++ b/components/gateway_core/src/gateway/mod.rs
@@ -239,22 +239,22 @@
     pub fn begin(&mut self, now: Timestamp, head: RequestHead) -> Result<RequestId, Refusal> {
         let route = self.find_route(&head)?;
         let identity = self.identify(now, &head, &route)?;
-        let service = match &head.relayed {
-            Some(relayed) => relayed.service.clone(),
-            None => self.choose_service(&route),
-        };
         let organisation = identity.as_ref().map(CallerIdentity::organisation);
-        let fingerprint = head.fingerprint(&service, organisation);
+        let fingerprint = head.fingerprint(&route, organisation);
         if let Some(retry_after) = self.quarantine.refuses(now, fingerprint) {
             return Err(Refusal::not_run(RefusalReason::Quarantined, Some(retry_after)));
         }
         let kinds = self.kinds(&head, &route, identity.as_ref());
         let work = self.work.estimate(now, &kinds);
         let deadline = self.deadline(now, &route, &head, work)?;
-        match &head.relayed {
+        let service = match &head.relayed {
             Some(relayed) => self.accept_relayed(&route, relayed)?,
-            None => self.retry_budget.record_request(now, &service),
-        }
+            None => {
+                let service = self.choose_service(&route);
+                self.retry_budget.record_request(now, &service);
+                service
+            }
+        };
         let id = self.next_request;
         self.next_request = id.next();
         let asked_before = match (head.caller_timeout, &head.relayed) {
--- a/components/gateway_core/src/requests/mod.rs
+++ b/components/gateway_core/src/requests/mod.rs
@@ -51,19 +51,23 @@
 
 impl RequestHead {
     /// Returns the identity of the request, which is the same for equal content that callers of one
-    /// organisation send to one host name and that servers of one service run.
+    /// organisation send to one host name, and that the same services may run.
     pub(crate) fn fingerprint(
         &self,
-        service: &ServiceName,
+        route: &Route,
         organisation: Option<&OrganisationName>,
     ) -> Fingerprint {
         let host = routing::normalise_host(&self.host);
+        let mut services: Vec<&str> = route.targets.iter().map(|it| it.service.as_str()).collect();
+        services.sort_unstable();
+        services.dedup();
+        let services = services.iter().flat_map(|it| [it.as_bytes(), &[0]]);
         let caller: [&[u8]; 2] = match organisation {
             Some(it) => [&[1], it.as_str().as_bytes()],
             None => [&[0], &[]],
         };
-        let parts = [&self.content.0[..], host.as_bytes(), &[0], service.as_str().as_bytes(), &[0]];
-        Fingerprint::of_parts(parts.into_iter().chain(caller))
+        let head = [&self.content.0[..], host.as_bytes(), &[0]];
+        Fingerprint::of_parts(head.into_iter().chain(services).chain(caller))
     }
 }
 
--- a/components/gateway_core/tests/same_requests.rs
+++ b/components/gateway_core/tests/same_requests.rs
@@ -169,6 +169,23 @@
     assert!(!is_refused(&mut harness, at(500), lookup("acme-1")));
 }
 
+/// Guards against a request that crashes three servers of each part of a split route.
+#[test]
+fn a_request_is_the_same_whichever_part_of_a_split_route_runs_it() {
+    let split = |version, weights: [u32; 2]| {
+        let services = [ledger(), common::service()].into_iter().zip(weights);
+        let targets = services.map(|(service, weight)| RouteTarget { service, weight }).collect();
+        config_of(version, vec![Route { targets, ..look() }], organisations())
+    };
+    let mut harness = harness_with(split(2, [1, 0]));
+
+    crash(&mut harness, at(0), &lookup("acme-1"));
+    harness.gateway.set_config(split(3, [0, 1]));
+    crash(&mut harness, at(100), &lookup("acme-1"));
+
+    assert!(is_refused(&mut harness, at(500), lookup("acme-1")));
+}
+
 /// The gateways know the organisation by other keys, and it counts as the same caller.
 #[test]
 fn gateways_with_older_configurations_tell_of_the_same_requests() {
