--- a/components/gateway_core/tests/same_requests.rs
+++ b/components/gateway_core/tests/same_requests.rs
@@ -7,8 +7,12 @@
     ApiKey, AttemptEnd, AttemptStart, Credentials, GatewayConfig, Idempotency, Organisation,
     ProbeOutcome, RefusalReason, RelayedHead, RequestHead, Route, RouteTarget, ServicePolicy, Step,
 };
-use ids::{Fingerprint, HostId, ServerKey, ServiceName, Timestamp};
-use schema::announcement::Announcement;
+use ids::{Fingerprint, HostId, Incarnation, Millis, ServerKey, ServiceName, Timestamp};
+use schema::{
+    announcement::Announcement,
+    quarantine::{Crash, QuarantineMessage, RequestRecord, ToldRecords},
+    server_load::ReportScope,
+};
 
 const PATH: &str = "/look/list";
 
@@ -217,3 +221,34 @@
     assert!(is_refused(&mut harness, at(500), relayed("acme-2")));
     assert!(!is_refused(&mut harness, at(500), relayed("other-1")));
 }
+
+/// Older builds tell of requests by their content alone, whoever sends them.
+#[test]
+fn what_older_builds_tell_neither_refuses_nor_clears_a_request() {
+    let mut harness = harness();
+    let tell_of = |harness: &mut Harness, clears: u32, crashes: u64| {
+        let crash = |number: u64| Crash {
+            address: server(number, "north-a").address,
+            incarnation: Incarnation(number),
+            age_ms: Millis(0),
+        };
+        let record = RequestRecord {
+            fingerprint: lookup("acme-1").content,
+            clears,
+            cleared_age_ms: Millis(0),
+            crashes: (1..=crashes).map(crash).collect(),
+        };
+        let told = ToldRecords { scope: ReportScope::PassedOn, records: vec![record] };
+        let message = QuarantineMessage::Told(told);
+        harness.gateway.on_quarantine_message(at(400), HostId(1), &message);
+    };
+
+    tell_of(&mut harness, 0, 3);
+    assert!(!is_refused(&mut harness, at(500), lookup("acme-1")));
+    assert!(!is_refused(&mut harness, at(500), lookup("other-1")));
+
+    crash(&mut harness, at(600), &lookup("acme-1"));
+    crash(&mut harness, at(600), &lookup("acme-1"));
+    tell_of(&mut harness, 2, 0);
+    assert!(is_refused(&mut harness, at(700), lookup("acme-1")));
+}
