--- a/components/gateway_core/tests/common/mod.rs
+++ b/components/gateway_core/tests/common/mod.rs
@@ -3,9 +3,9 @@
 #![allow(dead_code)]
 
 use gateway_core::{
-    AttemptEnd, AttemptStart, CallerLimits, Credentials, Gateway, GatewayConfig, GatewaySettings,
-    Idempotency, KeySecret, RequestHead, RetryBudgetSettings, Route, RouteTarget, ServicePolicy,
-    Step,
+    ApiKey, AttemptEnd, AttemptStart, CallerLimits, Credentials, Gateway, GatewayConfig,
+    GatewaySettings, Idempotency, KeySecret, Organisation, RequestHead, RetryBudgetSettings, Route,
+    RouteTarget, ServicePolicy, Step,
 };
 use ids::{
     ByteSize, ConfigVersion, DataCentreName, Fingerprint, HostId, Incarnation, LogIndex, Millis,
@@ -70,6 +70,15 @@
     }
 }
 
+pub fn organisation(name: &str, keys: &[&str]) -> Organisation {
+    Organisation {
+        name: name.parse().unwrap(),
+        keys: keys.iter().map(|it| ApiKey::new(it.as_bytes())).collect(),
+        priority: None,
+        limit: None,
+    }
+}
+
 pub fn server(number: u64, data_centre_name: &str) -> Announcement {
     Announcement {
         server: server_id(number),
--- a/components/gateway_core/tests/organisation_keys.rs
+++ b/components/gateway_core/tests/organisation_keys.rs
@@ -2,21 +2,12 @@
 
 mod common;
 
-use common::{Harness, at, config, head, route, server};
+use common::{Harness, at, config, head, organisation, route, server};
 use gateway_core::{
     ApiKey, CallerNote, Credentials, Finish, GatewayConfig, Idempotency, Organisation,
     RefusalReason, RelayEnd, RequestHead, RunStatus, Step,
 };
 
-fn organisation(name: &str, keys: &[&str]) -> Organisation {
-    Organisation {
-        name: name.parse().unwrap(),
-        keys: keys.iter().map(|it| ApiKey::new(it.as_bytes())).collect(),
-        priority: None,
-        limit: None,
-    }
-}
-
 fn config_with(version: u64, organisations: Vec<Organisation>) -> GatewayConfig {
     let mut info = route("info", Idempotency::Idempotent);
     info.is_public = true;
--- a/components/gateway_core/tests/same_requests.rs
+++ b/components/gateway_core/tests/same_requests.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Harness, at, config, entry_host, head, route, server};
+use common::{Harness, at, config, entry_host, head, organisation, route, server};
 use gateway_core::{
     ApiKey, AttemptEnd, AttemptStart, Credentials, GatewayConfig, Idempotency, Organisation,
     ProbeOutcome, RefusalReason, RelayedHead, RequestHead, Route, RouteTarget, ServicePolicy, Step,
@@ -20,15 +20,6 @@
     "ledger".parse().unwrap()
 }
 
-fn organisation(name: &str, keys: &[&str]) -> Organisation {
-    Organisation {
-        name: name.parse().unwrap(),
-        keys: keys.iter().map(|it| ApiKey::new(it.as_bytes())).collect(),
-        priority: None,
-        limit: None,
-    }
-}
-
 fn organisations() -> Vec<Organisation> {
     vec![organisation("acme", &["acme-1", "acme-2"]), organisation("other", &["other-1"])]
 }
